--- /dev/null
+++ b/packages/chart/src/ChartEvent.ts
@@ -0,0 +1,4 @@
+/** An event of a chart; its type selects the transitions. */
+export interface ChartEvent {
+  readonly type: string;
+}
--- /dev/null
+++ b/packages/core/src/Cancel.ts
@@ -0,0 +1,2 @@
+/** Cancels a scheduled callback; calling it again has no effect. */
+export type Cancel = () => void;
--- /dev/null
+++ b/packages/core/src/FormatLogLine.ts
@@ -0,0 +1,15 @@
+import type { LogFields } from '#core/LogFields.js';
+
+const PLAIN_VALUE = /^[A-Za-z0-9_.:/*+@-]+$/;
+
+/** Formats an event as one line of `key=value` pairs; other than plain values are quoted and escaped as JSON. */
+export function formatLogLine(event: string, fields: LogFields): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(String(value))}`);
+  return [`event=${event}`, ...pairs].join(' ');
+}
+
+function formatValue(text: string): string {
+  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/core/src/Logger.ts
@@ -0,0 +1,18 @@
+import createDebug from 'debug';
+import { formatLogLine } from '#core/FormatLogLine.js';
+import type { LogFields } from '#core/LogFields.js';
+
+/** Writes events of one package as lines of `key=value` pairs under the name `amaranthrouter:<package>`. */
+export class Logger {
+  private readonly write: createDebug.Debugger;
+
+  public constructor(name: string) {
+    this.write = createDebug(`amaranthrouter:${name}`);
+  }
+
+  /** Logs one event. */
+  public log(event: string, fields: LogFields = {}): void {
+    if (!this.write.enabled) return;
+    this.write('%s', formatLogLine(event, fields));
+  }
+}
