--- /dev/null
+++ b/packages/once/src/ShardRecords.ts
@@ -0,0 +1,13 @@
+import type { OnceRecord } from '#once/OnceRecord.js';
+
+/** Idempotency records of one shard, as handed over in a planned move. */
+export interface ShardRecords {
+  readonly shardId: string;
+  /** Token at the time of the hand-over. */
+  readonly token: number;
+  /** Lowest token whose ids are all remembered. */
+  readonly knownSince: number;
+  /** Number of the current admission window; ids of this window and of the one before are remembered. */
+  readonly window: number;
+  readonly records: readonly OnceRecord[];
+}
