--- /dev/null
+++ b/packages/proxy/src/AnswerHead.ts
@@ -0,0 +1,12 @@
+/** Head of an answer from a backend server. */
+export interface AnswerHead {
+  readonly status: number;
+  /** End-to-end headers. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** Server id of the daemon whose backend server answered. */
+  readonly serverId: string;
+  /** Address of that daemon for callers, `host:port`. */
+  readonly owner: string;
+  /** Admission epoch of the shard, `{token}-{window}`; empty for requests without a key. */
+  readonly epoch: string;
+}
--- /dev/null
+++ b/packages/proxy/src/AnswerListener.ts
@@ -0,0 +1,14 @@
+import type { FlowControl } from '#proxy/FlowControl.js';
+
+/** Receives the progress of one HTTP request that a task sent. */
+export interface AnswerListener {
+  readonly onHead: (
+    status: number,
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+    flow: FlowControl,
+  ) => void;
+  readonly onData: (chunk: Buffer) => void;
+  readonly onEnd: () => void;
+  /** `sent` is whether a byte of the request may have reached the peer. */
+  readonly onError: (err: Error, sent: boolean, cancelled: boolean) => void;
+}
--- /dev/null
+++ b/packages/proxy/src/BackendMessage.ts
@@ -0,0 +1,12 @@
+import type { BackendFacts } from '#proxy/BackendFacts.js';
+import type { BackendOrder } from '#proxy/BackendOrder.js';
+
+/** Messages of the backend task. */
+export type BackendMessage =
+  | { readonly type: 'run'; readonly backendOrder: BackendOrder }
+  | { readonly type: 'cancel'; readonly orderId: string }
+  | { readonly type: 'announced'; readonly facts: BackendFacts }
+  | { readonly type: 'grant'; readonly epoch: number; readonly leaseEndMs: number }
+  | { readonly type: 'connectionFailed'; readonly incarnation: string }
+  | { readonly type: 'ended'; readonly orderId: string }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/packages/proxy/src/BackendOrder.ts
@@ -0,0 +1,13 @@
+import type { Order } from '#proxy/Order.js';
+
+/** An order that the owner task has admitted to the backend server. */
+export interface BackendOrder {
+  readonly order: Order;
+  readonly body: Order['body'];
+  /** Deadline on the monotonic clock; capped at the lease end where the backend server does not check tokens. */
+  readonly deadlineAtMs: number;
+  /** Epoch of the grant; 0 for requests that need no ownership. */
+  readonly epoch: number;
+  /** Fencing token of the shard; 0 for requests that need no ownership. */
+  readonly token: number;
+}
--- /dev/null
+++ b/packages/proxy/src/ExchangeEvent.ts
@@ -0,0 +1,14 @@
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import type { AnswerHead } from '#proxy/AnswerHead.js';
+import type { FlowControl } from '#proxy/FlowControl.js';
+
+/** Events of the chart `exchange.json`: one request of a caller, from its arrival to the end of its answer. */
+export type ExchangeEvent =
+  | { readonly type: 'accepted' | 'end' | 'deadline' | 'callerGone' | 'retryDue' | 'flushed' }
+  | {
+      readonly type: 'refused' | 'broken';
+      readonly fields: RouterErrorFields;
+      readonly retryDelayMs?: number;
+    }
+  | { readonly type: 'head'; readonly head: AnswerHead; readonly flow: FlowControl }
+  | { readonly type: 'data'; readonly chunk: Buffer };
--- /dev/null
+++ b/packages/proxy/src/ForwardTask.ts
@@ -0,0 +1,182 @@
+import { Pool } from 'undici';
+import type { Member } from '#assignment/Member.js';
+import type { Cancel } from '#core/Cancel.js';
+import type { Clock } from '#core/Clock.js';
+import { Logger } from '#core/Logger.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import { Task } from '#core/Task.js';
+import { AnswerHandler } from '#proxy/AnswerHandler.js';
+import { createHopHeaders } from '#proxy/CreateHopHeaders.js';
+import { formatHopFields } from '#proxy/FormatHopFields.js';
+import type { ForwardMessage } from '#proxy/ForwardMessage.js';
+import type { HopSigner } from '#proxy/HopSigner.js';
+import type { Order } from '#proxy/Order.js';
+import { parseRefusal } from '#proxy/ParseRefusal.js';
+import { selectAnswerHeaders } from '#proxy/SelectAnswerHeaders.js';
+
+/** Bounds the sockets between two daemons; each request holds one while it waits. */
+const CONNECTIONS_PER_PEER = 64;
+const CONNECT_TIMEOUT_MS = 500;
+const REFUSAL_MAX_BYTES = 65_536;
+
+interface Running {
+  readonly handler: AnswerHandler;
+  readonly cancelTimer: Cancel;
+}
+
+/** Owns the connections to other daemons and forwards orders over one inner hop. */
+export class ForwardTask extends Task<ForwardMessage> {
+  private readonly logger = new Logger('forward');
+  private readonly pools = new Map<string, Pool>();
+  private readonly running = new Map<string, Running>();
+
+  public constructor(
+    private readonly serverId: string,
+    private readonly clock: Clock,
+    private readonly signer: HopSigner,
+  ) {
+    super();
+  }
+
+  public override stop(): void {
+    super.stop();
+    for (const pool of this.pools.values()) void pool.destroy();
+    this.pools.clear();
+  }
+
+  protected override receive(message: ForwardMessage): void {
+    switch (message.type) {
+      case 'forward':
+        this.forward(message.member, message.order);
+        break;
+      case 'cancel':
+        this.running.get(message.orderId)?.handler.cancel();
+        break;
+      case 'ended':
+        this.running.get(message.orderId)?.cancelTimer();
+        this.running.delete(message.orderId);
+        break;
+      case 'members':
+        this.closeUnusedPools(message.members);
+        break;
+    }
+  }
+
+  private forward(member: Member, order: Order): void {
+    const nowMs = this.clock.monotonicMs();
+    const remainingMs = Math.floor(order.deadlineAtMs - nowMs);
+    if (remainingMs <= 0) {
+      order.emit({
+        type: 'refused',
+        fields: createFault('deadlineExceeded', member.serverId, 'not run', 504),
+      });
+      return;
+    }
+    const head = { ...order.head, deadlineMs: remainingMs };
+    const handler = this.createHandler(member, order);
+    const cancelTimer = this.clock.schedule(remainingMs, () => handler.cancel());
+    this.running.set(order.orderId, { handler, cancelTimer });
+    const signature = this.signer.sign(formatHopFields(this.serverId, member.serverId, head));
+    const isBuffer = Buffer.isBuffer(order.body);
+    this.findPool(member).dispatch(
+      {
+        path: `/v1/${head.service}${head.path}`,
+        method: head.method,
+        headers: {
+          ...createHopHeaders(this.serverId, head),
+          'amr-hop': signature,
+          ...(!isBuffer && head.contentLength >= 0 ? { 'content-length': String(head.contentLength) } : {}),
+        },
+        body: Buffer.isBuffer(order.body) && order.body.length === 0 ? null : order.body,
+      },
+      handler,
+    );
+  }
+
+  private createHandler(member: Member, order: Order): AnswerHandler {
+    let refusal: Buffer | undefined;
+    let refusalStatus = 0;
+    return new AnswerHandler({
+      onHead: (status, headers, flow) => {
+        if (headers['amr-error'] !== undefined) {
+          refusal = Buffer.alloc(0);
+          refusalStatus = status;
+          return;
+        }
+        const text = (name: string): string => String(headers[name] ?? '');
+        const head = {
+          status,
+          headers: selectAnswerHeaders(headers),
+          serverId: text('amr-server'),
+          owner: text('amr-owner'),
+          epoch: text('amr-epoch'),
+        };
+        order.emit({ type: 'head', head, flow });
+      },
+      onData: (chunk) => {
+        if (refusal === undefined) order.emit({ type: 'data', chunk });
+        else if (refusal.length < REFUSAL_MAX_BYTES) refusal = Buffer.concat([refusal, chunk]);
+      },
+      onEnd: () => {
+        this.post({ type: 'ended', orderId: order.orderId });
+        if (refusal === undefined) {
+          order.emit({ type: 'end' });
+          return;
+        }
+        const fields = parseRefusal(refusal.toString(), member.serverId, refusalStatus);
+        order.emit({ type: fields.ran === 'not run' ? 'refused' : 'broken', fields });
+      },
+      onError: (err, sent, cancelled) => {
+        this.post({ type: 'ended', orderId: order.orderId });
+        const code = cancelled ? 'deadlineExceeded' : sent ? 'peerLost' : 'peerUnreachable';
+        const fields = createFault(
+          code,
+          member.serverId,
+          sent ? 'unknown' : 'not run',
+          cancelled ? 504 : 502,
+        );
+        this.logger.log('forwardFailed', {
+          step: 'forward',
+          peer: member.serverId,
+          order: order.orderId,
+          code,
+          error: err.message,
+        });
+        order.emit({ type: sent ? 'broken' : 'refused', fields });
+      },
+    });
+  }
+
+  private findPool(member: Member): Pool {
+    const address = `http://${member.host}:${member.callerPort}`;
+    const existing = this.pools.get(address);
+    if (existing !== undefined) return existing;
+    const pool = new Pool(address, {
+      connections: CONNECTIONS_PER_PEER,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
+    this.pools.set(address, pool);
+    return pool;
+  }
+
+  private closeUnusedPools(members: readonly Member[]): void {
+    const used = new Set(members.map((member) => `http://${member.host}:${member.callerPort}`));
+    for (const [address, pool] of this.pools) {
+      if (used.has(address)) continue;
+      this.pools.delete(address);
+      void pool.close();
+    }
+  }
+}
+
+function createFault(
+  code: string,
+  peer: string,
+  ran: RouterErrorFields['ran'],
+  status: number,
+): RouterErrorFields {
+  return { code, step: 'forward', peer, ran, status };
+}
--- /dev/null
+++ b/packages/standin/src/BackendServer.ts
@@ -0,0 +1,209 @@
+import { createHash, randomBytes } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { request } from 'undici';
+import { RandomSource } from '#core/RandomSource.js';
+import type { BackendServerOptions } from '#standin/BackendServerOptions.js';
+import { createAnswerBody } from '#standin/CreateAnswerBody.js';
+import type { RunRecord } from '#standin/RunRecord.js';
+
+const ANNOUNCE_EVERY_MS = 500;
+const DEFAULT_ANSWER_BYTES = 256;
+/** A cold backend server takes this many times as long for a request as a warm one. */
+const COLD_FACTOR = 3;
+
+interface Grant {
+  readonly epoch: number;
+  readonly expiresAtMs: number;
+}
+
+/** Stand-in for a backend server: slots, cold start, shedding, drain, deadlines, grants, and a load report that lags. */
+export class BackendServer {
+  private readonly incarnation = randomBytes(8).toString('hex');
+  private readonly random: RandomSource;
+  private readonly server: Server;
+  private readonly records: RunRecord[] = []; // eslint-disable-line no-restricted-syntax -- log of this process
+  private readonly startedAtMs = Date.now();
+  private grant: Grant = { epoch: 0, expiresAtMs: 0 };
+  private inFlight = 0;
+  private reportedLoad = 0;
+  private slowFactor = 1;
+  private leaving = false;
+  private serverId = '';
+  private overloads = 0;
+  private port = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  public constructor(private readonly options: BackendServerOptions) {
+    this.random = new RandomSource(options.seed);
+    this.server = createServer((req, res) => void this.handle(req, res));
+    this.server.maxConnections = options.connections;
+    this.server.keepAliveTimeout = 0;
+  }
+
+  /** Listens on a loopback port that the system picks, and announces itself until stopped. */
+  public async start(): Promise<number> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    const address = this.server.address();
+    this.port = typeof address === 'object' && address !== null ? address.port : 0;
+    this.timer = setInterval(() => void this.announce(), ANNOUNCE_EVERY_MS);
+    await this.announce();
+    return this.port;
+  }
+
+  /** Stops at once, as a crash would: connections are reset. */
+  public stop(): void {
+    clearInterval(this.timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Announces that the backend server starts to leave. */
+  public async leave(): Promise<void> {
+    this.leaving = true;
+    await this.announce();
+  }
+
+  /** Returns the requests that ran, and how often more ran at once than the backend server could bear. */
+  public report(): { readonly records: readonly RunRecord[]; readonly overloads: number } {
+    return { records: this.records, overloads: this.overloads };
+  }
+
+  private async announce(): Promise<void> {
+    const load = this.inFlight;
+    setTimeout(() => (this.reportedLoad = load), this.options.reportLagMs);
+    const facts = {
+      host: '127.0.0.1',
+      port: this.port,
+      service: this.options.service,
+      slots: this.options.slots,
+      connections: this.options.connections,
+      checksToken: this.options.checksToken,
+      incarnation: this.incarnation,
+      leaving: this.leaving,
+      reportedLoad: this.reportedLoad,
+    };
+    try {
+      const answer = await request(this.options.announceUrl, { method: 'POST', body: JSON.stringify(facts) });
+      const reply = (await answer.body.json()) as { readonly serverId?: string };
+      this.serverId = reply.serverId ?? this.serverId;
+    } catch {
+      // The daemon may be restarting; the next announcement follows shortly.
+    }
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    try {
+      const body = await readBody(req);
+      if (req.url?.startsWith('/-/') === true) this.handleControl(req, res, body);
+      else await this.handleOrder(req, res, body);
+    } catch {
+      // A request whose body is cut off does not run.
+      res.destroy();
+    }
+  }
+
+  private handleControl(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
+    switch (req.url) {
+      case '/-/grant':
+        this.grant = JSON.parse(body.toString()) as Grant;
+        break;
+      case '/-/slow':
+        this.slowFactor = Number(body.toString());
+        break;
+      case '/-/leave':
+        void this.leave();
+        break;
+      case '/-/records':
+        res.end(JSON.stringify(this.report()));
+        return;
+      default:
+        break;
+    }
+    res.end('{}');
+  }
+
+  private async handleOrder(req: IncomingMessage, res: ServerResponse, body: Buffer): Promise<void> {
+    const refusal = this.findRefusal(req);
+    if (refusal !== undefined) {
+      res.writeHead(503, { 'amr-refused': refusal }).end();
+      return;
+    }
+    if (req.url?.includes('crash') === true) process.exit(70);
+    this.inFlight += 1;
+    if (this.inFlight > this.capacity()) this.overloads += 1;
+    const index = this.records.push(this.createRecord(req)) - 1;
+    await new Promise((resolve) => setTimeout(resolve, this.drawServiceMs()));
+    this.inFlight -= 1;
+    const record = this.records[index];
+    if (record !== undefined) this.records[index] = { ...record, endMs: Date.now() };
+    this.answer(req, res, body);
+  }
+
+  private findRefusal(req: IncomingMessage): string | undefined {
+    const nowMs = Date.now();
+    const deadlineAtMs = Number(req.headers['amr-deadline-at'] ?? Number.MAX_SAFE_INTEGER);
+    if (nowMs >= deadlineAtMs) return 'expired';
+    if (this.options.checksToken && req.headers['amr-token'] !== undefined) {
+      const epoch = Number(req.headers['amr-grant-epoch']);
+      if (epoch !== this.grant.epoch || nowMs >= this.grant.expiresAtMs) return 'stale';
+    }
+    if (this.inFlight >= this.options.slots) return 'shed';
+    return undefined;
+  }
+
+  private createRecord(req: IncomingMessage): RunRecord {
+    const text = (name: string): string => String(req.headers[name] ?? '');
+    return {
+      orderId: text('amr-order-id'),
+      serverId: this.serverId,
+      tenant: text('amr-tenant'),
+      class: text('amr-class'),
+      key: text('amr-key'),
+      id: text('idempotency-key'),
+      token: Number(text('amr-token') || '0'),
+      startMs: Date.now(),
+      endMs: 0,
+    };
+  }
+
+  /** Requests that it can bear at once: grows from one to all slots during the cold start. */
+  private capacity(): number {
+    const warmth = this.warmth();
+    return Math.max(1, Math.floor(this.options.slots * warmth));
+  }
+
+  private warmth(): number {
+    if (this.options.coldStartMs === 0) return 1;
+    return Math.min(1, (Date.now() - this.startedAtMs) / this.options.coldStartMs);
+  }
+
+  private drawServiceMs(): number {
+    const cold = 1 + (COLD_FACTOR - 1) * (1 - this.warmth());
+    const spread = 0.5 + this.random.fraction();
+    return this.options.serviceMs * spread * cold * this.slowFactor;
+  }
+
+  private answer(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
+    const text = (name: string): string => String(req.headers[name] ?? '');
+    const bytes = Number(/[?&]bytes=([0-9]{1,8})/.exec(req.url ?? '')?.[1] ?? DEFAULT_ANSWER_BYTES);
+    const bodyHash = createHash('sha256').update(body).digest('hex');
+    const parts = [
+      this.options.service,
+      req.url ?? '',
+      text('amr-tenant'),
+      text('amr-class'),
+      text('amr-key'),
+      text('idempotency-key'),
+      bodyHash,
+    ];
+    const answer = createAnswerBody(parts, bytes);
+    res.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': answer.length });
+    res.end(answer);
+  }
+}
+
+async function readBody(req: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/standin/src/RunRecord.ts
@@ -0,0 +1,13 @@
+/** One request that a stand-in backend server ran. */
+export interface RunRecord {
+  readonly orderId: string;
+  readonly serverId: string;
+  readonly tenant: string;
+  readonly class: string;
+  readonly key: string;
+  readonly id: string;
+  readonly token: number;
+  /** Wall-clock times in milliseconds; `endMs` is 0 while it runs. */
+  readonly startMs: number;
+  readonly endMs: number;
+}
