Add idempotency records and delivery outcomes

Cause: the request path needs decisions for requests that may not be repeated, and a count of outcomes.

--- /dev/null
+++ b/packages/delivery/src/DeliveryContext.ts
@@ -0,0 +1,11 @@
+import type { DeliveryEvidence } from '#delivery/DeliveryEvidence.js';
+import type { DeliveryFacts } from '#delivery/DeliveryFacts.js';
+
+/** Context of the chart of one response. */
+export interface DeliveryContext extends DeliveryFacts {
+  readonly evidence: DeliveryEvidence;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  /** Whether a byte of the order may have reached the backend server. */
+  readonly orderSent: boolean;
+}
--- /dev/null
+++ b/packages/delivery/src/DeliveryRules.ts
@@ -0,0 +1,28 @@
+import type { ChartRules } from '#chart/ChartRules.js';
+import type { DeliveryContext } from '#delivery/DeliveryContext.js';
+import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
+import type { Outcome } from '#delivery/Outcome.js';
+
+/** Guards and actions of `charts/delivery.json`. */
+export const DELIVERY_RULES: ChartRules<DeliveryContext, DeliveryEvent, never> = {
+  guards: {
+    mayHaveRun: ({ orderSent, repeatable }) => orderSent && !repeatable,
+    isDelivered: (context, event) => judge(context, event) === 'delivered',
+    isLate: (context, event) => judge(context, event) === 'late',
+    isPartial: (context, event) => judge(context, event) === 'partial',
+  },
+  actions: {
+    noteOrder: (context) => ({ context: { ...context, orderSent: true }, commands: [] }),
+    countBytes: (context, event) => ({ context: addBytes(context, event), commands: [] }),
+  },
+};
+
+function judge(context: DeliveryContext, event: DeliveryEvent): Outcome | undefined {
+  if (event.type === 'flushed') return context.evidence.judgeSent(context, event.nowMs);
+  if (event.type === 'receipt') return context.evidence.judgeReceipt(context, event.bytes, event.nowMs);
+  return undefined;
+}
+
+function addBytes(context: DeliveryContext, event: DeliveryEvent): DeliveryContext {
+  return event.type === 'chunk' ? { ...context, sentBytes: context.sentBytes + event.bytes } : context;
+}
--- /dev/null
+++ b/packages/delivery/src/ReceiptEvidence.ts
@@ -0,0 +1,15 @@
+import { DeliveryEvidence } from '#delivery/DeliveryEvidence.js';
+import type { DeliveryFacts } from '#delivery/DeliveryFacts.js';
+import type { Outcome } from '#delivery/Outcome.js';
+
+/** The caller confirms the byte count of the response. */
+export class ReceiptEvidence extends DeliveryEvidence {
+  public override judgeSent(): undefined {
+    return undefined;
+  }
+
+  public override judgeReceipt(facts: DeliveryFacts, bytes: number, nowMs: number): Outcome {
+    if (bytes !== facts.sentBytes) return 'partial';
+    return nowMs <= facts.deadlineMs ? 'delivered' : 'late';
+  }
+}
--- /dev/null
+++ b/packages/delivery/src/ReceiptTable.ts
@@ -0,0 +1,112 @@
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import type { Outcome } from '#delivery/Outcome.js';
+import type { PendingReceipt } from '#delivery/PendingReceipt.js';
+import { ReceiptEvidence } from '#delivery/ReceiptEvidence.js';
+import type { ReceiptResult } from '#delivery/ReceiptResult.js';
+
+/** Width of the groups in which pending receipts expire, in milliseconds. */
+const EXPIRY_STEP_MS = 100;
+
+const NOT_FOUND: RouterErrorFields = {
+  code: 'receiptNotFound',
+  step: 'receipt',
+  peer: '',
+  ran: 'ran',
+  status: 404,
+};
+
+interface EndedReceipt {
+  readonly tenant: string;
+  readonly outcome: Outcome;
+}
+
+/**
+ * Receipts that callers still owe, at most `maxPending`, and the outcomes of the newest `maxPending` that ended.
+ * Each receipt is counted once: by `confirm`, or by `expect` or `expire`, which return those to count as
+ * `sentUnconfirmed`.
+ */
+export class ReceiptTable {
+  private readonly maxPending: number;
+  private readonly graceMs: number;
+  private readonly evidence = new ReceiptEvidence();
+  private readonly pending = new Map<string, PendingReceipt>();
+  private readonly ended = new Map<string, EndedReceipt>();
+  private readonly groups = new Map<number, Set<string>>();
+
+  /** `graceMs` is the time after the deadline for which a receipt still counts, as `late`. */
+  public constructor(maxPending: number, graceMs: number) {
+    this.maxPending = maxPending;
+    this.graceMs = graceMs;
+  }
+
+  public get size(): number {
+    return this.pending.size;
+  }
+
+  /** Adds a receipt to await. Returns the oldest ones that were dropped to stay within the bound. */
+  public expect(receipt: PendingReceipt): readonly PendingReceipt[] {
+    const dropped = this.pending.size >= this.maxPending ? this.dropOldest() : [];
+    this.pending.set(receipt.id, receipt);
+    const group = this.groupOf(receipt);
+    this.groups.set(group, (this.groups.get(group) ?? new Set()).add(receipt.id));
+    return dropped;
+  }
+
+  /** Judges a receipt for `bytes` bytes from `tenant`. */
+  public confirm(id: string, tenant: string, bytes: number, nowMs: number): ReceiptResult {
+    const receipt = this.pending.get(id);
+    if (receipt === undefined) return this.findEnded(id, tenant);
+    // The id of another tenant's receipt is answered like an unknown one, so that ids cannot be tested.
+    if (receipt.tenant !== tenant) return { kind: 'refused', error: NOT_FOUND };
+    const facts = { deadlineMs: receipt.deadlineMs, sentBytes: receipt.expectedBytes };
+    const outcome = this.evidence.judgeReceipt(facts, bytes, nowMs);
+    this.end(receipt, outcome);
+    return { kind: 'counted', outcome, receipt };
+  }
+
+  /** Removes and returns the receipts whose deadline passed by more than the grace time and one expiry step. */
+  public expire(nowMs: number): readonly PendingReceipt[] {
+    const lastGroup = Math.floor((nowMs - this.graceMs) / EXPIRY_STEP_MS) - 1;
+    const due = [...this.groups.keys()].filter((group) => group <= lastGroup);
+    const ids = due.flatMap((group) => [...(this.groups.get(group) ?? [])]);
+    const receipts = ids.map((id) => this.pending.get(id)).filter((receipt) => receipt !== undefined);
+    for (const receipt of receipts) this.end(receipt, 'sentUnconfirmed');
+    return receipts;
+  }
+
+  private dropOldest(): readonly PendingReceipt[] {
+    const [oldest] = this.pending.values();
+    if (oldest === undefined) return [];
+    this.end(oldest, 'sentUnconfirmed');
+    return [oldest];
+  }
+
+  private end(receipt: PendingReceipt, outcome: Outcome): void {
+    this.pending.delete(receipt.id);
+    this.leaveGroup(receipt);
+    if (this.ended.size >= this.maxPending) this.forgetOldestEnded();
+    this.ended.set(receipt.id, { tenant: receipt.tenant, outcome });
+  }
+
+  private leaveGroup(receipt: PendingReceipt): void {
+    const group = this.groupOf(receipt);
+    const ids = this.groups.get(group);
+    ids?.delete(receipt.id);
+    if (ids?.size === 0) this.groups.delete(group);
+  }
+
+  private forgetOldestEnded(): void {
+    const [oldest] = this.ended.keys();
+    if (oldest !== undefined) this.ended.delete(oldest);
+  }
+
+  private findEnded(id: string, tenant: string): ReceiptResult {
+    const ended = this.ended.get(id);
+    if (ended?.tenant !== tenant) return { kind: 'refused', error: NOT_FOUND };
+    return { kind: 'repeated', outcome: ended.outcome };
+  }
+
+  private groupOf(receipt: PendingReceipt): number {
+    return Math.floor(receipt.deadlineMs / EXPIRY_STEP_MS);
+  }
+}
--- /dev/null
+++ b/packages/delivery/src/StartDelivery.ts
@@ -0,0 +1,14 @@
+import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
+import { DELIVERY_CHART } from '#delivery/DeliveryChart.js';
+import type { DeliveryContext } from '#delivery/DeliveryContext.js';
+import type { DeliveryEvidence } from '#delivery/DeliveryEvidence.js';
+
+/** Returns the snapshot of a response that waits for the backend server; `deadlineMs` is on the monotonic clock. */
+export function startDelivery(
+  evidence: DeliveryEvidence,
+  deadlineMs: number,
+  repeatable: boolean,
+): ChartSnapshot<DeliveryContext> {
+  const context = { evidence, deadlineMs, repeatable, orderSent: false, sentBytes: 0 };
+  return { value: DELIVERY_CHART.initial, context };
+}
--- /dev/null
+++ b/packages/once/src/CompareBody.ts
@@ -0,0 +1,20 @@
+import type { BodyComparison } from '#once/BodyComparison.js';
+import type { OnceRecord } from '#once/OnceRecord.js';
+
+/** Compares the body hash of a repeat (SHA-256, hex) with the record of the original. */
+export function compareBody(record: OnceRecord, bodyHash: string): BodyComparison {
+  if (record.bodyHash === bodyHash && bodyHash !== '') return { kind: 'same' };
+  if (record.bodyHash !== '' && bodyHash !== '') return MISMATCH;
+  // Without the hash of a body that was never read to its end, nothing shows that the two requests are the same.
+  return record.state === 'running' ? { kind: 'pending' } : INCOMPARABLE;
+}
+
+const MISMATCH: BodyComparison = {
+  kind: 'refuse',
+  error: { code: 'idBodyMismatch', step: 'once', peer: '', ran: 'not run', status: 422 },
+};
+
+const INCOMPARABLE: BodyComparison = {
+  kind: 'refuse',
+  error: { code: 'unknownOutcome', step: 'once', peer: '', ran: 'unknown', status: 409 },
+};
--- /dev/null
+++ b/packages/once/src/OnceTable.ts
@@ -0,0 +1,243 @@
+import { assertInvariant } from '#core/AssertInvariant.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import type { OnceAnswer } from '#once/OnceAnswer.js';
+import type { OnceDecision } from '#once/OnceDecision.js';
+import type { OnceLimits } from '#once/OnceLimits.js';
+import type { OnceLookUp } from '#once/OnceLookUp.js';
+import type { OnceRecord } from '#once/OnceRecord.js';
+import { parseEpoch } from '#once/ParseEpoch.js';
+import { ShardMemory } from '#once/ShardMemory.js';
+import type { ShardRecords } from '#once/ShardRecords.js';
+
+/** Longest `idempotency-key` that is accepted, in characters. */
+const MAX_ID_LENGTH = 255;
+
+/** Time after which a full table is likely to have room again, in milliseconds. */
+const FULL_RETRY_MS = 1_000;
+
+/**
+ * Remembers the requests that may not be repeated, for the shards that a daemon owns; see docs/design.md, section 8.
+ * Times are monotonic, in milliseconds.
+ */
+export class OnceTable {
+  private readonly limits: OnceLimits;
+  private readonly shards = new Map<string, ShardMemory>();
+
+  public constructor(limits: OnceLimits) {
+    this.limits = limits;
+  }
+
+  /**
+   * Begins a shard whose earlier records are lost: ids of older tokens are unknown. Has no effect if the shard is open
+   * with this token. Records that still run under an older token of this daemon are kept until they end.
+   */
+  public openShard(shardId: string, token: number): void {
+    const old = this.shards.get(shardId);
+    if (old?.token === token) return;
+    const shard = new ShardMemory(shardId, token, token, 0);
+    const running = old?.records().filter(({ state }) => state === 'running') ?? [];
+    for (const record of running) shard.set(recordKey(record.tenant, record.id), { ...record, window: 0 });
+    this.shards.set(shardId, shard);
+  }
+
+  /** Begins a shard that was moved here with its records; `newToken` is the token of the accepted move. */
+  public adoptShard(moved: ShardRecords, newToken: number): void {
+    assertInvariant(newToken > moved.token, `${moved.shardId}: token ${newToken} does not follow the move`);
+    const shard = new ShardMemory(moved.shardId, newToken, moved.knownSince, moved.window);
+    for (const record of moved.records) shard.set(recordKey(record.tenant, record.id), record);
+    this.shards.set(moved.shardId, shard);
+  }
+
+  /** Ends a shard and returns its records for the hand-over; what still runs is handed over as unknown. */
+  public closeShard(shardId: string): ShardRecords {
+    const shard = this.findShard(shardId);
+    this.shards.delete(shardId);
+    const { token, knownSince, window } = shard;
+    const records = shard.records().map((record) => endAsUnknown(record));
+    return { shardId, token, knownSince, window, records };
+  }
+
+  /** Whether the shard is open. */
+  public hasShard(shardId: string): boolean {
+    return this.shards.has(shardId);
+  }
+
+  /** Returns the value of `amr-epoch` for new requests of the shard. */
+  public currentEpoch(shardId: string): string {
+    const { token, window } = this.findShard(shardId);
+    return `${token}-${window}`;
+  }
+
+  /** Number of records held. */
+  public get size(): number {
+    return this.sum((shard) => shard.size);
+  }
+
+  /** Estimated bytes held. */
+  public get bytes(): number {
+    return this.sum((shard) => shard.bytes);
+  }
+
+  /** Decides whether an id may run. A known id is a repeat whatever its epoch, since its outcome is remembered. */
+  public admit(
+    shardId: string,
+    tenant: string,
+    id: string,
+    epoch: string | undefined,
+    nowMs: number,
+  ): OnceDecision {
+    const shard = this.findShard(shardId);
+    shard.turnIfDue(nowMs, this.limits.horizonMs);
+    if (id === '' || id.length > MAX_ID_LENGTH) return refuse(notRun('idMalformed', 400));
+    const record = shard.get(recordKey(tenant, id));
+    if (record !== undefined) return { kind: 'repeat', record };
+    const error = this.checkEpoch(shard, epoch) ?? this.makeRoom(nowMs);
+    if (error !== undefined) return refuse(error);
+    shard.set(recordKey(tenant, id), startRecord(tenant, id, shard.window));
+    return { kind: 'run' };
+  }
+
+  /** Records the body hash of a running request as soon as its body was read to the end. */
+  public setBodyHash(shardId: string, tenant: string, id: string, bodyHash: string): void {
+    this.update(shardId, tenant, id, (record) => ({ ...record, bodyHash }));
+  }
+
+  /** Records the answer of a running request and returns its record for the repeats that wait. */
+  public complete(shardId: string, tenant: string, id: string, answer: OnceAnswer): OnceRecord | undefined {
+    const kept = answer.complete && answer.answer.length <= this.limits.maxAnswerLength;
+    return this.update(shardId, tenant, id, (record) => ({
+      ...record,
+      state: 'answered',
+      bodyHash: answer.bodyHash === '' ? record.bodyHash : answer.bodyHash,
+      status: answer.status,
+      contentType: answer.contentType,
+      answer: kept ? answer.answer : '',
+      complete: kept,
+    }));
+  }
+
+  /** Records the end of a running request without an answer. An id that did not run is forgotten. */
+  public fail(shardId: string, tenant: string, id: string, ran: 'not run' | 'unknown'): void {
+    if (ran === 'not run') this.shards.get(shardId)?.delete(recordKey(tenant, id));
+    else this.update(shardId, tenant, id, endAsUnknown);
+  }
+
+  /** Returns what is known of an id. */
+  public lookUp(shardId: string, tenant: string, id: string): OnceLookUp {
+    const record = this.shards.get(shardId)?.get(recordKey(tenant, id));
+    if (record === undefined) return { kind: 'absent' };
+    if (record.state === 'running') return { kind: 'running', record };
+    if (record.state === 'unknown') return { kind: 'unknown', error: UNKNOWN_OUTCOME };
+    return record.complete ? { kind: 'answered', record } : { kind: 'unknown', error: ANSWER_NOT_KEPT };
+  }
+
+  /** Turns the windows that are due; called every few seconds, so that idle shards also release memory. */
+  public turnWindows(nowMs: number): void {
+    for (const shard of this.shards.values()) shard.turnIfDue(nowMs, this.limits.horizonMs);
+  }
+
+  private checkEpoch(shard: ShardMemory, text: string | undefined): RouterErrorFields | undefined {
+    const current = `${shard.token}-${shard.window}`;
+    if (text === undefined) return { ...notRun('epochRequired', 428), epoch: current };
+    const epoch = parseEpoch(text);
+    if (epoch === undefined) return { ...notRun('epochMalformed', 400), epoch: current };
+    if (epoch.token < shard.knownSince) return UNKNOWN_OUTCOME;
+    // A newer token shows that this daemon may no longer own the shard, so no epoch of its own is offered.
+    if (epoch.token > shard.token) return notRun('epochOfFuture', 409);
+    if (epoch.window > shard.window) return notRun('epochOfFuture', 409);
+    return epoch.window < shard.window - 1 ? UNKNOWN_OUTCOME : undefined;
+  }
+
+  /** Turns the window of the largest shard until the bounds hold, unless everything left is still running. */
+  private makeRoom(nowMs: number): RouterErrorFields | undefined {
+    while (this.isFull()) {
+      const largest = this.findLargest();
+      if (largest === undefined) return { ...notRun('onceTableFull', 503), retryAfterMs: FULL_RETRY_MS };
+      largest.turn(nowMs);
+    }
+    return undefined;
+  }
+
+  private isFull(): boolean {
+    return this.size >= this.limits.maxRecords || this.bytes >= this.limits.maxBytes;
+  }
+
+  private findLargest(): ShardMemory | undefined {
+    const shards = [...this.shards.values()].filter((shard) => shard.canForget);
+    return shards.sort((left, right) => right.bytes - left.bytes)[0];
+  }
+
+  private update(
+    shardId: string,
+    tenant: string,
+    id: string,
+    change: (record: OnceRecord) => OnceRecord,
+  ): OnceRecord | undefined {
+    const shard = this.shards.get(shardId);
+    const key = recordKey(tenant, id);
+    const record = shard?.get(key);
+    if (shard === undefined || record?.state !== 'running') return undefined;
+    const changed = change(record);
+    shard.set(key, changed);
+    return changed;
+  }
+
+  private findShard(shardId: string): ShardMemory {
+    const shard = this.shards.get(shardId);
+    assertInvariant(shard !== undefined, `shard ${shardId} is not open`);
+    return shard;
+  }
+
+  private sum(measure: (shard: ShardMemory) => number): number {
+    let total = 0;
+    for (const shard of this.shards.values()) total += measure(shard);
+    return total;
+  }
+}
+
+const UNKNOWN_OUTCOME: RouterErrorFields = {
+  code: 'unknownOutcome',
+  step: 'once',
+  peer: '',
+  ran: 'unknown',
+  status: 409,
+};
+
+const ANSWER_NOT_KEPT: RouterErrorFields = {
+  code: 'answerNotKept',
+  step: 'once',
+  peer: '',
+  ran: 'ran',
+  status: 409,
+};
+
+function notRun(code: string, status: number): RouterErrorFields {
+  return { code, step: 'once', peer: '', ran: 'not run', status };
+}
+
+function refuse(error: RouterErrorFields): OnceDecision {
+  return { kind: 'refuse', error };
+}
+
+/** Header values contain no line feed, so the key is unambiguous. */
+function recordKey(tenant: string, id: string): string {
+  return `${tenant}\n${id}`;
+}
+
+function startRecord(tenant: string, id: string, window: number): OnceRecord {
+  return {
+    tenant,
+    id,
+    window,
+    bodyHash: '',
+    state: 'running',
+    status: 0,
+    contentType: '',
+    answer: '',
+    complete: false,
+  };
+}
+
+function endAsUnknown(record: OnceRecord): OnceRecord {
+  return record.state === 'running' ? { ...record, state: 'unknown' } : record;
+}
--- /dev/null
+++ b/packages/once/src/ShardMemory.ts
@@ -0,0 +1,111 @@
+import type { OnceRecord } from '#once/OnceRecord.js';
+
+/** Estimated bytes of a record beside its texts; measured as about 250 B of heap with its map entry. */
+const RECORD_OVERHEAD_BYTES = 250;
+
+/**
+ * Idempotency records of one shard in two admission windows, and the running ones that outlived theirs. A record is
+ * in exactly one of the three maps. All operations take constant time but for turning the window.
+ */
+export class ShardMemory {
+  public readonly shardId: string;
+  public readonly token: number;
+  public readonly knownSince: number;
+  private currentWindow: number;
+  private startMs: number | undefined;
+  private current = new Map<string, OnceRecord>();
+  private previous = new Map<string, OnceRecord>();
+  private readonly outlived = new Map<string, OnceRecord>();
+  private byteCount = 0;
+
+  public constructor(shardId: string, token: number, knownSince: number, window: number) {
+    this.shardId = shardId;
+    this.token = token;
+    this.knownSince = knownSince;
+    this.currentWindow = window;
+  }
+
+  public get window(): number {
+    return this.currentWindow;
+  }
+
+  /** Estimated bytes held. */
+  public get bytes(): number {
+    return this.byteCount;
+  }
+
+  /** Number of records held. */
+  public get size(): number {
+    return this.current.size + this.previous.size + this.outlived.size;
+  }
+
+  /** Whether turning the window twice would forget at least one record. */
+  public get canForget(): boolean {
+    return this.size > this.countRunning();
+  }
+
+  public get(key: string): OnceRecord | undefined {
+    return this.current.get(key) ?? this.previous.get(key) ?? this.outlived.get(key);
+  }
+
+  /** Stores a record, in its own window if that is remembered, and otherwise in the current one. */
+  public set(key: string, record: OnceRecord): void {
+    const inPrevious = this.previous.has(key) || (!this.current.has(key) && this.isPrevious(record));
+    this.delete(key);
+    (inPrevious ? this.previous : this.current).set(key, record);
+    this.byteCount += estimateBytes(record);
+  }
+
+  public delete(key: string): void {
+    const record = this.get(key);
+    if (record === undefined) return;
+    this.byteCount -= estimateBytes(record);
+    this.current.delete(key);
+    this.previous.delete(key);
+    this.outlived.delete(key);
+  }
+
+  /** Turns the window if `horizonMs` passed since it began. The first call starts the first window. */
+  public turnIfDue(nowMs: number, horizonMs: number): void {
+    this.startMs ??= nowMs;
+    if (nowMs - this.startMs < horizonMs) return;
+    this.turn(nowMs);
+  }
+
+  /** Begins a new window and forgets the records of the one before the last, except those still running. */
+  public turn(nowMs: number): void {
+    for (const [key, record] of this.previous) this.retire(key, record);
+    this.previous = this.current;
+    this.current = new Map();
+    this.currentWindow += 1;
+    this.startMs = nowMs;
+  }
+
+  public records(): readonly OnceRecord[] {
+    return [...this.current.values(), ...this.previous.values(), ...this.outlived.values()];
+  }
+
+  private retire(key: string, record: OnceRecord): void {
+    if (record.state === 'running') this.outlived.set(key, record);
+    else this.byteCount -= estimateBytes(record);
+  }
+
+  private isPrevious(record: OnceRecord): boolean {
+    return record.window === this.currentWindow - 1;
+  }
+
+  private countRunning(): number {
+    return this.records().filter(({ state }) => state === 'running').length;
+  }
+}
+
+function estimateBytes(record: OnceRecord): number {
+  return (
+    RECORD_OVERHEAD_BYTES +
+    record.tenant.length +
+    2 * record.id.length +
+    record.bodyHash.length +
+    record.contentType.length +
+    record.answer.length
+  );
+}
