Add the pure functions of the assignment package

Cause: the control tasks need the changes of a cell object as pure functions. Change: joins, takeovers, fences, witness selection, hot-key rows and planned moves as functions from cell to cell. New tokens are version + 1. A new member starts at epoch version + 1, which exceeds every epoch that a dropped member of the same id had. Conclusion: callers can be written against these signatures.

--- /dev/null
+++ b/packages/assignment/src/AssignShards.ts
@@ -0,0 +1,21 @@
+import type { AssignOptions } from '#assignment/AssignOptions.js';
+import type { Cell } from '#assignment/Cell.js';
+import { CostAwarePolicy } from '#assignment/CostAwarePolicy.js';
+import { noLoads } from '#assignment/NoLoads.js';
+
+const DEFAULT_POLICY = new CostAwarePolicy();
+
+/**
+ * Gives shards that nobody can be serving to members chosen by the policy. The new token is `version + 1`, the version
+ * that the write will get; the fences that each shard carries stay.
+ */
+export function assignShards(cell: Cell, shardIds: readonly string[], options: AssignOptions): Cell {
+  if (shardIds.length === 0) return cell;
+  const policy = options.policy ?? DEFAULT_POLICY;
+  const owners = policy.placeShards(cell, shardIds, options.loads ?? noLoads, options.withdrawn ?? []);
+  const changed = shardIds.map((shardId) => {
+    const fences = cell.shards[shardId]?.fences ?? [];
+    return [shardId, { owner: owners.get(shardId) ?? '', token: cell.version + 1, fences }] as const;
+  });
+  return { ...cell, shards: { ...cell.shards, ...Object.fromEntries(changed) } };
+}
--- /dev/null
+++ b/packages/assignment/src/AssignmentPolicy.ts
@@ -0,0 +1,31 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { CellLoads } from '#assignment/CellLoads.js';
+import type { Move } from '#assignment/Move.js';
+import type { MoveBudget } from '#assignment/MoveBudget.js';
+import type { Withdrawn } from '#assignment/Withdrawn.js';
+
+/** Decides which members own shards. Implementations are pure: equal arguments give equal results. */
+export abstract class AssignmentPolicy {
+  /** Short name for measurements. */
+  public abstract readonly name: string;
+
+  /**
+   * Chooses an owner for each of `shardIds`, whose present owners are disregarded; other shards stay where they are.
+   * The owner is empty where no active member of the placement's regions exists.
+   */
+  public abstract placeShards(
+    cell: Cell,
+    shardIds: readonly string[],
+    loads: CellLoads,
+    withdrawn: readonly Withdrawn[],
+  ): ReadonlyMap<string, string>;
+
+  /** Chooses the planned moves that may begin at `nowMs` (the planner's monotonic clock). */
+  public abstract planMoves(
+    cell: Cell,
+    loads: CellLoads,
+    withdrawn: readonly Withdrawn[],
+    budget: MoveBudget,
+    nowMs: number,
+  ): readonly Move[];
+}
--- /dev/null
+++ b/packages/assignment/src/ClearFences.ts
@@ -0,0 +1,15 @@
+import type { Cell } from '#assignment/Cell.js';
+import { dropUnused } from '#assignment/DropUnused.js';
+import type { Shard } from '#assignment/Shard.js';
+
+/** Removes fences that an owner has satisfied from its own shards; fences that no shard names any more are dropped. */
+export function clearFences(cell: Cell, serverId: string, fenceIds: readonly number[]): Cell {
+  const clear = (shard: Shard): Shard =>
+    shard.owner === serverId && shard.fences.some((id) => fenceIds.includes(id))
+      ? { ...shard, fences: shard.fences.filter((id) => !fenceIds.includes(id)) }
+      : shard;
+  const shards = Object.fromEntries(
+    Object.entries(cell.shards).map(([shardId, shard]) => [shardId, clear(shard)]),
+  );
+  return dropUnused({ ...cell, shards });
+}
--- /dev/null
+++ b/packages/assignment/src/FoldHotKeys.ts
@@ -0,0 +1,21 @@
+import type { Cell } from '#assignment/Cell.js';
+import { findParentSlot } from '#assignment/FindParentSlot.js';
+
+/**
+ * Removes rows whose owner also owns their hash slot. The slot takes over their fences and gets a new token, because
+ * the tokens seen by the requests of a key must not go back. Rows that `serverId` may not fold are left as they are.
+ */
+export function foldHotKeys(cell: Cell, serverId: string, rowIds: readonly string[]): Cell {
+  return rowIds.reduce((state, rowId) => foldRow(state, serverId, rowId), cell);
+}
+
+function foldRow(cell: Cell, serverId: string, rowId: string): Cell {
+  const slotId = findParentSlot(rowId) ?? '';
+  const row = cell.shards[rowId];
+  const slot = cell.shards[slotId];
+  if (row?.owner !== serverId || slot?.owner !== serverId) return cell;
+  const fences = [...new Set([...slot.fences, ...row.fences])];
+  const others = Object.entries(cell.shards).filter(([shardId]) => shardId !== rowId);
+  const merged = { owner: serverId, token: cell.version + 1, fences };
+  return { ...cell, shards: { ...Object.fromEntries(others), [slotId]: merged } };
+}
--- /dev/null
+++ b/packages/assignment/src/IsWithdrawn.ts
@@ -0,0 +1,10 @@
+import type { Member } from '#assignment/Member.js';
+import type { Withdrawn } from '#assignment/Withdrawn.js';
+
+/** Tells whether operators have taken a member, its VM or its failure domain out of service. */
+export function isWithdrawn(member: Member, withdrawn: readonly Withdrawn[]): boolean {
+  return withdrawn.some(({ kind, name }) => {
+    if (kind === 'server') return name === member.serverId;
+    return name === (kind === 'vm' ? member.vm : member.failureDomain);
+  });
+}
--- /dev/null
+++ b/packages/assignment/src/JoinCell.ts
@@ -0,0 +1,65 @@
+import { RouterError } from '#core/RouterError.js';
+import type { AssignOptions } from '#assignment/AssignOptions.js';
+import { assignShards } from '#assignment/AssignShards.js';
+import type { Cell } from '#assignment/Cell.js';
+import { chooseWitnesses } from '#assignment/ChooseWitnesses.js';
+import { createFence } from '#assignment/CreateFence.js';
+import { dropUnused } from '#assignment/DropUnused.js';
+import { findMember } from '#assignment/FindMember.js';
+import { listOwnedShards } from '#assignment/ListOwnedShards.js';
+import type { Member } from '#assignment/Member.js';
+import type { MemberFacts } from '#assignment/MemberFacts.js';
+
+/** Bounds the size of a cell object, and so the traffic that each change of it causes. */
+const MAX_MEMBERS = 64;
+
+/**
+ * Adds a member, or gives an existing server id a new grant. A server that joins again gets a fence for its old epoch
+ * and new tokens for its shards, since it lost its idempotency records. Unowned shards are assigned at once; shards of
+ * other members are not touched. Throws a `RouterError` (`cellFull`) beyond 64 members.
+ */
+export function joinCell(cell: Cell, facts: MemberFacts, options: AssignOptions = {}): Cell {
+  const old = findMember(cell, facts.serverId);
+  if (old === undefined && cell.members.length >= MAX_MEMBERS) throw createFullError(facts.serverId);
+  const fenced = old === undefined ? cell : fenceOwnGrant(cell, old, options.graceMs ?? 0);
+  const entered = enterMember(fenced, old, facts);
+  const witnesses = chooseWitnesses(entered, facts.serverId, options.peers);
+  const members = entered.members.map((member) =>
+    member.serverId === facts.serverId ? { ...member, witnesses } : member,
+  );
+  const joined = { ...entered, members };
+  return dropUnused(assignShards(joined, listOwnedShards(joined, ''), options));
+}
+
+function fenceOwnGrant(cell: Cell, old: Member, graceMs: number): Cell {
+  const owned = listOwnedShards(cell, old.serverId);
+  if (owned.length === 0) return cell;
+  const fence = createFence(cell, old, graceMs);
+  const changed = owned.map((shardId) => {
+    const fences = [...(cell.shards[shardId]?.fences ?? []), fence.id];
+    return [shardId, { owner: old.serverId, token: cell.version + 1, fences }] as const;
+  });
+  const shards = { ...cell.shards, ...Object.fromEntries(changed) };
+  return { ...cell, shards, fences: [...cell.fences, fence] };
+}
+
+/**
+ * A new member starts at epoch `version + 1`. Every epoch is at most the version that wrote it, so this exceeds the
+ * epochs that the same server id had before it was dropped from the cell.
+ */
+function enterMember(cell: Cell, old: Member | undefined, facts: MemberFacts): Cell {
+  const epoch = old === undefined ? cell.version + 1 : old.epoch + 1;
+  const member: Member = { ...facts, epoch, state: 'active', witnesses: [] };
+  const members =
+    old === undefined
+      ? [...cell.members, member]
+      : cell.members.map((other) => (other === old ? member : other));
+  return { ...cell, members };
+}
+
+function createFullError(serverId: string): RouterError {
+  return new RouterError(
+    { code: 'cellFull', step: 'join', peer: serverId, ran: 'not run', status: 503 },
+    `the cell has ${MAX_MEMBERS} members`,
+  );
+}
--- /dev/null
+++ b/packages/assignment/src/PlanHotKeys.ts
@@ -0,0 +1,58 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { CellLoads } from '#assignment/CellLoads.js';
+import { findParentSlot } from '#assignment/FindParentSlot.js';
+import type { HotKeyPlan } from '#assignment/HotKeyPlan.js';
+import { LoadTally } from '#assignment/LoadTally.js';
+import type { Withdrawn } from '#assignment/Withdrawn.js';
+
+/** Part of a member's fair load from which a key gets its own row; bounds what a move of one shard shifts. */
+const HOT_FRACTION = 0.05;
+/** Part of a member's fair load below which a row is cold; far enough below to keep rows from flapping. */
+const COLD_FRACTION = 0.0125;
+/** Rows of one cell; at about 100 B of JSON each they stay below 30 KB. */
+const MAX_ROWS = 256;
+
+/**
+ * Plans which keys get rows of their own and which rows end. `keyLoads` holds requests a second by row id, for keys with
+ * and without a row; a key that is absent counts as idle. Returns at most as many splits as leave 256 rows.
+ */
+export function planHotKeys(
+  cell: Cell,
+  keyLoads: ReadonlyMap<string, number>,
+  loads: CellLoads,
+  withdrawn: readonly Withdrawn[] = [],
+): HotKeyPlan {
+  const rows = Object.keys(cell.shards).filter((shardId) => findParentSlot(shardId) !== undefined);
+  const fairLoad = findFairLoad(cell, loads, withdrawn);
+  if (fairLoad <= 0) return { splits: [], folds: [], moves: [] };
+  const isCold = (row: string): boolean =>
+    Math.max(keyLoads.get(row) ?? 0, loads.shards.get(row) ?? 0) < COLD_FRACTION * fairLoad;
+  const cold = rows.filter(isCold);
+  const folds = cold.filter((row) => ownerOf(cell, row) === ownerOf(cell, findParentSlot(row)));
+  const targets = new LoadTally(cell, loads, withdrawn).targets.map((member) => member.serverId);
+  const moves = cold
+    .filter((row) => !folds.includes(row))
+    .map((row) => ({
+      shardId: row,
+      from: ownerOf(cell, row),
+      to: ownerOf(cell, findParentSlot(row)),
+      reason: 'home' as const,
+    }))
+    .filter((move) => move.from !== '' && targets.includes(move.to));
+  const splits = [...keyLoads]
+    .filter(([row, load]) => cell.shards[row] === undefined && load >= HOT_FRACTION * fairLoad)
+    .filter(([row]) => ownerOf(cell, findParentSlot(row)) !== '')
+    .sort((left, right) => right[1] - left[1])
+    .slice(0, Math.max(0, MAX_ROWS - rows.length))
+    .map(([row]) => row);
+  return { splits, folds, moves };
+}
+
+function findFairLoad(cell: Cell, loads: CellLoads, withdrawn: readonly Withdrawn[]): number {
+  const total = Object.keys(cell.shards).reduce((sum, shardId) => sum + (loads.shards.get(shardId) ?? 0), 0);
+  return total / Math.max(1, new LoadTally(cell, loads, withdrawn).targets.length);
+}
+
+function ownerOf(cell: Cell, shardId: string | undefined): string {
+  return (shardId === undefined ? undefined : cell.shards[shardId]?.owner) ?? '';
+}
--- /dev/null
+++ b/packages/assignment/src/SlotCount.ts
@@ -0,0 +1,2 @@
+/** Hash slots of each placement; a power of two. */
+export const slotCount = 128;
--- /dev/null
+++ b/packages/assignment/src/SplitHotKeys.ts
@@ -0,0 +1,16 @@
+import type { Cell } from '#assignment/Cell.js';
+import { findParentSlot } from '#assignment/FindParentSlot.js';
+
+/**
+ * Gives keys rows of their own. The row starts with the owner and the fences of the hash slot, and a new token. Only the
+ * owner of the slot may do this; rows that exist and rows under slots of others are left as they are.
+ */
+export function splitHotKeys(cell: Cell, serverId: string, rowIds: readonly string[]): Cell {
+  const added = rowIds.flatMap((rowId) => {
+    const parent = cell.shards[findParentSlot(rowId) ?? ''];
+    if (cell.shards[rowId] !== undefined || parent?.owner !== serverId) return [];
+    return [[rowId, { ...parent, token: cell.version + 1 }] as const];
+  });
+  if (added.length === 0) return cell;
+  return { ...cell, shards: { ...cell.shards, ...Object.fromEntries(added) } };
+}
--- /dev/null
+++ b/packages/assignment/src/Withdrawn.ts
@@ -0,0 +1,5 @@
+/** A failure domain, VM or server that operators have taken out of service. */
+export interface Withdrawn {
+  readonly kind: 'failureDomain' | 'vm' | 'server';
+  readonly name: string;
+}
--- /dev/null
+++ b/packages/assignment/test/assignment.test.ts
@@ -0,0 +1,173 @@
+import t from 'tap';
+import { chooseWitnesses } from '#assignment/ChooseWitnesses.js';
+import { clearFences } from '#assignment/ClearFences.js';
+import { completeMove } from '#assignment/CompleteMove.js';
+import { createCell } from '#assignment/CreateCell.js';
+import { ensurePlacements } from '#assignment/EnsurePlacements.js';
+import { findMember } from '#assignment/FindMember.js';
+import { findShard } from '#assignment/FindShard.js';
+import { foldHotKeys } from '#assignment/FoldHotKeys.js';
+import { formatKeyShardId } from '#assignment/FormatKeyShardId.js';
+import { formatPlacement } from '#assignment/FormatPlacement.js';
+import { joinCell } from '#assignment/JoinCell.js';
+import { listOwnedShards } from '#assignment/ListOwnedShards.js';
+import type { Cell } from '#assignment/Cell.js';
+import type { MemberFacts } from '#assignment/MemberFacts.js';
+import { planTakeover } from '#assignment/PlanTakeover.js';
+import { removeMember } from '#assignment/RemoveMember.js';
+import { replaceWitnesses } from '#assignment/ReplaceWitnesses.js';
+import { splitHotKeys } from '#assignment/SplitHotKeys.js';
+
+/** Facts of server `s<region><domain><n>`, for example `s1a0`. */
+function describe(serverId: string): MemberFacts {
+  return {
+    serverId,
+    incarnation: `i-${serverId}`,
+    region: `r${serverId[1]}`,
+    failureDomain: `d${serverId.slice(1, 3)}`,
+    vm: `vm-${serverId}`,
+    host: '127.0.0.1',
+    callerPort: 1,
+    peerPort: 2,
+    udpPort: 3,
+    adminPort: 4,
+    checksToken: true,
+    slots: 6,
+  };
+}
+
+const write = (cell: Cell): Cell => ({ ...cell, version: cell.version + 1 });
+const join = (cell: Cell, ...ids: readonly string[]): Cell =>
+  ids.reduce((state, id) => write(joinCell(state, describe(id), { graceMs: 70 })), cell);
+const SIX = ['s1a0', 's1b0', 's2a0', 's2b0', 's3a0', 's3b0'];
+const full = (): Cell => write(ensurePlacements(join(createCell('permits', 0), ...SIX), ['*', 'r1']));
+
+t.test('placements do not depend on the order of regions', (t) => {
+  t.equal(formatPlacement(['b', 'a', 'b']), 'a+b');
+  t.equal(formatPlacement([]), '*');
+  t.end();
+});
+
+t.test('a placement is owned in its regions only', (t) => {
+  const cell = full();
+  const owners = new Set(
+    Object.keys(cell.shards)
+      .filter((id) => id.startsWith('r1/'))
+      .map((id) => cell.shards[id]!.owner),
+  );
+  t.same([...owners].sort(), ['s1a0', 's1b0']);
+  t.end();
+});
+
+t.test('keys of one cell of many use all slots', (t) => {
+  const cell = full();
+  const found = new Set<string>();
+  for (let n = 0; n < 4_000; n++) found.add(findShard(cell, '*', `key-${n}`)!.shardId);
+  t.equal(found.size, 128);
+  t.equal(findShard(cell, 'r9', 'key-1'), undefined);
+  t.end();
+});
+
+t.test('a restarted server waits for its own old grant', (t) => {
+  const cell = full();
+  const again = joinCell(cell, { ...describe('s1a0'), incarnation: 'second' }, { graceMs: 70 });
+  const old = findMember(cell, 's1a0')!;
+  t.equal(findMember(again, 's1a0')!.epoch, old.epoch + 1);
+  t.equal(again.fences.length, 1);
+  t.match(again.fences[0], { serverId: 's1a0', epoch: old.epoch, witnesses: old.witnesses, graceMs: 70 });
+  for (const id of listOwnedShards(again, 's1a0'))
+    t.match(again.shards[id], { token: cell.version + 1, fences: [again.fences[0]!.id] });
+  t.same(listOwnedShards(again, 's1a0'), listOwnedShards(cell, 's1a0'));
+  t.end();
+});
+
+t.test('a server that was dropped comes back with a higher epoch', (t) => {
+  const cell = full();
+  const left = removeMember(joinCell(createCell('x', 0), describe('s1a0')), 's1a0');
+  t.ok(left.isRight());
+  const gone = write(planTakeover(cell, ['s1a0']));
+  const back = joinCell(write(gone), describe('s1a0'));
+  t.ok(findMember(back, 's1a0')!.epoch > findMember(cell, 's1a0')!.epoch);
+  t.end();
+});
+
+t.test('a takeover keeps a fence until each new owner cleared it', (t) => {
+  const cell = full();
+  const taken = write(planTakeover(cell, ['s1a0', 's2a0'], { graceMs: 70 }));
+  t.equal(taken.fences.length, 2);
+  t.same(listOwnedShards(taken, 's1a0'), []);
+  const ids = taken.fences.map((fence) => fence.id);
+  const rest = ['s1b0', 's2b0', 's3a0', 's3b0'];
+  const partly = clearFences(taken, rest[0]!, ids);
+  t.equal(partly.fences.length, 2);
+  const cleared = rest.reduce((state, id) => clearFences(state, id, ids), taken);
+  t.equal(cleared.fences.length, 0);
+  const replaced = rest.reduce((state, id) => replaceWitnesses(state, id, ['s1a0', 's2a0']), cleared);
+  t.equal(replaced.members.length, 4);
+  t.equal(planTakeover(taken, ['s1a0']), taken);
+  t.end();
+});
+
+t.test('shards without a live member wait and are assigned at the next join', (t) => {
+  const lost = write(planTakeover(full(), ['s1a0', 's1b0']));
+  t.equal(lost.shards['r1/0']!.owner, '');
+  const back = joinCell(lost, describe('s1b0'));
+  t.equal(back.shards['r1/0']!.owner, 's1b0');
+  t.same(back.shards['r1/0']!.fences, lost.shards['r1/0']!.fences);
+  t.end();
+});
+
+t.test('only the owner gives a shard away', (t) => {
+  const cell = full();
+  const owner = cell.shards['r1/0']!.owner;
+  const other = owner === 's1a0' ? 's1b0' : 's1a0';
+  t.match(completeMove(cell, 'r1/0', other, owner).extract(), { fields: { code: 'notOwner' } });
+  t.match(completeMove(cell, 'r1/0', owner, 's2a0').extract(), { fields: { code: 'badTarget' } });
+  t.match(completeMove(cell, 'r1/0', owner, other).extract(), {
+    shards: { 'r1/0': { owner: other, token: cell.version + 1 } },
+  });
+  t.ok(removeMember(cell, owner).isLeft());
+  t.end();
+});
+
+t.test('the tokens of a key do not go back when its row is folded', (t) => {
+  const cell = full();
+  const key = 'stall-7';
+  const row = formatKeyShardId('*', key);
+  const before = findShard(cell, '*', key)!;
+  t.equal(splitHotKeys(cell, 'nobody', [row]), cell);
+  const split = write(splitHotKeys(cell, before.shard.owner, [row]));
+  t.match(findShard(split, '*', key), {
+    shardId: row,
+    shard: { owner: before.shard.owner, token: split.version },
+  });
+  const folded = write(foldHotKeys(split, before.shard.owner, [row]));
+  t.match(findShard(folded, '*', key), { shardId: before.shardId, shard: { token: folded.version } });
+  t.end();
+});
+
+t.test('witnesses of a domain with two domains in the region', (t) => {
+  const cell = join(createCell('x', 0), 's1a0', 's1a1', 's1a2', 's1b0', 's1b1', 's1b2');
+  const domains = chooseWitnesses(cell, 's1a0').map((id) => id.slice(1, 3));
+  t.same(domains, ['1b', '1b', '1a']);
+  t.end();
+});
+
+t.test('witnesses of a region with four domains are all elsewhere', (t) => {
+  const cell = join(createCell('x', 0), 's1a0', 's1a1', 's1b0', 's1b1', 's1c0', 's1d0', 's2a0');
+  const domains = chooseWitnesses(cell, 's1a0').map((id) => id.slice(1, 3));
+  t.same([...domains].sort(), ['1b', '1c', '1d']);
+  t.notOk(chooseWitnesses(cell, 's1a0', [], ['s1c0']).slice(0, 2).includes('s1c0'));
+  t.end();
+});
+
+t.test('daemons of other services witness for a small cell', (t) => {
+  const cell = full();
+  const peers = join(createCell('y', 0), 's1a7', 's1b7', 's1b8').members;
+  t.equal(chooseWitnesses(cell, 's1a0').length, 1);
+  t.equal(chooseWitnesses(cell, 's1a0', peers).length, 3);
+  const better = replaceWitnesses(cell, 's1a0', [], peers);
+  t.equal(findMember(better, 's1a0')!.epoch, findMember(cell, 's1a0')!.epoch + 1);
+  t.equal(replaceWitnesses(better, 's1a0', [], peers), better);
+  t.end();
+});
