Parse settings and the catalogue with positions of faults

Cause: settings and the catalogue had types only; an operator needs each fault with its line and column.

--- /dev/null
+++ b/packages/catalogue/src/CheckChange.ts
@@ -0,0 +1,47 @@
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { CatalogueChange } from '#catalogue/CatalogueChange.js';
+import type { ChangeFault } from '#catalogue/ChangeFault.js';
+import { diffCatalogues } from '#catalogue/DiffCatalogues.js';
+import type { Entry } from '#catalogue/Entry.js';
+import { formatEntryName } from '#catalogue/FormatEntryName.js';
+import { listLoosened } from '#catalogue/ListLoosened.js';
+
+/**
+ * Returns what `author` is not allowed to change. An owner may change its own entries only. An operator may also change
+ * services, owners and regions, and may add, remove or tighten the entries of others, but nobody loosens an entry of
+ * another owner. The rights are those in `before`, so that nobody makes itself an operator.
+ */
+export function checkChange(before: Catalogue, after: Catalogue, author: string): readonly ChangeFault[] {
+  const owner = before.owners.find(({ name }) => name === author);
+  if (owner === undefined) return [{ part: `owner ${author}`, message: 'the author is not an owner' }];
+  return diffCatalogues(before, after).flatMap((change) => {
+    if (change.part === 'entry' && change.owner === author) return [];
+    if (!owner.operator) return [refuse(change, describeRight(change))];
+    return checkLoosened(before, after, change);
+  });
+}
+
+function describeRight(change: CatalogueChange): string {
+  return change.part === 'entry'
+    ? `belongs to "${change.owner}"; an owner may change only its own entries`
+    : 'only an operator may change services, owners and regions';
+}
+
+function checkLoosened(before: Catalogue, after: Catalogue, change: CatalogueChange): readonly ChangeFault[] {
+  if (change.part !== 'entry' || change.kind !== 'changed') return [];
+  const oldEntry = findByName(before, change.name);
+  const newEntry = findByName(after, change.name);
+  if (oldEntry === undefined || newEntry === undefined) return [];
+  const loosened = listLoosened(oldEntry, newEntry);
+  if (loosened.length === 0) return [];
+  const message = `only "${change.owner}" may loosen its own limits: ${loosened.join(', ')}`;
+  return [refuse(change, message)];
+}
+
+function findByName({ entries }: Catalogue, name: string): Entry | undefined {
+  return entries.find((entry) => formatEntryName(entry) === name);
+}
+
+function refuse(change: CatalogueChange, message: string): ChangeFault {
+  return { part: `${change.part} ${change.name}`, message };
+}
--- /dev/null
+++ b/packages/catalogue/src/CheckEntry.ts
@@ -0,0 +1,57 @@
+import type { DocumentPath } from '#catalogue/DocumentPath.js';
+import type { Entry } from '#catalogue/Entry.js';
+import type { SenseFault } from '#catalogue/SenseFault.js';
+
+// Request, response and receipt take 3 ms each to or from the caller; a hop between regions and back takes 40 ms.
+const MIN_RECEIPT_DEADLINE_MS = 50;
+
+// The shortest time in flight is one hop within a region and back, 0.5 ms each way.
+const MIN_IN_FLIGHT_S = 0.001;
+
+/** Returns the contradictions among the values of one entry. */
+export function checkEntry(entry: Entry, path: DocumentPath): readonly SenseFault[] {
+  const messages = [...checkDeadlines(entry), ...checkRates(entry), ...checkInterRegionBytes(entry)];
+  return messages.map(([field, message]) => ({ path: [...path, 'limits', field], message }));
+}
+
+type FieldMessage = readonly [field: string, message: string];
+
+function checkDeadlines({ evidence, limits }: Entry): readonly FieldMessage[] {
+  const { defaultDeadlineMs, maxDeadlineMs } = limits;
+  if (defaultDeadlineMs > maxDeadlineMs)
+    return [['defaultDeadlineMs', `is above maxDeadlineMs (${maxDeadlineMs})`]];
+  if (evidence === 'receipt' && defaultDeadlineMs < MIN_RECEIPT_DEADLINE_MS)
+    return [
+      [
+        'defaultDeadlineMs',
+        `is too short for evidence "receipt", which takes up to ${MIN_RECEIPT_DEADLINE_MS} ms`,
+      ],
+    ];
+  return [];
+}
+
+function checkRates({ limits }: Entry): readonly FieldMessage[] {
+  const { ratePerSecond, burst, concurrency, maxDeadlineMs } = limits;
+  const reachable = Math.ceil(burst + (ratePerSecond * maxDeadlineMs) / 1000);
+  const needed = Math.ceil(ratePerSecond * MIN_IN_FLIGHT_S);
+  if (concurrency > reachable) {
+    const reason = `burst and rate admit at most ${reachable} requests within maxDeadlineMs`;
+    return [['concurrency', `cannot be reached: ${reason}`]];
+  }
+  if (concurrency < needed)
+    return [['concurrency', `is too low for ratePerSecond, which needs at least ${needed}`]];
+  return [];
+}
+
+function checkInterRegionBytes({ homeRegions, limits }: Entry): readonly FieldMessage[] {
+  const { interRegionBytesPerSecond, maxBodyBytes, maxDeadlineMs } = limits;
+  if (interRegionBytesPerSecond === 0) return [];
+  if (homeRegions.length === 1)
+    return [['interRegionBytesPerSecond', 'has no effect with a single home region; must be 0']];
+  const passable = Math.floor((interRegionBytesPerSecond * maxDeadlineMs) / 1000);
+  if (passable < maxBodyBytes)
+    return [
+      ['interRegionBytesPerSecond', `lets ${passable} B pass within maxDeadlineMs, less than maxBodyBytes`],
+    ];
+  return [];
+}
--- /dev/null
+++ b/packages/catalogue/src/DescribeSchemaError.ts
@@ -0,0 +1,28 @@
+import type { ErrorObject } from 'ajv';
+
+/** Describes a schema violation in one phrase without the name of the property, which the path already gives. */
+export function describeSchemaError(error: ErrorObject): string {
+  const params = error.params as Readonly<Record<string, unknown>>;
+  switch (error.keyword) {
+    case 'required':
+      return `property "${String(params.missingProperty)}" is missing`;
+    case 'additionalProperties':
+      return `property "${String(params.additionalProperty)}" is not known`;
+    case 'type':
+      return `must be of type ${String(params.type)}`;
+    case 'enum':
+      return `must be one of ${(params.allowedValues as readonly unknown[]).join(', ')}`;
+    case 'uniqueItems':
+      return `items ${String(params.j)} and ${String(params.i)} are equal`;
+    case 'pattern':
+      return describePattern(error);
+    default:
+      return error.message ?? `violates ${error.keyword}`;
+  }
+}
+
+// A schema states the meaning of a pattern in the `description` next to it.
+function describePattern(error: ErrorObject): string {
+  const description = (error.parentSchema as { readonly description?: string } | undefined)?.description;
+  return `must be ${description ?? `a text that matches ${String(error.schema)}`}`;
+}
--- a/packages/settings/src/Settings.ts
+++ b/packages/settings/src/Settings.ts
@@ -1,4 +1,5 @@
 import type { Timings } from '#settings/Timings.js';
+import type { TlsFiles } from '#settings/TlsFiles.js';
 
 /** Checked settings of one daemon. */
 export interface Settings {
@@ -26,4 +27,6 @@
   /** Pattern of the log names to write, for example `amaranthrouter:*`; empty for none. */
   readonly logs: string;
   readonly timings: Timings;
+  /** TLS files of the administration API; it serves plain HTTP without them. */
+  readonly adminTls?: TlsFiles;
 }
--- /dev/null
+++ b/packages/settings/src/SettingsFault.ts
@@ -0,0 +1,4 @@
+import type { DocumentFault } from '#catalogue/DocumentFault.js';
+
+/** A fault in a settings file. */
+export type SettingsFault = DocumentFault;
