--- /dev/null
+++ b/packages/store/src/TokenBucket.ts
@@ -0,0 +1,37 @@
+import type { Clock } from '#core/Clock.js';
+
+/** Counts tokens that accrue at a fixed rate up to a limit. */
+export class TokenBucket {
+  private readonly clock: Clock;
+  private readonly ratePerSecond: number;
+  private readonly limit: number;
+  private tokens: number;
+  private countedAtMs: number;
+
+  public constructor(clock: Clock, ratePerSecond: number, limit: number) {
+    this.clock = clock;
+    this.ratePerSecond = ratePerSecond;
+    this.limit = limit;
+    this.tokens = limit;
+    this.countedAtMs = clock.monotonicMs();
+  }
+
+  /** Takes one token; false if less than one is left. */
+  public take(): boolean {
+    this.accrue();
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  /** Adds `count` tokens, up to the limit. */
+  public add(count: number): void {
+    this.tokens = Math.min(this.limit, this.tokens + count);
+  }
+
+  private accrue(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.add(((nowMs - this.countedAtMs) / 1_000) * this.ratePerSecond);
+    this.countedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/store/test/store.test.ts
@@ -0,0 +1,122 @@
+import t from 'tap';
+import { RandomSource } from '#core/RandomSource.js';
+import { SystemClock } from '#core/SystemClock.js';
+import { ObjectStoreServer } from '#standin/ObjectStoreServer.js';
+import { HttpObjectStore } from '#store/HttpObjectStore.js';
+import type { HttpStoreOptions } from '#store/HttpStoreOptions.js';
+import { updateObject } from '#store/UpdateObject.js';
+import type { UpdateOutcome } from '#store/UpdateOutcome.js';
+
+interface Teardown {
+  readonly teardown: (close: () => unknown) => void;
+}
+
+interface Setup {
+  readonly server: ObjectStoreServer;
+  readonly store: HttpObjectStore;
+  readonly append: (word: string) => Promise<UpdateOutcome>;
+}
+
+async function setUp(t: Teardown, options: Partial<HttpStoreOptions> = {}): Promise<Setup> {
+  const server = new ObjectStoreServer();
+  const port = await server.start();
+  const clock = new SystemClock();
+  const store = new HttpObjectStore({
+    url: `http://127.0.0.1:${port}`,
+    clock,
+    random: new RandomSource(1),
+    timeoutMs: 500,
+    ...options,
+  });
+  t.teardown(() => Promise.all([store.close(), server.stop()]));
+  let marks = 0;
+  const append = async (word: string): Promise<UpdateOutcome> => {
+    const outcome = await updateObject(store, {
+      name: 'words/a',
+      change: (current) => [...((current?.value as string[] | undefined) ?? []), word],
+      nextMark: () => `w/${(marks += 1)}`,
+    });
+    return outcome.unsafeCoerce();
+  };
+  return { server, store, append };
+}
+
+t.test('versions rise by one', async (t) => {
+  const { store, append } = await setUp(t);
+  t.match(await append('x'), { type: 'accepted', version: 1 });
+  t.match(await append('y'), { type: 'accepted', version: 2 });
+  t.match((await store.get('words/a')).unsafeCoerce(), { version: 2, value: ['x', 'y'] });
+  t.equal((await store.get('words/b')).unsafeCoerce(), undefined);
+});
+
+t.test('a conflicting write is refused with the current object', async (t) => {
+  const { store, append } = await setUp(t);
+  await append('x');
+  const stale = await store.put({ name: 'words/a', value: [], ifVersion: 0, marks: ['late'] });
+  t.match(stale.unsafeCoerce(), { type: 'conflict', current: { version: 1, value: ['x'] } });
+});
+
+t.test('concurrent writers lose no change', async (t) => {
+  const { store, append } = await setUp(t);
+  await Promise.all(['a', 'b', 'c', 'd'].map((word) => append(word)));
+  const read = (await store.get('words/a')).unsafeCoerce();
+  t.strictSame([...(read?.value as string[])].sort(), ['a', 'b', 'c', 'd']);
+});
+
+t.test('a lost reply is settled by the mark', async (t) => {
+  const { server, store, append } = await setUp(t);
+  server.setFaults({ loseReplies: 1 });
+  t.match(await append('x'), { type: 'accepted', version: 1 });
+  t.match((await store.get('words/a')).unsafeCoerce(), { version: 1, value: ['x'] });
+});
+
+t.test('a lost reply without a readable store stays undecided', async (t) => {
+  const { server, store, append } = await setUp(t);
+  await append('x');
+  const change = (): readonly string[] => {
+    server.setFaults({ delayMs: 1_000 });
+    return ['z'];
+  };
+  const request = { name: 'words/a', change, nextMark: () => 'm' };
+  const outcome = (await updateObject(store, request)).unsafeCoerce();
+  t.match(outcome, { type: 'undecided', pending: [{ mark: 'm', ifVersion: 1 }] });
+  server.setFaults({ delayMs: 0 });
+  if (outcome.type !== 'undecided') return;
+  const again = await updateObject(store, {
+    ...request,
+    change: () => undefined,
+    nextMark: () => 'n',
+    pending: outcome.pending,
+  });
+  t.match(again.unsafeCoerce(), { type: /accepted|unchanged/ });
+  t.match((await store.get('words/a')).unsafeCoerce(), { version: 2 });
+});
+
+t.test('a store that is down gives an error and no change', async (t) => {
+  const { server, store, append } = await setUp(t);
+  await append('x');
+  server.setFaults({ down: true });
+  const request = { name: 'words/a', change: () => ['z'], nextMark: () => 'm' };
+  t.ok((await updateObject(store, request)).isLeft());
+  server.setFaults({ down: false });
+  t.match((await store.get('words/a')).unsafeCoerce(), { version: 1, value: ['x'] });
+});
+
+t.test('a watch answers at the next version', async (t) => {
+  const { server, store, append } = await setUp(t);
+  await append('x');
+  const watch = store.watch('words/a', 1, 5_000);
+  while (server.readStats().watches === 0) await new Promise((resolve) => setImmediate(resolve));
+  await append('y');
+  t.match((await watch).unsafeCoerce(), { version: 2 });
+  t.equal((await store.watch('words/a', 2, 20)).unsafeCoerce(), undefined);
+});
+
+t.test('a spent call budget stops calls', async (t) => {
+  const { server, store } = await setUp(t, { callBurst: 2, callsPerSecond: 0 });
+  await store.get('words/a');
+  await store.get('words/a');
+  const refused = await store.get('words/a');
+  t.equal(refused.swap().unsafeCoerce().fields.code, 'storeBudgetSpent');
+  t.equal(server.readStats().reads, 2);
+});
