Add the types and signatures of the lease package

Cause: the control tasks are written in parallel and need the events and commands of holder, witness and fence. Conclusion: the tasks can be built against these types; the decisions follow.

--- /dev/null
+++ b/packages/lease/src/PromiseReply.ts
@@ -0,0 +1,8 @@
+/** Answer of a witness to a promise request. */
+export interface PromiseReply {
+  /** Send time of the request, returned. */
+  readonly sentAtMs: number;
+  readonly promised: boolean;
+  /** Time until the last grant has expired, at the moment of the answer. */
+  readonly remainingMs: number;
+}
