Add admission: limits, queue, slow start, quarantine

Cause: the request path needs admission decisions per entry, per backend server and for crashing requests. Change: EntryLimiter, QuotaHolder and QuotaClient, BackendQueue with three orders, SlowStart, DomainRamp, Quarantine. Conclusion: the signatures can be used.

--- /dev/null
+++ b/packages/admission/src/BackendQueue.ts
@@ -0,0 +1,176 @@
+import { advanceChart } from '#chart/AdvanceChart.js';
+import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
+import { DRAIN_CHART } from '#admission/DrainChart.js';
+import type { DrainEvent } from '#admission/DrainEvent.js';
+import type { QueuedRequest } from '#admission/QueuedRequest.js';
+import type { QueueOrder } from '#admission/QueueOrder.js';
+import type { QueueResult } from '#admission/QueueResult.js';
+import { ServiceTimes } from '#admission/ServiceTimes.js';
+import type { WaitingRequest } from '#admission/WaitingRequest.js';
+
+interface Running {
+  readonly request: WaitingRequest;
+  readonly startedMs: number;
+}
+
+/**
+ * Admission to one backend server. At most `limit` requests run; the others wait in the order of a `QueueOrder`, at most
+ * `maxWaiting` of them. A request that is not expected to finish by its deadline is refused as not run: at its arrival,
+ * at its turn, or by `expire`. Times are monotonic, in milliseconds.
+ */
+export class BackendQueue {
+  private readonly order: QueueOrder;
+  private readonly maxWaiting: number;
+  private readonly times = new ServiceTimes();
+  private readonly running = new Map<string, Running>();
+  private readonly waitingById = new Map<string, WaitingRequest>();
+  private drainState: ChartSnapshot<undefined> = { value: DRAIN_CHART.initial, context: undefined };
+  private limit: number;
+
+  public constructor(order: QueueOrder, limit: number, maxWaiting: number) {
+    this.order = order;
+    this.limit = limit;
+    this.maxWaiting = maxWaiting;
+  }
+
+  /** Number of requests that run. */
+  public get runningCount(): number {
+    return this.running.size;
+  }
+
+  /** Number of requests that wait. */
+  public get waitingCount(): number {
+    return this.order.size;
+  }
+
+  /** State of the drain chart: `serving`, `draining` or `drained`. */
+  public get state(): string {
+    return this.drainState.value;
+  }
+
+  /** Sets how many requests may run (see `SlowStart`). Running requests above a lower limit are not interrupted. */
+  public setLimit(limit: number, nowMs: number): readonly QueueResult[] {
+    this.limit = limit;
+    return this.startNext(nowMs);
+  }
+
+  /** Starts, queues or refuses a request. An empty result means that it waits. */
+  public arrive(request: QueuedRequest, nowMs: number): readonly QueueResult[] {
+    if (this.state !== 'serving') return [refuse(request.id, 'draining', 503, undefined)];
+    const waiting = { ...request, expectedMs: this.times.expect(request.class) };
+    const lateMs = this.expectedFinishMs(waiting, nowMs) - request.deadlineMs;
+    // With nothing running or waiting there would be no newer measurement, so the request runs as a trial.
+    const idle = this.running.size === 0 && this.order.size === 0;
+    if (lateMs > 0 && !(idle && nowMs < request.deadlineMs)) return [refuseLate(request.id, lateMs)];
+    if (this.order.size >= this.maxWaiting) return [refuseLate(request.id, waiting.expectedMs)];
+    this.order.add(waiting);
+    this.waitingById.set(request.id, waiting);
+    return this.startNext(nowMs);
+  }
+
+  /** Ends a running request. `measured` is false if its duration says nothing about the service time. */
+  public finish(id: string, nowMs: number, measured = true): readonly QueueResult[] {
+    const ended = this.running.get(id);
+    if (ended === undefined) return [];
+    this.running.delete(id);
+    const serviceMs = nowMs - ended.startedMs;
+    if (measured) this.times.add(ended.request.class, serviceMs);
+    this.order.finished(ended.request, serviceMs);
+    if (this.running.size === 0) this.advanceDrain('emptied');
+    return this.startNext(nowMs);
+  }
+
+  /** Removes a waiting request whose caller has left. Returns whether it was waiting. */
+  public cancel(id: string): boolean {
+    const request = this.waitingById.get(id);
+    if (request === undefined) return false;
+    this.leave(request);
+    return true;
+  }
+
+  /** Refuses the waiting requests that can no longer finish in time; called every few milliseconds. */
+  public expire(nowMs: number): readonly QueueResult[] {
+    const late = [...this.order.waiting()].filter((request) => isLate(request, nowMs));
+    for (const request of late) this.leave(request);
+    const refused = late.map(({ id, expectedMs }) => refuseLate(id, expectedMs));
+    return [...refused, ...this.startNext(nowMs)];
+  }
+
+  /** Refuses everything that waits and everything that arrives from now on; what runs completes. */
+  public drain(): readonly QueueResult[] {
+    this.advanceDrain('drain');
+    const waiting = [...this.order.waiting()];
+    for (const request of waiting) this.leave(request);
+    if (this.running.size === 0) this.advanceDrain('emptied');
+    return waiting.map(({ id }) => refuse(id, 'draining', 503, undefined));
+  }
+
+  /** Accepts requests again after a drain. */
+  public resume(): void {
+    this.advanceDrain('resume');
+  }
+
+  /** Time at which a request that arrives now is expected to finish. */
+  public expectedFinishMs(request: WaitingRequest, nowMs: number): number {
+    const aheadMs = this.order.workAheadMs(request);
+    const free = this.running.size < this.limit && this.order.size === 0 && !request.exclusive;
+    const waitMs = free ? 0 : (this.remainingMs(nowMs) + aheadMs) / Math.max(1, this.limit);
+    return nowMs + waitMs + request.expectedMs;
+  }
+
+  private startNext(nowMs: number): readonly QueueResult[] {
+    const results: QueueResult[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
+    for (let next = this.order.next(); next !== undefined; next = this.order.next()) {
+      const late = isLate(next, nowMs) && this.running.size > 0;
+      if (!late && nowMs < next.deadlineMs && !this.canStart(next)) break;
+      this.leave(next);
+      if (late || nowMs >= next.deadlineMs) results.push(refuseLate(next.id, next.expectedMs));
+      else results.push(this.start(next, nowMs));
+    }
+    return results;
+  }
+
+  private start(request: WaitingRequest, nowMs: number): QueueResult {
+    this.running.set(request.id, { request, startedMs: nowMs });
+    this.order.started(request);
+    return { kind: 'start', id: request.id };
+  }
+
+  /** An exclusive request starts only alone, and nothing starts beside it. */
+  private canStart(request: WaitingRequest): boolean {
+    if (this.running.size === 0) return this.limit >= 1;
+    if (request.exclusive || this.running.size >= this.limit) return false;
+    const [first] = this.running.values();
+    return first?.request.exclusive !== true;
+  }
+
+  private leave(request: WaitingRequest): void {
+    this.order.remove(request);
+    this.waitingById.delete(request.id);
+  }
+
+  private remainingMs(nowMs: number): number {
+    let total = 0;
+    for (const { request, startedMs } of this.running.values()) {
+      total += Math.max(0, startedMs + request.expectedMs - nowMs);
+    }
+    return total;
+  }
+
+  private advanceDrain(type: DrainEvent['type']): void {
+    this.drainState = advanceChart(DRAIN_CHART, this.drainState, { type }).snapshot;
+  }
+}
+
+function isLate(request: WaitingRequest, nowMs: number): boolean {
+  return nowMs + request.expectedMs > request.deadlineMs;
+}
+
+function refuseLate(id: string, retryAfterMs: number): QueueResult {
+  return refuse(id, 'deadlineUnreachable', 503, Math.max(1, Math.ceil(retryAfterMs)));
+}
+
+function refuse(id: string, code: string, status: number, retryAfterMs: number | undefined): QueueResult {
+  const error = { code, step: 'queue', peer: '', ran: 'not run', status } as const;
+  return { kind: 'refuse', id, error: retryAfterMs === undefined ? error : { ...error, retryAfterMs } };
+}
--- /dev/null
+++ b/packages/admission/src/DrainChart.ts
@@ -0,0 +1,12 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import file from '../charts/drain.json' with { type: 'json' };
+import type { DrainEvent } from '#admission/DrainEvent.js';
+
+/** Chart of one backend server that leaves: `serving`, `draining` while requests run, `drained`. */
+export const DRAIN_CHART: CompiledChart<undefined, DrainEvent, never> = compileChart(
+  'drain.json',
+  file as ChartFile,
+  { guards: {}, actions: {} },
+);
--- /dev/null
+++ b/packages/admission/src/FairOrder.ts
@@ -0,0 +1,110 @@
+import { QueueOrder } from '#admission/QueueOrder.js';
+import type { WaitingRequest } from '#admission/WaitingRequest.js';
+
+class TenantQueue {
+  public readonly requests = new Set<WaitingRequest>();
+  /** Service time used, divided by the share; the tenant with the lowest value is next. */
+  public usedMs = 0;
+  public waitingMs = 0;
+  public running = 0;
+  public share = 1;
+}
+
+/**
+ * Weighted fair order among tenants by the service time that they used (start-time fair queueing). A tenant that
+ * uses less than its share leaves the rest to others, and is first again as soon as it asks; it saves up nothing while
+ * it is idle.
+ */
+export class FairOrder extends QueueOrder {
+  private readonly tenants = new Map<string, TenantQueue>();
+  /** Value of `usedMs` of the tenant that was started last; where tenants begin that were idle. */
+  private virtualMs = 0;
+  private count = 0;
+
+  public override get size(): number {
+    return this.count;
+  }
+
+  public override add(request: WaitingRequest): void {
+    const queue = this.findQueue(request.tenant);
+    if (queue.requests.size === 0 && queue.running === 0)
+      queue.usedMs = Math.max(queue.usedMs, this.virtualMs);
+    queue.share = Math.max(1, request.share);
+    queue.requests.add(request);
+    queue.waitingMs += request.expectedMs;
+    this.count += 1;
+  }
+
+  public override next(): WaitingRequest | undefined {
+    const [first] = this.findNextQueue()?.requests ?? [];
+    return first;
+  }
+
+  public override remove(request: WaitingRequest): void {
+    const queue = this.tenants.get(request.tenant);
+    if (queue?.requests.delete(request) !== true) return;
+    queue.waitingMs = queue.requests.size === 0 ? 0 : queue.waitingMs - request.expectedMs;
+    this.count -= 1;
+    this.forgetIdle(request.tenant, queue);
+  }
+
+  public override *waiting(): Iterable<WaitingRequest> {
+    for (const queue of this.tenants.values()) yield* queue.requests;
+  }
+
+  /** Counts, of each other tenant, the work that starts until its used time reaches that of `request`. */
+  public override workAheadMs(request: WaitingRequest): number {
+    const own = this.tenants.get(request.tenant);
+    const ownWaitingMs = own?.waitingMs ?? 0;
+    const share = Math.max(1, request.share);
+    const startMs = Math.max(own?.usedMs ?? 0, this.isBusy(own) ? 0 : this.virtualMs) + ownWaitingMs / share;
+    let total = ownWaitingMs;
+    for (const queue of this.tenants.values()) {
+      if (queue === own) continue;
+      const untilStart = Math.max(0, startMs - queue.usedMs) * queue.share;
+      total += Math.min(queue.waitingMs, untilStart);
+    }
+    return total;
+  }
+
+  public override started(request: WaitingRequest): void {
+    const queue = this.findQueue(request.tenant);
+    this.virtualMs = Math.max(this.virtualMs, queue.usedMs);
+    queue.running += 1;
+    queue.usedMs += request.expectedMs / Math.max(1, request.share);
+  }
+
+  /** Corrects the used time of the tenant by the measured service time. */
+  public override finished(request: WaitingRequest, serviceMs: number): void {
+    const queue = this.tenants.get(request.tenant);
+    if (queue === undefined) return;
+    queue.running -= 1;
+    queue.usedMs += (serviceMs - request.expectedMs) / Math.max(1, request.share);
+    this.forgetIdle(request.tenant, queue);
+  }
+
+  private findNextQueue(): TenantQueue | undefined {
+    let best: TenantQueue | undefined;
+    for (const queue of this.tenants.values()) {
+      if (queue.requests.size > 0 && (best === undefined || queue.usedMs < best.usedMs)) best = queue;
+    }
+    return best;
+  }
+
+  private findQueue(tenant: string): TenantQueue {
+    const known = this.tenants.get(tenant);
+    if (known !== undefined) return known;
+    const queue = new TenantQueue();
+    this.tenants.set(tenant, queue);
+    return queue;
+  }
+
+  private isBusy(queue: TenantQueue | undefined): boolean {
+    return queue !== undefined && (queue.requests.size > 0 || queue.running > 0);
+  }
+
+  /** An idle tenant is kept only while its used time is ahead of the others, so that it cannot shed its debt. */
+  private forgetIdle(tenant: string, queue: TenantQueue): void {
+    if (!this.isBusy(queue) && queue.usedMs <= this.virtualMs) this.tenants.delete(tenant);
+  }
+}
--- /dev/null
+++ b/packages/admission/src/PriorityOrder.ts
@@ -0,0 +1,70 @@
+import { QueueOrder } from '#admission/QueueOrder.js';
+import type { WaitingRequest } from '#admission/WaitingRequest.js';
+
+/**
+ * Starts requests of the lowest priority number first. Within one priority the order is that of another class, of which
+ * `createOrder` makes one instance per priority.
+ */
+export class PriorityOrder extends QueueOrder {
+  private readonly createOrder: () => QueueOrder;
+  private readonly levels = new Map<number, QueueOrder>();
+  private count = 0;
+
+  public constructor(createOrder: () => QueueOrder) {
+    super();
+    this.createOrder = createOrder;
+  }
+
+  public override get size(): number {
+    return this.count;
+  }
+
+  public override add(request: WaitingRequest): void {
+    this.findLevel(request.priority).add(request);
+    this.count += 1;
+  }
+
+  public override next(): WaitingRequest | undefined {
+    let best: QueueOrder | undefined;
+    let bestPriority = Infinity;
+    for (const [priority, level] of this.levels) {
+      if (level.size === 0 || priority >= bestPriority) continue;
+      best = level;
+      bestPriority = priority;
+    }
+    return best?.next();
+  }
+
+  public override remove(request: WaitingRequest): void {
+    const level = this.findLevel(request.priority);
+    const before = level.size;
+    level.remove(request);
+    this.count -= before - level.size;
+  }
+
+  public override *waiting(): Iterable<WaitingRequest> {
+    for (const level of this.levels.values()) yield* level.waiting();
+  }
+
+  public override workAheadMs(request: WaitingRequest): number {
+    let total = 0;
+    for (const [priority, level] of this.levels) {
+      if (priority <= request.priority) total += level.workAheadMs(request);
+    }
+    return total;
+  }
+
+  public override started(request: WaitingRequest): void {
+    this.findLevel(request.priority).started(request);
+  }
+
+  public override finished(request: WaitingRequest, serviceMs: number): void {
+    this.findLevel(request.priority).finished(request, serviceMs);
+  }
+
+  private findLevel(priority: number): QueueOrder {
+    const level = this.levels.get(priority) ?? this.createOrder();
+    this.levels.set(priority, level);
+    return level;
+  }
+}
--- /dev/null
+++ b/packages/admission/src/QuarantineChart.ts
@@ -0,0 +1,21 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import file from '../charts/quarantine.json' with { type: 'json' };
+import type { QuarantineEvent } from '#admission/QuarantineEvent.js';
+
+/** Marks at which a request is held. */
+const HOLD_AT = 2;
+
+/** Chart of one request with marks: `clear`, `marked` (runs alone) and `held` (does not run). */
+export const QUARANTINE_CHART: CompiledChart<undefined, QuarantineEvent, never> = compileChart(
+  'quarantine.json',
+  file as ChartFile,
+  {
+    guards: {
+      holds: (_, { marks }) => marks >= HOLD_AT,
+      isMarked: (_, { marks }) => marks > 0,
+    },
+    actions: {},
+  },
+);
--- /dev/null
+++ b/packages/admission/src/QuotaClient.ts
@@ -0,0 +1,162 @@
+import { AdmissionPolicy } from '#admission/AdmissionPolicy.js';
+import type { AdmissionResult } from '#admission/AdmissionResult.js';
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import type { QuotaSettings } from '#admission/QuotaSettings.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import type { RateLimits } from '#admission/RateLimits.js';
+import { refuseAdmission } from '#admission/RefuseAdmission.js';
+import { safeShare } from '#admission/SafeShare.js';
+import { TokenBucket } from '#admission/TokenBucket.js';
+
+/** Part of a slice's time after which the next one is asked for, and after which an unanswered ask is repeated. */
+const ASK_AFTER = 0.4;
+
+/** Time after which a request without a slice may try again, in milliseconds; one round trip between regions. */
+const ASK_ROUND_TRIP_MS = 50;
+
+class EntryUse {
+  public limits: RateLimits;
+  public safe: RateLimits;
+  public readonly safeBucket: TokenBucket;
+  public readonly bucket: TokenBucket;
+  public slice: QuotaSlice | undefined;
+  public applied = 0;
+  public inFlight = 0;
+  public askedMs = -Infinity;
+  /** Requests that arrived since the last ask, admitted or not. */
+  public arrived = 0;
+  public peakInFlight = 0;
+  public sinceMs: number;
+  public ratePerSecond = 0;
+
+  public constructor(limits: RateLimits, safe: RateLimits, nowMs: number) {
+    this.limits = limits;
+    this.safe = safe;
+    this.safeBucket = new TokenBucket(safe.ratePerSecond, safe.burst, 0, nowMs);
+    this.bucket = new TokenBucket(0, 0, 0, nowMs);
+    this.sinceMs = nowMs;
+  }
+}
+
+/**
+ * Admits requests within the slices that the holders of the entries gave to this daemon, and within its safe share
+ * while there is no slice. `nextAsks` gives the messages to send; their replies go to `apply`.
+ */
+export class QuotaClient extends AdmissionPolicy {
+  private readonly settings: QuotaSettings;
+  private readonly client: string;
+  private readonly entries = new Map<string, EntryUse>();
+  private rank = 0;
+  private fleetSize = Infinity;
+
+  public constructor(settings: QuotaSettings, client: string) {
+    super();
+    this.settings = settings;
+    this.client = client;
+  }
+
+  /** Sets the rank of this daemon among all of the fleet. Until then the safe share is empty. */
+  public setPosition(rank: number, fleetSize: number, nowMs: number): void {
+    this.rank = rank;
+    this.fleetSize = fleetSize;
+    for (const use of this.entries.values()) this.setLimits(use, use.limits, nowMs);
+  }
+
+  public override admit(key: string, limits: RateLimits, nowMs: number): AdmissionResult {
+    const use = this.findUse(key, limits, nowMs);
+    this.endSlice(use, nowMs);
+    use.arrived += 1;
+    use.peakInFlight = Math.max(use.peakInFlight, use.inFlight + 1);
+    const concurrency = (use.slice?.concurrency ?? 0) + use.safe.concurrency;
+    if (use.inFlight >= concurrency) return refuseAdmission('concurrencyLimit', ASK_ROUND_TRIP_MS);
+    if (!use.bucket.take(nowMs) && !use.safeBucket.take(nowMs)) return this.refuseRate(use, nowMs);
+    use.inFlight += 1;
+    return { kind: 'admit' };
+  }
+
+  public override release(key: string): void {
+    const use = this.entries.get(key);
+    if (use !== undefined && use.inFlight > 0) use.inFlight -= 1;
+  }
+
+  /** Whether an ask is due at once, because a request was refused or arrived without a slice. */
+  public needsAsk(key: string, nowMs: number): boolean {
+    const use = this.entries.get(key);
+    if (use === undefined || use.arrived === 0) return false;
+    return use.slice === undefined && nowMs - use.askedMs >= ASK_ROUND_TRIP_MS;
+  }
+
+  /** Returns the asks that are due: for entries in use, ahead of the end of their slices. */
+  public nextAsks(nowMs: number): readonly QuotaAsk[] {
+    const due = [...this.entries].filter(([key, use]) => this.isDue(key, use, nowMs));
+    return due.map(([key, use]) => this.buildAsk(key, use, nowMs));
+  }
+
+  /** Applies the reply of a holder; older replies than the newest applied one are ignored. */
+  public apply(slice: QuotaSlice, nowMs: number): void {
+    const use = this.entries.get(slice.entry);
+    if (use === undefined || slice.number <= use.applied) return;
+    this.endSlice(use, nowMs);
+    use.applied = slice.number;
+    if (nowMs >= slice.sentMs + slice.sliceMs) return;
+    use.slice = slice;
+    use.bucket.resize(slice.ratePerSecond, slice.burst, nowMs);
+    use.bucket.add(slice.tokens);
+  }
+
+  /** Number of admitted requests of the entry that were not released. */
+  public inFlight(key: string): number {
+    return this.entries.get(key)?.inFlight ?? 0;
+  }
+
+  /** Forgets entries that are no longer in the catalogue and have no request in flight. */
+  public retain(keys: ReadonlySet<string>): void {
+    for (const [key, use] of this.entries) if (!keys.has(key) && use.inFlight === 0) this.entries.delete(key);
+  }
+
+  private isDue(key: string, use: EntryUse, nowMs: number): boolean {
+    if (this.needsAsk(key, nowMs)) return true;
+    const used = use.arrived > 0 || use.inFlight > 0;
+    return use.slice !== undefined && used && nowMs - use.askedMs >= this.settings.sliceMs * ASK_AFTER;
+  }
+
+  private buildAsk(key: string, use: EntryUse, nowMs: number): QuotaAsk {
+    const elapsedMs = Math.max(1, nowMs - use.sinceMs);
+    const ratePerSecond = Math.max((use.arrived * 1_000) / elapsedMs, use.ratePerSecond / 2);
+    const concurrency = Math.max(use.peakInFlight, use.inFlight);
+    use.ratePerSecond = ratePerSecond;
+    use.askedMs = nowMs;
+    use.sinceMs = nowMs;
+    use.arrived = 0;
+    use.peakInFlight = use.inFlight;
+    const { client } = this;
+    const { applied, inFlight } = use;
+    return { entry: key, client, applied, ratePerSecond, concurrency, inFlight, sentMs: nowMs };
+  }
+
+  private refuseRate(use: EntryUse, nowMs: number): AdmissionResult {
+    const waitMs = Math.min(use.bucket.waitMs(nowMs), use.safeBucket.waitMs(nowMs));
+    return refuseAdmission('rateLimit', use.slice === undefined ? ASK_ROUND_TRIP_MS : waitMs);
+  }
+
+  private endSlice(use: EntryUse, nowMs: number): void {
+    if (use.slice === undefined || nowMs < use.slice.sentMs + use.slice.sliceMs) return;
+    use.slice = undefined;
+    use.bucket.resize(0, 0, nowMs);
+  }
+
+  private findUse(key: string, limits: RateLimits, nowMs: number): EntryUse {
+    const known = this.entries.get(key);
+    if (known?.limits === limits) return known;
+    const use = known ?? new EntryUse(limits, { ratePerSecond: 0, burst: 0, concurrency: 0 }, nowMs);
+    this.entries.set(key, use);
+    this.setLimits(use, limits, nowMs);
+    return use;
+  }
+
+  private setLimits(use: EntryUse, limits: RateLimits, nowMs: number): void {
+    use.limits = limits;
+    use.safe = safeShare(limits, this.settings.reserve, this.rank, this.fleetSize);
+    use.safeBucket.resize(use.safe.ratePerSecond, use.safe.burst, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/admission/src/QuotaSlice.ts
@@ -0,0 +1,14 @@
+/** A short-lived part of the limits of an entry, for one daemon. */
+export interface QuotaSlice {
+  readonly entry: string;
+  /** Rises with each slice that the holder gives to this daemon; 0 in a refusal of a holder that still waits. */
+  readonly number: number;
+  readonly ratePerSecond: number;
+  readonly burst: number;
+  readonly concurrency: number;
+  /** Tokens that may be used at once, beside those left of the last slice. */
+  readonly tokens: number;
+  /** `sentMs` of the ask. The slice ends `sliceMs` after it, on the clock of the daemon. */
+  readonly sentMs: number;
+  readonly sliceMs: number;
+}
--- /dev/null
+++ b/packages/admission/src/TokenBucket.ts
@@ -0,0 +1,58 @@
+/** Tokens that accrue at a rate up to a burst; one request takes one token. Times are monotonic, in milliseconds. */
+export class TokenBucket {
+  private ratePerSecond: number;
+  private burst: number;
+  private tokens: number;
+  private lastMs: number;
+
+  /** The bucket starts with `tokens`, at most `burst`. */
+  public constructor(ratePerSecond: number, burst: number, tokens: number, nowMs: number) {
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.tokens = Math.min(tokens, burst);
+    this.lastMs = nowMs;
+  }
+
+  /** Takes `count` tokens if the bucket holds them. */
+  public take(nowMs: number, count = 1): boolean {
+    this.accrue(nowMs);
+    if (this.tokens < count) return false;
+    this.tokens -= count;
+    return true;
+  }
+
+  /** Takes and returns up to `limit` tokens. */
+  public takeUpTo(limit: number, nowMs: number): number {
+    this.accrue(nowMs);
+    const taken = Math.min(this.tokens, limit);
+    this.tokens -= taken;
+    return taken;
+  }
+
+  /** Changes rate and burst; tokens above the new burst are lost. */
+  public resize(ratePerSecond: number, burst: number, nowMs: number): void {
+    this.accrue(nowMs);
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
+  /** Adds tokens, up to the burst. */
+  public add(tokens: number): void {
+    this.tokens = Math.min(this.burst, this.tokens + tokens);
+  }
+
+  /** Time until one token is there, in milliseconds; infinite without a rate or with a burst below 1. */
+  public waitMs(nowMs: number): number {
+    this.accrue(nowMs);
+    if (this.tokens >= 1) return 0;
+    if (this.burst < 1 || this.ratePerSecond <= 0) return Infinity;
+    return ((1 - this.tokens) / this.ratePerSecond) * 1_000;
+  }
+
+  private accrue(nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.lastMs);
+    this.tokens = Math.min(this.burst, this.tokens + (elapsedMs * this.ratePerSecond) / 1_000);
+    this.lastMs = Math.max(this.lastMs, nowMs);
+  }
+}
