Add signed JSON-RPC between daemons

Cause: daemons exchange small messages several times a second and cells on demand, on links that can lose, delay or repeat them. Conclusion: forged, misdirected, old and repeated messages are dropped and counted.

--- /dev/null
+++ b/packages/rpc/src/CallOptions.ts
@@ -0,0 +1,8 @@
+import type { Channel } from '#rpc/Channel.js';
+
+/** Options of one remote call. */
+export interface CallOptions {
+  readonly channel: Channel;
+  /** Time after which the call fails with `peerSilent`, in milliseconds. */
+  readonly timeoutMs: number;
+}
--- /dev/null
+++ b/packages/rpc/src/Envelope.ts
@@ -0,0 +1,11 @@
+/** A JSON-RPC message with the fields that its signature covers. */
+export interface Envelope {
+  /** Server id of the sender. */
+  readonly from: string;
+  /** Server id of the receiver, or its address if the sender knows no more. */
+  readonly to: string;
+  /** Sender's wall-clock time, in milliseconds since the Unix epoch. */
+  readonly sentAtMs: number;
+  /** JSON text. */
+  readonly payload: string;
+}
--- /dev/null
+++ b/packages/rpc/src/PeerTransport.ts
@@ -0,0 +1,330 @@
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { randomBytes } from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  isJSONRPCResponse,
+  type JSONRPCParams,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import { Left, Right, type Either } from 'purify-ts';
+import { Agent } from 'undici';
+import type { Cancel } from '#core/Cancel.js';
+import { RouterError } from '#core/RouterError.js';
+import type { CallOptions } from '#rpc/CallOptions.js';
+import { computeMac } from '#rpc/ComputeMac.js';
+import { decodeDatagram } from '#rpc/DecodeDatagram.js';
+import { encodeDatagram } from '#rpc/EncodeDatagram.js';
+import type { Envelope } from '#rpc/Envelope.js';
+import { isSameMac } from '#rpc/IsSameMac.js';
+import type { LinkCuts } from '#rpc/LinkCuts.js';
+import type { PeerAddress } from '#rpc/PeerAddress.js';
+import type { PeerTransportOptions } from '#rpc/PeerTransportOptions.js';
+import { ReplayGuard } from '#rpc/ReplayGuard.js';
+import type { RpcHandler } from '#rpc/RpcHandler.js';
+import { Transport } from '#rpc/Transport.js';
+import type { TransportPorts } from '#rpc/TransportPorts.js';
+import type { TransportStats } from '#rpc/TransportStats.js';
+
+/** Fits an Ethernet frame with IP and UDP heads, so that no datagram is fragmented. */
+const MAX_DATAGRAM_BYTES = 1_400;
+/** The store's limit on values; a cell or catalogue is never larger. */
+const MAX_BODY_BYTES = 1_100_000;
+const NO_REPLY = Symbol('noReply');
+const NO_CUTS: LinkCuts = { to: new Set(), from: new Set() };
+
+/** A call by datagram that has no reply yet. */
+interface Awaited {
+  readonly from: string;
+  readonly cancel: Cancel;
+}
+
+interface Route {
+  readonly peer: PeerAddress;
+  readonly options: CallOptions;
+  /** Reports why nothing was sent or no signed reply came; json-rpc-2.0 keeps only the message of an error. */
+  readonly fail: (err: RouterError) => void;
+}
+
+/** Signed JSON-RPC between daemons: UDP for small messages, HTTP `POST /rpc` for large ones. */
+export class PeerTransport extends Transport {
+  private readonly options: PeerTransportOptions;
+  private readonly socket: Socket;
+  private readonly server: Server;
+  private readonly agent = new Agent({ connections: 2, keepAliveTimeout: 10_000 });
+  private readonly rpcServer = new JSONRPCServer<string>({ errorListener: () => undefined });
+  private readonly rpcClient: JSONRPCClient<Route>;
+  private readonly guard = new ReplayGuard();
+  private readonly awaited = new Map<string, Awaited>();
+  private ownAddress = '';
+  private cuts: LinkCuts = NO_CUTS;
+  private fallback: RequestListener = (_, res) => void res.writeHead(404).end();
+  private stats: TransportStats = { datagramsSent: 0, bytesSent: 0, datagramsReceived: 0, rejected: 0 };
+  private stopped = false;
+
+  public constructor(options: PeerTransportOptions) {
+    super();
+    this.options = options;
+    this.socket = createSocket('udp4');
+    this.socket.on('message', (datagram, source) => void this.receiveDatagram(datagram, source));
+    this.socket.on('error', (err) =>
+      this.options.logger.log('udpError', { step: 'rpc', error: err.message }),
+    );
+    this.server = createServer((req, res) => {
+      if (req.url === '/rpc') void this.receivePost(req, res);
+      else this.fallback(req, res);
+    });
+    this.rpcClient = new JSONRPCClient(
+      (payload, route) => this.sendRequest(payload as JSONRPCRequest, route),
+      () => randomBytes(6).toString('base64'),
+    );
+  }
+
+  public override async start(): Promise<TransportPorts> {
+    const { host, peerPort, udpPort } = this.options;
+    await Promise.all([
+      new Promise<void>((resolve, reject) => {
+        this.server.once('error', reject).listen(peerPort, host, resolve);
+      }),
+      new Promise<void>((resolve) => this.socket.bind(udpPort, host, resolve)),
+    ]);
+    const ports = {
+      peerPort: (this.server.address() as AddressInfo).port,
+      udpPort: this.socket.address().port,
+    };
+    this.ownAddress = `${host}:${ports.peerPort}`;
+    return ports;
+  }
+
+  public override async stop(): Promise<void> {
+    if (this.stopped) return;
+    this.stopped = true;
+    for (const { cancel } of this.awaited.values()) cancel();
+    this.rpcClient.rejectAllPendingRequests('stopped');
+    this.socket.close();
+    this.server.closeAllConnections();
+    await Promise.all([this.agent.destroy(), new Promise((resolve) => this.server.close(resolve))]);
+  }
+
+  public override handle(method: string, handler: RpcHandler): void {
+    this.rpcServer.addMethod(method, async (params, from) => (await handler(params, from)) ?? NO_REPLY);
+  }
+
+  public override async call(
+    peer: PeerAddress,
+    method: string,
+    params: unknown,
+    options: CallOptions,
+  ): Promise<Either<RouterError, unknown>> {
+    if (this.stopped) return Left(this.failure('peerSilent', peer, 'the transport is stopped'));
+    let failure: RouterError | undefined;
+    const fail = (err: RouterError): void => void (failure = err);
+    try {
+      const client = this.rpcClient.timeout(options.timeoutMs);
+      return Right(await client.request(method, params as JSONRPCParams, { peer, options, fail }));
+    } catch (err) {
+      return Left(failure ?? this.classify(peer, err));
+    }
+  }
+
+  /** Hands requests of the peer port other than `/rpc` to `listener`. */
+  public handleRequests(listener: RequestListener): void {
+    this.fallback = listener;
+  }
+
+  /** Cuts links for failure tests; replaces earlier cuts. */
+  public cutLinks(cuts: Partial<LinkCuts>): void {
+    this.cuts = { ...NO_CUTS, ...cuts };
+  }
+
+  /** Messages counted so far. */
+  public readStats(): TransportStats {
+    return this.stats;
+  }
+
+  private async sendRequest(payload: JSONRPCRequest, route: Route): Promise<void> {
+    const { peer, options } = route;
+    const to = peer.serverId === '' ? `${peer.host}:${peer.peerPort}` : peer.serverId;
+    const envelope = this.envelop(to, JSON.stringify(payload));
+    if (this.cuts.to.has(to)) return;
+    if (options.channel === 'http') {
+      await this.postRequest(envelope, route);
+      return;
+    }
+    const datagram = encodeDatagram(this.options.fleetKey, envelope);
+    if (datagram.length > MAX_DATAGRAM_BYTES) {
+      const message = `${payload.method} has ${datagram.length} bytes`;
+      route.fail(this.failure('messageTooLarge', peer, message));
+      throw new Error(message);
+    }
+    const id = String(payload.id);
+    const cancel = this.options.clock.schedule(options.timeoutMs, () => this.awaited.delete(id));
+    this.awaited.set(id, { from: to, cancel });
+    this.sendDatagram(datagram, peer.host, peer.udpPort);
+  }
+
+  private sendDatagram(datagram: Buffer, host: string, port: number): void {
+    if (this.stopped) return;
+    const { datagramsSent, bytesSent } = this.stats;
+    this.stats = {
+      ...this.stats,
+      datagramsSent: datagramsSent + 1,
+      bytesSent: bytesSent + datagram.length,
+    };
+    this.socket.send(datagram, port, host, () => undefined);
+  }
+
+  private async receiveDatagram(datagram: Buffer, source: RemoteInfo): Promise<void> {
+    this.stats = { ...this.stats, datagramsReceived: this.stats.datagramsReceived + 1 };
+    const envelope = decodeDatagram(this.options.fleetKey, datagram);
+    if (envelope === undefined || !this.isForMe(envelope)) {
+      this.reject(source.address);
+      return;
+    }
+    if (this.cuts.from.has(envelope.from)) return;
+    const message = JSON.parse(envelope.payload) as JSONRPCRequest | JSONRPCResponse;
+    if (isJSONRPCResponse(message)) {
+      this.acceptReply(message, envelope);
+      return;
+    }
+    const signature = datagram.toString('base64', 0, 16);
+    if (!this.guard.accept(signature, envelope.sentAtMs, this.options.clock.wallMs())) {
+      this.reject(envelope.from);
+      return;
+    }
+    const reply = await this.answer(message, envelope.from);
+    if (reply === undefined || this.cuts.to.has(envelope.from)) return;
+    const answer = encodeDatagram(this.options.fleetKey, this.envelop(envelope.from, reply));
+    this.sendDatagram(answer, source.address, source.port);
+  }
+
+  private acceptReply(message: JSONRPCResponse, envelope: Envelope): void {
+    const id = String(message.id);
+    const expected = this.awaited.get(id);
+    if (expected?.from !== envelope.from) return;
+    expected.cancel();
+    this.awaited.delete(id);
+    this.rpcClient.receive(message);
+  }
+
+  private async answer(message: JSONRPCRequest, from: string): Promise<string | undefined> {
+    const reply = await this.rpcServer.receive(message, from);
+    if (reply === null || reply.result === NO_REPLY) return undefined;
+    return JSON.stringify(reply);
+  }
+
+  private async postRequest(envelope: Envelope, route: Route): Promise<void> {
+    const { peer, options } = route;
+    const mac = this.signPost(envelope, '');
+    try {
+      const res = await this.agent.request({
+        origin: `http://${peer.host}:${peer.peerPort}`,
+        path: '/rpc',
+        method: 'POST',
+        headers: {
+          'amr-from': envelope.from,
+          'amr-to': envelope.to,
+          'amr-time': String(envelope.sentAtMs),
+          'amr-mac': mac,
+        },
+        body: envelope.payload,
+        signal: AbortSignal.timeout(options.timeoutMs),
+      });
+      const payload = await res.body.text();
+      const from = String(res.headers['amr-from']);
+      const reply: Envelope = { from, to: envelope.from, sentAtMs: envelope.sentAtMs, payload };
+      const signature = String(res.headers['amr-mac']);
+      if (!isSameMac(Buffer.from(signature), Buffer.from(this.signPost(reply, mac)))) {
+        this.reject(envelope.to);
+        throw new Error(`unsigned reply with status ${res.statusCode}`);
+      }
+      if (this.cuts.from.has(from)) throw new Error('the link is cut');
+      this.rpcClient.receive(JSON.parse(payload) as JSONRPCResponse);
+    } catch (err) {
+      route.fail(this.failure('peerSilent', peer, String(err), err));
+      throw err;
+    }
+  }
+
+  private async receivePost(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const size = Number(req.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+    if (req.method !== 'POST' || size > MAX_BODY_BYTES) {
+      res.writeHead(413).end();
+      return;
+    }
+    const envelope: Envelope = {
+      from: String(req.headers['amr-from']),
+      to: String(req.headers['amr-to']),
+      sentAtMs: Number(req.headers['amr-time']),
+      payload: await text(req),
+    };
+    const mac = this.signPost(envelope, '');
+    const isSigned = isSameMac(Buffer.from(String(req.headers['amr-mac'])), Buffer.from(mac));
+    const accepted =
+      isSigned &&
+      this.isForMe(envelope) &&
+      this.guard.accept(mac, envelope.sentAtMs, this.options.clock.wallMs());
+    if (!accepted) {
+      this.reject(envelope.from);
+      res.writeHead(403).end();
+      return;
+    }
+    if (this.isCut(envelope.from)) {
+      req.socket.destroy();
+      return;
+    }
+    const payload = await this.answer(JSON.parse(envelope.payload) as JSONRPCRequest, envelope.from);
+    if (payload === undefined || this.isCut(envelope.from)) {
+      req.socket.destroy();
+      return;
+    }
+    const from = this.options.serverId;
+    const reply: Envelope = { from, to: envelope.from, sentAtMs: envelope.sentAtMs, payload };
+    res.writeHead(200, { 'amr-from': from, 'amr-mac': this.signPost(reply, mac) }).end(payload);
+  }
+
+  /** A reply's signature covers the signature of its request, so that it can't be used for another one. */
+  private signPost(envelope: Envelope, requestMac: string): string {
+    const { from, to, sentAtMs, payload } = envelope;
+    const signed = `rpc\n${JSON.stringify([from, to, sentAtMs, requestMac])}\n${payload}`;
+    return computeMac(this.options.fleetKey, signed).toString('hex');
+  }
+
+  private envelop(to: string, payload: string): Envelope {
+    const sentAtMs = Math.round(this.options.clock.wallMs());
+    return { from: this.options.serverId, to, sentAtMs, payload };
+  }
+
+  private isForMe(envelope: Envelope): boolean {
+    return envelope.to === this.options.serverId || envelope.to === this.ownAddress;
+  }
+
+  private isCut(serverId: string): boolean {
+    return this.cuts.from.has(serverId) || this.cuts.to.has(serverId);
+  }
+
+  private reject(peer: string): void {
+    this.stats = { ...this.stats, rejected: this.stats.rejected + 1 };
+    this.options.logger.log('messageRejected', { step: 'rpc', peer });
+  }
+
+  private classify(peer: PeerAddress, err: unknown): RouterError {
+    const message = err instanceof Error ? err.message : String(err);
+    return this.failure(message === 'Request timeout' ? 'peerSilent' : 'peerRefused', peer, message, err);
+  }
+
+  private failure(code: string, peer: PeerAddress, message: string, cause?: unknown): RouterError {
+    const name = peer.serverId === '' ? `${peer.host}:${peer.peerPort}` : peer.serverId;
+    return new RouterError({ code, step: 'rpc', peer: name, ran: 'not run', status: 502 }, message, cause);
+  }
+}
