--- a/packages/lease/src/CreateHolder.ts
+++ b/packages/lease/src/CreateHolder.ts
@@ -10,6 +10,8 @@
       startedMs: -Infinity,
       writeStartedMs: undefined,
       leaseEndMs: -Infinity,
+      promisedEpoch: 0,
+      roundAtMs: -Infinity,
       links: [],
     },
   };
--- a/packages/lease/src/HolderContext.ts
+++ b/packages/lease/src/HolderContext.ts
@@ -11,5 +11,9 @@
   readonly writeStartedMs: number | undefined;
   /** The holder may act while the monotonic clock is below this. */
   readonly leaseEndMs: number;
+  /** Highest epoch that a witness refused for good. */
+  readonly promisedEpoch: number;
+  /** Time of the newest round of renewals. */
+  readonly roundAtMs: number;
   readonly links: readonly WitnessLink[];
 }
