--- a/packages/once/src/OnceTable.ts
+++ b/packages/once/src/OnceTable.ts
@@ -43,9 +43,15 @@
   /** Begins a shard that was moved here with its records; `newToken` is the token of the accepted move. */
   public adoptShard(moved: ShardRecords, newToken: number): void {
     assertInvariant(newToken > moved.token, `${moved.shardId}: token ${newToken} does not follow the move`);
-    const shard = new ShardMemory(moved.shardId, newToken, moved.knownSince, moved.window);
-    for (const record of moved.records) shard.set(recordKey(record.tenant, record.id), record);
-    this.shards.set(moved.shardId, shard);
+    this.restoreShard({ ...moved, token: newToken });
+  }
+
+  /** Continues a shard whose hand-over was not accepted; the token is still that of the records. */
+  public restoreShard(records: ShardRecords): void {
+    const { shardId, token, knownSince, window } = records;
+    const shard = new ShardMemory(shardId, token, knownSince, window);
+    for (const record of records.records) shard.set(recordKey(record.tenant, record.id), record);
+    this.shards.set(shardId, shard);
   }
 
   /** Ends a shard and returns its records for the hand-over; what still runs is handed over as unknown. */
--- /dev/null
+++ b/packages/proxy/src/HashBody.ts
@@ -0,0 +1,24 @@
+import { createHash } from 'node:crypto';
+import { Transform, type TransformCallback } from 'node:stream';
+import type { OrderBody } from '#proxy/OrderBody.js';
+
+/** Returns the body, and calls `onHash` with its SHA-256 in hex as soon as all of it has passed. */
+export function hashBody(body: OrderBody, onHash: (bodyHash: string) => void): OrderBody {
+  const hash = createHash('sha256');
+  if (Buffer.isBuffer(body)) {
+    onHash(hash.update(body).digest('hex'));
+    return body;
+  }
+  const pass = new Transform({
+    transform(chunk: Buffer, _encoding, callback: TransformCallback) {
+      hash.update(chunk);
+      callback(null, chunk);
+    },
+    flush(callback: TransformCallback) {
+      onHash(hash.digest('hex'));
+      callback();
+    },
+  });
+  body.once('error', (err) => pass.destroy(err));
+  return body.pipe(pass);
+}
--- /dev/null
+++ b/packages/proxy/src/OwnedOrder.ts
@@ -0,0 +1,12 @@
+import type { Order } from '#proxy/Order.js';
+
+/** An order at the owner task, from its arrival until its end. */
+export interface OwnedOrder {
+  readonly order: Order;
+  /** Shard of the order; empty for orders that need no ownership. */
+  readonly shardId: string;
+  /** Whether the order holds the record of its idempotency key. */
+  readonly recorded: boolean;
+  /** Time that the order may run past the lease end, in milliseconds. */
+  readonly graceMs: number;
+}
--- /dev/null
+++ b/packages/proxy/src/OwnerReport.ts
@@ -0,0 +1,14 @@
+import type { BackendFacts } from '#proxy/BackendFacts.js';
+
+/** State of the owner task, for status pages and for choosing among backend servers. */
+export interface OwnerReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly limit: number;
+  readonly slowStart: string;
+  readonly backend: BackendFacts | undefined;
+  readonly ownedShards: number;
+  /** End of the lease on the monotonic clock, in milliseconds. */
+  readonly leaseEndMs: number;
+  readonly onceRecords: number;
+}
