--- /dev/null
+++ b/packages/balance/src/RetryFacts.ts
@@ -0,0 +1,18 @@
+import type { Ran } from '#core/Ran.js';
+
+/** What the decision on a retry depends on. Times are monotonic, in milliseconds. */
+export interface RetryFacts {
+  readonly tenant: string;
+  readonly class: string;
+  /** Whether the class may be repeated. */
+  readonly repeatable: boolean;
+  /** Whether the failed attempt ran, as proven by the refusal. */
+  readonly ran: Ran;
+  /** Attempts so far, at least 1. */
+  readonly attempts: number;
+  readonly deadlineMs: number;
+  /** Expected duration of one attempt. */
+  readonly expectedMs: number;
+  /** Advice of the refusal. */
+  readonly retryAfterMs?: number;
+}
