--- a/packages/once/src/OnceTable.ts
+++ b/packages/once/src/OnceTable.ts
@@ -22,6 +22,8 @@
 export class OnceTable {
   private readonly limits: OnceLimits;
   private readonly shards = new Map<string, ShardMemory>();
+  private recordCount = 0;
+  private byteCount = 0;
 
   public constructor(limits: OnceLimits) {
     this.limits = limits;
@@ -37,7 +39,7 @@
     const shard = new ShardMemory(shardId, token, token, 0);
     const running = old?.records().filter(({ state }) => state === 'running') ?? [];
     for (const record of running) shard.set(recordKey(record.tenant, record.id), { ...record, window: 0 });
-    this.shards.set(shardId, shard);
+    this.replaceShard(shardId, shard);
   }
 
   /** Begins a shard that was moved here with its records; `newToken` is the token of the accepted move. */
@@ -45,13 +47,13 @@
     assertInvariant(newToken > moved.token, `${moved.shardId}: token ${newToken} does not follow the move`);
     const shard = new ShardMemory(moved.shardId, newToken, moved.knownSince, moved.window);
     for (const record of moved.records) shard.set(recordKey(record.tenant, record.id), record);
-    this.shards.set(moved.shardId, shard);
+    this.replaceShard(moved.shardId, shard);
   }
 
   /** Ends a shard and returns its records for the hand-over; what still runs is handed over as unknown. */
   public closeShard(shardId: string): ShardRecords {
     const shard = this.findShard(shardId);
-    this.shards.delete(shardId);
+    this.replaceShard(shardId, undefined);
     const { token, knownSince, window } = shard;
     const records = shard.records().map((record) => endAsUnknown(record));
     return { shardId, token, knownSince, window, records };
@@ -70,12 +72,12 @@
 
   /** Number of records held. */
   public get size(): number {
-    return this.sum((shard) => shard.size);
+    return this.recordCount;
   }
 
   /** Estimated bytes held. */
   public get bytes(): number {
-    return this.sum((shard) => shard.bytes);
+    return this.byteCount;
   }
 
   /** Decides whether an id may run. A known id is a repeat whatever its epoch, since its outcome is remembered. */
@@ -87,13 +89,13 @@
     nowMs: number,
   ): OnceDecision {
     const shard = this.findShard(shardId);
-    shard.turnIfDue(nowMs, this.limits.horizonMs);
+    this.change(shard, () => shard.turnIfDue(nowMs, this.limits.horizonMs));
     if (id === '' || id.length > MAX_ID_LENGTH) return refuse(notRun('idMalformed', 400));
     const record = shard.get(recordKey(tenant, id));
     if (record !== undefined) return { kind: 'repeat', record };
     const error = this.checkEpoch(shard, epoch) ?? this.makeRoom(nowMs);
     if (error !== undefined) return refuse(error);
-    shard.set(recordKey(tenant, id), startRecord(tenant, id, shard.window));
+    this.change(shard, () => shard.set(recordKey(tenant, id), startRecord(tenant, id, shard.window)));
     return { kind: 'run' };
   }
 
@@ -118,7 +120,7 @@
 
   /** Records the end of a running request without an answer. An id that did not run is forgotten. */
   public fail(shardId: string, tenant: string, id: string, ran: 'not run' | 'unknown'): void {
-    if (ran === 'not run') this.shards.get(shardId)?.delete(recordKey(tenant, id));
+    if (ran === 'not run') this.forget(shardId, recordKey(tenant, id));
     else this.update(shardId, tenant, id, endAsUnknown);
   }
 
@@ -133,7 +135,9 @@
 
   /** Turns the windows that are due; called every few seconds, so that idle shards also release memory. */
   public turnWindows(nowMs: number): void {
-    for (const shard of this.shards.values()) shard.turnIfDue(nowMs, this.limits.horizonMs);
+    for (const shard of this.shards.values()) {
+      this.change(shard, () => shard.turnIfDue(nowMs, this.limits.horizonMs));
+    }
   }
 
   private checkEpoch(shard: ShardMemory, text: string | undefined): RouterErrorFields | undefined {
@@ -153,7 +157,7 @@
     while (this.isFull()) {
       const largest = this.findLargest();
       if (largest === undefined) return { ...notRun('onceTableFull', 503), retryAfterMs: FULL_RETRY_MS };
-      largest.turn(nowMs);
+      this.change(largest, () => largest.turn(nowMs));
     }
     return undefined;
   }
@@ -178,7 +182,7 @@
     const record = shard?.get(key);
     if (shard === undefined || record?.state !== 'running') return undefined;
     const changed = change(record);
-    shard.set(key, changed);
+    this.change(shard, () => shard.set(key, changed));
     return changed;
   }
 
@@ -188,10 +192,29 @@
     return shard;
   }
 
-  private sum(measure: (shard: ShardMemory) => number): number {
-    let total = 0;
-    for (const shard of this.shards.values()) total += measure(shard);
-    return total;
+  /** Only a running id may be forgotten as not run; one that was answered did run. */
+  private forget(shardId: string, key: string): void {
+    const shard = this.shards.get(shardId);
+    if (shard?.get(key)?.state === 'running') this.change(shard, () => shard.delete(key));
+  }
+
+  private replaceShard(shardId: string, shard: ShardMemory | undefined): void {
+    this.count(this.shards.get(shardId), -1);
+    this.count(shard, 1);
+    if (shard === undefined) this.shards.delete(shardId);
+    else this.shards.set(shardId, shard);
+  }
+
+  /** Applies a change to one shard and keeps the totals, which are read at every admission. */
+  private change(shard: ShardMemory, apply: () => void): void {
+    this.count(shard, -1);
+    apply();
+    this.count(shard, 1);
+  }
+
+  private count(shard: ShardMemory | undefined, sign: 1 | -1): void {
+    this.recordCount += sign * (shard?.size ?? 0);
+    this.byteCount += sign * (shard?.bytes ?? 0);
   }
 }
 
--- a/packages/once/src/ShardMemory.ts
+++ b/packages/once/src/ShardMemory.ts
@@ -1,6 +1,6 @@
 import type { OnceRecord } from '#once/OnceRecord.js';
 
-/** Estimated bytes of a record beside its texts; measured as about 250 B of heap with its map entry. */
+/** Estimated bytes of a record beside its texts. */
 const RECORD_OVERHEAD_BYTES = 250;
 
 /**
@@ -17,6 +17,7 @@
   private previous = new Map<string, OnceRecord>();
   private readonly outlived = new Map<string, OnceRecord>();
   private byteCount = 0;
+  private runningCount = 0;
 
   public constructor(shardId: string, token: number, knownSince: number, window: number) {
     this.shardId = shardId;
@@ -41,7 +42,7 @@
 
   /** Whether turning the window twice would forget at least one record. */
   public get canForget(): boolean {
-    return this.size > this.countRunning();
+    return this.size > this.runningCount;
   }
 
   public get(key: string): OnceRecord | undefined {
@@ -54,12 +55,14 @@
     this.delete(key);
     (inPrevious ? this.previous : this.current).set(key, record);
     this.byteCount += estimateBytes(record);
+    if (record.state === 'running') this.runningCount += 1;
   }
 
   public delete(key: string): void {
     const record = this.get(key);
     if (record === undefined) return;
     this.byteCount -= estimateBytes(record);
+    if (record.state === 'running') this.runningCount -= 1;
     this.current.delete(key);
     this.previous.delete(key);
     this.outlived.delete(key);
@@ -93,10 +96,6 @@
   private isPrevious(record: OnceRecord): boolean {
     return record.window === this.currentWindow - 1;
   }
-
-  private countRunning(): number {
-    return this.records().filter(({ state }) => state === 'running').length;
-  }
 }
 
 function estimateBytes(record: OnceRecord): number {
