--- /dev/null
+++ b/packages/proxy/src/ChooseTarget.ts
@@ -0,0 +1,66 @@
+import { Left, Right, type Either } from 'purify-ts';
+import type { Cell } from '#assignment/Cell.js';
+import { findCellIndex } from '#assignment/FindCellIndex.js';
+import { findShard } from '#assignment/FindShard.js';
+import { formatPlacement } from '#assignment/FormatPlacement.js';
+import type { Member } from '#assignment/Member.js';
+import type { BalancePolicy } from '#balance/BalancePolicy.js';
+import type { Candidate } from '#balance/Candidate.js';
+import type { RandomSource } from '#core/RandomSource.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import type { RoutingView } from '#proxy/RoutingView.js';
+import type { Target } from '#proxy/Target.js';
+import type { TargetFacts } from '#proxy/TargetFacts.js';
+
+const RETRY_MS = 50;
+
+/** Chooses the daemon for an order: the owner of its key, or a member by the policy. */
+export function chooseTarget(
+  view: RoutingView,
+  facts: TargetFacts,
+  policy: BalancePolicy,
+  random: RandomSource,
+  nowMs: number,
+): Either<RouterErrorFields, Target> {
+  const { head, checked } = facts;
+  const index = findCellIndex(head.key, checked.service.cells);
+  const cell = view.cells.get(`${head.service}/${index}`);
+  if (cell === undefined) return refuse('noCell', 503);
+  const member = checked.needsOwnership
+    ? findOwner(cell, facts)
+    : choosePeer(cell, facts, policy, random, nowMs);
+  if (member === undefined) return refuse(checked.needsOwnership ? 'noOwner' : 'noBackendServer', 503);
+  return Right({ member, crossesRegions: member.region !== facts.region });
+}
+
+function findOwner(cell: Cell, { head, checked }: TargetFacts): Member | undefined {
+  const found = findShard(cell, formatPlacement(checked.entry.homeRegions), head.key);
+  if (found === undefined) return undefined;
+  return cell.members.find((member) => member.serverId === found.shard.owner && member.state !== 'gone');
+}
+
+function choosePeer(
+  cell: Cell,
+  facts: TargetFacts,
+  policy: BalancePolicy,
+  random: RandomSource,
+  nowMs: number,
+): Member | undefined {
+  const active = cell.members.filter((member) => member.state === 'active');
+  const { homeRegions, limits } = facts.checked.entry;
+  const otherRegions = limits.interRegionBytesPerSecond > 0;
+  const choose = (excluded: ReadonlySet<string>): Candidate | undefined =>
+    policy.choose(active.map(toCandidate), { ...facts, homeRegions, otherRegions, excluded }, random, nowMs);
+  // With every other server tried or ejected, one of them is better than a refusal.
+  const candidate = choose(facts.excluded) ?? choose(new Set());
+  return active.find((member) => member.serverId === candidate?.serverId);
+}
+
+function toCandidate(member: Member): Candidate {
+  const { serverId, region, failureDomain, slots } = member;
+  return { serverId, region, failureDomain, slots, share: 1, reportedLoad: 0 };
+}
+
+function refuse(code: string, status: number): Either<RouterErrorFields, Target> {
+  return Left({ code, step: 'route', peer: '', ran: 'not run', status, retryAfterMs: RETRY_MS });
+}
--- /dev/null
+++ b/packages/proxy/src/InterRegionMeter.ts
@@ -0,0 +1,74 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { TokenBucket } from '#admission/TokenBucket.js';
+import { entryKey } from '#admission/EntryKey.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import type { Exchange } from '#proxy/Exchange.js';
+import type { Target } from '#proxy/Target.js';
+
+/** Bytes of heads and framing that an order and its answer add to their bodies. */
+const HEAD_BYTES = 800;
+const RETRY_MS = 200;
+
+/**
+ * Counts the bytes that the orders of each entry send between regions and holds them to the entry's limit.
+ * Answers are counted as they pass; an entry that has spent its second is refused before the next order is sent.
+ */
+export class InterRegionMeter {
+  private readonly buckets = new Map<string, TokenBucket>();
+  private readonly totals = new Map<string, number>();
+
+  /** Refuses an order between regions if its entry allows none or has spent its bytes. */
+  public admit(target: Target, exchange: Exchange, nowMs: number): Either<RouterErrorFields, Target> {
+    if (!target.crossesRegions) return Right(target);
+    const { entry } = exchange.checked;
+    const bytes = HEAD_BYTES + Math.max(0, exchange.head.contentLength);
+    const isAllowed = this.findBucket(exchange, nowMs).take(
+      nowMs,
+      Math.min(bytes, entry.limits.interRegionBytesPerSecond),
+    );
+    if (isAllowed && entry.limits.interRegionBytesPerSecond > 0) {
+      this.addTotal(entry.owner, bytes);
+      return Right(target);
+    }
+    const { member } = target;
+    return Left({
+      code: 'interRegionLimit',
+      step: 'region',
+      peer: member.serverId,
+      ran: 'not run',
+      status: 429,
+      retryAfterMs: RETRY_MS,
+      at: [`${member.host}:${member.callerPort}`],
+    });
+  }
+
+  /** Counts a part of an answer that came from another region. */
+  public add(exchange: Exchange, bytes: number, nowMs: number): void {
+    if (exchange.target?.crossesRegions !== true) return;
+    this.findBucket(exchange, nowMs).takeUpTo(bytes, nowMs);
+    this.addTotal(exchange.checked.entry.owner, bytes);
+  }
+
+  /** Bytes between regions so far, by tenant. */
+  public readTotals(): ReadonlyMap<string, number> {
+    return this.totals;
+  }
+
+  private addTotal(tenant: string, bytes: number): void {
+    this.totals.set(tenant, (this.totals.get(tenant) ?? 0) + bytes);
+  }
+
+  private findBucket(exchange: Exchange, nowMs: number): TokenBucket {
+    const { owner, service, class: requestClass, limits } = exchange.checked.entry;
+    const key = entryKey(owner, service, requestClass);
+    const rate = limits.interRegionBytesPerSecond;
+    const known = this.buckets.get(key);
+    if (known !== undefined) {
+      known.resize(rate, rate, nowMs);
+      return known;
+    }
+    const bucket = new TokenBucket(rate, rate, rate, nowMs);
+    this.buckets.set(key, bucket);
+    return bucket;
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/ReceiptMessage.ts
@@ -0,0 +1,14 @@
+import type { ServerResponse } from 'node:http';
+import type { PendingReceipt } from '#delivery/PendingReceipt.js';
+
+/** Messages of the receipt task. */
+export type ReceiptMessage =
+  | { readonly type: 'expect'; readonly receipt: PendingReceipt }
+  | {
+      readonly type: 'confirm';
+      readonly id: string;
+      readonly tenant: string;
+      readonly bytes: number;
+      readonly res: ServerResponse;
+    }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/packages/proxy/src/ReceiptTask.ts
@@ -0,0 +1,69 @@
+import type { Cancel } from '#core/Cancel.js';
+import type { Clock } from '#core/Clock.js';
+import { Task } from '#core/Task.js';
+import type { Outcome } from '#delivery/Outcome.js';
+import type { PendingReceipt } from '#delivery/PendingReceipt.js';
+import { ReceiptTable } from '#delivery/ReceiptTable.js';
+import type { ReceiptMessage } from '#proxy/ReceiptMessage.js';
+import { writeRefusal } from '#proxy/WriteRefusal.js';
+
+const MAX_PENDING = 50_000;
+/** A receipt may arrive this long after its deadline; it then counts as late. */
+const GRACE_MS = 500;
+const TICK_MS = 100;
+
+/** Awaits the receipts of callers and reports the outcome of each answer that needed one. */
+export class ReceiptTask extends Task<ReceiptMessage> {
+  private readonly table = new ReceiptTable(MAX_PENDING, GRACE_MS);
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly onEnd: (receipt: PendingReceipt, outcome: Outcome) => void,
+  ) {
+    super();
+  }
+
+  /** Starts the timers. */
+  public start(): void {
+    this.cancelTick = this.clock.schedule(TICK_MS, () => {
+      this.post({ type: 'tick' });
+      this.start();
+    });
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: ReceiptMessage): void {
+    switch (message.type) {
+      case 'expect':
+        this.reportUnconfirmed(this.table.expect(message.receipt));
+        break;
+      case 'confirm':
+        this.confirm(message);
+        break;
+      case 'tick':
+        this.reportUnconfirmed(this.table.expire(this.clock.monotonicMs()));
+        break;
+    }
+  }
+
+  private reportUnconfirmed(receipts: readonly PendingReceipt[]): void {
+    for (const receipt of receipts) this.onEnd(receipt, 'sentUnconfirmed');
+  }
+
+  private confirm({ id, tenant, bytes, res }: Extract<ReceiptMessage, { readonly type: 'confirm' }>): void {
+    const result = this.table.confirm(id, tenant, bytes, this.clock.monotonicMs());
+    if (result.kind === 'refused') {
+      writeRefusal(res, result.error);
+      return;
+    }
+    if (result.kind === 'counted') this.onEnd(result.receipt, result.outcome);
+    const body = JSON.stringify({ outcome: result.outcome });
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) });
+    res.end(body);
+  }
+}
