Add the control tasks: lease, witness, cell, fence and spread

Cause: a daemon has to join its cell, hold its lease, take over lost daemons and follow the configuration. Change: LeaseTask, WitnessTask, CellTask, FenceTask and SpreadTask with the charts membership and suspicion; ControlPlane connects them.

--- /dev/null
+++ b/packages/control/src/CellMessage.ts
@@ -0,0 +1,65 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { MemberFacts } from '#assignment/MemberFacts.js';
+import type { Move } from '#assignment/Move.js';
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { CellOutcome } from '#control/CellOutcome.js';
+import type { CellStatus } from '#control/CellStatus.js';
+import type { Intent } from '#control/Intent.js';
+import type { RegistrationRequest } from '#control/RegistrationRequest.js';
+import type { SuspectReport } from '#control/SuspectReport.js';
+import type { PeerAddress } from '#rpc/PeerAddress.js';
+
+/** Messages to `CellTask`. */
+export type CellMessage =
+  | { readonly type: 'start'; readonly facts: MemberFacts; readonly service: string; readonly index: number }
+  | { readonly type: 'catalogue'; readonly catalogue: Catalogue }
+  | { readonly type: 'intent'; readonly intent: Intent }
+  /** The lease changed; times are of the monotonic clock. */
+  | { readonly type: 'lease'; readonly epoch: number; readonly leaseEndMs: number }
+  /** The holder needs a new epoch. */
+  | {
+      readonly type: 'register';
+      readonly reason: RegistrationRequest['reason'];
+      readonly silentWitnesses: readonly string[];
+    }
+  | { readonly type: 'registerEnded'; readonly outcome: CellOutcome; readonly replaced: boolean }
+  | { readonly type: 'retry' }
+  | { readonly type: 'suspect'; readonly report: SuspectReport }
+  | { readonly type: 'takeOver' }
+  | { readonly type: 'fenceSatisfied'; readonly fenceId: number }
+  | { readonly type: 'clearFences' }
+  /** A cell as the store accepted it. */
+  | { readonly type: 'adopt'; readonly cell: Cell }
+  /** Another daemon holds this version of a cell. */
+  | { readonly type: 'seen'; readonly name: string; readonly version: number; readonly from: PeerAddress }
+  /** The version `minVersion` or a newer one exists; `from` is the server that holds it, if known. */
+  | {
+      readonly type: 'refresh';
+      readonly name: string;
+      readonly minVersion: number;
+      readonly from?: string;
+    }
+  | {
+      readonly type: 'fetch';
+      readonly name: string;
+      readonly minVersion: number;
+      readonly reply: (cell: Cell | undefined) => void;
+    }
+  | { readonly type: 'read'; readonly name: string; readonly reply: (cell: Cell | undefined) => void }
+  | { readonly type: 'fetchEnded'; readonly name: string; readonly cell: Cell | undefined }
+  /** Shards that are being given away and must not be used. */
+  | { readonly type: 'withhold'; readonly shardIds: readonly string[] }
+  | { readonly type: 'restore'; readonly shardIds: readonly string[] }
+  /** Writes planned moves to one member; `incarnation` is the process that holds the records. */
+  | {
+      readonly type: 'complete';
+      readonly moves: readonly Move[];
+      readonly to: string;
+      readonly incarnation: string;
+      readonly reply: (outcome: CellOutcome) => void;
+    }
+  | { readonly type: 'drain' }
+  | { readonly type: 'leave'; readonly reply: () => void }
+  | { readonly type: 'left'; readonly outcome: CellOutcome }
+  | { readonly type: 'status'; readonly reply: (status: CellStatus) => void }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/packages/control/src/CellStatus.ts
@@ -0,0 +1,13 @@
+/** State of a daemon's membership. */
+export interface CellStatus {
+  /** State of charts/membership.json. */
+  readonly membership: string;
+  /** Name of the own cell's object; empty before the start. */
+  readonly cellName: string;
+  readonly cellVersion: number;
+  readonly ownedShards: number;
+  /** Owned shards that may be used as soon as the lease is valid. */
+  readonly usableShards: number;
+  /** Whether the last call to the store succeeded. */
+  readonly storeReachable: boolean;
+}
--- /dev/null
+++ b/packages/control/src/ControlOptions.ts
@@ -0,0 +1,19 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { RandomSource } from '#core/RandomSource.js';
+import type { ControlEvent } from '#control/ControlEvent.js';
+import type { Transport } from '#rpc/Transport.js';
+import type { Settings } from '#settings/Settings.js';
+import type { ObjectStore } from '#store/ObjectStore.js';
+
+/** What a `ControlPlane` is built from. The caller starts and stops the transport and closes the store. */
+export interface ControlOptions {
+  readonly settings: Settings;
+  readonly transport: Transport;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  /** Receives the events of the request path, in order; called on the event loop and must not block. */
+  readonly listener: (event: ControlEvent) => void;
+}
--- /dev/null
+++ b/packages/control/src/ControlPlane.ts
@@ -0,0 +1,142 @@
+import { randomBytes } from 'node:crypto';
+import type { Either } from 'purify-ts';
+import type { Cell } from '#assignment/Cell.js';
+import type { MemberFacts } from '#assignment/MemberFacts.js';
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { RouterError } from '#core/RouterError.js';
+import type { CellStatus } from '#control/CellStatus.js';
+import { CellTask } from '#control/CellTask.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { ControlOptions } from '#control/ControlOptions.js';
+import type { ControlStatus } from '#control/ControlStatus.js';
+import type { Digest } from '#control/Digest.js';
+import { FenceTask } from '#control/FenceTask.js';
+import { formatCellName } from '#control/FormatCellName.js';
+import type { Intent } from '#control/Intent.js';
+import type { LeaseStatus } from '#control/LeaseStatus.js';
+import { LeaseTask } from '#control/LeaseTask.js';
+import type { PutObject } from '#control/PutObject.js';
+import type { PutOutcome } from '#control/PutOutcome.js';
+import type { RenewCall } from '#control/RenewCall.js';
+import type { SpreadStatus } from '#control/SpreadStatus.js';
+import { SpreadTask } from '#control/SpreadTask.js';
+import type { TaskLinks } from '#control/TaskLinks.js';
+import { WitnessTask } from '#control/WitnessTask.js';
+import { createLeaseConfig } from '#lease/CreateLeaseConfig.js';
+import type { PromiseRequest } from '#lease/PromiseRequest.js';
+
+/** Builds the control tasks of one daemon and connects them with the transport and the request path. */
+export class ControlPlane {
+  private readonly context: ControlContext;
+  private readonly cell: CellTask;
+  private readonly fence: FenceTask;
+  private readonly lease: LeaseTask;
+  private readonly spread: SpreadTask;
+  private readonly witness: WitnessTask;
+
+  public constructor(options: ControlOptions) {
+    this.context = { ...options, config: createLeaseConfig(options.settings.timings) };
+    const writer = `${options.settings.serverId}/${randomBytes(6).toString('hex')}`;
+    const links: TaskLinks = {
+      cell: (message) => this.cell.post(message),
+      fence: (message) => this.fence.post(message),
+      lease: (message) => this.lease.post(message),
+      move: () => undefined,
+      spread: (message) => this.spread.post(message),
+      witness: (message) => this.witness.post(message),
+      emit: options.listener,
+    };
+    this.cell = new CellTask(this.context, links, writer);
+    this.fence = new FenceTask(this.context, links);
+    this.lease = new LeaseTask(this.context, links);
+    this.spread = new SpreadTask(this.context, links, writer);
+    this.witness = new WitnessTask(this.context, links);
+    this.registerHandlers();
+  }
+
+  /** Loads the configuration and joins a cell of `service`; an empty service joins none. */
+  public start(facts: MemberFacts, service: string, index = 0): void {
+    this.spread.post({ type: 'start' });
+    if (service !== '') this.cell.post({ type: 'start', facts, service, index });
+  }
+
+  /** Stops all tasks at once, as a loss of the process would; the lease then expires by itself. */
+  public stop(): void {
+    for (const task of [this.cell, this.fence, this.lease, this.spread, this.witness]) task.stop();
+  }
+
+  /** Resolves with the cell, at `minVersion` or newer if it can be had; undefined if nobody holds it. */
+  public fetchCell(service: string, index: number, minVersion = 1): Promise<Cell | undefined> {
+    const name = formatCellName(service, index);
+    return this.cell.ask((reply) => ({ type: 'fetch', name, minVersion, reply }));
+  }
+
+  /** Replaces the catalogue if its version is still `ifVersion`. */
+  public putCatalogue(
+    catalogue: Catalogue,
+    author: string,
+    ifVersion: number,
+  ): Promise<Either<RouterError, PutOutcome>> {
+    return this.put({ name: 'catalogue', value: catalogue, author, ifVersion });
+  }
+
+  /** Replaces the operator intent if its version is still `ifVersion`. */
+  public putIntent(
+    intent: Intent,
+    author: string,
+    ifVersion: number,
+  ): Promise<Either<RouterError, PutOutcome>> {
+    return this.put({ name: 'intent', value: intent, author, ifVersion });
+  }
+
+  /** Resolves with the present state. */
+  public async readStatus(): Promise<ControlStatus> {
+    const [lease, cell, spread] = await Promise.all([
+      this.lease.ask<LeaseStatus>((reply) => ({ type: 'status', reply })),
+      this.cell.ask<CellStatus>((reply) => ({ type: 'status', reply })),
+      this.spread.ask<SpreadStatus>((reply) => ({ type: 'status', reply })),
+    ]);
+    return { lease, cell, spread };
+  }
+
+  private put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
+    return this.spread.ask((reply) => ({ type: 'put', change, reply }));
+  }
+
+  private registerHandlers(): void {
+    const { transport } = this.context;
+    transport.handle('probe', () => ({}));
+    transport.handle('renew', (params, from) => this.answerRenew(params as RenewCall, from));
+    transport.handle('promise', (params) =>
+      this.witness.ask((reply) => ({ type: 'promise', request: params as PromiseRequest, reply })),
+    );
+    transport.handle('check', (params) => {
+      const { serverId, epoch } = params as { readonly serverId: string; readonly epoch: number };
+      return this.witness.ask((reply) => ({ type: 'check', serverId, epoch, reply }));
+    });
+    transport.handle('digest', (params, from) => this.answerDigest(params as Digest, from));
+    transport.handle('fetch', (params) => this.answerFetch((params as { readonly name: string }).name));
+    transport.handle('assigned', (params, from) => {
+      const { n, v } = params as { readonly n: string; readonly v: number };
+      this.cell.post({ type: 'refresh', name: n, minVersion: v, from });
+    });
+  }
+
+  private answerRenew(call: RenewCall, from: string): unknown {
+    if (call.request.serverId !== from) return undefined;
+    this.spread.post({ type: 'seen', digest: call.digest, from });
+    return this.witness.ask((reply) => ({ type: 'renew', call, reply }));
+  }
+
+  private answerDigest(digest: Digest, from: string): Promise<Digest> {
+    this.spread.post({ type: 'seen', digest, from });
+    return this.spread.ask((reply) => ({ type: 'digest', reply }));
+  }
+
+  private async answerFetch(name: string): Promise<unknown> {
+    if (name === 'catalogue' || name === 'intent') {
+      return (await this.spread.ask((reply) => ({ type: 'read', name, reply }))) ?? null;
+    }
+    return (await this.cell.ask((reply) => ({ type: 'read', name, reply }))) ?? null;
+  }
+}
--- /dev/null
+++ b/packages/control/src/FenceMessage.ts
@@ -0,0 +1,17 @@
+import type { Fence } from '#assignment/Fence.js';
+import type { Directory } from '#control/Directory.js';
+import type { PromiseReply } from '#lease/PromiseReply.js';
+
+/** Messages to `FenceTask`. */
+export type FenceMessage =
+  /** The fences that the shards of this daemon require now. */
+  | { readonly type: 'fences'; readonly fences: readonly Fence[] }
+  | { readonly type: 'directory'; readonly directory: Directory }
+  | { readonly type: 'confirmedLost'; readonly serverIds: readonly string[] }
+  | {
+      readonly type: 'reply';
+      readonly fenceId: number;
+      readonly witness: string;
+      readonly reply: PromiseReply;
+    }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/packages/control/src/FenceTask.ts
@@ -0,0 +1,116 @@
+import type { Fence } from '#assignment/Fence.js';
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { Directory } from '#control/Directory.js';
+import type { FenceMessage } from '#control/FenceMessage.js';
+import type { TaskLinks } from '#control/TaskLinks.js';
+import { createFence } from '#lease/CreateFence.js';
+import type { FenceCommand } from '#lease/FenceCommand.js';
+import type { FenceEvent } from '#lease/FenceEvent.js';
+import type { FenceState } from '#lease/FenceState.js';
+import type { PromiseReply } from '#lease/PromiseReply.js';
+import { stepFence } from '#lease/StepFence.js';
+
+/** Collects the promises that this daemon needs before it may act on shards of lost grants. */
+export class FenceTask extends Task<FenceMessage> {
+  private readonly context: ControlContext;
+  private readonly links: TaskLinks;
+  private fences: ReadonlyMap<number, FenceState> = new Map();
+  private directory: Directory = new Map();
+  private confirmedLost: readonly string[] = [];
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(context: ControlContext, links: TaskLinks) {
+    super();
+    this.context = context;
+    this.links = links;
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: FenceMessage): void {
+    const nowMs = this.context.clock.monotonicMs();
+    switch (message.type) {
+      case 'directory':
+        this.directory = message.directory;
+        return;
+      case 'fences':
+        this.replaceFences(message.fences, nowMs);
+        return;
+      case 'confirmedLost':
+        this.confirmedLost = message.serverIds;
+        this.announceLost([...this.fences.keys()], nowMs);
+        return;
+      case 'reply': {
+        const { fenceId, witness, reply } = message;
+        this.step(fenceId, { type: 'promiseReply', witness, nowMs, ...reply });
+        return;
+      }
+      case 'tick':
+        for (const fenceId of this.fences.keys()) this.step(fenceId, { type: 'tick', nowMs });
+        this.scheduleTick();
+    }
+  }
+
+  private replaceFences(fences: readonly Fence[], nowMs: number): void {
+    const added = fences.filter((fence) => !this.fences.has(fence.id));
+    this.fences = new Map(fences.map((fence) => [fence.id, this.fences.get(fence.id) ?? createFence()]));
+    for (const fence of added) {
+      this.context.logger.log('fenceBegun', { step: 'takeover', peer: fence.serverId, epoch: fence.epoch });
+      this.step(fence.id, { type: 'begin', fence, nowMs });
+    }
+    this.announceLost(
+      added.map((fence) => fence.id),
+      nowMs,
+    );
+    this.scheduleTick();
+  }
+
+  private announceLost(fenceIds: readonly number[], nowMs: number): void {
+    for (const fenceId of fenceIds) {
+      for (const serverId of this.confirmedLost)
+        this.step(fenceId, { type: 'confirmedLost', serverId, nowMs });
+    }
+  }
+
+  private step(fenceId: number, event: FenceEvent): void {
+    const before = this.fences.get(fenceId);
+    if (before === undefined) return;
+    const { state, commands } = stepFence(before, event, this.context.config);
+    this.fences = new Map([...this.fences, [fenceId, state]]);
+    for (const command of commands) this.execute(fenceId, command);
+  }
+
+  private execute(fenceId: number, command: FenceCommand): void {
+    if (command.type === 'satisfied') {
+      const peer = this.fences.get(fenceId)?.context.fence.serverId ?? '';
+      this.context.logger.log('fenceSatisfied', { step: 'takeover', peer });
+      this.links.cell({ type: 'fenceSatisfied', fenceId });
+      return;
+    }
+    void this.sendPromise(fenceId, command);
+  }
+
+  private async sendPromise(
+    fenceId: number,
+    { witness, request }: Extract<FenceCommand, { readonly type: 'sendPromise' }>,
+  ): Promise<void> {
+    const peer = this.directory.get(witness);
+    if (peer === undefined) return;
+    const timeoutMs = this.context.config.leaseMs;
+    const answer = await this.context.transport.call(peer, 'promise', request, { channel: 'udp', timeoutMs });
+    answer.ifRight((value) => this.post({ type: 'reply', fenceId, witness, reply: value as PromiseReply }));
+  }
+
+  private scheduleTick(): void {
+    this.cancelTick();
+    const isOpen = [...this.fences.values()].some((state) => state.value !== 'satisfied');
+    if (!isOpen) return;
+    const delayMs = this.context.config.renewEveryMs / 4;
+    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  }
+}
--- /dev/null
+++ b/packages/control/src/LeaseTask.ts
@@ -0,0 +1,123 @@
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { Digest } from '#control/Digest.js';
+import type { Directory } from '#control/Directory.js';
+import type { LeaseMessage } from '#control/LeaseMessage.js';
+import { NO_DIGEST } from '#control/NoDigest.js';
+import type { RenewAnswer } from '#control/RenewAnswer.js';
+import type { RenewCall } from '#control/RenewCall.js';
+import type { TaskLinks } from '#control/TaskLinks.js';
+import { createHolder } from '#lease/CreateHolder.js';
+import type { HolderCommand } from '#lease/HolderCommand.js';
+import type { HolderEvent } from '#lease/HolderEvent.js';
+import type { HolderState } from '#lease/HolderState.js';
+import { stepHolder } from '#lease/StepHolder.js';
+
+/** Holds the lease of this daemon: sends renewals to its witnesses and reports the end of the lease. */
+export class LeaseTask extends Task<LeaseMessage> {
+  private readonly context: ControlContext;
+  private readonly links: TaskLinks;
+  private state: HolderState;
+  private directory: Directory = new Map();
+  private digest: Digest = NO_DIGEST;
+  private cellName = '';
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(context: ControlContext, links: TaskLinks) {
+    super();
+    this.context = context;
+    this.links = links;
+    this.state = createHolder(context.settings.serverId);
+    this.scheduleTick();
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: LeaseMessage): void {
+    const nowMs = this.context.clock.monotonicMs();
+    switch (message.type) {
+      case 'directory':
+        this.directory = message.directory;
+        return;
+      case 'digest':
+        this.digest = message.digest;
+        return;
+      case 'status':
+        this.replyStatus(message.reply);
+        return;
+      case 'tick':
+        this.scheduleTick();
+        this.step({ type: 'tick', nowMs });
+        return;
+      case 'reply':
+        this.step({ type: 'renewReply', witness: message.witness, nowMs, ...message.reply });
+        return;
+      case 'registered':
+        this.cellName = message.cellName;
+        this.step({ ...message, nowMs });
+        return;
+      case 'registrationRefused':
+        this.step({ ...message, nowMs });
+        return;
+      case 'registering':
+        this.step(message);
+    }
+  }
+
+  private step(event: HolderEvent): void {
+    const before = this.state;
+    const { state, commands } = stepHolder(before, event, this.context.config);
+    this.state = state;
+    if (state.value !== before.value) this.logChange(before.value);
+    for (const command of commands) this.execute(command);
+  }
+
+  private execute(command: HolderCommand): void {
+    switch (command.type) {
+      case 'leaseChanged':
+        this.links.cell({ type: 'lease', epoch: command.epoch, leaseEndMs: command.leaseEndMs });
+        return;
+      case 'reRegister':
+        this.links.cell({ ...command, type: 'register' });
+        return;
+      case 'sendRenew':
+        void this.sendRenewal(command);
+    }
+  }
+
+  private async sendRenewal({
+    witness,
+    request,
+  }: Extract<HolderCommand, { readonly type: 'sendRenew' }>): Promise<void> {
+    const peer = this.directory.get(witness);
+    if (peer === undefined) return;
+    const call: RenewCall = { request, cell: this.cellName, digest: this.digest };
+    const timeoutMs = this.context.config.leaseMs;
+    const answer = await this.context.transport.call(peer, 'renew', call, { channel: 'udp', timeoutMs });
+    answer.ifRight((value) => {
+      const { reply, digest } = value as RenewAnswer;
+      this.post({ type: 'reply', witness, reply });
+      this.links.spread({ type: 'seen', digest, from: witness });
+    });
+  }
+
+  /** Ticks twice per renewal interval, so that an expiry is noticed before the next round is due. */
+  private scheduleTick(): void {
+    const delayMs = this.context.config.renewEveryMs / 2;
+    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  }
+
+  private replyStatus(reply: Extract<LeaseMessage, { readonly type: 'status' }>['reply']): void {
+    const { epoch, leaseEndMs, links } = this.state.context;
+    reply({ state: this.state.value, epoch, leaseEndMs, witnesses: links.map(({ witness }) => witness) });
+  }
+
+  private logChange(from: string): void {
+    const { epoch } = this.state.context;
+    this.context.logger.log('leaseState', { step: 'lease', from, to: this.state.value, epoch });
+  }
+}
--- /dev/null
+++ b/packages/control/src/MembershipRules.ts
@@ -0,0 +1,20 @@
+import type { ChartEvent } from '#chart/ChartEvent.js';
+import type { ChartRules } from '#chart/ChartRules.js';
+import type { ChartUpdate } from '#chart/ChartUpdate.js';
+import type { MembershipCommand } from '#control/MembershipCommand.js';
+
+/** Guards and actions of charts/membership.json; the chart needs no data of its own. */
+export const MEMBERSHIP_RULES: ChartRules<undefined, ChartEvent, MembershipCommand> = {
+  guards: {},
+  actions: {
+    write: () => command('write'),
+    startEpoch: () => command('startEpoch'),
+    refuseEpoch: () => command('refuseEpoch'),
+    retryLater: () => command('retryLater'),
+    stopOwning: () => command('stopOwning'),
+  },
+};
+
+function command(name: MembershipCommand): ChartUpdate<undefined, MembershipCommand> {
+  return { context: undefined, commands: [name] };
+}
--- /dev/null
+++ b/packages/control/src/RegistrationRequest.ts
@@ -0,0 +1,15 @@
+import type { AssignOptions } from '#assignment/AssignOptions.js';
+import type { MemberFacts } from '#assignment/MemberFacts.js';
+import type { ReRegisterReason } from '#lease/ReRegisterReason.js';
+
+/** Why and with what a daemon enters a cell or renews its entry. */
+export interface RegistrationRequest {
+  readonly facts: MemberFacts;
+  /** Whether this process was a member before. */
+  readonly wasMember: boolean;
+  /** `join` for the first entry, `witnesses` if a better set of witnesses may exist. */
+  readonly reason: ReRegisterReason | 'join' | 'witnesses';
+  readonly silentWitnesses: readonly string[];
+  readonly placements: readonly string[];
+  readonly options: AssignOptions;
+}
--- /dev/null
+++ b/packages/control/src/SpreadMessage.ts
@@ -0,0 +1,32 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { RouterError } from '#core/RouterError.js';
+import type { Digest } from '#control/Digest.js';
+import type { Directory } from '#control/Directory.js';
+import type { PutObject } from '#control/PutObject.js';
+import type { PutOutcome } from '#control/PutOutcome.js';
+import type { SharedObject } from '#control/SharedObject.js';
+import type { SpreadStatus } from '#control/SpreadStatus.js';
+import type { Either } from 'purify-ts';
+
+/** Messages to `SpreadTask`. */
+export type SpreadMessage =
+  | { readonly type: 'start' }
+  | { readonly type: 'tick' }
+  | { readonly type: 'seen'; readonly digest: Digest; readonly from: string }
+  | { readonly type: 'digest'; readonly reply: (digest: Digest) => void }
+  | { readonly type: 'adopt'; readonly object: SharedObject }
+  | { readonly type: 'ownCell'; readonly name: string; readonly cell: Cell }
+  | { readonly type: 'directory'; readonly directory: Directory }
+  | {
+      readonly type: 'read';
+      readonly name: SharedObject['name'];
+      readonly reply: (object: SharedObject | undefined) => void;
+    }
+  | {
+      readonly type: 'put';
+      readonly change: PutObject;
+      readonly reply: (outcome: Either<RouterError, PutOutcome>) => void;
+    }
+  | { readonly type: 'watchEnded'; readonly name: SharedObject['name']; readonly failed: boolean }
+  | { readonly type: 'fetchEnded'; readonly name: SharedObject['name'] }
+  | { readonly type: 'status'; readonly reply: (status: SpreadStatus) => void };
--- /dev/null
+++ b/packages/control/src/SuspicionCommand.ts
@@ -0,0 +1,2 @@
+/** Next step of a suspicion. */
+export type SuspicionCommand = 'askWitnesses' | 'probe' | 'report';
--- /dev/null
+++ b/packages/control/src/TaskLinks.ts
@@ -0,0 +1,18 @@
+import type { CellMessage } from '#control/CellMessage.js';
+import type { ControlEvent } from '#control/ControlEvent.js';
+import type { FenceMessage } from '#control/FenceMessage.js';
+import type { LeaseMessage } from '#control/LeaseMessage.js';
+import type { MoveMessage } from '#control/MoveMessage.js';
+import type { SpreadMessage } from '#control/SpreadMessage.js';
+import type { WitnessMessage } from '#control/WitnessMessage.js';
+
+/** How the control tasks of one daemon reach each other and the request path. */
+export interface TaskLinks {
+  readonly cell: (message: CellMessage) => void;
+  readonly fence: (message: FenceMessage) => void;
+  readonly lease: (message: LeaseMessage) => void;
+  readonly move: (message: MoveMessage) => void;
+  readonly spread: (message: SpreadMessage) => void;
+  readonly witness: (message: WitnessMessage) => void;
+  readonly emit: (event: ControlEvent) => void;
+}
--- /dev/null
+++ b/packages/control/src/WitnessTask.ts
@@ -0,0 +1,239 @@
+import { randomBytes } from 'node:crypto';
+import type { Cell } from '#assignment/Cell.js';
+import { findMember } from '#assignment/FindMember.js';
+import type { Member } from '#assignment/Member.js';
+import { advanceChart } from '#chart/AdvanceChart.js';
+import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { Digest } from '#control/Digest.js';
+import type { Directory } from '#control/Directory.js';
+import { NO_DIGEST } from '#control/NoDigest.js';
+import type { SuspicionCommand } from '#control/SuspicionCommand.js';
+import type { SuspicionContext } from '#control/SuspicionContext.js';
+import { SUSPICION_RULES } from '#control/SuspicionRules.js';
+import type { TaskLinks } from '#control/TaskLinks.js';
+import type { WitnessMessage } from '#control/WitnessMessage.js';
+import { createWitness } from '#lease/CreateWitness.js';
+import { majorityOf } from '#lease/MajorityOf.js';
+import { stepWitness } from '#lease/StepWitness.js';
+import type { WitnessCommand } from '#lease/WitnessCommand.js';
+import type { WitnessEvent } from '#lease/WitnessEvent.js';
+import type { WitnessState } from '#lease/WitnessState.js';
+import file from '../charts/suspicion.json' with { type: 'json' };
+
+type MessageOf<T extends WitnessMessage['type']> = Extract<WitnessMessage, { readonly type: T }>;
+
+interface Suspicion {
+  readonly epoch: number;
+  readonly cellName: string;
+  readonly holder: Member;
+  readonly snapshot: ChartSnapshot<SuspicionContext>;
+}
+
+const CHART = compileChart('suspicion.json', file, SUSPICION_RULES);
+
+/** Renews the leases of other daemons, gives promises to new owners, and reports holders that fell silent. */
+export class WitnessTask extends Task<WitnessMessage> {
+  private readonly context: ControlContext;
+  private readonly links: TaskLinks;
+  private state: WitnessState = createWitness();
+  private cells: ReadonlyMap<string, Cell> = new Map();
+  /** Name of the cell that lists each holder, from its renewals. */
+  private homes: ReadonlyMap<string, string> = new Map();
+  private suspicions: ReadonlyMap<string, Suspicion> = new Map();
+  private digest: Digest = NO_DIGEST;
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(context: ControlContext, links: TaskLinks) {
+    super();
+    this.context = context;
+    this.links = links;
+    const nonce = randomBytes(6).toString('base64');
+    this.step({ type: 'started', nowMs: context.clock.monotonicMs(), nonce });
+    this.scheduleTick();
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: WitnessMessage): void {
+    const nowMs = this.context.clock.monotonicMs();
+    switch (message.type) {
+      case 'renew':
+        this.answerRenew(message, nowMs);
+        return;
+      case 'promise':
+        this.answerPromise(message, nowMs);
+        return;
+      case 'check':
+        this.answerCheck(message, nowMs);
+        return;
+      case 'cell':
+        this.adoptCell(message, nowMs);
+        return;
+      case 'digest':
+        this.digest = message.digest;
+        return;
+      case 'suspicion':
+        this.advanceSuspicion(message);
+        return;
+      case 'tick':
+        this.scheduleTick();
+        for (const command of this.step({ type: 'tick', nowMs })) {
+          if (command.type === 'suspect') this.beginSuspicion(command.serverId, command.epoch);
+        }
+    }
+  }
+
+  private answerRenew({ call, reply }: MessageOf<'renew'>, nowMs: number): void {
+    const { request, cell } = call;
+    if (this.homes.get(request.serverId) !== cell)
+      this.homes = new Map([...this.homes, [request.serverId, cell]]);
+    const answer = this.step({ type: 'renew', request, nowMs }).find(({ type }) => type === 'replyRenew');
+    reply(answer?.type === 'replyRenew' ? { reply: answer.reply, digest: this.digest } : undefined);
+  }
+
+  private answerPromise({ request, reply }: MessageOf<'promise'>, nowMs: number): void {
+    const answer = this.step({ type: 'promise', request, nowMs }).find(({ type }) => type === 'replyPromise');
+    reply(answer?.type === 'replyPromise' ? answer.reply : undefined);
+  }
+
+  private answerCheck({ serverId, epoch, reply }: MessageOf<'check'>, nowMs: number): void {
+    const event = { type: 'check', serverId, epoch, nowMs } as const;
+    const answer = this.step(event).find(({ type }) => type === 'replyCheck');
+    reply(answer?.type === 'replyCheck' ? { silent: answer.silent } : undefined);
+  }
+
+  /** Watches the members that list this daemon as a witness, and forgets the grants that a newer cell ended. */
+  private adoptCell({ name, cell }: MessageOf<'cell'>, nowMs: number): void {
+    this.cells = new Map([...this.cells, [name, cell]]);
+    for (const member of cell.members) {
+      const { serverId, epoch } = member;
+      if (!this.isWitnessOf(member)) continue;
+      this.homes = new Map([...this.homes, [serverId, name]]);
+      this.step({ type: 'watch', serverId, epoch, nowMs });
+    }
+    for (const [serverId, home] of this.homes) {
+      if (home === name) this.forgetUnlisted(serverId, findMember(cell, serverId), nowMs);
+    }
+  }
+
+  private forgetUnlisted(serverId: string, member: Member | undefined, nowMs: number): void {
+    if (member !== undefined && this.isWitnessOf(member)) return;
+    const record = this.state.context.records.get(serverId);
+    const known = Math.max(record?.epoch ?? 0, record?.watchedEpoch ?? 0);
+    const isOver = member?.state === 'gone';
+    const epoch = member === undefined ? known : isOver ? member.epoch : member.epoch - 1;
+    this.step({ type: 'forget', serverId, epoch, nowMs });
+    this.homes = new Map([...this.homes].filter(([id]) => id !== serverId));
+  }
+
+  private isWitnessOf(member: Member): boolean {
+    return member.state !== 'gone' && member.witnesses.includes(this.context.settings.serverId);
+  }
+
+  private step(event: WitnessEvent): readonly WitnessCommand[] {
+    const { state, commands } = stepWitness(this.state, event, this.context.config);
+    this.state = state;
+    return commands;
+  }
+
+  /** Witnesses begin one after another, so that normally one of them does all the work. */
+  private beginSuspicion(serverId: string, epoch: number): void {
+    const home = this.findHome(serverId);
+    if (home === undefined) {
+      const name = this.homes.get(serverId);
+      if (name !== undefined) this.links.cell({ type: 'refresh', name, minVersion: 1 });
+      return;
+    }
+    const { name: cellName, holder } = home;
+    if (holder.epoch > epoch || holder.state === 'gone' || this.suspicions.has(serverId)) return;
+    const others = holder.witnesses.length - 1;
+    const needed = majorityOf(holder.witnesses.length) - 1;
+    const snapshot = { value: CHART.initial, context: { needed, open: others } };
+    this.setSuspicion(serverId, { epoch, cellName, holder, snapshot });
+    const rank = Math.max(0, holder.witnesses.indexOf(this.context.settings.serverId));
+    const delayMs = (rank * this.context.config.renewEveryMs) / 2;
+    this.context.clock.schedule(delayMs, () =>
+      this.post({ type: 'suspicion', serverId, epoch, event: 'due' }),
+    );
+  }
+
+  private advanceSuspicion({ serverId, epoch, event }: MessageOf<'suspicion'>): void {
+    const suspicion = this.suspicions.get(serverId);
+    if (suspicion?.epoch !== epoch) return;
+    const holder = this.findHome(serverId)?.holder;
+    if (holder === undefined || holder.state === 'gone' || holder.epoch > epoch) {
+      this.dropSuspicion(serverId);
+      return;
+    }
+    const { snapshot, commands } = advanceChart(CHART, suspicion.snapshot, { type: event });
+    if (CHART.finalStates.has(snapshot.value)) this.dropSuspicion(serverId);
+    else this.setSuspicion(serverId, { ...suspicion, snapshot });
+    for (const command of commands) this.executeSuspicion(command, suspicion);
+  }
+
+  private executeSuspicion(command: SuspicionCommand, { cellName, holder, epoch }: Suspicion): void {
+    const { serverId } = holder;
+    this.context.logger.log('suspicion', { step: 'witness', peer: serverId, epoch, next: command });
+    if (command === 'report') {
+      this.links.cell({ type: 'suspect', report: { cellName, serverId, epoch } });
+      return;
+    }
+    if (command === 'probe') {
+      void this.probe(holder, epoch);
+      return;
+    }
+    const own = this.context.settings.serverId;
+    for (const witness of holder.witnesses) if (witness !== own) void this.askWitness(witness, holder, epoch);
+  }
+
+  private async askWitness(witness: string, { serverId }: Member, epoch: number): Promise<void> {
+    const peer = this.directory().get(witness);
+    const answer =
+      peer && (await this.context.transport.call(peer, 'check', { serverId, epoch }, this.quickCall()));
+    const silent = answer?.map((value) => (value as { readonly silent: boolean }).silent).orDefault(false);
+    this.post({ type: 'suspicion', serverId, epoch, event: silent === true ? 'agreed' : 'denied' });
+  }
+
+  private async probe(holder: Member, epoch: number): Promise<void> {
+    const answer = await this.context.transport.call(holder, 'probe', {}, this.quickCall());
+    const event = answer.isRight() ? 'answered' : 'unanswered';
+    this.post({ type: 'suspicion', serverId: holder.serverId, epoch, event });
+  }
+
+  private quickCall(): { readonly channel: 'udp'; readonly timeoutMs: number } {
+    return { channel: 'udp', timeoutMs: this.context.config.renewEveryMs / 2 };
+  }
+
+  private findHome(serverId: string): { readonly name: string; readonly holder: Member } | undefined {
+    const homes = [...this.cells].flatMap(([name, cell]) => {
+      const holder = findMember(cell, serverId);
+      return holder === undefined ? [] : [{ name, holder }];
+    });
+    return homes.sort((left, right) => right.holder.epoch - left.holder.epoch)[0];
+  }
+
+  private directory(): Directory {
+    const members = [...this.cells.values()].flatMap((cell) => cell.members);
+    return new Map(members.map((member) => [member.serverId, member]));
+  }
+
+  private setSuspicion(serverId: string, suspicion: Suspicion): void {
+    this.suspicions = new Map([...this.suspicions, [serverId, suspicion]]);
+  }
+
+  private dropSuspicion(serverId: string): void {
+    this.suspicions = new Map([...this.suspicions].filter(([id]) => id !== serverId));
+  }
+
+  private scheduleTick(): void {
+    const delayMs = this.context.config.renewEveryMs / 4;
+    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  }
+}
--- /dev/null
+++ b/packages/control/test/spread.test.ts
@@ -0,0 +1,68 @@
+import t from 'tap';
+import { Fleet } from './Fleet.js';
+
+t.test('an accepted catalogue reaches all daemons', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  const put = await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 0);
+  t.strictSame(put.unsafeCoerce(), { type: 'accepted', version: 1 });
+  await fleet.waitFor('version 1', () =>
+    fleet.live().every((daemon) => daemon.catalogueVersions.includes(1)),
+  );
+});
+
+t.test('of two operators who change one version one wins', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(3);
+  const puts = await Promise.all([
+    fleet.get('s0').plane.putCatalogue(Fleet.catalogue('a'), 'ana', 0),
+    fleet.get('s1').plane.putCatalogue(Fleet.catalogue('b'), 'ben', 0),
+  ]);
+  const outcomes = puts.map((put) => put.unsafeCoerce());
+  const winner = outcomes[0]!.type === 'accepted' ? 'ana' : 'ben';
+  t.same(outcomes.map(({ type }) => type).sort(), ['accepted', 'conflict']);
+  t.match(
+    outcomes.find(({ type }) => type === 'conflict'),
+    { version: 1, author: winner },
+  );
+});
+
+t.test('a restarted daemon without the store takes the newest catalogue of its peers', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 0);
+  await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 1);
+  await fleet.waitFor('version 2', () => fleet.live().every((one) => one.catalogueVersions.includes(2)));
+  fleet.server.setFaults({ down: true });
+  await fleet.get('s3').kill();
+  const restarted = await fleet.add('s3', 'd0');
+  await fleet.waitFor('the catalogue', () => restarted.catalogueVersions.length > 0);
+  t.strictSame(restarted.catalogueVersions, [2]);
+});
+
+t.test('a delayed older catalogue is not applied', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(3);
+  await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 0);
+  await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 1);
+  await fleet.waitFor('version 2', () => fleet.live().every((one) => one.catalogueVersions.includes(2)));
+  const stale = { name: 'catalogue', version: 1, value: { author: 'ana', catalogue: Fleet.catalogue() } };
+  const peer = fleet.get('s0');
+  peer.transport.handle('fetch', () => stale);
+  peer.transport.handle('digest', () => ({ c: 9, i: 0, n: '', v: 0 }));
+  await fleet.get('s1').transport.call(
+    fleet.get('s1').facts,
+    'digest',
+    { c: 9, i: 0, n: '', v: 0 },
+    {
+      channel: 'udp',
+      timeoutMs: 1_000,
+    },
+  );
+  const put = await fleet.get('s1').plane.putCatalogue(Fleet.catalogue(), 'ana', 2);
+  t.match(put.unsafeCoerce(), { type: 'accepted', version: 3 });
+  await fleet.waitFor('version 3', () => fleet.live().every((one) => one.catalogueVersions.includes(3)));
+  for (const { catalogueVersions } of fleet.live()) {
+    t.strictSame(catalogueVersions, [...catalogueVersions].sort(), 'versions only rise');
+  }
+});
--- a/packages/rpc/src/PeerTransport.ts
+++ b/packages/rpc/src/PeerTransport.ts
@@ -137,6 +137,15 @@
     }
   }
 
+  public override notify(peer: PeerAddress, method: string, params: unknown): void {
+    const to = nameOf(peer);
+    if (this.stopped || this.cuts.to.has(to)) return;
+    const payload = JSON.stringify({ jsonrpc: '2.0', method, params });
+    const datagram = encodeDatagram(this.options.fleetKey, this.envelop(to, payload));
+    if (datagram.length <= MAX_DATAGRAM_BYTES) this.sendDatagram(datagram, peer.host, peer.udpPort);
+    else this.options.logger.log('notificationTooLarge', { step: 'rpc', peer: to, method });
+  }
+
   /** Hands requests of the peer port other than `/rpc` to `listener`. */
   public handleRequests(listener: RequestListener): void {
     this.fallback = listener;
@@ -154,7 +163,7 @@
 
   private async sendRequest(payload: JSONRPCRequest, route: Route): Promise<void> {
     const { peer, options } = route;
-    const to = peer.serverId === '' ? `${peer.host}:${peer.peerPort}` : peer.serverId;
+    const to = nameOf(peer);
     const envelope = this.envelop(to, JSON.stringify(payload));
     if (this.cuts.to.has(to)) return;
     if (options.channel === 'http') {
@@ -324,7 +333,14 @@
   }
 
   private failure(code: string, peer: PeerAddress, message: string, cause?: unknown): RouterError {
-    const name = peer.serverId === '' ? `${peer.host}:${peer.peerPort}` : peer.serverId;
-    return new RouterError({ code, step: 'rpc', peer: name, ran: 'not run', status: 502 }, message, cause);
+    return new RouterError(
+      { code, step: 'rpc', peer: nameOf(peer), ran: 'not run', status: 502 },
+      message,
+      cause,
+    );
   }
 }
+
+function nameOf(peer: PeerAddress): string {
+  return peer.serverId === '' ? `${peer.host}:${peer.peerPort}` : peer.serverId;
+}
--- a/packages/rpc/src/Transport.ts
+++ b/packages/rpc/src/Transport.ts
@@ -26,4 +26,7 @@
     params: unknown,
     options: CallOptions,
   ): Promise<Either<RouterError, unknown>>;
+
+  /** Sends one datagram that is not answered and may be lost. */
+  public abstract notify(peer: PeerAddress, method: string, params: unknown): void;
 }
--- a/packages/store/src/UpdateObject.ts
+++ b/packages/store/src/UpdateObject.ts
@@ -21,10 +21,15 @@
  */
 export async function updateObject(store: ObjectStore, request: UpdateRequest): Promise<Result> {
   let pending = request.pending ?? [];
+  let newest: StoreObject | undefined;
   for (let attempt = 0; attempt < (request.attempts ?? ATTEMPTS); attempt += 1) {
-    const read = await store.get(request.name);
-    if (read.isLeft()) return failOrUndecided(read.extract(), pending);
-    const current = read.extract() as StoreObject | undefined;
+    if (newest === undefined) {
+      const read = await store.get(request.name);
+      if (read.isLeft()) return failOrUndecided(read.extract(), pending);
+      newest = read.extract() as StoreObject | undefined;
+    }
+    const current = newest;
+    newest = undefined;
     const accepted = findAccepted(current, pending);
     if (accepted !== undefined) return Right(accepted);
     const version = current?.version ?? 0;
@@ -43,7 +48,10 @@
       continue;
     }
     const result = put.unsafeCoerce();
-    if (result.type === 'conflict') continue;
+    if (result.type === 'conflict') {
+      newest = result.current;
+      continue;
+    }
     const object = { name: request.name, version: result.version, marks, value };
     return Right(
       next === undefined
@@ -52,7 +60,7 @@
     );
   }
   if (pending.length > 0) return Right({ type: 'undecided', pending });
-  return (await store.get(request.name)).map((object) => ({ type: 'conflict', object }));
+  return Right({ type: 'conflict', object: newest });
 }
 
 function findAccepted(
