Add property tests of the cell changes

Cause: exclusive ownership rests on fences, tokens and epochs that no single example covers. Change: generated histories of joins, losses, moves, hot-key rows and drains, checked per key and step; witness selection checked against the domain rule in generated regions.

--- /dev/null
+++ b/packages/assignment/test/properties.test.ts
@@ -0,0 +1,255 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { allowsRegion } from '#assignment/AllowsRegion.js';
+import type { Cell } from '#assignment/Cell.js';
+import { chooseWitnesses } from '#assignment/ChooseWitnesses.js';
+import { clearFences } from '#assignment/ClearFences.js';
+import { completeMove } from '#assignment/CompleteMove.js';
+import { createCell } from '#assignment/CreateCell.js';
+import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
+import { ensurePlacements } from '#assignment/EnsurePlacements.js';
+import { findMember } from '#assignment/FindMember.js';
+import { findShard } from '#assignment/FindShard.js';
+import { foldHotKeys } from '#assignment/FoldHotKeys.js';
+import { formatKeyShardId } from '#assignment/FormatKeyShardId.js';
+import { joinCell } from '#assignment/JoinCell.js';
+import { listOwnedShards } from '#assignment/ListOwnedShards.js';
+import type { Member } from '#assignment/Member.js';
+import { planMoves } from '#assignment/PlanMoves.js';
+import { planTakeover } from '#assignment/PlanTakeover.js';
+import { readPlacement } from '#assignment/ReadPlacement.js';
+import { removeMember } from '#assignment/RemoveMember.js';
+import { replaceWitnesses } from '#assignment/ReplaceWitnesses.js';
+import { setMemberState } from '#assignment/SetMemberState.js';
+import { splitHotKeys } from '#assignment/SplitHotKeys.js';
+import { createFacts } from './CreateFacts.js';
+
+const SEED = Number(process.env.SEED ?? 20261204);
+console.log(`seed ${SEED}`);
+const PARAMETERS = { seed: SEED, numRuns: 60 };
+const SERVERS = ['s1a0', 's1a1', 's1b0', 's1c0', 's2a0', 's2b0', 's2b1', 's3a0'];
+const PLACEMENTS = ['*', 'r1', 'r1+r2'];
+const KEYS = Array.from({ length: 12 }, (_, n) => `key-${n}`);
+
+type Change = 'join' | 'lose' | 'witness' | 'clear' | 'move' | 'split' | 'fold' | 'drain' | 'leave';
+
+interface Op {
+  readonly change: Change;
+  readonly server: string;
+  readonly other: string;
+  readonly pick: number;
+}
+
+const server = fc.constantFrom(...SERVERS);
+const op: fc.Arbitrary<Op> = fc.record({
+  change: fc.constantFrom<Change>(
+    ...([
+      'join',
+      'join',
+      'lose',
+      'witness',
+      'clear',
+      'move',
+      'move',
+      'split',
+      'fold',
+      'drain',
+      'leave',
+    ] as const),
+  ),
+  server,
+  other: server,
+  pick: fc.nat(1_000),
+});
+const ops = fc.array(op, { minLength: 5, maxLength: 40 });
+
+function apply(cell: Cell, { change, server, other, pick }: Op): Cell {
+  const owned = listOwnedShards(cell, server);
+  const rows = KEYS.map((key) => formatKeyShardId(PLACEMENTS[pick % 3] ?? '*', key));
+  const changes: Readonly<Record<Change, () => Cell>> = {
+    join: () => joinCell(cell, createFacts(server)),
+    lose: () => planTakeover(cell, [server, other]),
+    witness: () => replaceWitnesses(cell, server, [other]),
+    clear: () =>
+      clearFences(
+        cell,
+        server,
+        cell.fences.map((fence) => fence.id),
+      ),
+    move: () => completeMove(cell, owned[pick % (owned.length || 1)] ?? '', server, other).orDefault(cell),
+    split: () => splitHotKeys(cell, server, rows),
+    fold: () => foldHotKeys(cell, server, rows),
+    drain: () => setMemberState(cell, [server], pick % 2 === 0 ? 'draining' : 'active'),
+    leave: () => removeMember(cell, server).orDefault(cell),
+  };
+  return changes[change]();
+}
+
+/** Checks every step of generated histories; `check` sees the cell before and after a change. */
+function checkSteps(check: (before: Cell, after: Cell, op: Op) => void): void {
+  fc.assert(
+    fc.property(ops, (list) => {
+      let cell: Cell = { ...ensurePlacements(createCell('permits', 0), PLACEMENTS), version: 1 };
+      for (const step of list) {
+        const after = { ...apply(cell, step), version: cell.version + 1 };
+        check(cell, after, step);
+        cell = after;
+      }
+    }),
+    PARAMETERS,
+  );
+}
+
+function assert(condition: boolean, message: string): void {
+  if (!condition) throw new Error(message);
+}
+
+const eachKey = (run: (placement: string, key: string) => void): void =>
+  PLACEMENTS.forEach((placement) => KEYS.forEach((key) => run(placement, key)));
+
+t.test('a key passes from its owner only by its own move or behind a fence for its grant', (t) => {
+  checkSteps((before, after, { change, server }) =>
+    eachKey((placement, key) => {
+      const old = findShard(before, placement, key)!.shard;
+      const now = findShard(after, placement, key)!.shard;
+      if (old.owner === '' || old.owner === now.owner) return;
+      const epoch = findMember(before, old.owner)!.epoch;
+      const fenced = after.fences.some(
+        (fence) => now.fences.includes(fence.id) && fence.serverId === old.owner && fence.epoch === epoch,
+      );
+      assert(fenced || (change === 'move' && server === old.owner), `${key} passed from ${old.owner}`);
+    }),
+  );
+  t.end();
+});
+
+t.test('a fence stays with a key until its owner clears it', (t) => {
+  checkSteps((before, after, { change, server }) =>
+    eachKey((placement, key) => {
+      const old = findShard(before, placement, key)!.shard;
+      const now = findShard(after, placement, key)!.shard;
+      const isCleared = change === 'clear' && server === old.owner;
+      const missing = old.fences.filter((id) => !now.fences.includes(id));
+      assert(missing.length === 0 || isCleared, `${key} lost fences ${missing.join()}`);
+      assert(
+        now.fences.every((id) => after.fences.some((fence) => fence.id === id)),
+        'a fence is unknown',
+      );
+    }),
+  );
+  t.end();
+});
+
+t.test('a new grant of a server that owns shards is fenced from the old one', (t) => {
+  checkSteps((before, after, { change, server }) => {
+    const old = findMember(before, server);
+    if (change !== 'join' || old === undefined) return;
+    for (const shardId of listOwnedShards(before, server)) {
+      const fences = after.fences.filter((fence) => after.shards[shardId]!.fences.includes(fence.id));
+      assert(
+        fences.some((fence) => fence.serverId === server && fence.epoch === old.epoch),
+        shardId,
+      );
+      assert(after.shards[shardId]!.token === after.version, 'the token was kept');
+    }
+  });
+  t.end();
+});
+
+t.test('tokens and epochs never go back', (t) => {
+  const epochs = new Map<string, number>();
+  checkSteps((before, after) => {
+    if (before.version === 1) epochs.clear();
+    eachKey((placement, key) => {
+      const old = findShard(before, placement, key)!.shard;
+      const now = findShard(after, placement, key)!.shard;
+      assert(now.token >= old.token && now.token <= after.version, `token ${now.token} after ${old.token}`);
+      assert(now.owner === old.owner || now.token > old.token, 'a new owner has the old token');
+    });
+    for (const { serverId, epoch } of after.members) {
+      assert(epoch >= (epochs.get(serverId) ?? 0), `epoch of ${serverId} went back`);
+      epochs.set(serverId, epoch);
+    }
+  });
+  t.end();
+});
+
+t.test('owners are live members in the regions of the placement', (t) => {
+  checkSteps((_, after) => {
+    for (const [shardId, { owner }] of Object.entries(after.shards)) {
+      if (owner === '') continue;
+      const member = findMember(after, owner);
+      assert(member !== undefined && member.state !== 'gone', `${owner} owns ${shardId}`);
+      assert(allowsRegion(readPlacement(shardId), member!.region), `${shardId} in ${member!.region}`);
+    }
+  });
+  t.end();
+});
+
+t.test('a takeover or join moves no shard of another live member', (t) => {
+  checkSteps((before, after, { change, server, other }) => {
+    if (change !== 'lose' && change !== 'join') return;
+    const lost = change === 'lose' ? [server, other] : [];
+    for (const [shardId, shard] of Object.entries(before.shards))
+      if (shard.owner !== '' && !lost.includes(shard.owner))
+        assert(after.shards[shardId]!.owner === shard.owner, `${shardId} was moved`);
+  });
+  t.end();
+});
+
+t.test('a takeover leaves the cell balanced', (t) => {
+  fc.assert(
+    fc.property(fc.shuffledSubarray(SERVERS, { minLength: 3 }), fc.nat(), (ids, pick) => {
+      const joined = ids.reduce((cell, id) => joinCell(cell, createFacts(id)), createCell('permits', 0));
+      const cell = ensurePlacements(joined, ['*']);
+      const after = planTakeover(cell, [ids[pick % ids.length]!]);
+      const live = after.members.filter((member) => member.state === 'active');
+      const counts = live.map((member) => listOwnedShards(after, member.serverId).length);
+      // Failure domains of unequal size pull the members of a larger domain below the mean.
+      assert(Math.max(...counts) <= 1.25 * (128 / live.length) + 1, `counts ${counts.join()}`);
+      assert(
+        planMoves(after, { shards: new Map(), shares: new Map() }, [], createMoveBudget(), 0).length <= 8,
+        'moves',
+      );
+    }),
+    PARAMETERS,
+  );
+  t.end();
+});
+
+t.test('witnesses keep to the region and the domain rule', (t) => {
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(fc.tuple(fc.constantFrom('1', '2'), fc.constantFrom('a', 'b', 'c', 'd'), fc.nat(3)), {
+        minLength: 1,
+        maxLength: 20,
+        selector: (parts) => parts.join(''),
+      }),
+      (parts) => {
+        const ids = parts.map((part) => `s${part.join('')}`);
+        const cell = ids.reduce((state, id) => joinCell(state, createFacts(id)), createCell('permits', 0));
+        for (const holder of cell.members) checkWitnesses(cell, holder);
+      },
+    ),
+    { ...PARAMETERS, numRuns: 300 },
+  );
+  t.end();
+});
+
+function checkWitnesses(cell: Cell, holder: Member): void {
+  const near = cell.members.filter((one) => one.region === holder.region && one !== holder);
+  const own = near.filter((one) => one.failureDomain === holder.failureDomain);
+  const foreign = near.filter((one) => one.failureDomain !== holder.failureDomain);
+  const domains = new Set(foreign.map((one) => one.failureDomain)).size;
+  const chosen = chooseWitnesses(cell, holder.serverId).map((id) => near.find((one) => one.serverId === id));
+  assert(
+    chosen.every((one) => one !== undefined),
+    'a witness is in another region or the holder itself',
+  );
+  assert(new Set(chosen).size === chosen.length && chosen.length === Math.min(3, near.length), 'count');
+  const outside = chosen.filter((one) => one!.failureDomain !== holder.failureDomain);
+  const distinct = new Set(outside.map((one) => one!.failureDomain)).size;
+  assert(outside.length >= Math.min(2, foreign.length), 'fewer than two outside the own domain');
+  assert(distinct === Math.min(3, domains), `${distinct} of ${domains} domains are used`);
+  if (domains < 3 && own.length > 0) assert(outside.length <= 2, 'the third is not in the own domain');
+}
