Run the whole path as processes: store, daemons, backend servers

Cause: the parts had not run together. Change: Daemon wires request path and control tasks; Fleet starts a deployment as processes on loopback; the CLI runs a daemon and the stand-ins.

--- /dev/null
+++ b/packages/daemon/src/RequestPath.ts
@@ -0,0 +1,139 @@
+import { EntryLimiter } from '#admission/EntryLimiter.js';
+import type { CrashMark } from '#admission/CrashMark.js';
+import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
+import type { ControlEvent } from '#control/ControlEvent.js';
+import type { Clock } from '#core/Clock.js';
+import { RandomSource } from '#core/RandomSource.js';
+import type { BackendFacts } from '#proxy/BackendFacts.js';
+import { BackendTask } from '#proxy/BackendTask.js';
+import { CallerPort } from '#proxy/CallerPort.js';
+import { EntryTask } from '#proxy/EntryTask.js';
+import { ForwardTask } from '#proxy/ForwardTask.js';
+import { HopTask } from '#proxy/HopTask.js';
+import type { OwnerReport } from '#proxy/OwnerReport.js';
+import { OwnerTask } from '#proxy/OwnerTask.js';
+import { ReceiptTask } from '#proxy/ReceiptTask.js';
+import { FleetHopSigner } from '#daemon/FleetHopSigner.js';
+import type { RequestPathListener } from '#daemon/RequestPathListener.js';
+import type { Settings } from '#settings/Settings.js';
+
+/** Builds the tasks of the request path and connects them. */
+export class RequestPath {
+  public readonly owner: OwnerTask;
+  public readonly entry: EntryTask;
+  private readonly backend: BackendTask;
+  private readonly forward: ForwardTask;
+  private readonly hop: HopTask;
+  private readonly receipts: ReceiptTask;
+  private readonly port: CallerPort;
+  private callerPort = 0;
+
+  public constructor(
+    private readonly settings: Settings,
+    clock: Clock,
+    seed: number,
+    listener: RequestPathListener,
+  ) {
+    const { serverId, region, failureDomain, host, fleetKey, timings } = settings;
+    const identity = { serverId, region, failureDomain };
+    const signer = new FleetHopSigner(fleetKey, clock);
+    this.owner = new OwnerTask(
+      serverId,
+      timings.onceHorizonMs,
+      clock,
+      (message) => this.backend.post(message),
+      {
+        onLoad: listener.onLoad,
+        onMarks: listener.onMarks,
+        onBackend: listener.onBackend,
+      },
+    );
+    this.backend = new BackendTask(
+      serverId,
+      () => `${host}:${this.callerPort}`,
+      clock,
+      (signal) => this.owner.post(signal),
+    );
+    this.forward = new ForwardTask(serverId, clock, signer);
+    this.hop = new HopTask(identity, clock, signer, (message) => this.owner.post(message));
+    this.receipts = new ReceiptTask(clock, (receipt, outcome) =>
+      this.entry.post({ type: 'receiptEnded', receipt, outcome }),
+    );
+    this.entry = new EntryTask(
+      identity,
+      clock,
+      new RandomSource(seed),
+      new EntryLimiter(),
+      new PowerOfTwoChoices(),
+      {
+        postToOwner: (message) => this.owner.post(message),
+        postToForward: (message) => this.forward.post(message),
+        postToReceipts: (message) => this.receipts.post(message),
+      },
+      listener,
+    );
+    this.port = new CallerPort(
+      (message) => this.entry.post(message),
+      (message) => this.hop.post(message),
+      (message) => this.receipts.post(message),
+    );
+  }
+
+  /** Opens the ports for callers and for announcements. */
+  public async start(): Promise<{ readonly caller: number; readonly backend: number }> {
+    this.callerPort = await this.port.start(this.settings.ports.caller, this.settings.host);
+    const backend = await this.backend.start(this.settings.ports.backend);
+    this.owner.start();
+    this.receipts.start();
+    return { caller: this.callerPort, backend };
+  }
+
+  /** Passes an event of the control tasks to the tasks that need it. */
+  public apply(event: ControlEvent): void {
+    switch (event.type) {
+      case 'cell':
+        this.owner.post(event);
+        this.entry.post(event);
+        this.hop.post(event);
+        break;
+      case 'catalogue':
+        this.entry.post(event);
+        this.hop.post(event);
+        break;
+      case 'ownership':
+      case 'release':
+      case 'adopt':
+        this.owner.post(event);
+        break;
+      case 'intent':
+        break;
+    }
+  }
+
+  /** Applies marks of requests that crashed other backend servers. */
+  public applyMarks(marks: readonly CrashMark[]): void {
+    this.owner.post({ type: 'marks', marks });
+  }
+
+  /** Ends all open requests: accepts no new ones, and resolves when none is open. */
+  public async close(): Promise<void> {
+    this.port.close();
+    await Promise.all([
+      new Promise<void>((resolve) => this.entry.post({ type: 'close', reply: resolve })),
+      new Promise<void>((resolve) => this.hop.post({ type: 'close', reply: resolve })),
+    ]);
+    await new Promise<void>((resolve) => this.owner.post({ type: 'drain', reply: resolve }));
+  }
+
+  /** Stops all tasks at once. */
+  public stop(): void {
+    this.port.stop();
+    for (const task of [this.entry, this.hop, this.receipts, this.forward, this.owner, this.backend])
+      task.stop();
+  }
+
+  /** Resolves with the backend server that has announced itself, if any. */
+  public async readBackend(): Promise<BackendFacts | undefined> {
+    return (await this.owner.ask<OwnerReport>((reply) => ({ type: 'report', reply }))).backend;
+  }
+}
--- /dev/null
+++ b/packages/load/src/Fleet.ts
@@ -0,0 +1,232 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import type { Cell } from '#assignment/Cell.js';
+import type { RunRecord } from '#standin/RunRecord.js';
+import type { FleetInstance } from '#load/FleetInstance.js';
+import type { FleetOptions } from '#load/FleetOptions.js';
+import { FleetProcess } from '#load/FleetProcess.js';
+
+const FLEET_KEY = 'key-of-a-fleet-on-loopback-for-tests-only';
+const REPORT_LAG_MS = 2000;
+const POLL_MS = 50;
+
+interface FleetMember {
+  readonly instance: FleetInstance;
+  readonly daemon: FleetProcess;
+  readonly backend: FleetProcess;
+}
+
+/** A stand-in store, daemons and stand-in backend servers as processes on loopback. */
+export class Fleet {
+  private readonly folder = mkdtempSync(join(tmpdir(), 'amaranthrouter-'));
+  private readonly members = new Map<string, FleetMember>();
+  private store: FleetProcess | undefined;
+  private seeds: readonly string[] = [];
+
+  public constructor(private readonly options: FleetOptions) {}
+
+  /** Starts the store with the catalogue, then all instances. */
+  public async start(): Promise<void> {
+    this.store = await this.run(['standin-store'], 'store');
+    await this.put('catalogue', { author: 'setup', catalogue: this.options.catalogue });
+    const [first, ...rest] = this.options.instances;
+    if (first !== undefined) await this.startInstance(first);
+    await Promise.all(rest.map((instance) => this.startInstance(instance)));
+  }
+
+  /** Starts the daemon and the backend server of an instance, also as the replacement of one that was killed. */
+  public async startInstance(instance: FleetInstance): Promise<void> {
+    const daemon = await this.startDaemon(instance);
+    const backend = await this.startBackend(instance, daemon);
+    this.members.set(instance.serverId, { instance, daemon, backend });
+  }
+
+  /** Resolves when every shard of every cell has an owner and all instances are members, or fails after `timeoutMs`. */
+  public async waitServing(timeoutMs: number): Promise<void> {
+    const endMs = Date.now() + timeoutMs;
+    const services = [...new Set(this.options.instances.map(({ service }) => service))];
+    for (;;) {
+      const cells = await Promise.all(services.map((service) => this.readCell(service)));
+      if (cells.every((cell) => this.isServing(cell))) return;
+      if (Date.now() > endMs)
+        throw new Error(`the fleet does not serve: ${JSON.stringify(cells.map(describeCell))}`);
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  /** Base URL for callers of a daemon. */
+  public callerUrl(serverId: string): string {
+    return `http://127.0.0.1:${this.find(serverId).daemon.values.get('caller') ?? 0}`;
+  }
+
+  /** Base URL of the administration API of a daemon. */
+  public adminUrl(serverId: string): string {
+    return `http://127.0.0.1:${this.find(serverId).daemon.values.get('admin') ?? 0}`;
+  }
+
+  /** Sends a signal to the daemon or the backend server of an instance, or to both. */
+  public signal(serverId: string, name: NodeJS.Signals, what: 'daemon' | 'backend' | 'vm'): void {
+    const { daemon, backend } = this.find(serverId);
+    if (what !== 'backend') daemon.signal(name);
+    if (what !== 'daemon') backend.signal(name);
+  }
+
+  /** Resolves with the exit code of a daemon when it has ended. */
+  public waitDaemonEnd(serverId: string): Promise<number> {
+    return this.find(serverId).daemon.waitEnd();
+  }
+
+  /** Calls a control path of a stand-in backend server, for example `/-/slow` with a factor. */
+  public async controlBackend(serverId: string, path: string, body: string): Promise<void> {
+    const port = this.find(serverId).backend.values.get('port') ?? 0;
+    const answer = await request(`http://127.0.0.1:${port}${path}`, { method: 'PUT', body });
+    await answer.body.dump();
+  }
+
+  /** Switches faults of the store. */
+  public async setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    const answer = await request(`${this.storeUrl()}/faults`, {
+      method: 'POST',
+      body: JSON.stringify(faults),
+    });
+    await answer.body.dump();
+  }
+
+  /** Reads the call counts of the store. */
+  public async readStoreStats(): Promise<Readonly<Record<string, number>>> {
+    const answer = await request(`${this.storeUrl()}/stats`);
+    return (await answer.body.json()) as Readonly<Record<string, number>>;
+  }
+
+  /** Reads the cell of a service from the store. */
+  public async readCell(service: string): Promise<Cell | undefined> {
+    const answer = await request(`${this.storeUrl()}/objects/${encodeURIComponent(`cells/${service}/0`)}`);
+    if (answer.statusCode !== 200) {
+      await answer.body.dump();
+      return undefined;
+    }
+    const body = (await answer.body.json()) as { readonly value: Cell };
+    return { ...body.value, version: Number(String(answer.headers.etag ?? '0').replace(/"/g, '')) };
+  }
+
+  /** Reads the requests that each living backend server ran, and how often one had more than it could bear. */
+  public async readRecords(): Promise<{
+    readonly records: readonly RunRecord[];
+    readonly overloads: number;
+  }> {
+    const living = [...this.members.values()].filter(({ backend }) => !backend.hasEnded);
+    const reports = await Promise.all(living.map((member) => this.readReport(member)));
+    return {
+      records: reports.flatMap(({ records }) => records),
+      overloads: reports.reduce((sum, { overloads }) => sum + overloads, 0),
+    };
+  }
+
+  /** Instances that the fleet runs. */
+  public listInstances(): readonly FleetInstance[] {
+    return [...this.members.values()].map(({ instance }) => instance);
+  }
+
+  /** Ends all processes and removes their files. */
+  public async stop(): Promise<void> {
+    const processes = [...this.members.values()].flatMap(({ daemon, backend }) => [daemon, backend]);
+    if (this.store !== undefined) processes.push(this.store);
+    for (const each of processes) each.signal('SIGCONT');
+    for (const each of processes) each.signal('SIGKILL');
+    await Promise.all(processes.map((each) => each.waitEnd()));
+    if (process.env.KEEP_LOGS === undefined) rmSync(this.folder, { recursive: true, force: true });
+    else process.stderr.write(`logs are kept in ${this.folder}\n`);
+  }
+
+  private async startDaemon(instance: FleetInstance): Promise<FleetProcess> {
+    const { serverId, vm, region, failureDomain } = instance;
+    const settings = {
+      serverId,
+      vm,
+      region,
+      failureDomain,
+      host: '127.0.0.1',
+      ports: { caller: 0, peer: 0, udp: 0, admin: 0, backend: 0 },
+      storeUrl: this.storeUrl(),
+      seeds: this.seeds,
+      fleetKey: FLEET_KEY,
+      logs: this.options.logs,
+      timings: this.options.timings ?? {},
+    };
+    const file = join(this.folder, `${serverId}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    const daemon = await this.run(['daemon', file], serverId);
+    if (this.seeds.length < 4) this.seeds = [...this.seeds, `127.0.0.1:${daemon.values.get('peer') ?? 0}`];
+    return daemon;
+  }
+
+  private startBackend(instance: FleetInstance, daemon: FleetProcess): Promise<FleetProcess> {
+    const { serverId, service, slots, connections, checksToken } = instance;
+    const options = {
+      service,
+      slots,
+      connections,
+      checksToken,
+      serviceMs: this.options.serviceMs,
+      coldStartMs: this.options.coldStartMs,
+      announceUrl: `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`,
+      reportLagMs: REPORT_LAG_MS,
+      seed: this.options.seed,
+    };
+    return this.run(['standin-backend', JSON.stringify(options)], `${serverId}-backend`);
+  }
+
+  private run(args: readonly string[], name: string): Promise<FleetProcess> {
+    return FleetProcess.start([...this.options.command, ...args], join(this.folder, `${name}.log`));
+  }
+
+  private async readReport({ backend }: FleetMember): Promise<{
+    readonly records: readonly RunRecord[];
+    readonly overloads: number;
+  }> {
+    const answer = await request(`http://127.0.0.1:${backend.values.get('port') ?? 0}/-/records`);
+    return (await answer.body.json()) as {
+      readonly records: readonly RunRecord[];
+      readonly overloads: number;
+    };
+  }
+
+  private async put(name: string, value: unknown): Promise<void> {
+    const answer = await request(`${this.storeUrl()}/objects/${encodeURIComponent(name)}`, {
+      method: 'PUT',
+      headers: { 'if-none-match': '*' },
+      body: JSON.stringify({ marks: ['fleet/1'], value }),
+    });
+    await answer.body.dump();
+    if (answer.statusCode >= 300) throw new Error(`the store refused ${name}: ${answer.statusCode}`);
+  }
+
+  private isServing(cell: Cell | undefined): boolean {
+    if (cell === undefined) return false;
+    const expected = this.options.instances.filter(({ service }) => service === cell.service).length;
+    const active = cell.members.filter(({ state }) => state === 'active').length;
+    return active >= expected && Object.values(cell.shards).every(({ owner }) => owner !== '');
+  }
+
+  private storeUrl(): string {
+    return `http://127.0.0.1:${this.store?.values.get('port') ?? 0}`;
+  }
+
+  private find(serverId: string): FleetMember {
+    const member = this.members.get(serverId);
+    if (member === undefined) throw new Error(`no instance ${serverId}`);
+    return member;
+  }
+}
+
+function describeCell(cell: Cell | undefined): unknown {
+  if (cell === undefined) return 'absent';
+  const unowned = Object.values(cell.shards).filter(({ owner }) => owner === '').length;
+  return {
+    service: cell.service,
+    members: cell.members.map(({ serverId, state }) => `${serverId}:${state}`),
+    unowned,
+  };
+}
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -72,7 +72,7 @@
   private readonly shardCounts = new Map<string, number>();
   private slowStart = new SlowStart(1);
   private ownership: OwnershipUpdate = { type: 'ownership', epoch: 0, leaseEndMs: 0, shards: new Map() };
-  private cells: ReadonlyMap<number, Cell> = new Map();
+  private cells: ReadonlyMap<string, Cell> = new Map();
   private facts: BackendFacts | undefined;
   private lost: readonly LostOrder[] = [];
   private ticks = 0;
@@ -81,7 +81,6 @@
 
   public constructor(
     private readonly serverId: string,
-    private readonly service: string,
     horizonMs: number,
     private readonly clock: Clock,
     private readonly postToBackend: (message: BackendMessage) => void,
@@ -127,8 +126,7 @@
         this.applyOwnership(message);
         break;
       case 'cell':
-        if (message.cell.service === this.service)
-          this.cells = new Map(this.cells).set(message.cell.index, message.cell);
+        this.cells = new Map(this.cells).set(`${message.cell.service}/${message.cell.index}`, message.cell);
         break;
       case 'release':
         this.release(message);
@@ -182,6 +180,7 @@
     const { head, entry } = order;
     const placement = formatPlacement(entry.homeRegions);
     for (const cell of this.cells.values()) {
+      if (cell.service !== head.service) continue;
       const found = findShard(cell, placement, head.key);
       if (found !== undefined && this.mayActOn(found.shardId)) return found.shardId;
     }
