--- /dev/null
+++ b/packages/metrics/src/MergeSnapshots.ts
@@ -0,0 +1,78 @@
+import { defaultMetricsLimits } from '#metrics/DefaultMetricsLimits.js';
+import type { MetricsSnapshot } from '#metrics/MetricsSnapshot.js';
+import { otherLabel } from '#metrics/OtherLabel.js';
+import { Series } from '#metrics/Series.js';
+
+interface Group {
+  readonly tenant: string;
+  readonly className: string;
+  readonly series: Series;
+}
+
+/**
+ * Merges the snapshots of several daemons: histograms and counters are added, of gauges the greatest value is kept.
+ * Above `maxTenants`, the tenants with the fewest requests are added to `other`.
+ */
+export function mergeSnapshots(
+  snapshots: readonly MetricsSnapshot[],
+  maxTenants: number = defaultMetricsLimits.tenants,
+): MetricsSnapshot {
+  const groups = groupSeries(snapshots);
+  const kept = pickTenants(groups, maxTenants);
+  const merged = new Map<string, Group>();
+  for (const group of groups) {
+    const tenant = kept.has(group.tenant) ? group.tenant : otherLabel;
+    addGroup(merged, { ...group, tenant });
+  }
+  return {
+    series: [...merged.values()].map(({ tenant, className, series }) =>
+      series.snapshot(tenant, className, true),
+    ),
+    counters: combine(
+      snapshots.map((snapshot) => snapshot.counters),
+      (left, right) => left + right,
+    ),
+    gauges: combine(
+      snapshots.map((snapshot) => snapshot.gauges),
+      Math.max,
+    ),
+  };
+}
+
+function groupSeries(snapshots: readonly MetricsSnapshot[]): readonly Group[] {
+  const groups = new Map<string, Group>();
+  for (const snapshot of snapshots.flatMap((each) => each.series)) {
+    const series = new Series();
+    series.addSnapshot(snapshot);
+    addGroup(groups, { tenant: snapshot.tenant, className: snapshot.class, series });
+  }
+  return [...groups.values()];
+}
+
+function addGroup(groups: Map<string, Group>, group: Group): void {
+  const key = `${group.tenant}/${group.className}`;
+  const existing = groups.get(key);
+  if (existing === undefined) groups.set(key, group);
+  else existing.series.add(group.series);
+}
+
+function pickTenants(groups: readonly Group[], maxTenants: number): ReadonlySet<string> {
+  const totals = new Map<string, number>();
+  for (const { tenant, series } of groups)
+    if (tenant !== otherLabel) totals.set(tenant, (totals.get(tenant) ?? 0) + series.total());
+  const byTotal = [...totals].sort(([, left], [, right]) => right - left);
+  return new Set(byTotal.slice(0, maxTenants).map(([tenant]) => tenant));
+}
+
+function combine<T extends Readonly<Partial<Record<string, number>>>>(
+  records: readonly T[],
+  operation: (left: number, right: number) => number,
+): T {
+  const result = new Map<string, number>();
+  for (const [name, value] of records.flatMap((record) => Object.entries(record))) {
+    if (value === undefined) continue;
+    const previous = result.get(name);
+    result.set(name, previous === undefined ? value : operation(previous, value));
+  }
+  return Object.fromEntries(result) as T;
+}
