--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -35,7 +35,7 @@
   public readonly conflicts: string[] = [];
   private readonly timings: Timings;
   private storePort = 0;
-  private seeds: string[] = [];
+  private readonly seeds: string[] = [];
 
   public constructor(t: Teardown, timings: Partial<Timings> = {}) {
     this.timings = { ...TIMINGS, ...timings };
