Hold fleet-wide limits across changes of the quota holder

Cause: a new holder that waited for old slices refused nearly all requests meanwhile, and an overtaken ask could lower the count of requests in flight. Change: asks carry what the daemon holds, and a new holder renews exactly that until old slices and then the requests under them have ended; totals are kept per entry, so that an ask costs constant time; refused requests count as demand. Conclusion: the limits hold as written; about a tenth to a fifth of a contended limit is left unused.

--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -8,12 +8,15 @@
 import { safeShare } from '#admission/SafeShare.js';
 import { TokenBucket } from '#admission/TokenBucket.js';
 
-/** Part of a slice's time after which the next one is asked for, and after which an unanswered ask is repeated. */
+/** Part of a slice's time after which the next one is asked for. */
 const ASK_AFTER = 0.4;
 
 /** Time after which a request without a slice may try again, in milliseconds; one round trip between regions. */
 const ASK_ROUND_TRIP_MS = 50;
 
+/** Part of a slice's time after which an ask is repeated early, while the daemon can admit nothing. */
+const RETRY_AFTER = 0.1;
+
 class EntryUse {
   public limits: RateLimits;
   public safe: RateLimits;
@@ -26,6 +29,8 @@
   /** Requests that arrived since the last ask, admitted or not. */
   public arrived = 0;
   public peakInFlight = 0;
+  /** Requests refused since the last ask because too many were in flight. */
+  public crowded = 0;
   public sinceMs: number;
   public ratePerSecond = 0;
 
@@ -38,6 +43,16 @@
   }
 }
 
+function heldLimits(slice: QuotaSlice | undefined): RateLimits {
+  const { ratePerSecond, burst, concurrency } = slice ?? { ratePerSecond: 0, burst: 0, concurrency: 0 };
+  return { ratePerSecond, burst, concurrency };
+}
+
+/** Whether a slice admits anything. */
+function isUsable(slice: QuotaSlice | undefined): boolean {
+  return slice !== undefined && slice.burst >= 1 && slice.concurrency >= 1;
+}
+
 /**
  * Admits requests within the slices that the holders of the entries gave to this daemon, and within its safe share
  * while there is no slice. `nextAsks` gives the messages to send; their replies go to `apply`.
@@ -68,7 +83,10 @@
     use.arrived += 1;
     use.peakInFlight = Math.max(use.peakInFlight, use.inFlight + 1);
     const concurrency = (use.slice?.concurrency ?? 0) + use.safe.concurrency;
-    if (use.inFlight >= concurrency) return refuseAdmission('concurrencyLimit', ASK_ROUND_TRIP_MS);
+    if (use.inFlight >= concurrency) {
+      use.crowded += 1;
+      return refuseAdmission('concurrencyLimit', ASK_ROUND_TRIP_MS);
+    }
     if (!use.bucket.take(nowMs) && !use.safeBucket.take(nowMs)) return this.refuseRate(use, nowMs);
     use.inFlight += 1;
     return { kind: 'admit' };
@@ -79,11 +97,11 @@
     if (use !== undefined && use.inFlight > 0) use.inFlight -= 1;
   }
 
-  /** Whether an ask is due at once, because a request was refused or arrived without a slice. */
+  /** Whether an ask is due before the usual time, because requests arrive and there is no usable slice. */
   public needsAsk(key: string, nowMs: number): boolean {
     const use = this.entries.get(key);
-    if (use === undefined || use.arrived === 0) return false;
-    return use.slice === undefined && nowMs - use.askedMs >= ASK_ROUND_TRIP_MS;
+    if (use === undefined || use.arrived === 0 || isUsable(use.slice)) return false;
+    return nowMs - use.askedMs >= Math.max(ASK_ROUND_TRIP_MS, this.settings.sliceMs * RETRY_AFTER);
   }
 
   /** Returns the asks that are due: for entries in use, ahead of the end of their slices. */
@@ -121,17 +139,23 @@
   }
 
   private buildAsk(key: string, use: EntryUse, nowMs: number): QuotaAsk {
+    this.endSlice(use, nowMs);
     const elapsedMs = Math.max(1, nowMs - use.sinceMs);
     const ratePerSecond = Math.max((use.arrived * 1_000) / elapsedMs, use.ratePerSecond / 2);
-    const concurrency = Math.max(use.peakInFlight, use.inFlight);
+    // Refused requests count as demand, but at most double it, since most of them are repeats.
+    const concurrency = use.peakInFlight + Math.min(use.crowded, use.peakInFlight);
     use.ratePerSecond = ratePerSecond;
     use.askedMs = nowMs;
     use.sinceMs = nowMs;
     use.arrived = 0;
+    use.crowded = 0;
     use.peakInFlight = use.inFlight;
     const { client } = this;
-    const { applied, inFlight } = use;
-    return { entry: key, client, applied, ratePerSecond, concurrency, inFlight, sentMs: nowMs };
+    const { applied } = use;
+    // The safe share is counted apart, so only what exceeds it is in flight under slices.
+    const inFlight = Math.max(0, use.inFlight - use.safe.concurrency);
+    const held = heldLimits(use.slice);
+    return { entry: key, client, applied, held, ratePerSecond, concurrency, inFlight, sentMs: nowMs };
   }
 
   private refuseRate(use: EntryUse, nowMs: number): AdmissionResult {
--- a/packages/admission/src/QuotaHolder.ts
+++ b/packages/admission/src/QuotaHolder.ts
@@ -1,37 +1,54 @@
 import type { EntryLimits } from '#catalogue/EntryLimits.js';
+import { addLimits } from '#admission/AddLimits.js';
 import type { QuotaAsk } from '#admission/QuotaAsk.js';
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 import type { QuotaSlice } from '#admission/QuotaSlice.js';
 import type { RateLimits } from '#admission/RateLimits.js';
+import { sliceOf } from '#admission/SliceOf.js';
 import { TokenBucket } from '#admission/TokenBucket.js';
 
 /** Factor of the demand that a slice covers while the limit is not contended, so that growth finds room. */
 const HEADROOM = 1.25;
 
+/** Part of a slice's time after which the totals are recounted, which releases slices that have ended. */
+const RECOUNT_AFTER = 0.25;
+
+const NOTHING: RateLimits = { ratePerSecond: 0, burst: 0, concurrency: 0 };
+
 interface Given extends RateLimits {
   readonly number: number;
   /** End of the slice by the holder's clock, with the drift bound. */
   readonly endMs: number;
+  /** Time by which all requests admitted under the slice have ended. */
+  readonly idleMs: number;
 }
 
 class ClientUse {
   public number = 0;
   public given: readonly Given[] = [];
-  public demandRate = 0;
-  public demandConcurrency = 0;
+  public demand = NOTHING;
   public inFlight = 0;
-  /** Time by which all requests admitted under the slices have ended. */
-  public idleMs = 0;
+  /** What the client held of the previous holder when it first asked. */
+  public claim = NOTHING;
+  public sentMs = -Infinity;
+  /** The most that the client may use; see `heldBy`. */
+  public held = NOTHING;
+  public seenMs = 0;
 }
 
 class EntryUse {
   public readonly clients = new Map<string, ClientUse>();
+  /** Tokens that accrue at the rate that no client holds, so that a new client need not wait for its first one. */
   public readonly spare: TokenBucket;
   public limits: EntryLimits;
+  public held = NOTHING;
+  public demand = NOTHING;
+  public countedMs: number;
 
   public constructor(limits: EntryLimits, nowMs: number) {
     this.limits = limits;
     this.spare = new TokenBucket(0, 0, 0, nowMs);
+    this.countedMs = nowMs;
   }
 }
 
@@ -46,58 +63,101 @@
   private readonly sinceMs: number;
   private readonly entries = new Map<string, EntryUse>();
 
-  /** `nowMs` is the time at which this daemon became the holder. */
+  /** `nowMs` is the time from which this daemon is the only holder. */
   public constructor(settings: QuotaSettings, nowMs: number) {
     this.settings = settings;
     this.sinceMs = nowMs;
   }
 
-  /** Answers an ask with a slice. `limits` are the current limits of the entry. */
+  /**
+   * Answers an ask with a slice; `limits` are the current limits of the entry. For one slice length after it became the
+   * holder it renews only what clients already hold, since slices of the previous holder may still be used. The caller
+   * drops asks that were sent before this daemon became the holder.
+   */
   public give(ask: QuotaAsk, limits: EntryLimits, nowMs: number): QuotaSlice {
     const entry = this.findEntry(ask.entry, limits, nowMs);
-    this.forgetIdle(entry, nowMs);
-    const client = this.findClient(entry, ask.client);
-    noteAsk(client, ask, nowMs);
-    const free = this.freeLimits(entry, client, nowMs);
-    const part = this.divide(entry, client, free, nowMs);
-    return this.record(entry, client, ask, part, nowMs);
+    const client = entry.clients.get(ask.client) ?? new ClientUse();
+    entry.clients.set(ask.client, client);
+    const ready = this.knowsAllSlices(nowMs);
+    if (!ready && client.given.length === 0) client.claim = ask.held;
+    this.change(entry, client, nowMs, () => noteAsk(client, ask, nowMs));
+    const part = ready ? this.divide(entry, client, nowMs) : client.claim;
+    this.change(entry, client, nowMs, () => this.record(entry, client, part, nowMs));
+    const tokens = ready ? this.takeSpareTokens(entry, part, nowMs) : 0;
+    const { sliceMs } = this.settings;
+    return { entry: ask.entry, number: client.number, ...part, tokens, sentMs: ask.sentMs, sliceMs };
   }
 
-  /** Sum of what clients may use of the entry at `nowMs`, without the reserved part. */
-  public outstanding(entryName: string, nowMs: number): RateLimits {
-    const clients = [...(this.entries.get(entryName)?.clients.values() ?? [])];
-    return sumLimits(clients.map((client) => heldBy(client, nowMs)));
+  /** The most that clients may use of the entry, without the reserved part. */
+  public outstanding(entryName: string): RateLimits {
+    return this.entries.get(entryName)?.held ?? NOTHING;
   }
 
   private findEntry(name: string, limits: EntryLimits, nowMs: number): EntryUse {
     const entry = this.entries.get(name) ?? new EntryUse(limits, nowMs);
     entry.limits = limits;
     this.entries.set(name, entry);
+    if (nowMs - entry.countedMs >= this.settings.sliceMs * RECOUNT_AFTER) this.recount(entry, nowMs);
     return entry;
   }
 
-  private findClient(entry: EntryUse, name: string): ClientUse {
-    const client = entry.clients.get(name) ?? new ClientUse();
-    entry.clients.set(name, client);
-    return client;
+  private recount(entry: EntryUse, nowMs: number): void {
+    entry.countedMs = nowMs;
+    entry.held = NOTHING;
+    entry.demand = NOTHING;
+    for (const [name, client] of entry.clients) {
+      client.given = client.given.filter(({ idleMs }) => idleMs >= nowMs);
+      if (client.given.length === 0) client.inFlight = 0;
+      if (nowMs - client.seenMs > this.settings.sliceMs) client.demand = NOTHING;
+      client.held = heldBy(client, nowMs);
+      if (client.given.length === 0 && client.demand === NOTHING) entry.clients.delete(name);
+      entry.held = addLimits(entry.held, client.held, 1);
+      entry.demand = addLimits(entry.demand, client.demand, 1);
+    }
   }
 
-  private forgetIdle(entry: EntryUse, nowMs: number): void {
-    for (const [name, client] of entry.clients) if (client.idleMs < nowMs) entry.clients.delete(name);
+  /** Applies a change to one client and keeps the totals of its entry. */
+  private change(entry: EntryUse, client: ClientUse, nowMs: number, apply: () => void): void {
+    const { held, demand } = client;
+    apply();
+    client.held = heldBy(client, nowMs);
+    entry.held = addLimits(addLimits(entry.held, held, -1), client.held, 1);
+    entry.demand = addLimits(addLimits(entry.demand, demand, -1), client.demand, 1);
   }
 
-  /** What the limit leaves for this client beside the reserved part and the slices of the others. */
-  private freeLimits(entry: EntryUse, client: ClientUse, nowMs: number): RateLimits {
-    const others = [...entry.clients.values()].filter((other) => other !== client);
-    const used = sumLimits(others.map((other) => heldBy(other, nowMs)));
-    const { ratePerSecond, burst, concurrency } = this.distributable(entry.limits);
+  private divide(entry: EntryUse, client: ClientUse, nowMs: number): RateLimits {
+    const whole = this.distributable(entry.limits);
+    const others = addLimits(entry.held, client.held, -1);
+    const free = addLimits(whole, others, -1);
+    const rateDemand = client.demand.ratePerSecond * HEADROOM;
+    const rateTotal = entry.demand.ratePerSecond * HEADROOM;
+    const burstPerRate = whole.burst / Math.max(whole.ratePerSecond, 1e-9);
+    const burst = sliceOf(whole.burst, free.burst, rateDemand * burstPerRate, rateTotal * burstPerRate);
+    const demand = client.demand.concurrency * HEADROOM;
+    const concurrency = sliceOf(
+      whole.concurrency,
+      free.concurrency,
+      demand,
+      entry.demand.concurrency * HEADROOM,
+    );
     return {
-      ratePerSecond: Math.max(0, ratePerSecond - used.ratePerSecond),
-      burst: Math.max(0, burst - used.burst),
-      concurrency: Math.max(0, concurrency - used.concurrency),
+      ratePerSecond: sliceOf(whole.ratePerSecond, free.ratePerSecond, rateDemand, rateTotal),
+      burst: wholeUnits(burst, free.burst),
+      // Until all requests admitted under slices of the previous holder have ended, no client may run more.
+      concurrency: this.knowsAllRequests(entry, nowMs)
+        ? wholeUnits(concurrency, free.concurrency)
+        : Math.max(0, Math.min(client.claim.concurrency, Math.floor(free.concurrency))),
     };
   }
 
+  private knowsAllSlices(nowMs: number): boolean {
+    return nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs);
+  }
+
+  private knowsAllRequests(entry: EntryUse, nowMs: number): boolean {
+    return nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs + entry.limits.maxDeadlineMs);
+  }
+
   private distributable(limits: RateLimits): RateLimits {
     const { reserve } = this.settings;
     return {
@@ -107,49 +167,18 @@
     };
   }
 
-  private divide(entry: EntryUse, client: ClientUse, free: RateLimits, nowMs: number): RateLimits {
-    const rateReady = nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs);
-    const concurrencyReady =
-      nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs + entry.limits.maxDeadlineMs);
-    const whole = this.distributable(entry.limits);
-    const clients = [...entry.clients.values()];
-    const demandRate = sum(clients.map((other) => other.demandRate));
-    const demandConcurrency = sum(clients.map((other) => other.demandConcurrency));
-    const ratePerSecond = shareOf(whole.ratePerSecond, client.demandRate, demandRate);
-    const burst = shareOf(whole.burst, client.demandRate, demandRate);
-    const concurrency = shareOf(whole.concurrency, client.demandConcurrency, demandConcurrency);
-    return {
-      ratePerSecond: rateReady ? Math.min(free.ratePerSecond, ratePerSecond) : 0,
-      burst: rateReady ? Math.min(free.burst, wholeUnits(burst)) : 0,
-      // Until all requests that an earlier holder admitted have ended, only what already runs may be replaced.
-      concurrency: Math.min(free.concurrency, concurrencyReady ? wholeUnits(concurrency) : client.inFlight),
-    };
-  }
-
-  private record(
-    entry: EntryUse,
-    client: ClientUse,
-    ask: QuotaAsk,
-    part: RateLimits,
-    nowMs: number,
-  ): QuotaSlice {
-    const { sliceMs } = this.settings;
+  private record(entry: EntryUse, client: ClientUse, part: RateLimits, nowMs: number): void {
+    const endMs = nowMs + this.guardedMs(this.settings.sliceMs);
+    const idleMs = endMs + this.guardedMs(entry.limits.maxDeadlineMs);
     client.number += 1;
-    const endMs = nowMs + this.guardedMs(sliceMs);
-    client.given = [...client.given, { ...part, number: client.number, endMs }];
-    client.idleMs = endMs + this.guardedMs(entry.limits.maxDeadlineMs);
-    const tokens = this.takeSpareTokens(entry, part, nowMs);
-    return { entry: ask.entry, number: client.number, ...part, tokens, sentMs: ask.sentMs, sliceMs };
+    client.given = [...client.given, { ...part, number: client.number, endMs, idleMs }];
   }
 
-  /** Tokens accrue here at the rate that no client holds, so that a new client need not wait for its first token. */
   private takeSpareTokens(entry: EntryUse, part: RateLimits, nowMs: number): number {
-    const used = sumLimits([...entry.clients.values()].map((client) => heldBy(client, nowMs)));
     const whole = this.distributable(entry.limits);
     const tokens = entry.spare.takeUpTo(part.burst, nowMs);
-    const ready = nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs);
-    const rate = ready ? Math.max(0, whole.ratePerSecond - used.ratePerSecond) : 0;
-    entry.spare.resize(rate, Math.max(0, whole.burst - used.burst), nowMs);
+    const rate = Math.max(0, whole.ratePerSecond - entry.held.ratePerSecond);
+    entry.spare.resize(rate, Math.max(0, whole.burst - entry.held.burst), nowMs);
     return tokens;
   }
 
@@ -158,48 +187,37 @@
   }
 }
 
-/** Updates what is known of the client; slices older than the one it applied can no longer be used. */
+/** Updates what is known of the client. Slices older than the one it applied can no longer be used. */
 function noteAsk(client: ClientUse, ask: QuotaAsk, nowMs: number): void {
+  const newest = ask.sentMs >= client.sentMs;
   client.number = Math.max(client.number, ask.applied);
-  client.given = client.given.filter(({ number, endMs }) => number >= ask.applied && endMs >= nowMs);
-  client.demandRate = Math.max(0, ask.ratePerSecond);
-  client.demandConcurrency = Math.max(0, ask.concurrency);
-  client.inFlight = ask.inFlight;
+  client.given = client.given.filter(({ number }) => number >= ask.applied);
+  client.demand = {
+    ratePerSecond: Math.max(0, ask.ratePerSecond),
+    burst: 0,
+    concurrency: Math.max(0, ask.concurrency),
+  };
+  // An ask that was overtaken by a newer one reports a past state, which may not lower the count.
+  client.inFlight = newest ? ask.inFlight : Math.max(client.inFlight, ask.inFlight);
+  client.sentMs = Math.max(client.sentMs, ask.sentMs);
+  client.seenMs = nowMs;
 }
 
 /** The most that the client may use: it has applied any one of the slices that are still counted. */
 function heldBy(client: ClientUse, nowMs: number): RateLimits {
-  const valid = client.given.filter(({ endMs }) => endMs >= nowMs);
-  return {
-    ratePerSecond: max(valid.map(({ ratePerSecond }) => ratePerSecond)),
-    burst: max(valid.map(({ burst }) => burst)),
-    // Requests outlive the slice under which they were admitted, so ended slices count as well.
-    concurrency: Math.max(client.inFlight, max(client.given.map(({ concurrency }) => concurrency))),
-  };
-}
-
-function shareOf(limit: number, demand: number, total: number): number {
-  if (demand <= 0) return 0;
-  return total * HEADROOM <= limit ? demand * HEADROOM : (limit * demand) / total;
+  let { ratePerSecond, burst, concurrency } = { ...NOTHING, concurrency: client.inFlight };
+  for (const given of client.given) {
+    // Requests outlive the slice under which they were admitted, so ended slices count for the concurrency.
+    concurrency = Math.max(concurrency, given.concurrency);
+    if (given.endMs < nowMs) continue;
+    ratePerSecond = Math.max(ratePerSecond, given.ratePerSecond);
+    burst = Math.max(burst, given.burst);
+  }
+  return { ratePerSecond, burst, concurrency };
 }
 
 /** At least one unit for any demand, since a client without a unit could admit nothing. */
-function wholeUnits(value: number): number {
-  return value <= 0 ? 0 : Math.max(1, Math.floor(value));
-}
-
-function sumLimits(parts: readonly RateLimits[]): RateLimits {
-  return {
-    ratePerSecond: sum(parts.map(({ ratePerSecond }) => ratePerSecond)),
-    burst: sum(parts.map(({ burst }) => burst)),
-    concurrency: sum(parts.map(({ concurrency }) => concurrency)),
-  };
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
-function max(values: readonly number[]): number {
-  return values.reduce((largest, value) => Math.max(largest, value), 0);
+function wholeUnits(value: number, free: number): number {
+  const units = value <= 0 ? 0 : Math.max(1, Math.floor(value));
+  return Math.max(0, Math.min(units, Math.floor(free)));
 }
--- a/packages/admission/src/QuotaSlice.ts
+++ b/packages/admission/src/QuotaSlice.ts
@@ -1,7 +1,7 @@
 /** A short-lived part of the limits of an entry, for one daemon. */
 export interface QuotaSlice {
   readonly entry: string;
-  /** Rises with each slice that the holder gives to this daemon; 0 in a refusal of a holder that still waits. */
+  /** Rises with each slice that a holder gives to this daemon. */
   readonly number: number;
   readonly ratePerSecond: number;
   readonly burst: number;
