--- a/packages/proxy/src/BackendMessage.ts
+++ b/packages/proxy/src/BackendMessage.ts
@@ -7,6 +7,7 @@
   | { readonly type: 'cancel'; readonly orderId: string }
   | { readonly type: 'announced'; readonly facts: BackendFacts }
   | { readonly type: 'grant'; readonly epoch: number; readonly leaseEndMs: number }
+  | { readonly type: 'probe'; readonly incarnation: string }
   | { readonly type: 'connectionFailed'; readonly incarnation: string }
   | { readonly type: 'ended'; readonly orderId: string }
   | { readonly type: 'tick' };
--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -95,6 +95,9 @@
       case 'grant':
         this.sendGrant(message.epoch, message.leaseEndMs);
         break;
+      case 'probe':
+        this.probe(message.incarnation);
+        break;
       case 'connectionFailed':
         if (message.incarnation === this.snapshot.context.facts?.incarnation)
           this.advance({ type: 'unreachable' });
@@ -174,6 +177,16 @@
     }
   }
 
+  /** Finds out whether the backend server is still there after a connection to it broke. */
+  private probe(incarnation: string): void {
+    const { pool } = this;
+    if (pool === undefined || this.snapshot.context.facts?.incarnation !== incarnation) return;
+    pool
+      .request({ path: '/-/ready', method: 'GET' })
+      .then((answer) => answer.body.dump())
+      .catch(() => this.post({ type: 'connectionFailed', incarnation }));
+  }
+
   private sendGrant(epoch: number, leaseEndMs: number): void {
     if (this.pool === undefined || this.snapshot.context.facts?.checksToken !== true) return;
     const expiresAtMs = this.toWallMs(leaseEndMs);
@@ -257,8 +270,8 @@
       },
       onEnd: () => {
         if (refusal === undefined) {
-          this.signal({ type: 'backendEvent', orderId, event: { type: 'end' } });
           this.finish(orderId, 'answered', startedMs);
+          this.signal({ type: 'backendEvent', orderId, event: { type: 'end' } });
         } else {
           this.refuse(
             orderId,
@@ -285,13 +298,13 @@
           error: err.message,
           repeatable: entry.repeatable,
         });
+        this.finish(orderId, cancelled ? 'cancelled' : sent ? 'lost' : 'unreachable', startedMs);
         this.signal({
           type: 'backendEvent',
           orderId,
           event: sent ? { type: 'broken', fields } : { type: 'refused', fields },
         });
-        this.finish(orderId, cancelled ? 'cancelled' : sent ? 'lost' : 'unreachable', startedMs);
-        if (!sent && !cancelled) this.post({ type: 'connectionFailed', incarnation: facts.incarnation });
+        if (!cancelled) this.post({ type: 'probe', incarnation: facts.incarnation });
       },
     });
     return handler;
@@ -305,10 +318,11 @@
       ran: 'not run',
       status: kind === 'expired' ? 504 : 503,
     };
-    this.signal({ type: 'backendEvent', orderId, event: { type: 'refused', fields } });
     this.finish(orderId, kind, this.clock.monotonicMs());
+    this.signal({ type: 'backendEvent', orderId, event: { type: 'refused', fields } });
   }
 
+  /** Reports the end of a run before its last event, so that the owner task still knows the order. */
   private finish(orderId: string, kind: BackendOutcome['kind'], startedMs: number): void {
     const serviceMs = this.clock.monotonicMs() - startedMs;
     this.signal({ type: 'backendDone', orderId, outcome: { kind, serviceMs } });
