--- /dev/null
+++ b/packages/load/src/CheckOwners.ts
@@ -0,0 +1,43 @@
+import { groupBy } from '#load/GroupBy.js';
+import type { OrderEvent } from '#load/OrderEvent.js';
+import type { Violation } from '#load/Violation.js';
+
+/**
+ * Checks that each key has one owner at a time: orders of a key on different servers never overlap, no two servers use
+ * one token, and no order starts with a token older than one that has been used.
+ */
+export function checkOwners(orders: readonly OrderEvent[]): readonly Violation[] {
+  const keyed = orders.filter((order) => order.key !== '');
+  return [...groupBy(keyed, (order) => order.key).values()].flatMap((group) => checkKey(group));
+}
+
+function checkKey(orders: readonly OrderEvent[]): readonly Violation[] {
+  const sorted = [...orders].sort((left, right) => left.startMs - right.startMs);
+  const violations: Violation[] = []; // eslint-disable-line no-restricted-syntax -- local result
+  const owners = new Map<number, string>();
+  // The order that ends last on each server; an overlap with any order of a server is one with this one.
+  const lastEnds = new Map<string, OrderEvent>();
+  let newest = sorted[0];
+  for (const order of sorted) {
+    for (const [serverId, other] of lastEnds)
+      if (serverId !== order.serverId && other.endMs > order.startMs)
+        violations.push(describe('twoOwners', other, order));
+    if (newest !== undefined && newest.token > order.token && newest.startMs < order.startMs)
+      violations.push(describe('staleToken', newest, order));
+    const owner = owners.get(order.token) ?? order.serverId;
+    if (owner !== order.serverId)
+      violations.push(describe('sharedToken', { ...order, serverId: owner }, order));
+    owners.set(order.token, owner);
+    if (newest === undefined || order.token > newest.token) newest = order;
+    const last = lastEnds.get(order.serverId);
+    if (last === undefined || order.endMs > last.endMs) lastEnds.set(order.serverId, order);
+  }
+  return violations;
+}
+
+function describe(rule: Violation['rule'], first: OrderEvent, second: OrderEvent): Violation {
+  const text = [first, second].map(
+    (order) => `${order.serverId} token ${order.token} from ${order.startMs} to ${order.endMs}`,
+  );
+  return { rule, message: `key ${second.key}: ${text.join('; ')}` };
+}
--- /dev/null
+++ b/packages/load/src/CheckResponses.ts
@@ -0,0 +1,30 @@
+import type { ResponseEvent } from '#load/ResponseEvent.js';
+import type { SendEvent } from '#load/SendEvent.js';
+import type { Violation } from '#load/Violation.js';
+
+/** Checks that each response belongs to an attempt of the same tenant, arrived once, and has the right, whole body. */
+export function checkResponses(
+  sends: readonly SendEvent[],
+  responses: readonly ResponseEvent[],
+): readonly Violation[] {
+  const sent = new Map(sends.map((send) => [`${send.requestId}#${send.attempt}`, send]));
+  const seen = new Set<string>();
+  return responses.flatMap((response) => {
+    const name = `${response.requestId}#${response.attempt}`;
+    const found: Violation[] = []; // eslint-disable-line no-restricted-syntax -- local result
+    const tenant = sent.get(name)?.tenant;
+    if (tenant !== response.tenant)
+      found.push({
+        rule: 'foreignResponse',
+        message: `${name} of ${tenant ?? 'nobody'} went to ${response.tenant}`,
+      });
+    if (!response.isContentRight)
+      found.push({
+        rule: 'wrongContent',
+        message: `${name} got status ${response.status} with other content`,
+      });
+    if (seen.has(name)) found.push({ rule: 'doubleResponse', message: `${name} got two responses` });
+    seen.add(name);
+    return found;
+  });
+}
--- /dev/null
+++ b/packages/load/src/LoadReport.ts
@@ -0,0 +1,18 @@
+import type { Histogram } from 'hdr-histogram-js';
+import type { CallOutcome } from '#load/CallOutcome.js';
+
+/** Result of a load run. */
+export interface LoadReport {
+  readonly seed: number;
+  readonly sent: number;
+  /** Arrivals that were not sent, because too many requests were in flight. */
+  readonly skipped: number;
+  /** Requests still in flight when the run was ended. */
+  readonly unfinished: number;
+  readonly durationMs: number;
+  readonly receipts: { readonly accepted: number; readonly refused: number };
+  /** Outcomes by `tenant/class`. */
+  readonly outcomes: ReadonlyMap<string, Readonly<Record<CallOutcome, number>>>;
+  /** Time from the intended send to the end of the response, in microseconds, by `tenant/class`; good responses only. */
+  readonly latencies: ReadonlyMap<string, Histogram>;
+}
--- /dev/null
+++ b/packages/load/src/OrderEvent.ts
@@ -0,0 +1,16 @@
+/** A backend server ran an order. */
+export interface OrderEvent {
+  readonly type: 'order';
+  readonly requestId: string;
+  readonly tenant: string;
+  /** Empty for services without keys. */
+  readonly key: string;
+  /** Value of `idempotency-key`; empty for requests that may be repeated. */
+  readonly idempotencyKey: string;
+  readonly serverId: string;
+  /** Fencing token of the shard; 0 for services without keys. */
+  readonly token: number;
+  readonly startMs: number;
+  /** End of the run; infinite if the server was lost while it ran. */
+  readonly endMs: number;
+}
--- /dev/null
+++ b/packages/load/src/ResponseEvent.ts
@@ -0,0 +1,15 @@
+import type { Ran } from '#core/Ran.js';
+
+/** A caller received the response to one attempt. */
+export interface ResponseEvent {
+  readonly type: 'response';
+  readonly requestId: string;
+  readonly attempt: number;
+  /** Tenant on whose connection the response arrived. */
+  readonly tenant: string;
+  readonly status: number;
+  readonly ran: Ran;
+  /** Whether the body is, byte for byte, the one that this request has to get; true for refusals. */
+  readonly isContentRight: boolean;
+  readonly atMs: number;
+}
--- /dev/null
+++ b/packages/load/src/SendEvent.ts
@@ -0,0 +1,9 @@
+/** A caller sent one attempt of a request. */
+export interface SendEvent {
+  readonly type: 'send';
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly tenant: string;
+  readonly repeatable: boolean;
+  readonly atMs: number;
+}
--- /dev/null
+++ b/packages/load/src/Violation.ts
@@ -0,0 +1,13 @@
+/** A rule that a recorded run breaks. */
+export interface Violation {
+  readonly rule:
+    | 'twoOwners'
+    | 'staleToken'
+    | 'sharedToken'
+    | 'ranTwice'
+    | 'refusedButRan'
+    | 'foreignResponse'
+    | 'wrongContent'
+    | 'doubleResponse';
+  readonly message: string;
+}
