Add planned moves, drain, isolation and failure tests of the control plane

Change: MoveTask with charts/move.json, drain, isolated members, silent witnesses are remembered, load reports with digests, confirm-lost counts as agreement; one test per failure.

--- a/packages/control/src/CellMessage.ts
+++ b/packages/control/src/CellMessage.ts
@@ -58,8 +58,11 @@
       readonly incarnation: string;
       readonly reply: (outcome: CellOutcome) => void;
     }
-  | { readonly type: 'drain' }
-  | { readonly type: 'leave'; readonly reply: () => void }
+  /** Gives all shards away and leaves the cell; replies when that is done. */
+  | { readonly type: 'drain'; readonly reply: () => void }
+  | { readonly type: 'drainFailed' }
   | { readonly type: 'left'; readonly outcome: CellOutcome }
+  /** An isolated member heard a peer again. */
+  | { readonly type: 'reachable' }
   | { readonly type: 'status'; readonly reply: (status: CellStatus) => void }
   | { readonly type: 'tick' };
--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -68,6 +68,10 @@
 /** Cells of other services that a daemon reads to find witnesses outside a small cell. */
 const MAX_FOREIGN_CELLS = 8;
 const FOREIGN_REFRESH_MS = 2_000;
+/** Cells without enough members in a region stay so for long; the store is asked less and less often. */
+const FOREIGN_REFRESH_MAX_MS = 60_000;
+/** A holder that hears no peer would otherwise exchange its silent witnesses in turn, with a new epoch each time. */
+const SILENCE_KEPT_MS = 10_000;
 const WITNESS_COUNT = 3;
 const NOBODY: ReadonlyMap<string, OwnedShard> = new Map();
 
@@ -87,7 +91,8 @@
   private withheld: ReadonlySet<string> = new Set();
   private usable: ReadonlyMap<string, OwnedShard> = NOBODY;
   private reason: Reason = 'join';
-  private silentWitnesses: readonly string[] = [];
+  /** Witnesses that left renewals unanswered, with the time of the report. */
+  private silent: ReadonlyMap<string, number> = new Map();
   private wasMember = false;
   private startedMs = 0;
   private pending: readonly PendingWrite[] = [];
@@ -96,6 +101,9 @@
   private suspects: readonly Suspect[] = [];
   private waiting: ReadonlyMap<string, readonly ((cell: Cell | undefined) => void)[]> = new Map();
   private foreignReadAtMs = Number.NEGATIVE_INFINITY;
+  private foreignPauseMs = FOREIGN_REFRESH_MS;
+  private drainReplies: readonly (() => void)[] = [];
+  private isLeaving = false;
   private isClearing = false;
   private isPlacing = false;
   private storeReachable = true;
@@ -183,13 +191,17 @@
         void this.completeMoves(message);
         return;
       case 'drain':
+        this.drainReplies = [...this.drainReplies, message.reply];
         void this.beginDrain();
         return;
-      case 'leave':
-        void this.leave(message);
+      case 'drainFailed':
+        void this.beginDrain();
         return;
       case 'left':
-        this.advance('left');
+        this.endDrain(message.outcome);
+        return;
+      case 'reachable':
+        this.advance('reachable');
         return;
       case 'status':
         this.replyStatus(message.reply);
@@ -198,6 +210,8 @@
         this.scheduleTick();
         this.improveWitnesses();
         this.addPlacements();
+        this.checkIsolation();
+        this.leaveIfEmpty();
     }
   }
 
@@ -228,6 +242,9 @@
         return;
       case 'stopOwning':
         this.refreshUsable();
+        return;
+      case 'giveUp':
+        this.giveUp();
     }
   }
 
@@ -238,7 +255,8 @@
     const cell = this.ownCell();
     if (this.membership !== 'member' || cell === undefined || nowMs < this.registerNotBeforeMs) return;
     this.reason = reason;
-    this.silentWitnesses = silentWitnesses;
+    const kept = [...this.silent].filter(([, atMs]) => nowMs - atMs < SILENCE_KEPT_MS);
+    this.silent = new Map([...kept, ...silentWitnesses.map((id) => [id, nowMs] as const)]);
     if (planRegistration(cell, this.registration()).type === 'keep') {
       this.refreshForeign();
       return;
@@ -252,7 +270,7 @@
       facts,
       wasMember: this.wasMember,
       reason: this.reason,
-      silentWitnesses: this.silentWitnesses,
+      silentWitnesses: [...this.silent.keys()],
       placements: listPlacements(this.catalogue, service),
       options: this.assignOptions(service),
     };
@@ -260,14 +278,18 @@
 
   private async writeRegistration(): Promise<void> {
     const { service, index } = this.requireHome();
-    if (this.pending.length === 0) this.startedMs = this.context.clock.monotonicMs();
-    this.links.lease({ type: 'registering', startedMs: this.startedMs });
     if (this.needsForeignCells()) await this.readForeignCells();
     let replaced = false;
+    let isFirst = this.pending.length === 0;
     const change = (cell: Cell): Cell | undefined => {
       const plan = planRegistration(cell, this.registration());
       replaced = plan.type === 'replaced';
-      return plan.type === 'write' ? plan.cell : undefined;
+      if (plan.type !== 'write') return undefined;
+      // The write follows at once. A failing read before it must not keep the lease from being extended.
+      if (isFirst) this.startedMs = this.context.clock.monotonicMs();
+      isFirst = false;
+      this.links.lease({ type: 'registering', startedMs: this.startedMs });
+      return plan.cell;
     };
     const outcome = await this.writer.update(service, index, change, this.pending);
     this.post({ type: 'registerEnded', outcome, replaced });
@@ -317,12 +339,52 @@
     const member = findMember(cell, this.requireHome().facts.serverId);
     const isOther = member !== undefined && member.incarnation !== this.requireHome().facts.incarnation;
     if (isOther) this.advance('replaced');
+    else if (!this.isListed() && this.drainReplies.length > 0) this.endDrain({ type: 'unchanged', cell });
     else if (!this.isListed()) {
       this.reason = 'join';
       this.advance('taken');
     }
   }
 
+  // Isolation
+
+  /**
+   * A member whose renewals arrive but that hears no answer has no lease, and its witnesses don't suspect it. If the
+   * store is reachable it gives its shards up itself. The limit exceeds the silent period of witnesses that all restart.
+   */
+  private checkIsolation(): void {
+    const { config } = this.context;
+    const nowMs = this.context.clock.monotonicMs();
+    if (this.membership === 'isolated') void this.probePeer();
+    const cell = this.ownCell();
+    const own = this.ownMember();
+    if (this.membership !== 'member' || cell === undefined || own === undefined) return;
+    const aliveMs = Math.max(this.lease.leaseEndMs, this.startedMs);
+    if (nowMs < aliveMs + config.silentMs + 2 * config.witnessExpiryMs) return;
+    const others = cell.members.filter((member) => member.state === 'active' && member !== own);
+    if (others.length > 0 && listOwnedShards(cell, own.serverId).length > 0) this.advance('isolated');
+  }
+
+  private giveUp(): void {
+    const own = this.ownMember();
+    if (own === undefined) return;
+    const { serverId, epoch } = own;
+    this.context.logger.log('isolated', { step: 'lease', epoch });
+    this.collectSuspect({ cellName: this.requireHome().name, serverId, epoch });
+  }
+
+  private async probePeer(): Promise<void> {
+    const own = this.context.settings.serverId;
+    const peers = [...this.directory().values()].filter(
+      ({ serverId, state }) => serverId !== own && state !== 'gone',
+    );
+    const peer = this.context.random.pick(peers);
+    if (peer === undefined) return;
+    const options = { channel: 'udp', timeoutMs: TICK_MS } as const;
+    const answer = await this.context.transport.call(peer, 'probe', {}, options);
+    if (answer.isRight()) this.post({ type: 'reachable' });
+  }
+
   // Takeover
 
   private collectSuspect(report: SuspectReport): void {
@@ -410,27 +472,48 @@
   }
 
   private async beginDrain(): Promise<void> {
-    if (this.home === undefined) return;
+    if (this.home === undefined) {
+      this.post({ type: 'left', outcome: { type: 'unchanged', cell: undefined } });
+      return;
+    }
     const { service, index, facts } = this.home;
     const change = (cell: Cell): Cell => setMemberState(cell, [facts.serverId], 'draining');
     const outcome = await this.writer.update(service, index, change);
     this.noteOutcome('drain', outcome);
     this.publish(outcome);
     if (outcome.type !== 'failed' && outcome.type !== 'undecided') return;
-    this.context.clock.schedule(this.backoff(), () => this.post({ type: 'drain' }));
+    this.context.clock.schedule(this.backoff(), () => this.post({ type: 'drainFailed' }));
   }
 
-  private async leave({ reply }: MessageOf<'leave'>): Promise<void> {
-    if (this.home !== undefined) {
-      const { service, index, facts } = this.home;
-      const outcome = await this.writer.update(service, index, (cell) =>
-        this.isListedIn(cell) ? removeMember(cell, facts.serverId).orDefault(cell) : undefined,
-      );
-      this.noteOutcome('leave', outcome);
-      if (outcome.type === 'accepted') this.notifyMembers(outcome.cell);
-      this.post({ type: 'left', outcome });
-    }
-    reply();
+  /** A draining member leaves the cell once its last shard has moved. */
+  private leaveIfEmpty(): void {
+    const cell = this.ownCell();
+    const own = this.ownMember();
+    if (cell === undefined || own?.state !== 'draining' || this.isLeaving) return;
+    if (this.drainReplies.length === 0 || listOwnedShards(cell, own.serverId).length > 0) return;
+    this.isLeaving = true;
+    void this.leave();
+  }
+
+  private async leave(): Promise<void> {
+    const { service, index, facts } = this.requireHome();
+    const outcome = await this.writer.update(service, index, (cell) =>
+      this.isListedIn(cell) ? removeMember(cell, facts.serverId).orDefault(cell) : undefined,
+    );
+    this.noteOutcome('leave', outcome);
+    if (outcome.type === 'accepted') this.notifyMembers(outcome.cell);
+    this.post({ type: 'left', outcome });
+  }
+
+  private endDrain(outcome: CellOutcome): void {
+    this.isLeaving = false;
+    const isOut =
+      outcome.type === 'accepted' ||
+      (outcome.type === 'unchanged' && (outcome.cell === undefined || !this.isListedIn(outcome.cell)));
+    if (!isOut) return;
+    this.advance('left');
+    for (const reply of this.drainReplies) reply();
+    this.drainReplies = [];
   }
 
   private addPlacements(): void {
@@ -571,7 +654,7 @@
 
   private needsForeignCells(): boolean {
     const nowMs = this.context.clock.monotonicMs();
-    if (nowMs - this.foreignReadAtMs < FOREIGN_REFRESH_MS) return false;
+    if (nowMs - this.foreignReadAtMs < this.foreignPauseMs) return false;
     const { facts, name } = this.requireHome();
     const members = this.cells.get(name)?.members ?? [];
     const candidates = members.filter(
@@ -586,6 +669,7 @@
 
   private async readForeignCells(): Promise<void> {
     this.foreignReadAtMs = this.context.clock.monotonicMs();
+    this.foreignPauseMs = Math.min(FOREIGN_REFRESH_MAX_MS, 2 * this.foreignPauseMs);
     const names = (this.catalogue?.services ?? [])
       .map(({ name }) => formatCellName(name, 0))
       .filter((name) => name !== this.home?.name)
--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -9,16 +9,19 @@
 import type { ControlContext } from '#control/ControlContext.js';
 import type { ControlOptions } from '#control/ControlOptions.js';
 import type { ControlStatus } from '#control/ControlStatus.js';
-import type { Digest } from '#control/Digest.js';
+import type { DigestCall } from '#control/DigestCall.js';
 import { FenceTask } from '#control/FenceTask.js';
 import { formatCellName } from '#control/FormatCellName.js';
+import type { HandoverCall } from '#control/HandoverCall.js';
 import type { Intent } from '#control/Intent.js';
 import type { LeaseStatus } from '#control/LeaseStatus.js';
 import { LeaseTask } from '#control/LeaseTask.js';
+import { MoveTask } from '#control/MoveTask.js';
 import type { PutObject } from '#control/PutObject.js';
 import type { PutOutcome } from '#control/PutOutcome.js';
 import type { RenewCall } from '#control/RenewCall.js';
 import type { SpreadStatus } from '#control/SpreadStatus.js';
+import type { ShardLoads } from '#control/ShardLoads.js';
 import { SpreadTask } from '#control/SpreadTask.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
 import { WitnessTask } from '#control/WitnessTask.js';
@@ -31,6 +34,7 @@
   private readonly cell: CellTask;
   private readonly fence: FenceTask;
   private readonly lease: LeaseTask;
+  private readonly move: MoveTask;
   private readonly spread: SpreadTask;
   private readonly witness: WitnessTask;
 
@@ -41,7 +45,7 @@
       cell: (message) => this.cell.post(message),
       fence: (message) => this.fence.post(message),
       lease: (message) => this.lease.post(message),
-      move: () => undefined,
+      move: (message) => this.move.post(message),
       spread: (message) => this.spread.post(message),
       witness: (message) => this.witness.post(message),
       emit: options.listener,
@@ -49,6 +53,7 @@
     this.cell = new CellTask(this.context, links, writer);
     this.fence = new FenceTask(this.context, links);
     this.lease = new LeaseTask(this.context, links);
+    this.move = new MoveTask(this.context, links);
     this.spread = new SpreadTask(this.context, links, writer);
     this.witness = new WitnessTask(this.context, links);
     this.registerHandlers();
@@ -57,12 +62,36 @@
   /** Loads the configuration and joins a cell of `service`; an empty service joins none. */
   public start(facts: MemberFacts, service: string, index = 0): void {
     this.spread.post({ type: 'start' });
-    if (service !== '') this.cell.post({ type: 'start', facts, service, index });
+    if (service === '') return;
+    this.move.post({ type: 'start', incarnation: facts.incarnation });
+    this.cell.post({ type: 'start', facts, service, index });
   }
 
   /** Stops all tasks at once, as a loss of the process would; the lease then expires by itself. */
   public stop(): void {
-    for (const task of [this.cell, this.fence, this.lease, this.spread, this.witness]) task.stop();
+    for (const task of [this.cell, this.fence, this.lease, this.move, this.spread, this.witness]) task.stop();
+  }
+
+  /**
+   * Gives all shards away in planned moves and leaves the cell. Resolves with false if that took longer than
+   * `shutdownMs`; `stop` follows in either case.
+   */
+  public drain(): Promise<boolean> {
+    const { clock, settings } = this.context;
+    return new Promise((resolve) => {
+      const cancel = clock.schedule(settings.timings.shutdownMs, () => resolve(false));
+      const reply = (): void => {
+        cancel();
+        resolve(true);
+      };
+      this.cell.post({ type: 'drain', reply });
+    });
+  }
+
+  /** Reports the load of the own shards, in requests a second by shard id; shards left out count as idle. */
+  public reportLoad(loads: ShardLoads): void {
+    this.spread.post({ type: 'load', loads });
+    this.move.post({ type: 'load', serverId: this.context.settings.serverId, loads });
   }
 
   /** Resolves with the cell, at `minVersion` or newer if it can be had; undefined if nobody holds it. */
@@ -114,7 +143,12 @@
       const { serverId, epoch } = params as { readonly serverId: string; readonly epoch: number };
       return this.witness.ask((reply) => ({ type: 'check', serverId, epoch, reply }));
     });
-    transport.handle('digest', (params, from) => this.answerDigest(params as Digest, from));
+    transport.handle('digest', (params, from) =>
+      this.spread.ask((reply) => ({ type: 'digest', call: params as DigestCall, from, reply })),
+    );
+    transport.handle('handover', (params, from) =>
+      this.move.ask((reply) => ({ type: 'handover', call: params as HandoverCall, from, reply })),
+    );
     transport.handle('fetch', (params) => this.answerFetch((params as { readonly name: string }).name));
     transport.handle('assigned', (params, from) => {
       const { n, v } = params as { readonly n: string; readonly v: number };
@@ -128,11 +162,6 @@
     return this.witness.ask((reply) => ({ type: 'renew', call, reply }));
   }
 
-  private answerDigest(digest: Digest, from: string): Promise<Digest> {
-    this.spread.post({ type: 'seen', digest, from });
-    return this.spread.ask((reply) => ({ type: 'digest', reply }));
-  }
-
   private async answerFetch(name: string): Promise<unknown> {
     if (name === 'catalogue' || name === 'intent') {
       return (await this.spread.ask((reply) => ({ type: 'read', name, reply }))) ?? null;
--- a/packages/control/src/MembershipCommand.ts
+++ b/packages/control/src/MembershipCommand.ts
@@ -1,2 +1,3 @@
 /** Next step of a daemon's membership in its cell. */
-export type MembershipCommand = 'write' | 'startEpoch' | 'refuseEpoch' | 'retryLater' | 'stopOwning';
+export type MembershipCommand =
+  'write' | 'startEpoch' | 'refuseEpoch' | 'retryLater' | 'stopOwning' | 'giveUp';
--- a/packages/control/src/MembershipRules.ts
+++ b/packages/control/src/MembershipRules.ts
@@ -12,6 +12,7 @@
     refuseEpoch: () => command('refuseEpoch'),
     retryLater: () => command('retryLater'),
     stopOwning: () => command('stopOwning'),
+    giveUp: () => command('giveUp'),
   },
 };
 
--- /dev/null
+++ b/packages/control/src/MoveRules.ts
@@ -0,0 +1,31 @@
+import type { ChartRules } from '#chart/ChartRules.js';
+import type { ChartUpdate } from '#chart/ChartUpdate.js';
+import type { MoveCommand } from '#control/MoveCommand.js';
+import type { MoveContext } from '#control/MoveContext.js';
+import type { MoveEvent } from '#control/MoveEvent.js';
+
+type Update = ChartUpdate<MoveContext, MoveCommand>;
+
+/** Guards and actions of charts/move.json. */
+export const MOVE_RULES: ChartRules<MoveContext, MoveEvent, MoveCommand> = {
+  guards: {
+    isLastRelease: (context, event) => collect(context, event).records.length === context.moves.length,
+    isConfirmed: (_, event) => event.type === 'sent' && event.incarnation !== undefined,
+  },
+  actions: {
+    collect: (context, event) => ({ context: collect(context, event), commands: [] }),
+    send: (context) => ({ context, commands: [{ type: 'send' }] }),
+    write: (context, event): Update => {
+      const incarnation = event.type === 'sent' ? event.incarnation : undefined;
+      return { context, commands: incarnation === undefined ? [] : [{ type: 'write', incarnation }] };
+    },
+    restore: (context) => ({ context, commands: [{ type: 'restore' }] }),
+  },
+};
+
+/** A repeated release of a shard replaces the earlier one. */
+function collect(context: MoveContext, event: MoveEvent): MoveContext {
+  if (event.type !== 'released') return context;
+  const others = context.records.filter(({ shardId }) => shardId !== event.records.shardId);
+  return { ...context, records: [...others, event.records] };
+}
--- /dev/null
+++ b/packages/control/src/MoveTask.ts
@@ -0,0 +1,223 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { CellLoads } from '#assignment/CellLoads.js';
+import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
+import { findMember } from '#assignment/FindMember.js';
+import type { Move } from '#assignment/Move.js';
+import type { MoveBudget } from '#assignment/MoveBudget.js';
+import { noLoads } from '#assignment/NoLoads.js';
+import { planMoves } from '#assignment/PlanMoves.js';
+import { recordMoves } from '#assignment/RecordMoves.js';
+import { advanceChart } from '#chart/AdvanceChart.js';
+import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { HandoverAnswer } from '#control/HandoverAnswer.js';
+import type { Intent } from '#control/Intent.js';
+import type { MoveCommand } from '#control/MoveCommand.js';
+import type { MoveContext } from '#control/MoveContext.js';
+import type { MoveEvent } from '#control/MoveEvent.js';
+import type { MoveMessage } from '#control/MoveMessage.js';
+import { MOVE_RULES } from '#control/MoveRules.js';
+import type { ShardLoads } from '#control/ShardLoads.js';
+import { splitRecords } from '#control/SplitRecords.js';
+import type { TaskLinks } from '#control/TaskLinks.js';
+import type { ShardRecords } from '#once/ShardRecords.js';
+import file from '../charts/move.json' with { type: 'json' };
+
+type MessageOf<T extends MoveMessage['type']> = Extract<MoveMessage, { readonly type: T }>;
+
+interface LoadReport {
+  readonly loads: ShardLoads;
+  readonly atMs: number;
+}
+
+const CHART = compileChart('move.json', file, MOVE_RULES);
+const PLAN_EVERY_MS = 1_000;
+/** Work in flight of a shard ends by its deadline; a release that takes longer is given up. */
+const RELEASE_LIMIT_MS = 10_000;
+const HANDOVER_TIMEOUT_MS = 3_000;
+/** Load reports pass by the digests of random peers, so that one from each of 64 members takes about 20 s. */
+const LOAD_AGE_MS = 60_000;
+
+/** Carries out planned moves of this daemon's shards, and takes over the records of shards moved to it. */
+export class MoveTask extends Task<MoveMessage> {
+  private readonly context: ControlContext;
+  private readonly links: TaskLinks;
+  private incarnation = '';
+  private cell: Cell | undefined;
+  private intent: Intent = { withdrawals: [], confirmedLost: [] };
+  private budget: MoveBudget = createMoveBudget();
+  private reports: ReadonlyMap<string, LoadReport> = new Map();
+  private transfers: ReadonlyMap<number, ChartSnapshot<MoveContext>> = new Map();
+  private parts: ReadonlyMap<string, ShardRecords> = new Map();
+  private lastTransferId = 0;
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(context: ControlContext, links: TaskLinks) {
+    super();
+    this.context = context;
+    this.links = links;
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: MoveMessage): void {
+    switch (message.type) {
+      case 'start':
+        this.incarnation = message.incarnation;
+        this.scheduleTick();
+        return;
+      case 'cell':
+        this.cell = message.cell;
+        return;
+      case 'intent':
+        this.intent = message.intent;
+        return;
+      case 'load':
+        this.noteLoad(message);
+        return;
+      case 'handover':
+        message.reply(this.acceptRecords(message));
+        return;
+      case 'transfer':
+        this.advance(message.transferId, message.event);
+        return;
+      case 'tick':
+        this.scheduleTick();
+        this.plan();
+    }
+  }
+
+  private noteLoad({ serverId, loads }: MessageOf<'load'>): void {
+    const report = { loads, atMs: this.context.clock.monotonicMs() };
+    this.reports = new Map([...this.reports, [serverId, report]]);
+  }
+
+  private plan(): void {
+    const { cell } = this;
+    const own = this.context.settings.serverId;
+    if (cell === undefined || findMember(cell, own)?.incarnation !== this.incarnation) return;
+    const nowMs = this.context.clock.monotonicMs();
+    const loads = this.mergeLoads(cell, nowMs);
+    const planned = planMoves(cell, loads ?? noLoads, this.intent.withdrawals, this.budget, nowMs);
+    const busy = new Set([...this.transfers.values()].flatMap(({ context }) => listShards(context.moves)));
+    const moves = planned.filter(
+      ({ from, shardId, reason }) =>
+        from === own && !busy.has(shardId) && (loads !== undefined || reason === 'drain'),
+    );
+    this.budget = recordMoves(this.budget, moves, nowMs);
+    for (const to of new Set(moves.map((move) => move.to))) {
+      this.beginTransfer(
+        to,
+        moves.filter((move) => move.to === to),
+      );
+    }
+  }
+
+  /**
+   * Merges the load reports. Without any report all shards count the same. While only a part of the members has
+   * reported, the loads are undefined: the others would seem idle and attract shards.
+   */
+  private mergeLoads(cell: Cell, nowMs: number): CellLoads | undefined {
+    if (this.reports.size === 0) return noLoads;
+    const recent = new Map([...this.reports].filter(([, { atMs }]) => nowMs - atMs < LOAD_AGE_MS));
+    const live = cell.members.filter((member) => member.state === 'active');
+    if (!live.every(({ serverId }) => recent.has(serverId))) return undefined;
+    const entries = [...recent.values()].flatMap(({ loads }) => Object.entries(loads));
+    return { shards: new Map(entries), shares: new Map() };
+  }
+
+  private beginTransfer(to: string, moves: readonly Move[]): void {
+    const transferId = (this.lastTransferId += 1);
+    this.context.logger.log('moveBegun', { step: 'move', peer: to, shards: moves.length });
+    this.setTransfer(transferId, { value: CHART.initial, context: { moves, to, records: [] } });
+    this.links.cell({ type: 'withhold', shardIds: listShards(moves) });
+    for (const { shardId } of moves) {
+      const reply = (records: ShardRecords): void =>
+        this.postEvent(transferId, { type: 'released', records });
+      this.links.emit({ type: 'release', shardId, reply });
+    }
+    this.context.clock.schedule(RELEASE_LIMIT_MS, () =>
+      this.postEvent(transferId, { type: 'releaseExpired' }),
+    );
+  }
+
+  private advance(transferId: number, event: MoveEvent): void {
+    const before = this.transfers.get(transferId);
+    if (before === undefined) return;
+    const { snapshot, commands } = advanceChart(CHART, before, event);
+    if (CHART.finalStates.has(snapshot.value)) {
+      const { to, moves } = snapshot.context;
+      const fields = { step: 'move', peer: to, shards: moves.length, outcome: snapshot.value } as const;
+      this.context.logger.log('moveEnded', fields);
+      this.transfers = new Map([...this.transfers].filter(([id]) => id !== transferId));
+    } else this.setTransfer(transferId, snapshot);
+    for (const command of commands) this.execute(transferId, snapshot.context, command);
+  }
+
+  private execute(transferId: number, context: MoveContext, command: MoveCommand): void {
+    const { moves, to, records } = context;
+    switch (command.type) {
+      case 'send':
+        void this.sendRecords(to, records).then((incarnation) =>
+          this.postEvent(transferId, { type: 'sent', incarnation }),
+        );
+        return;
+      case 'write': {
+        const reply = (): void => this.postEvent(transferId, { type: 'written' });
+        this.links.cell({ type: 'complete', moves, to, incarnation: command.incarnation, reply });
+        return;
+      }
+      case 'restore':
+        this.links.cell({ type: 'restore', shardIds: listShards(moves) });
+    }
+  }
+
+  /** Returns the process that confirmed all records; undefined if a call failed or the process changed. */
+  private async sendRecords(to: string, records: readonly ShardRecords[]): Promise<string | undefined> {
+    const peer = this.cell && findMember(this.cell, to);
+    if (peer === undefined) return undefined;
+    const options = { channel: 'http', timeoutMs: HANDOVER_TIMEOUT_MS } as const;
+    for (const call of records.flatMap(splitRecords)) {
+      const answer = await this.context.transport.call(peer, 'handover', call, options);
+      const incarnation = answer.map((value) => (value as HandoverAnswer).incarnation).orDefault('');
+      if (incarnation !== peer.incarnation) return undefined;
+    }
+    return peer.incarnation;
+  }
+
+  private acceptRecords({ call, from }: MessageOf<'handover'>): HandoverAnswer | undefined {
+    if (this.cell === undefined || findMember(this.cell, from) === undefined) return undefined;
+    const { records, more } = call;
+    const key = `${from}/${records.shardId}/${records.token}`;
+    const earlier = this.parts.get(key)?.records ?? [];
+    const merged: ShardRecords = { ...records, records: [...earlier, ...records.records] };
+    this.parts = new Map([...this.parts].filter(([other]) => other !== key));
+    if (more) this.parts = new Map([...this.parts, [key, merged]]);
+    else this.links.emit({ type: 'adopt', records: merged });
+    return { incarnation: this.incarnation };
+  }
+
+  private postEvent(transferId: number, event: MoveEvent): void {
+    this.post({ type: 'transfer', transferId, event });
+  }
+
+  private setTransfer(transferId: number, snapshot: ChartSnapshot<MoveContext>): void {
+    this.transfers = new Map([...this.transfers, [transferId, snapshot]]);
+  }
+
+  /** The owners of a cell plan at different moments, so that they see each other's moves. */
+  private scheduleTick(): void {
+    const delayMs = PLAN_EVERY_MS * (0.5 + this.context.random.fraction());
+    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  }
+}
+
+function listShards(moves: readonly Move[]): readonly string[] {
+  return moves.map((move) => move.shardId);
+}
--- a/packages/control/src/SpreadMessage.ts
+++ b/packages/control/src/SpreadMessage.ts
@@ -1,9 +1,11 @@
 import type { Cell } from '#assignment/Cell.js';
 import type { RouterError } from '#core/RouterError.js';
 import type { Digest } from '#control/Digest.js';
+import type { DigestCall } from '#control/DigestCall.js';
 import type { Directory } from '#control/Directory.js';
 import type { PutObject } from '#control/PutObject.js';
 import type { PutOutcome } from '#control/PutOutcome.js';
+import type { ShardLoads } from '#control/ShardLoads.js';
 import type { SharedObject } from '#control/SharedObject.js';
 import type { SpreadStatus } from '#control/SpreadStatus.js';
 import type { Either } from 'purify-ts';
@@ -13,7 +15,15 @@
   | { readonly type: 'start' }
   | { readonly type: 'tick' }
   | { readonly type: 'seen'; readonly digest: Digest; readonly from: string }
-  | { readonly type: 'digest'; readonly reply: (digest: Digest) => void }
+  /** A digest call of a peer. */
+  | {
+      readonly type: 'digest';
+      readonly call: DigestCall;
+      readonly from: string;
+      readonly reply: (answer: DigestCall) => void;
+    }
+  /** Load of the own shards. */
+  | { readonly type: 'load'; readonly loads: ShardLoads }
   | { readonly type: 'adopt'; readonly object: SharedObject }
   | { readonly type: 'ownCell'; readonly name: string; readonly cell: Cell }
   | { readonly type: 'directory'; readonly directory: Directory }
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -1,5 +1,6 @@
 import { Left, Right, type Either } from 'purify-ts';
 import type { Cell } from '#assignment/Cell.js';
+import { findMember } from '#assignment/FindMember.js';
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import type { Cancel } from '#core/Cancel.js';
 import { RouterError } from '#core/RouterError.js';
@@ -7,6 +8,7 @@
 import { chooseReaders } from '#control/ChooseReaders.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { Digest } from '#control/Digest.js';
+import type { DigestCall } from '#control/DigestCall.js';
 import type { Directory } from '#control/Directory.js';
 import { formatCellName } from '#control/FormatCellName.js';
 import type { Intent } from '#control/Intent.js';
@@ -14,6 +16,7 @@
 import type { PutObject } from '#control/PutObject.js';
 import type { PutOutcome } from '#control/PutOutcome.js';
 import type { SeenVersions } from '#control/SeenVersions.js';
+import type { ShardLoads } from '#control/ShardLoads.js';
 import type { SharedObject } from '#control/SharedObject.js';
 import type { SpreadMessage } from '#control/SpreadMessage.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
@@ -39,6 +42,8 @@
 const EAGER_PEERS = 3;
 /** Digests of other daemons that are kept for the status. */
 const SEEN_KEPT = 256;
+/** A member of a full cell owns 2 shards of each placement; 24 bytes each leave a digest within one datagram. */
+const LOADS_SENT = 32;
 
 /** Spreads the catalogue and the operator intent: digests between peers, and watches by the readers of each region. */
 export class SpreadTask extends Task<SpreadMessage> {
@@ -50,6 +55,7 @@
   private directory: Directory = new Map();
   private ownName = '';
   private ownCell: Cell | undefined;
+  private loads: ShardLoads | undefined;
   private seen: ReadonlyMap<string, SeenVersions> = new Map();
   private watching: ReadonlySet<string> = new Set();
   private fetching: ReadonlySet<string> = new Set();
@@ -85,7 +91,11 @@
         this.compareDigest(message);
         return;
       case 'digest':
-        message.reply(this.digest());
+        message.reply(this.digestCall(message.call.digest.n));
+        this.noteCall(message.call, message.from);
+        return;
+      case 'load':
+        this.loads = message.loads;
         return;
       case 'adopt':
         this.adopt(message.object);
@@ -136,7 +146,9 @@
     this.links.emit({ type: 'intent', version, intent });
     this.links.cell({ type: 'intent', intent });
     this.links.move({ type: 'intent', intent });
-    this.links.fence({ type: 'confirmedLost', serverIds: intent.confirmedLost });
+    const lost = { type: 'confirmedLost', serverIds: intent.confirmedLost } as const;
+    this.links.fence(lost);
+    this.links.witness(lost);
   }
 
   private versionOf(name: string): number {
@@ -173,11 +185,27 @@
     if (peer === undefined) return;
     const channel = peer.udpPort === 0 ? 'http' : 'udp';
     const timeoutMs = this.context.settings.timings.spreadEveryMs;
-    const answer = await this.context.transport.call(peer, 'digest', this.digest(), { channel, timeoutMs });
+    const call = this.digestCall(this.ownCell && findMember(this.ownCell, peer.serverId) ? this.ownName : '');
+    const answer = await this.context.transport.call(peer, 'digest', call, { channel, timeoutMs });
     if (answer.isLeft()) return;
-    const digest = answer.unsafeCoerce() as Digest;
-    if (peer.serverId !== '') this.post({ type: 'seen', digest, from: peer.serverId });
-    else this.compareSeed(digest, peer);
+    const reply = answer.unsafeCoerce() as DigestCall;
+    if (peer.serverId !== '') this.noteCall(reply, peer.serverId);
+    else this.compareSeed(reply.digest, peer);
+  }
+
+  private noteCall({ digest, loads }: DigestCall, from: string): void {
+    this.post({ type: 'seen', digest, from });
+    if (loads !== undefined && digest.n === this.ownName) {
+      this.links.move({ type: 'load', serverId: from, loads });
+    }
+  }
+
+  /** Members of one cell also exchange the load of their busiest shards. */
+  private digestCall(cellName: string): DigestCall {
+    const digest = this.digest();
+    if (this.loads === undefined || cellName === '' || cellName !== this.ownName) return { digest };
+    const busiest = Object.entries(this.loads).sort((left, right) => right[1] - left[1]);
+    return { digest, loads: Object.fromEntries(busiest.slice(0, LOADS_SENT)) };
   }
 
   private compareSeed(digest: Digest, seed: PeerAddress): void {
--- a/packages/control/src/WitnessMessage.ts
+++ b/packages/control/src/WitnessMessage.ts
@@ -24,6 +24,8 @@
       readonly reply: (answer: { readonly silent: boolean } | undefined) => void;
     }
   | { readonly type: 'cell'; readonly name: string; readonly cell: Cell }
+  /** Servers whose VMs an operator stated to be destroyed; they count as agreeing to a suspicion. */
+  | { readonly type: 'confirmedLost'; readonly serverIds: readonly string[] }
   | { readonly type: 'digest'; readonly digest: Digest }
   | {
       readonly type: 'suspicion';
--- a/packages/control/src/WitnessTask.ts
+++ b/packages/control/src/WitnessTask.ts
@@ -44,6 +44,7 @@
   /** Name of the cell that lists each holder, from its renewals. */
   private homes: ReadonlyMap<string, string> = new Map();
   private suspicions: ReadonlyMap<string, Suspicion> = new Map();
+  private confirmedLost: readonly string[] = [];
   private digest: Digest = NO_DIGEST;
   private cancelTick: Cancel = () => undefined;
 
@@ -76,6 +77,9 @@
       case 'cell':
         this.adoptCell(message, nowMs);
         return;
+      case 'confirmedLost':
+        this.confirmedLost = message.serverIds;
+        return;
       case 'digest':
         this.digest = message.digest;
         return;
@@ -197,8 +201,9 @@
     const peer = this.directory().get(witness);
     const answer =
       peer && (await this.context.transport.call(peer, 'check', { serverId, epoch }, this.quickCall()));
+    const isLost = this.confirmedLost.includes(witness);
     const silent = answer?.map((value) => (value as { readonly silent: boolean }).silent).orDefault(false);
-    this.post({ type: 'suspicion', serverId, epoch, event: silent === true ? 'agreed' : 'denied' });
+    this.post({ type: 'suspicion', serverId, epoch, event: isLost || silent === true ? 'agreed' : 'denied' });
   }
 
   private async probe(holder: Member, epoch: number): Promise<void> {
--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -33,6 +33,9 @@
   public readonly daemons = new Map<string, FleetDaemon>();
   /** Descriptions of moments at which two daemons could use the same shard. */
   public readonly conflicts: string[] = [];
+  /** Daemons whose lease must not lapse, and the lapses seen. */
+  public holders: string[] = [];
+  public readonly lapses: string[] = [];
   private readonly timings: Timings;
   private storePort = 0;
   private readonly seeds: string[] = [];
@@ -121,6 +124,7 @@
     const endMs = Date.now() + WAIT_LIMIT_MS;
     for (;;) {
       this.checkOwners();
+      this.checkLeases();
       if (condition()) return;
       if (Date.now() > endMs) throw new Error(`no ${what} within ${WAIT_LIMIT_MS} ms`);
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
@@ -133,6 +137,26 @@
     return owned.length === 128 && new Set(owned).size === 128;
   }
 
+  public isAnyServed(shardIds: readonly string[]): boolean {
+    return this.live().some((daemon) => shardIds.some((shardId) => daemon.usable().has(shardId)));
+  }
+
+  /** The live daemon with most usable shards. */
+  public owner(): FleetDaemon {
+    return this.live().reduce((best, one) => (one.usable().size > best.usable().size ? one : best));
+  }
+
+  /** Lets at least `durationMs` pass while the checks go on. */
+  public watchFor(durationMs: number): Promise<void> {
+    const endMs = Date.now() + durationMs;
+    return this.waitFor('end of the watch', () => Date.now() >= endMs);
+  }
+
+  /** Restores all links of a daemon. */
+  public heal(serverId: string): void {
+    this.get(serverId).transport.cutLinks({});
+  }
+
   /** Cuts all links of a daemon, or only one direction. */
   public cut(serverId: string, direction: 'both' | 'to' | 'from'): void {
     const others = new Set([...this.daemons.keys()].filter((other) => other !== serverId));
@@ -151,6 +175,10 @@
     }
   }
 
+  private checkLeases(): void {
+    for (const serverId of this.holders) if (!this.get(serverId).hasLease()) this.lapses.push(serverId);
+  }
+
   private async stop(): Promise<void> {
     await Promise.all([...this.daemons.values()].map((daemon) => daemon.kill()));
     await this.server.stop();
--- a/packages/control/test/FleetDaemon.ts
+++ b/packages/control/test/FleetDaemon.ts
@@ -1,4 +1,5 @@
 import type { Cell } from '#assignment/Cell.js';
+import type { Member } from '#assignment/Member.js';
 import type { MemberFacts } from '#assignment/MemberFacts.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { ControlPlane } from '#control/ControlPlane.js';
@@ -19,6 +20,8 @@
   public isKilled = false;
   public ownership: OwnershipUpdate | undefined;
   public cell: Cell | undefined;
+  /** Server id by the id of each fence seen in the cell. */
+  public readonly fences = new Map<number, string>();
   public adopted: string[] = [];
   /** Versions of the catalogue in the order in which they were applied. */
   public catalogueVersions: number[] = [];
@@ -44,6 +47,7 @@
         return;
       case 'cell':
         this.cell = event.cell;
+        for (const fence of event.cell.fences) this.fences.set(fence.id, fence.serverId);
         return;
       case 'catalogue':
         this.catalogueVersions.push(event.catalogue.version);
@@ -70,6 +74,10 @@
     return this.hasLease() ? this.ownership!.shards : new Map();
   }
 
+  public member(): Member {
+    return this.cell!.members.find(({ serverId }) => serverId === this.serverId)!;
+  }
+
   public async kill(): Promise<void> {
     if (this.isKilled) return;
     this.isKilled = true;
--- /dev/null
+++ b/packages/control/test/loss.test.ts
@@ -0,0 +1,79 @@
+import t from 'tap';
+import { Fleet } from './Fleet.js';
+
+/** Lease length of the test fleet; several of them show that something lasts. */
+const LEASE_MS = 600;
+
+t.test('a lost witness is replaced without a gap', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(5);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  await fleet.waitFor('witnesses', () => owner.member().witnesses.length === 3);
+  const lost = owner.member().witnesses[0]!;
+  fleet.holders = [owner.serverId];
+  await fleet.get(lost).kill();
+  await fleet.waitFor('replacement', () => !owner.member().witnesses.includes(lost));
+  await fleet.watchFor(3 * LEASE_MS);
+  t.strictSame([fleet.conflicts, fleet.lapses], [[], []]);
+});
+
+t.test('a witness restarts with the same server id', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  await fleet.waitFor('witnesses', () => owner.member().witnesses.length === 3);
+  const lost = fleet.get(owner.member().witnesses[0]!);
+  fleet.holders = [owner.serverId];
+  await lost.kill();
+  const restarted = await fleet.add(lost.serverId, lost.facts.failureDomain);
+  await fleet.waitFor('lease of the restarted witness', () => restarted.hasLease());
+  t.strictSame([fleet.conflicts, fleet.lapses], [[], []]);
+});
+
+t.test('an owner restarts with the same server id', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  const [shardId, before] = [...owner.usable()][0]!;
+  await owner.kill();
+  const restarted = await fleet.add(owner.serverId, owner.facts.failureDomain);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const after = fleet.live().flatMap((one) => one.usable().get(shardId) ?? [])[0]!;
+  t.ok(after.token > before.token, 'the token is newer, since the records are lost');
+  await fleet.waitFor('lease', () => restarted.hasLease());
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('a lost failure domain takes one write', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(7);
+  await fleet.waitFor('service', () => fleet.isServed());
+  await fleet.get('s0').kill();
+  await fleet.waitFor('spread shards', () => fleet.isServed() && fleet.get('s1').usable().size > 0);
+  await Promise.all(['s1', 's4'].map((serverId) => fleet.get(serverId).kill()));
+  await fleet.waitFor('takeover', () => fleet.isServed());
+  const fences = [...fleet.get('s2').fences];
+  const versions = ['s1', 's4'].map((lost) => fences.find(([, serverId]) => serverId === lost)![0] >> 7);
+  t.equal(versions[0], versions[1], 'both fences stem from one version of the cell');
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('a holder lost with two witnesses waits for confirm-lost', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(7);
+  const owner = fleet.owner();
+  await fleet.waitFor('witnesses', () => fleet.isServed() && owner.member().witnesses.length === 3);
+  const shards = [...owner.usable().keys()];
+  const lost = [owner.serverId, ...owner.member().witnesses.slice(0, 2)];
+  await Promise.all(lost.map((serverId) => fleet.get(serverId).kill()));
+  await fleet.watchFor(5 * LEASE_MS);
+  t.notOk(fleet.isAnyServed(shards), 'nothing is taken');
+  const intent = { withdrawals: [], confirmedLost: lost };
+  const put = await fleet.live()[0]!.plane.putIntent(intent, 'ana', 0);
+  t.match(put.unsafeCoerce(), { type: 'accepted' });
+  await fleet.waitFor('takeover', () => fleet.isServed());
+  t.strictSame(fleet.conflicts, []);
+});
--- /dev/null
+++ b/packages/control/test/moves.test.ts
@@ -0,0 +1,75 @@
+import t from 'tap';
+import { Fleet } from './Fleet.js';
+
+t.test('a drained daemon gives all shards away and leaves', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  const left = owner.plane.drain();
+  await fleet.waitFor('moves', () => fleet.isServed() && owner.usable().size === 0);
+  t.equal(await left, true);
+  const others = fleet.live().filter((daemon) => daemon !== owner);
+  t.ok(others.flatMap((daemon) => daemon.adopted).length >= 128, 'records were handed over');
+  await owner.kill();
+  await fleet.waitFor('departure', () =>
+    others.every((one) => one.cell!.members.every(({ serverId }) => serverId !== owner.serverId)),
+  );
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('lost replies during moves leave no shard unserved or served twice', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  fleet.server.setFaults({ loseReplies: 5 });
+  const left = owner.plane.drain();
+  await fleet.waitFor('moves', () => fleet.isServed() && owner.usable().size === 0);
+  t.equal(await left, true);
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('an outage during moves returns the shards to their owner', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  void owner.plane.drain();
+  await fleet.waitFor('a first move', () => owner.usable().size < 128);
+  fleet.server.setFaults({ down: true });
+  await fleet.waitFor('service without the store', () => fleet.isServed());
+  fleet.server.setFaults({ down: false });
+  await fleet.waitFor('moves', () => fleet.isServed() && owner.usable().size === 0);
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('an owner lost during a move is taken over', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  owner.holdRelease = true;
+  void owner.plane.drain();
+  await fleet.waitFor('a release', () => owner.usable().size < 128);
+  await owner.kill();
+  await fleet.waitFor('takeover', () => fleet.isServed());
+  t.strictSame(fleet.conflicts, []);
+});
+
+t.test('a withdrawn failure domain gives its shards away', async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  const { failureDomain } = owner.facts;
+  const withdrawal = { kind: 'failureDomain', name: failureDomain, author: 'ana', sinceMs: 0 } as const;
+  await owner.plane.putIntent({ withdrawals: [withdrawal], confirmedLost: [] }, 'ana', 0);
+  const inside = (): number =>
+    fleet
+      .live()
+      .filter((one) => one.facts.failureDomain === failureDomain)
+      .reduce((sum, one) => sum + one.usable().size, 0);
+  await fleet.waitFor('moves', () => fleet.isServed() && inside() === 0);
+  t.strictSame(fleet.conflicts, []);
+});
