--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -422,6 +422,10 @@
   private noteSatisfied(fenceId: number): void {
     this.satisfied = new Set([...this.satisfied, fenceId]);
     this.refreshUsable();
+    this.scheduleClearing();
+  }
+
+  private scheduleClearing(): void {
     if (this.isClearing) return;
     this.isClearing = true;
     const delayMs = CLEAR_FENCES_MS * (1 + this.context.random.fraction());
@@ -438,9 +442,7 @@
     this.noteOutcome('clearFences', outcome);
     this.isClearing = false;
     this.publish(outcome);
-    const isOpen = outcome.type === 'failed' || outcome.type === 'undecided';
-    const first = [...this.satisfied][0];
-    if (isOpen && first !== undefined) this.noteSatisfied(first);
+    if (outcome.type === 'failed' || outcome.type === 'undecided') this.scheduleClearing();
   }
 
   // Planned moves and leaving
@@ -570,6 +572,8 @@
     this.links.move({ type: 'cell', cell });
     const fences = listOwnFences(cell, this.home.facts.serverId);
     this.links.fence({ type: 'fences', fences });
+    const open = new Set(cell.fences.map((fence) => fence.id));
+    this.satisfied = new Set([...this.satisfied].filter((id) => open.has(id)));
     if (fences.some((fence) => fence.witnesses.some((id) => !directory.has(id)))) this.refreshForeign();
     this.refreshUsable();
     this.checkMembership();
