Add the administration API

Cause: operators and tenants need to change the catalogue, drain, look up owners and read measurements over HTTP. Change: AdminTask with its chart, AdminBackend as the interface to the rest of the daemon, 24 operations under /admin/v1 and /metrics, the OpenAPI file, conditional changes with If-Match, and optional TLS. A test compares the routes with the OpenAPI file, and the answers with its schemas. The key under test/ signs nothing but that test. Conclusion: a daemon implements AdminBackend and starts one task.

--- /dev/null
+++ b/packages/admin/src/AdminError.ts
@@ -0,0 +1,17 @@
+import { RouterError } from '#core/RouterError.js';
+
+/** A refusal of the administration API, with further fields for its JSON body. */
+export class AdminError extends RouterError {
+  public readonly details: Readonly<Record<string, unknown>>;
+
+  public constructor(
+    status: number,
+    code: string,
+    message: string,
+    details: Readonly<Record<string, unknown>> = {},
+  ) {
+    super({ code, step: 'admin', peer: '', ran: 'not run', status }, message);
+    this.name = 'AdminError';
+    this.details = details;
+  }
+}
--- /dev/null
+++ b/packages/admin/src/AnswerCall.ts
@@ -0,0 +1,61 @@
+import { Left, Right, type Either, type EitherAsync } from 'purify-ts';
+import type { RouterError } from '#core/RouterError.js';
+import type { AdminAuthor } from '#admin/AdminAuthor.js';
+import type { AdminBackend } from '#admin/AdminBackend.js';
+import { AdminError } from '#admin/AdminError.js';
+import type { AdminReply } from '#admin/AdminReply.js';
+import type { AdminRoute } from '#admin/AdminRoute.js';
+import { authenticateCall } from '#admin/AuthenticateCall.js';
+import { handleAsync } from '#admin/HandleAsync.js';
+import { matchRoute } from '#admin/MatchRoute.js';
+import type { RawCall } from '#admin/RawCall.js';
+
+/** Finds the route, checks the sender, its right and the query, reads the body, and runs the operation. */
+export function answerCall(
+  routes: readonly AdminRoute[],
+  backend: AdminBackend,
+  fleetKey: string,
+  raw: RawCall,
+): EitherAsync<RouterError, AdminReply> {
+  return handleAsync(async (use) => {
+    const inForce = await backend.readCatalogueInForce();
+    const author = await use(authenticateCall(raw.authorization, inForce?.catalogue, fleetKey));
+    const url = await use(parseTarget(raw.target));
+    const { route, params } = await use(matchRoute(routes, raw.method, url.pathname));
+    await use(checkAccess(route, author));
+    const query = await use(readQuery(route, url.searchParams));
+    const body = await use(await raw.readBody());
+    const call = { author, params, query, ifMatch: raw.ifMatch, body, nowMs: raw.nowMs };
+    const reply = await use(await route.handle(backend, call).run());
+    return addAuthor(reply, author);
+  });
+}
+
+function parseTarget(target: string): Either<AdminError, URL> {
+  const base = 'http://admin';
+  return target.startsWith('/') && URL.canParse(target, base)
+    ? Right(new URL(target, base))
+    : Left(new AdminError(400, 'badTarget', 'the request target must be a path'));
+}
+
+function checkAccess(route: AdminRoute, author: AdminAuthor): Either<AdminError, AdminRoute> {
+  return route.access === 'owner' || author.operator
+    ? Right(route)
+    : Left(new AdminError(403, 'notOperator', 'only an operator may do this'));
+}
+
+function readQuery(
+  route: AdminRoute,
+  search: URLSearchParams,
+): Either<AdminError, Readonly<Record<string, string>>> {
+  const unknown = [...search.keys()].find((name) => !route.query.includes(name));
+  if (unknown !== undefined)
+    return Left(new AdminError(400, 'badQuery', `the query parameter "${unknown}" is not known`));
+  return Right(Object.fromEntries(search));
+}
+
+function addAuthor(reply: AdminReply, author: AdminAuthor): AdminReply {
+  const { change } = reply;
+  if (change === undefined) return reply;
+  return { ...reply, change: { ...change, fields: { ...change.fields, author: author.name } } };
+}
--- /dev/null
+++ b/packages/admin/src/ExplainQuestion.ts
@@ -0,0 +1,10 @@
+/** A request as an operator describes it. */
+export interface ExplainQuestion {
+  readonly tenant: string;
+  readonly service: string;
+  readonly class: string;
+  /** Empty for a request without a key. */
+  readonly key: string;
+  /** 0 for the default deadline of the entry. */
+  readonly deadlineMs: number;
+}
--- /dev/null
+++ b/packages/admin/src/HashToken.ts
@@ -0,0 +1,6 @@
+import { hash } from 'node:crypto';
+
+/** Returns the SHA-256 digest of a token in hex, as `tokenHashes` holds it. */
+export function hashToken(token: string): string {
+  return hash('sha256', token, 'hex');
+}
--- /dev/null
+++ b/packages/admin/src/KeyQuestion.ts
@@ -0,0 +1,7 @@
+/** A key whose owners are looked up. */
+export interface KeyQuestion {
+  readonly service: string;
+  readonly key: string;
+  /** Home regions of the placement; empty for every placement in use. */
+  readonly regions: readonly string[];
+}
--- /dev/null
+++ b/packages/admin/src/ListRoute.ts
@@ -0,0 +1,22 @@
+import type { AdminBackend } from '#admin/AdminBackend.js';
+import type { AdminCall } from '#admin/AdminCall.js';
+import type { AdminRoute } from '#admin/AdminRoute.js';
+import { handleAsync } from '#admin/HandleAsync.js';
+import type { PageRequest } from '#admin/PageRequest.js';
+import { readPageRequest } from '#admin/ReadPageRequest.js';
+
+/** Makes a route that returns a list in pages; `query` names its parameters besides `limit` and `after`. */
+export function listRoute(
+  path: string,
+  operation: string,
+  access: AdminRoute['access'],
+  query: readonly string[],
+  load: (backend: AdminBackend, call: AdminCall, page: PageRequest) => Promise<unknown>,
+): AdminRoute {
+  const handle: AdminRoute['handle'] = (backend, call) =>
+    handleAsync(async (use) => {
+      const page = await use(readPageRequest(call.query));
+      return { status: 200, body: await load(backend, call, page) };
+    });
+  return { method: 'GET', path, operation, access, query: [...query, 'limit', 'after'], handle };
+}
--- /dev/null
+++ b/packages/admin/src/MatchRoute.ts
@@ -0,0 +1,44 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { AdminError } from '#admin/AdminError.js';
+import type { AdminRoute } from '#admin/AdminRoute.js';
+
+interface RouteMatch {
+  readonly route: AdminRoute;
+  readonly params: Readonly<Record<string, string>>;
+}
+
+/** Finds the route of a method and path; 404 for an unknown path, 405 for another method of a known one. */
+export function matchRoute(
+  routes: readonly AdminRoute[],
+  method: string,
+  path: string,
+): Either<AdminError, RouteMatch> {
+  const matches = routes.flatMap((route) => {
+    const params = matchPath(route.path, path);
+    return params === undefined ? [] : [{ route, params }];
+  });
+  const match = matches.find(({ route }) => route.method === method);
+  if (match !== undefined) return Right(match);
+  if (matches.length === 0) return Left(new AdminError(404, 'noRoute', `there is no path ${path}`));
+  const allowed = matches.map(({ route }) => route.method).join(', ');
+  return Left(new AdminError(405, 'badMethod', `${path} allows ${allowed}`));
+}
+
+function matchPath(template: string, path: string): Readonly<Record<string, string>> | undefined {
+  const names = template.split('/');
+  const values = path.split('/');
+  if (names.length !== values.length) return undefined;
+  const pairs = names.map((name, index) => matchSegment(name, values[index] ?? ''));
+  if (pairs.includes(undefined)) return undefined;
+  return Object.fromEntries(pairs.flatMap((pair) => pair ?? []));
+}
+
+function matchSegment(name: string, value: string): readonly (readonly [string, string])[] | undefined {
+  if (!name.startsWith('{')) return name === value ? [] : undefined;
+  if (value === '') return undefined;
+  try {
+    return [[name.slice(1, -1), decodeURIComponent(value)]];
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/admin/src/ReadExplainQuestion.ts
@@ -0,0 +1,34 @@
+import { Ajv } from 'ajv';
+import { Left, Right, type Either } from 'purify-ts';
+import type { AdminCall } from '#admin/AdminCall.js';
+import { AdminError } from '#admin/AdminError.js';
+import type { ExplainQuestion } from '#admin/ExplainQuestion.js';
+import { readJsonBody } from '#admin/ReadJsonBody.js';
+
+const MAX_KEY_LENGTH = 1_024;
+
+const validate = new Ajv({ useDefaults: true }).compile<ExplainQuestion>({
+  type: 'object',
+  additionalProperties: false,
+  required: ['tenant', 'service', 'class'],
+  properties: {
+    tenant: { type: 'string' },
+    service: { type: 'string' },
+    class: { type: 'string' },
+    key: { type: 'string', maxLength: MAX_KEY_LENGTH, default: '' },
+    deadlineMs: { type: 'integer', minimum: 0, default: 0 },
+  },
+});
+
+/** Reads the description of a request; an owner may ask about its own requests only. */
+export function readExplainQuestion(call: AdminCall): Either<AdminError, ExplainQuestion> {
+  return readJsonBody(call.body).chain((body: unknown) => {
+    if (!validate(body)) {
+      const error = validate.errors?.[0];
+      const message = `the question is invalid: ${error?.instancePath ?? ''} ${error?.message ?? ''}`;
+      return Left(new AdminError(400, 'badQuestion', message));
+    }
+    if (call.author.operator || body.tenant === call.author.name) return Right(body);
+    return Left(new AdminError(403, 'notPermitted', 'only an operator may ask about another tenant'));
+  });
+}
--- /dev/null
+++ b/packages/admin/src/SendReply.ts
@@ -0,0 +1,18 @@
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import type { AdminReply } from '#admin/AdminReply.js';
+
+/** Encodes a reply: a string as plain text, anything else as JSON, and the version as `ETag`. */
+export function sendReply(res: ServerResponse, { status, body, version }: AdminReply): void {
+  const isText = typeof body === 'string';
+  const text = isText ? body : JSON.stringify(body);
+  const headers: OutgoingHttpHeaders = {
+    'content-type': isText ? 'text/plain; version=0.0.4; charset=utf-8' : 'application/json',
+    'content-length': Buffer.byteLength(text),
+    'cache-control': 'no-store',
+    ...(version === undefined ? {} : { etag: `"${version}"` }),
+    ...(status === 401 ? { 'www-authenticate': 'Bearer' } : {}),
+    // What remains of a refused body is not read.
+    ...(status === 413 ? { connection: 'close' } : {}),
+  };
+  res.writeHead(status, headers).end(text);
+}
--- /dev/null
+++ b/packages/admin/src/WriteConflict.ts
@@ -0,0 +1,5 @@
+/** The change that won against a conditional update. */
+export interface WriteConflict {
+  readonly version: number;
+  readonly author: string;
+}
