Test queue, slow start and quarantine; correct four faults

Cause: tests and the review for them showed four faults. A tenant that started its last waiting request was forgotten with its used time. With one slot no request was refused at its turn, however late. A sixfold latency step was accepted as normal after 130 answers, because windows are short at one slot. A flood of one tenant filled the queue for all.

--- a/packages/admission/src/BackendQueue.ts
+++ b/packages/admission/src/BackendQueue.ts
@@ -57,15 +57,17 @@
   /** Starts, queues or refuses a request. An empty result means that it waits. */
   public arrive(request: QueuedRequest, nowMs: number): readonly QueueResult[] {
     if (this.state !== 'serving') return [refuse(request.id, 'draining', 503, undefined)];
-    const waiting = { ...request, expectedMs: this.times.expect(request.class) };
+    const waiting = { ...request, expectedMs: this.times.expect(request.class, nowMs) };
     const lateMs = this.expectedFinishMs(waiting, nowMs) - request.deadlineMs;
-    // With nothing running or waiting there would be no newer measurement, so the request runs as a trial.
-    const idle = this.running.size === 0 && this.order.size === 0;
-    if (lateMs > 0 && !(idle && nowMs < request.deadlineMs)) return [refuseLate(request.id, lateMs)];
-    if (this.order.size >= this.maxWaiting) return [refuseLate(request.id, waiting.expectedMs)];
+    const idle = this.running.size === 0 && this.order.size === 0 && this.limit >= 1;
+    // With nothing running there would never be a newer measurement, so the request runs as a trial.
+    const isTrial = idle && nowMs < request.deadlineMs;
+    if (lateMs > 0 && !isTrial) return [refuseLate(request.id, lateMs)];
     this.order.add(waiting);
     this.waitingById.set(request.id, waiting);
-    return this.startNext(nowMs);
+    if (isTrial) return [this.start(waiting, nowMs)];
+    const results = this.startNext(nowMs);
+    return this.order.size > this.maxWaiting ? [...results, ...this.dropLast()] : results;
   }
 
   /** Ends a running request. `measured` is false if its duration says nothing about the service time. */
@@ -74,7 +76,7 @@
     if (ended === undefined) return [];
     this.running.delete(id);
     const serviceMs = nowMs - ended.startedMs;
-    if (measured) this.times.add(ended.request.class, serviceMs);
+    if (measured) this.times.add(ended.request.class, serviceMs, nowMs);
     this.order.finished(ended.request, serviceMs);
     if (this.running.size === 0) this.advanceDrain('emptied');
     return this.startNext(nowMs);
@@ -91,8 +93,7 @@
   /** Refuses the waiting requests that can no longer finish in time; called every few milliseconds. */
   public expire(nowMs: number): readonly QueueResult[] {
     const late = [...this.order.waiting()].filter((request) => isLate(request, nowMs));
-    for (const request of late) this.leave(request);
-    const refused = late.map(({ id, expectedMs }) => refuseLate(id, expectedMs));
+    const refused = late.map((request) => this.giveUp(request));
     return [...refused, ...this.startNext(nowMs)];
   }
 
@@ -121,18 +122,28 @@
   private startNext(nowMs: number): readonly QueueResult[] {
     const results: QueueResult[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
     for (let next = this.order.next(); next !== undefined; next = this.order.next()) {
-      const late = isLate(next, nowMs) && this.running.size > 0;
-      if (!late && nowMs < next.deadlineMs && !this.canStart(next)) break;
-      this.leave(next);
-      if (late || nowMs >= next.deadlineMs) results.push(refuseLate(next.id, next.expectedMs));
-      else results.push(this.start(next, nowMs));
+      const late = isLate(next, nowMs);
+      if (!late && !this.canStart(next)) break;
+      results.push(late ? this.giveUp(next) : this.start(next, nowMs));
     }
     return results;
   }
 
+  /** Refuses the request that would start last, so that a flood of one tenant displaces only itself. */
+  private dropLast(): readonly QueueResult[] {
+    const last = this.order.last();
+    return last === undefined ? [] : [this.giveUp(last)];
+  }
+
+  private giveUp(request: WaitingRequest): QueueResult {
+    this.leave(request);
+    return refuseLate(request.id, request.expectedMs);
+  }
+
   private start(request: WaitingRequest, nowMs: number): QueueResult {
+    this.order.start(request);
+    this.waitingById.delete(request.id);
     this.running.set(request.id, { request, startedMs: nowMs });
-    this.order.started(request);
     return { kind: 'start', id: request.id };
   }
 
@@ -163,7 +174,7 @@
 }
 
 function isLate(request: WaitingRequest, nowMs: number): boolean {
-  return nowMs + request.expectedMs > request.deadlineMs;
+  return nowMs + request.expectedMs > request.deadlineMs || nowMs >= request.deadlineMs;
 }
 
 function refuseLate(id: string, retryAfterMs: number): QueueResult {
--- a/packages/admission/src/DomainRamp.ts
+++ b/packages/admission/src/DomainRamp.ts
@@ -7,6 +7,7 @@
 class Ramp {
   public share = FIRST_SHARE;
   public stepMs: number;
+  public troubleMs = -Infinity;
 
   public constructor(nowMs: number) {
     this.stepMs = nowMs;
@@ -30,12 +31,15 @@
     this.ramps.delete(failureDomain);
   }
 
-  /** Notes a shed or latency step of a backend server in the failure domain. */
+  /** Notes a shed or latency step of a backend server in the failure domain: halves the share, once in a step. */
   public trouble(failureDomain: string, nowMs: number): void {
+    this.domainShare(failureDomain, nowMs);
     const ramp = this.ramps.get(failureDomain);
-    if (ramp === undefined || nowMs - ramp.stepMs < STEP_MS) return;
-    ramp.share = Math.max(FIRST_SHARE, ramp.share / 2);
+    if (ramp === undefined) return;
     ramp.stepMs = nowMs;
+    if (nowMs - ramp.troubleMs < STEP_MS) return;
+    ramp.share = Math.max(FIRST_SHARE, ramp.share / 2);
+    ramp.troubleMs = nowMs;
   }
 
   /** Part of its usual work that the failure domain may receive, up to 1. */
--- a/packages/admission/src/FairOrder.ts
+++ b/packages/admission/src/FairOrder.ts
@@ -40,6 +40,22 @@
     return first;
   }
 
+  public override last(): WaitingRequest | undefined {
+    let worst: TenantQueue | undefined;
+    for (const queue of this.tenants.values()) {
+      if (queue.requests.size > 0 && (worst === undefined || endOf(queue) > endOf(worst))) worst = queue;
+    }
+    return [...(worst?.requests ?? [])].at(-1);
+  }
+
+  public override start(request: WaitingRequest): void {
+    const queue = this.findQueue(request.tenant);
+    this.virtualMs = Math.max(this.virtualMs, queue.usedMs);
+    queue.running += 1;
+    queue.usedMs += request.expectedMs / Math.max(1, request.share);
+    this.remove(request);
+  }
+
   public override remove(request: WaitingRequest): void {
     const queue = this.tenants.get(request.tenant);
     if (queue?.requests.delete(request) !== true) return;
@@ -67,13 +83,6 @@
     return total;
   }
 
-  public override started(request: WaitingRequest): void {
-    const queue = this.findQueue(request.tenant);
-    this.virtualMs = Math.max(this.virtualMs, queue.usedMs);
-    queue.running += 1;
-    queue.usedMs += request.expectedMs / Math.max(1, request.share);
-  }
-
   /** Corrects the used time of the tenant by the measured service time. */
   public override finished(request: WaitingRequest, serviceMs: number): void {
     const queue = this.tenants.get(request.tenant);
@@ -108,3 +117,8 @@
     if (!this.isBusy(queue) && queue.usedMs <= this.virtualMs) this.tenants.delete(tenant);
   }
 }
+
+/** Used time of the tenant when all its waiting requests have run. */
+function endOf(queue: TenantQueue): number {
+  return queue.usedMs + queue.waitingMs / queue.share;
+}
--- a/packages/admission/src/FifoOrder.ts
+++ b/packages/admission/src/FifoOrder.ts
@@ -20,6 +20,14 @@
     return first;
   }
 
+  public override last(): WaitingRequest | undefined {
+    return [...this.requests].at(-1);
+  }
+
+  public override start(request: WaitingRequest): void {
+    this.remove(request);
+  }
+
   public override remove(request: WaitingRequest): void {
     if (!this.requests.delete(request)) return;
     this.totalMs = this.requests.size === 0 ? 0 : this.totalMs - request.expectedMs;
@@ -33,10 +41,6 @@
     return this.totalMs;
   }
 
-  public override started(): void {
-    return;
-  }
-
   public override finished(): void {
     return;
   }
--- a/packages/admission/src/PriorityOrder.ts
+++ b/packages/admission/src/PriorityOrder.ts
@@ -25,14 +25,16 @@
   }
 
   public override next(): WaitingRequest | undefined {
-    let best: QueueOrder | undefined;
-    let bestPriority = Infinity;
-    for (const [priority, level] of this.levels) {
-      if (level.size === 0 || priority >= bestPriority) continue;
-      best = level;
-      bestPriority = priority;
-    }
-    return best?.next();
+    return this.findExtreme(1)?.next();
+  }
+
+  public override last(): WaitingRequest | undefined {
+    return this.findExtreme(-1)?.last();
+  }
+
+  public override start(request: WaitingRequest): void {
+    this.findLevel(request.priority).start(request);
+    this.count -= 1;
   }
 
   public override remove(request: WaitingRequest): void {
@@ -54,14 +56,22 @@
     return total;
   }
 
-  public override started(request: WaitingRequest): void {
-    this.findLevel(request.priority).started(request);
-  }
-
   public override finished(request: WaitingRequest, serviceMs: number): void {
     this.findLevel(request.priority).finished(request, serviceMs);
   }
 
+  /** The level in use with the lowest (`sign` 1) or highest (`sign` -1) priority number. */
+  private findExtreme(sign: 1 | -1): QueueOrder | undefined {
+    let best: QueueOrder | undefined;
+    let bestRank = Infinity;
+    for (const [priority, level] of this.levels) {
+      if (level.size === 0 || sign * priority >= bestRank) continue;
+      best = level;
+      bestRank = sign * priority;
+    }
+    return best;
+  }
+
   private findLevel(priority: number): QueueOrder {
     const level = this.levels.get(priority) ?? this.createOrder();
     this.levels.set(priority, level);
--- a/packages/admission/src/QueueOrder.ts
+++ b/packages/admission/src/QueueOrder.ts
@@ -1,6 +1,6 @@
 import type { WaitingRequest } from '#admission/WaitingRequest.js';
 
-/** Order in which waiting requests start. A request is in the order from `add` until `remove`. */
+/** Order in which waiting requests start. A request is in the order from `add` until `start` or `remove`. */
 export abstract class QueueOrder {
   /** Number of waiting requests. */
   public abstract get size(): number;
@@ -10,6 +10,13 @@
   /** The request that starts next. */
   public abstract next(): WaitingRequest | undefined;
 
+  /** The request that starts last, and is given up when too many wait. */
+  public abstract last(): WaitingRequest | undefined;
+
+  /** Removes a request that starts. */
+  public abstract start(request: WaitingRequest): void;
+
+  /** Removes a request that does not start. */
   public abstract remove(request: WaitingRequest): void;
 
   /** All waiting requests, in no particular order. */
@@ -18,9 +25,6 @@
   /** Sum of the expected service times, in milliseconds, of the requests that would start before `request`. */
   public abstract workAheadMs(request: WaitingRequest): number;
 
-  /** Notes that a request was started. */
-  public abstract started(request: WaitingRequest): void;
-
   /** Notes that a started request ended after `serviceMs`. */
   public abstract finished(request: WaitingRequest, serviceMs: number): void;
 }
--- a/packages/admission/src/ServiceTimes.ts
+++ b/packages/admission/src/ServiceTimes.ts
@@ -1,29 +1,41 @@
 /** Weight of a new measurement in the moving average. */
 const WEIGHT = 0.1;
 
-/** Classes whose service times are kept at most; the oldest is forgotten. */
+/** Classes whose service times are kept at most; the one measured longest ago is forgotten. */
 const MAX_CLASSES = 256;
 
+/**
+ * Time after which a class without new measurements is expected to take no longer than all classes, in milliseconds.
+ * Otherwise a class that once was slow could be refused for ever, and so would never be measured again.
+ */
+const STALE_MS = 5_000;
+
+interface ClassTime {
+  readonly meanMs: number;
+  readonly measuredMs: number;
+}
+
 /** Moving averages of the service time at one backend server, in milliseconds: of each class, and of all. */
 export class ServiceTimes {
-  private readonly byClass = new Map<string, number>();
+  private readonly byClass = new Map<string, ClassTime>();
   private all: number | undefined;
 
-  public add(requestClass: string, serviceMs: number): void {
+  public add(requestClass: string, serviceMs: number, nowMs: number): void {
     this.all = average(this.all, serviceMs);
     const known = this.byClass.get(requestClass);
-    if (known === undefined && this.byClass.size >= MAX_CLASSES) this.forgetOldest();
-    this.byClass.set(requestClass, average(known, serviceMs));
+    const [oldest] = this.byClass.keys();
+    if (this.byClass.size >= MAX_CLASSES && oldest !== undefined) this.byClass.delete(oldest);
+    // Deleted and added again, so that the map is ordered by the last measurement.
+    this.byClass.delete(requestClass);
+    this.byClass.set(requestClass, { meanMs: average(known?.meanMs, serviceMs), measuredMs: nowMs });
   }
 
   /** Expected service time of a request; that of all classes for a class without measurements, 0 without any. */
-  public expect(requestClass: string): number {
-    return this.byClass.get(requestClass) ?? this.all ?? 0;
-  }
-
-  private forgetOldest(): void {
-    const [oldest] = this.byClass.keys();
-    if (oldest !== undefined) this.byClass.delete(oldest);
+  public expect(requestClass: string, nowMs: number): number {
+    const all = this.all ?? 0;
+    const known = this.byClass.get(requestClass);
+    if (known === undefined) return all;
+    return nowMs - known.measuredMs > STALE_MS ? Math.min(all, known.meanMs) : known.meanMs;
   }
 }
 
--- a/packages/admission/src/SlowStart.ts
+++ b/packages/admission/src/SlowStart.ts
@@ -48,9 +48,9 @@
 
   /** Notes an announcement of the backend server. One with a new incarnation begins a slow start. */
   public announce(incarnation: string, slots: number, nowMs: number): void {
+    this.snapshot = { ...this.snapshot, context: { slots: Math.max(1, slots), share: this.share } };
     if (incarnation === this.incarnation) return;
     this.incarnation = incarnation;
-    this.snapshot = { ...this.snapshot, context: { slots: Math.max(1, slots), share: this.share } };
     this.change('cold', nowMs);
   }
 
@@ -77,7 +77,7 @@
   }
 
   private endWindow(nowMs: number): void {
-    const step = this.latency.add(this.latencySumMs / this.answers);
+    const step = this.latency.add(this.latencySumMs / this.answers, nowMs);
     if (step) this.change('trouble', nowMs);
     // A window that never reached the limit has not proved that the backend server bears more.
     else if (this.peakRunning >= this.limit && this.share < 1) this.change('windowGood', nowMs);
