Add the demo: a deployment under load with the loss of a VM

Cause: nothing showed the whole path under load and loss. Change: the demo starts a deployment, sends a mixed load, kills the owner of some keys, checks the recorded history and prints outcomes and latencies; the stand-in backend server appends its runs to a file that outlives it.

--- /dev/null
+++ b/packages/cli/src/FindOwnCommand.ts
@@ -0,0 +1,9 @@
+import { createRequire } from 'node:module';
+
+/** Returns the program and first arguments that run this same program again: the binary, or node with the script. */
+export function findOwnCommand(): readonly string[] {
+  const require = createRequire(process.execPath);
+  const sea = require('node:sea') as { readonly isSea: () => boolean };
+  if (sea.isSea()) return [process.execPath];
+  return [process.execPath, '--disable-warning=ExperimentalWarning', process.argv[1] ?? ''];
+}
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
@@ -7,6 +7,7 @@
 import type { FleetInstance } from '#load/FleetInstance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
 import { FleetProcess } from '#load/FleetProcess.js';
+import { readRunRecords } from '#load/ReadRunRecords.js';
 
 const FLEET_KEY = 'key-of-a-fleet-on-loopback-for-tests-only';
 const REPORT_LAG_MS = 2000;
@@ -111,17 +112,17 @@
     return { ...body.value, version: Number(String(answer.headers.etag ?? '0').replace(/"/g, '')) };
   }
 
-  /** Reads the requests that each living backend server ran, and how often one had more than it could bear. */
-  public async readRecords(): Promise<{
-    readonly records: readonly RunRecord[];
-    readonly overloads: number;
-  }> {
+  /** Reads the requests that all backend servers ran, those of killed ones included. */
+  public readRecords(): readonly RunRecord[] {
+    const files = readdirSync(this.folder).filter((name) => name.endsWith('.records'));
+    return files.flatMap((name) => readRunRecords(join(this.folder, name)));
+  }
+
+  /** Reads how often a living backend server had more requests at once than it could bear. */
+  public async countOverloads(): Promise<number> {
     const living = [...this.members.values()].filter(({ backend }) => !backend.hasEnded);
-    const reports = await Promise.all(living.map((member) => this.readReport(member)));
-    return {
-      records: reports.flatMap(({ records }) => records),
-      overloads: reports.reduce((sum, { overloads }) => sum + overloads, 0),
-    };
+    const counts = await Promise.all(living.map((member) => this.readOverloads(member)));
+    return counts.reduce((sum, count) => sum + count, 0);
   }
 
   /** Instances that the fleet runs. */
@@ -174,6 +175,7 @@
       announceUrl: `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`,
       reportLagMs: REPORT_LAG_MS,
       seed: this.options.seed,
+      recordFile: join(this.folder, `${serverId}.records`),
     };
     return this.run(['standin-backend', JSON.stringify(options)], `${serverId}-backend`);
   }
@@ -182,15 +184,9 @@
     return FleetProcess.start([...this.options.command, ...args], join(this.folder, `${name}.log`));
   }
 
-  private async readReport({ backend }: FleetMember): Promise<{
-    readonly records: readonly RunRecord[];
-    readonly overloads: number;
-  }> {
-    const answer = await request(`http://127.0.0.1:${backend.values.get('port') ?? 0}/-/records`);
-    return (await answer.body.json()) as {
-      readonly records: readonly RunRecord[];
-      readonly overloads: number;
-    };
+  private async readOverloads({ backend }: FleetMember): Promise<number> {
+    const answer = await request(`http://127.0.0.1:${backend.values.get('port') ?? 0}/-/report`);
+    return ((await answer.body.json()) as { readonly overloads: number }).overloads;
   }
 
   private async put(name: string, value: unknown): Promise<void> {
--- a/packages/load/src/LoadGenerator.ts
+++ b/packages/load/src/LoadGenerator.ts
@@ -218,7 +218,7 @@
     this.recordResponse(call, answer, isContentRight);
     this.learn(call, answer);
     if (isSuccess && isContentRight && call.part.confirms && answer.delivery !== '')
-      this.confirm(call.target, answer);
+      this.confirm(call, answer);
     const step = decideNextStep(call, answer, isContentRight, nowMs);
     if (step.kind === 'repeat') {
       this.clock.schedule(step.delayMs, () => this.post({ type: 'repeat', call: step.call }));
@@ -254,18 +254,18 @@
     else if (answer.status === 0 || answer.ran === 'not run') this.owners.delete(name);
   }
 
-  private confirm(target: string, answer: Answer): void {
+  private confirm(call: Call, answer: Answer): void {
     this.confirming++;
-    void this.sendReceipt(target, answer).then((isAccepted) => this.post({ type: 'confirmed', isAccepted }));
+    void this.sendReceipt(call, answer).then((isAccepted) => this.post({ type: 'confirmed', isAccepted }));
   }
 
-  private async sendReceipt(target: string, answer: Answer): Promise<boolean> {
+  private async sendReceipt({ target, part }: Call, answer: Answer): Promise<boolean> {
     const { delivery } = answer;
     try {
       const response = await this.findPool(target).request({
         method: 'POST',
         path: delivery.startsWith('/') ? delivery : `/v1/-/receipts/${delivery}`,
-        headers: { 'content-type': 'application/json' },
+        headers: { 'content-type': 'application/json', 'amr-tenant': part.tenant },
         body: JSON.stringify({ bytes: answer.body.length }),
         signal: AbortSignal.timeout(LATE_MS),
       });
--- /dev/null
+++ b/packages/load/src/ReadDeployment.ts
@@ -0,0 +1,25 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parse } from 'jsonc-parser';
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import { formatFault } from '#catalogue/FormatFault.js';
+import { parseCatalogue } from '#catalogue/ParseCatalogue.js';
+import type { FleetInstance } from '#load/FleetInstance.js';
+
+/** Reads `catalogue.jsonc` and `deployment.jsonc` of a folder; throws with the faults of a bad catalogue. */
+export function readDeployment(folder: string): {
+  readonly catalogue: Catalogue;
+  readonly instances: readonly FleetInstance[];
+} {
+  const file = join(folder, 'catalogue.jsonc');
+  const parsed = parseCatalogue(readFileSync(file, 'utf8'), file);
+  const catalogue = parsed.caseOf({
+    Left: (faults) => {
+      throw new Error(faults.map(formatFault).join('\n'));
+    },
+    Right: (value) => value,
+  });
+  const text = readFileSync(join(folder, 'deployment.jsonc'), 'utf8');
+  const deployment = parse(text) as { readonly instances: readonly FleetInstance[] };
+  return { catalogue, instances: deployment.instances };
+}
--- /dev/null
+++ b/packages/load/src/ToOrderEvent.ts
@@ -0,0 +1,24 @@
+import { formatPlacement } from '#assignment/FormatPlacement.js';
+import type { CatalogueIndex } from '#catalogue/CatalogueIndex.js';
+import { findEntry } from '#catalogue/FindEntry.js';
+import type { OrderEvent } from '#load/OrderEvent.js';
+import type { RunRecord } from '#standin/RunRecord.js';
+
+/** Converts the record of a stand-in backend server to an event of a history; a key is named with its placement. */
+export function toOrderEvent(record: RunRecord, index: CatalogueIndex): OrderEvent {
+  const { requestId, service, tenant, id, serverId, token, startMs, endMs } = record;
+  const entry = findEntry(index, tenant, service, record.class);
+  const placement = formatPlacement(entry?.homeRegions ?? []);
+  const key = token === 0 ? '' : `${service}/${placement}/${record.key}`;
+  return {
+    type: 'order',
+    requestId,
+    tenant,
+    key,
+    idempotencyKey: id,
+    serverId,
+    token,
+    startMs,
+    endMs: endMs === 0 ? Number.POSITIVE_INFINITY : endMs,
+  };
+}
--- a/packages/standin/src/BackendServer.ts
+++ b/packages/standin/src/BackendServer.ts
@@ -1,4 +1,5 @@
 import { createHash, randomBytes } from 'node:crypto';
+import { appendFileSync } from 'node:fs';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { request } from 'undici';
 import { RandomSource } from '#core/RandomSource.js';
@@ -21,7 +22,6 @@
   private readonly incarnation = randomBytes(8).toString('hex');
   private readonly random: RandomSource;
   private readonly server: Server;
-  private readonly records: RunRecord[] = []; // eslint-disable-line no-restricted-syntax -- log of this process
   private readonly startedAtMs = Date.now();
   private grant: Grant = { epoch: 0, expiresAtMs: 0 };
   private inFlight = 0;
@@ -63,9 +63,9 @@
     await this.announce();
   }
 
-  /** Returns the requests that ran, and how often more ran at once than the backend server could bear. */
-  public report(): { readonly records: readonly RunRecord[]; readonly overloads: number } {
-    return { records: this.records, overloads: this.overloads };
+  /** Returns how often more requests ran at once than the backend server could bear. */
+  public report(): { readonly overloads: number } {
+    return { overloads: this.overloads };
   }
 
   private async announce(): Promise<void> {
@@ -113,7 +113,7 @@
       case '/-/leave':
         void this.leave();
         break;
-      case '/-/records':
+      case '/-/report':
         res.end(JSON.stringify(this.report()));
         return;
       default:
@@ -131,11 +131,11 @@
     if (req.url?.includes('crash') === true) process.exit(70);
     this.inFlight += 1;
     if (this.inFlight > this.capacity()) this.overloads += 1;
-    const index = this.records.push(this.createRecord(req)) - 1;
+    const record = this.createRecord(req);
+    this.writeRecord(record);
     await new Promise((resolve) => setTimeout(resolve, this.drawServiceMs()));
     this.inFlight -= 1;
-    const record = this.records[index];
-    if (record !== undefined) this.records[index] = { ...record, endMs: Date.now() };
+    this.writeRecord({ ...record, endMs: Date.now() });
     this.answer(req, res, body);
   }
 
@@ -155,7 +155,9 @@
     const text = (name: string): string => String(req.headers[name] ?? '');
     return {
       orderId: text('amr-order-id'),
+      requestId: /[?&]rid=([A-Za-z0-9_.-]+)/.exec(req.url ?? '')?.[1] ?? '',
       serverId: this.serverId,
+      service: this.options.service,
       tenant: text('amr-tenant'),
       class: text('amr-class'),
       key: text('amr-key'),
@@ -166,6 +168,11 @@
     };
   }
 
+  private writeRecord(record: RunRecord): void {
+    if (this.options.recordFile !== '')
+      appendFileSync(this.options.recordFile, `${JSON.stringify(record)}\n`);
+  }
+
   /** Requests that it can bear at once: grows from one to all slots during the cold start. */
   private capacity(): number {
     const warmth = this.warmth();
--- a/packages/standin/src/BackendServerOptions.ts
+++ b/packages/standin/src/BackendServerOptions.ts
@@ -15,4 +15,6 @@
   /** Lag of the load report, in milliseconds. */
   readonly reportLagMs: number;
   readonly seed: number;
+  /** File to which the start and the end of each run are appended, so that they outlive a crash; empty for none. */
+  readonly recordFile: string;
 }
--- a/packages/standin/src/RunRecord.ts
+++ b/packages/standin/src/RunRecord.ts
@@ -1,7 +1,10 @@
 /** One request that a stand-in backend server ran. */
 export interface RunRecord {
   readonly orderId: string;
+  /** Value of `rid` in the query of the request. */
+  readonly requestId: string;
   readonly serverId: string;
+  readonly service: string;
   readonly tenant: string;
   readonly class: string;
   readonly key: string;
