Add the measurement of imbalance under moving hot keys

Cause: the choice of the assignment policy needs figures. Change: a registry of measurements and the first one, imbalance: 6 members, 128 slots, 390 keys of Zipf popularity with 60 % of 2,000 requests a second, all replaced every 2 minutes, 30 minutes of load on the pure functions.

--- /dev/null
+++ b/packages/load/src/Measure.ts
@@ -0,0 +1,29 @@
+import { cac } from 'cac';
+import { formatTable } from '#load/FormatTable.js';
+import { ImbalanceMeasurement } from '#load/ImbalanceMeasurement.js';
+import type { Measurement } from '#load/Measurement.js';
+
+const DEFAULT_SEED = 20_261_204;
+
+const MEASUREMENTS: readonly Measurement[] = [new ImbalanceMeasurement()];
+
+async function measure(name: string): Promise<void> {
+  const measurement = MEASUREMENTS.find((one) => one.name === name);
+  if (measurement === undefined) {
+    console.error(`No measurement "${name}". Known: ${MEASUREMENTS.map((one) => one.name).join(', ')}`);
+    process.exitCode = 2;
+    return;
+  }
+  const seed = Number(process.env.SEED ?? DEFAULT_SEED);
+  console.log(`measurement ${name}, seed ${seed}`);
+  console.log(`target: ${measurement.target}`);
+  const { columns, rows, isMet } = await measurement.run(seed);
+  console.log(formatTable(columns, rows));
+  console.log(`baseline: ${measurement.baseline}`);
+  console.log(`target ${isMet ? 'met' : 'not met'}`);
+}
+
+const cli = cac('measure');
+cli.command('<name>', 'Runs a measurement; the environment variable SEED sets its seed').action(measure);
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/load/src/RunImbalance.ts
@@ -0,0 +1,159 @@
+import { performance } from 'node:perf_hooks';
+import type { Cell } from '#assignment/Cell.js';
+import type { CellLoads } from '#assignment/CellLoads.js';
+import { completeMoves } from '#assignment/CompleteMoves.js';
+import { createCell } from '#assignment/CreateCell.js';
+import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
+import { deriveShardLoads } from '#assignment/DeriveShardLoads.js';
+import { ensurePlacements } from '#assignment/EnsurePlacements.js';
+import { findParentSlot } from '#assignment/FindParentSlot.js';
+import { foldHotKeys } from '#assignment/FoldHotKeys.js';
+import { joinCell } from '#assignment/JoinCell.js';
+import type { Move } from '#assignment/Move.js';
+import type { MoveBudget } from '#assignment/MoveBudget.js';
+import { noLoads } from '#assignment/NoLoads.js';
+import { planHotKeys } from '#assignment/PlanHotKeys.js';
+import { planMoves } from '#assignment/PlanMoves.js';
+import { recordMoves } from '#assignment/RecordMoves.js';
+import { slotCount } from '#assignment/SlotCount.js';
+import { smoothLoads } from '#assignment/SmoothLoads.js';
+import { splitHotKeys } from '#assignment/SplitHotKeys.js';
+import type { ImbalanceFigures } from '#load/ImbalanceFigures.js';
+import { ImbalanceLoad } from '#load/ImbalanceLoad.js';
+import type { ImbalanceScenario } from '#load/ImbalanceScenario.js';
+import type { ImbalanceVariant } from '#load/ImbalanceVariant.js';
+
+const SECOND_MS = 1_000;
+/** Time at the start that is left out, so that the first assignment does not count, in seconds. */
+const WARM_UP_SECONDS = 120;
+
+interface Run {
+  readonly cell: Cell;
+  readonly budget: MoveBudget;
+  readonly slotLoads: CellLoads;
+  readonly keyLoads: CellLoads;
+}
+
+interface Second {
+  readonly imbalance: number;
+  readonly moves: readonly Move[];
+  readonly movedLoad: number;
+  readonly rows: number;
+  readonly planMs: number;
+}
+
+/** Runs one variant of the measurement `imbalance` on the pure functions; moves take effect a second after planning. */
+export function runImbalance(
+  scenario: ImbalanceScenario,
+  variant: ImbalanceVariant,
+  seed: number,
+): ImbalanceFigures {
+  const load = new ImbalanceLoad(scenario, seed);
+  const seconds: Second[] = []; // eslint-disable-line no-restricted-syntax -- local result
+  let run = createRun(scenario, variant);
+  for (let second = 0; second < scenario.durationSeconds; second++) {
+    const rates = load.ratesAt(second);
+    const shardRates = deriveShardLoads(run.cell, rates.slots, rates.keys);
+    const sample = load.sample(rates);
+    const observed = observe(run, sample, scenario.smoothingMs);
+    const before = performance.now();
+    const planned = plan(observed, variant, second * SECOND_MS);
+    seconds.push({
+      imbalance: findImbalance(run.cell, shardRates),
+      moves: planned.moves,
+      movedLoad: planned.moves.reduce((sum, move) => sum + (shardRates.get(move.shardId) ?? 0), 0),
+      rows: Object.keys(run.cell.shards).length - slotCount,
+      planMs: performance.now() - before,
+    });
+    run = planned.run;
+  }
+  return summarize(scenario, seconds.slice(WARM_UP_SECONDS));
+}
+
+function createRun(scenario: ImbalanceScenario, { policy }: ImbalanceVariant): Run {
+  const ids = Array.from({ length: scenario.members }, (_, index) => `s${index}`);
+  const joined = ids.reduce(
+    (cell, serverId, index) => {
+      const facts = {
+        serverId,
+        incarnation: serverId,
+        region: `r${index >> 1}`,
+        failureDomain: `d${index}`,
+        vm: `v${index}`,
+        host: '127.0.0.1',
+        callerPort: 1,
+        peerPort: 1,
+        udpPort: 1,
+        adminPort: 1,
+        checksToken: true,
+        slots: 6,
+      };
+      return joinCell(cell, facts, { policy });
+    },
+    createCell('permits', 0),
+  );
+  const cell = ensurePlacements(joined, ['*'], { policy });
+  return { cell, budget: createMoveBudget(), slotLoads: noLoads, keyLoads: noLoads };
+}
+
+function observe(run: Run, sample: ReturnType<ImbalanceLoad['sample']>, smoothingMs: number): Run {
+  const smooth = (previous: CellLoads, shards: ReadonlyMap<string, number>): CellLoads =>
+    smoothLoads(previous, { shards, shares: new Map() }, SECOND_MS, smoothingMs);
+  return {
+    ...run,
+    slotLoads: smooth(run.slotLoads, sample.slots),
+    keyLoads: smooth(run.keyLoads, sample.keys),
+  };
+}
+
+function plan(
+  run: Run,
+  { policy, splitsKeys }: ImbalanceVariant,
+  nowMs: number,
+): { readonly run: Run; readonly moves: readonly Move[] } {
+  const keyLoads = run.keyLoads.shards;
+  const derive = (state: Cell): CellLoads => ({
+    shards: deriveShardLoads(state, run.slotLoads.shards, keyLoads),
+    shares: new Map(),
+  });
+  let cell = run.cell;
+  let home: readonly Move[] = [];
+  if (splitsKeys) {
+    const hot = planHotKeys(cell, keyLoads, derive(cell));
+    const owners = cell.members.map((member) => member.serverId);
+    cell = owners.reduce((state, serverId) => splitHotKeys(state, serverId, hot.splits), cell);
+    cell = owners.reduce((state, serverId) => foldHotKeys(state, serverId, hot.folds), cell);
+    home = hot.moves;
+  }
+  const moves = [...home, ...planMoves(cell, derive(cell), [], run.budget, nowMs, policy)];
+  const next = { ...completeMoves(cell, moves), version: cell.version + 1 };
+  return { run: { ...run, cell: next, budget: recordMoves(run.budget, moves, nowMs) }, moves };
+}
+
+function findImbalance(cell: Cell, rates: ReadonlyMap<string, number>): number {
+  const loads = new Map(cell.members.map((member) => [member.serverId, 0]));
+  for (const [shardId, { owner }] of Object.entries(cell.shards))
+    loads.set(owner, (loads.get(owner) ?? 0) + (rates.get(shardId) ?? 0));
+  const values = [...loads.values()];
+  return (Math.max(...values) * values.length) / values.reduce((sum, value) => sum + value, 0);
+}
+
+function summarize(scenario: ImbalanceScenario, seconds: readonly Second[]): ImbalanceFigures {
+  const imbalances = seconds.map((second) => second.imbalance).sort((left, right) => left - right);
+  const moves = seconds.flatMap((second) => second.moves);
+  const slotMoves = moves.filter((move) => findParentSlot(move.shardId) === undefined).length;
+  const minutes = seconds.length / 60;
+  const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+  return {
+    meanImbalance: sum(imbalances) / imbalances.length,
+    p95Imbalance: imbalances[Math.floor(imbalances.length * 0.95)] ?? 0,
+    worstImbalance: imbalances.at(-1) ?? 0,
+    slotMovesPerMinute: slotMoves / minutes,
+    rowMovesPerMinute: (moves.length - slotMoves) / minutes,
+    keysMovedPercentPerMinute: (100 * slotMoves) / slotCount / minutes,
+    loadMovedPercentPerMinute:
+      (100 * sum(seconds.map((second) => second.movedLoad))) / scenario.requestsPerSecond / minutes,
+    rows: Math.max(...seconds.map((second) => second.rows)),
+    planMs: sum(seconds.map((second) => second.planMs)) / seconds.length,
+  };
+}
