--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -2,6 +2,7 @@
 import type { CellLoads } from '#assignment/CellLoads.js';
 import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
 import { findMember } from '#assignment/FindMember.js';
+import { isWithdrawn } from '#assignment/IsWithdrawn.js';
 import type { Move } from '#assignment/Move.js';
 import type { MoveBudget } from '#assignment/MoveBudget.js';
 import { noLoads } from '#assignment/NoLoads.js';
@@ -35,6 +36,8 @@
 
 const CHART = compileChart('move.json', file, MOVE_RULES);
 const PLAN_EVERY_MS = 1_000;
+/** A member that leaves is emptied within 3 s, so that its moves need several batches a second. */
+const DRAIN_EVERY_MS = 250;
 /** Work in flight of a shard ends by its deadline; a release that takes longer is given up. */
 const RELEASE_LIMIT_MS = 10_000;
 const HANDOVER_TIMEOUT_MS = 3_000;
@@ -211,9 +214,15 @@
     this.transfers = new Map([...this.transfers, [transferId, snapshot]]);
   }
 
+  private isLeaving(): boolean {
+    const own = this.cell && findMember(this.cell, this.context.settings.serverId);
+    return own?.state === 'draining' || (own !== undefined && isWithdrawn(own, this.intent.withdrawals));
+  }
+
   /** The owners of a cell plan at different moments, so that they see each other's moves. */
   private scheduleTick(): void {
-    const delayMs = PLAN_EVERY_MS * (0.5 + this.context.random.fraction());
+    const everyMs = this.isLeaving() ? DRAIN_EVERY_MS : PLAN_EVERY_MS;
+    const delayMs = everyMs * (0.5 + this.context.random.fraction());
     this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
   }
 }
