Add the operator commands

Cause: operators need the administration API and the checks of files from a terminal and from programs. Change: an abstract Command, runCli, and the commands check, catalogue, drain, return, confirm-lost, owners, status, stats, held and explain; exit codes 0 to 5. The binary is bundled from the 'module' field of packages, because the 'main' of jsonc-parser loads its parts by a call that the bundler cannot follow.

--- /dev/null
+++ b/packages/catalogue/src/ListCatalogueDefaults.ts
@@ -0,0 +1,8 @@
+import type { DefaultValue } from '#catalogue/DefaultValue.js';
+import { listSchemaDefaults } from '#catalogue/ListSchemaDefaults.js';
+import schema from '../schemas/catalogue.json' with { type: 'json' };
+
+/** Lists every default of a catalogue. */
+export function listCatalogueDefaults(): readonly DefaultValue[] {
+  return listSchemaDefaults(schema);
+}
--- /dev/null
+++ b/packages/cli/src/AdminAnswer.ts
@@ -0,0 +1,6 @@
+/** A successful answer of the administration API. */
+export interface AdminAnswer<T> {
+  readonly body: T;
+  /** Version in `ETag`; 0 without one. */
+  readonly version: number;
+}
--- /dev/null
+++ b/packages/cli/src/FindDocumentKind.ts
@@ -0,0 +1,9 @@
+import { parse } from 'jsonc-parser';
+
+/** Tells a catalogue, a deployment and settings apart by their properties. */
+export function findDocumentKind(text: string): 'catalogue' | 'deployment' | 'settings' {
+  const value: unknown = parse(text);
+  if (typeof value !== 'object' || value === null) return 'settings';
+  if ('entries' in value || 'services' in value || 'owners' in value) return 'catalogue';
+  return 'instances' in value ? 'deployment' : 'settings';
+}
--- /dev/null
+++ b/packages/cli/src/ListHistory.ts
@@ -0,0 +1,22 @@
+import type { HistoryItem } from '#admin/HistoryItem.js';
+import type { Page } from '#admin/Page.js';
+import type { CatalogueAction } from '#cli/CatalogueAction.js';
+import { exitCodes } from '#cli/ExitCodes.js';
+import { formatTable } from '#cli/FormatTable.js';
+import { readCount } from '#cli/ReadCount.js';
+
+const DEFAULT_LIMIT = 20;
+
+/** Lists the newest versions of the catalogue. */
+export const listHistory: CatalogueAction = async (client, { options, terminal }) => {
+  const query = { limit: String(readCount(options, 'limit', DEFAULT_LIMIT)) };
+  const { body } = await client.send<Page<HistoryItem>>('/admin/v1/catalogue/history', { query });
+  const rows = body.items.map(({ version, author, timeMs }) => [
+    version,
+    author,
+    new Date(timeMs).toISOString(),
+  ]);
+  const table = formatTable(['version', 'author', 'time'], rows);
+  terminal.print(options.json === true ? JSON.stringify(body.items, null, 2) : table);
+  return exitCodes.done;
+};
--- /dev/null
+++ b/packages/cli/src/OwnersCommand.ts
@@ -0,0 +1,38 @@
+import type { KeyOwner } from '#admin/KeyOwner.js';
+import { AdminCommand } from '#cli/AdminCommand.js';
+import type { AdminClient } from '#cli/AdminClient.js';
+import type { CommandCall } from '#cli/CommandCall.js';
+import type { ExitCode } from '#cli/ExitCode.js';
+import { exitCodes } from '#cli/ExitCodes.js';
+import { formatTable } from '#cli/FormatTable.js';
+
+/** Shows which server owns a key. */
+export class OwnersCommand extends AdminCommand {
+  public override readonly usage = 'owners <service> <key>';
+  public override readonly summary = 'Show the owner of a key in each placement, and why it owns it';
+  public override readonly options = [
+    { usage: '--regions <a,b>', summary: 'Home regions; every placement in use if left out' },
+  ];
+  public override readonly examples = ['owners badges KE-004711', 'owners badges KE-004711 --regions kisumu'];
+
+  protected override async runWith(client: AdminClient, call: CommandCall): Promise<ExitCode> {
+    const [service = '', key = ''] = call.args;
+    const { regions } = call.options;
+    const query = { service, key, regions: typeof regions === 'string' ? regions : '' };
+    const { body } = await client.send<{ readonly items: readonly KeyOwner[] }>('/admin/v1/owners', {
+      query,
+    });
+    const rows = body.items.map((each) => [
+      each.placement,
+      each.shardId,
+      each.serverId,
+      each.address,
+      each.token,
+      each.reason,
+    ]);
+    this.print(call, body.items, () =>
+      formatTable(['placement', 'shard', 'server', 'address', 'token', 'reason'], rows),
+    );
+    return exitCodes.done;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/RunCli.ts
@@ -0,0 +1,87 @@
+import { cac, type CAC } from 'cac';
+import { RouterError } from '#core/RouterError.js';
+import type { Command } from '#cli/Command.js';
+import { CommandError } from '#cli/CommandError.js';
+import type { ExitCode } from '#cli/ExitCode.js';
+import { exitCodes } from '#cli/ExitCodes.js';
+import { globalOptions } from '#cli/GlobalOptions.js';
+import type { Terminal } from '#cli/Terminal.js';
+
+const NAME = 'amaranthrouter';
+
+/** Runs the command that `argv` names and returns its exit code. The first two items of `argv` are ignored. */
+export async function runCli(
+  commands: readonly Command[],
+  argv: readonly string[],
+  version: string,
+  terminal: Terminal,
+): Promise<ExitCode> {
+  const cli = cac(NAME);
+  for (const { usage, summary } of globalOptions) cli.option(usage, summary);
+  for (const command of commands) addCommand(cli, command, terminal);
+  cli.help((sections) => [...sections, { title: 'Exit codes', body: describeExitCodes() }]);
+  cli.version(version);
+  try {
+    cli.parse([...moveSwitchesToEnd(argv, commands)], { run: false });
+    if (cli.options.help === true || (cli.options.version === true && cli.matchedCommandName === undefined))
+      return exitCodes.done;
+    if (cli.matchedCommand === undefined) {
+      const [name] = cli.args;
+      terminal.printError(name === undefined ? 'name a command' : `there is no command "${name}"`);
+      terminal.printError(`see ${NAME} --help`);
+      return exitCodes.usage;
+    }
+    return (await cli.runMatchedCommand()) as ExitCode;
+  } catch (error) {
+    return reportError(error, cli.options.json === true, terminal);
+  }
+}
+
+function addCommand(cli: CAC, command: Command, terminal: Terminal): void {
+  const added = cli.command(command.usage, command.summary);
+  for (const { usage, summary } of command.options) added.option(usage, summary);
+  for (const example of command.examples) added.example(`  $ ${NAME} ${example}`);
+  added.action((...values: readonly unknown[]) => {
+    const options = (values.at(-1) ?? {}) as Readonly<Record<string, unknown>>;
+    const args = values.slice(0, -1).flatMap((value) => (value === undefined ? [] : [value].flat()));
+    return command.run({ args: args.map(String), options, terminal });
+  });
+}
+
+// cac takes the argument after a switch for its value and turns digits into a number, which drops leading zeros of keys.
+function moveSwitchesToEnd(argv: readonly string[], commands: readonly Command[]): readonly string[] {
+  const usages = [...globalOptions, ...commands.flatMap(({ options }) => options)].map(({ usage }) => usage);
+  const switches = new Set(usages.filter((usage) => !usage.includes('<')));
+  const end = argv.includes('--') ? argv.indexOf('--') : argv.length;
+  const before = argv.slice(0, end);
+  return [
+    ...before.filter((arg) => !switches.has(arg)),
+    ...before.filter((arg) => switches.has(arg)),
+    ...argv.slice(end),
+  ];
+}
+
+function describeExitCodes(): string {
+  return [
+    '  0  done',
+    '  1  failed',
+    '  2  wrong usage',
+    '  3  faults found in a file',
+    '  4  another change was accepted first',
+    '  5  the daemon or its store cannot be reached',
+  ].join('\n');
+}
+
+function reportError(error: unknown, asJson: boolean, terminal: Terminal): ExitCode {
+  const message = error instanceof Error ? error.message : String(error);
+  const lines = error instanceof CommandError ? error.lines : [];
+  const fields = error instanceof RouterError ? error.fields : undefined;
+  if (asJson)
+    terminal.printError(
+      JSON.stringify({ error: fields?.code, step: fields?.step, peer: fields?.peer, message, lines }),
+    );
+  else terminal.printError([`${NAME}: ${message}`, ...lines.map((line) => `  ${line}`)].join('\n'));
+  if (error instanceof CommandError) return error.exitCode;
+  const isUsage = error instanceof Error && error.name === 'CACError';
+  return isUsage ? exitCodes.usage : exitCodes.failed;
+}
--- /dev/null
+++ b/packages/cli/src/StatsCommand.ts
@@ -0,0 +1,37 @@
+import type { SeriesSummary } from '#metrics/SeriesSummary.js';
+import { AdminCommand } from '#cli/AdminCommand.js';
+import type { AdminClient } from '#cli/AdminClient.js';
+import type { CommandCall } from '#cli/CommandCall.js';
+import type { ExitCode } from '#cli/ExitCode.js';
+import { exitCodes } from '#cli/ExitCodes.js';
+import { formatTable } from '#cli/FormatTable.js';
+
+const HEADINGS = ['tenant', 'class', 'delivered', 'late', 'refused', 'failed', 'unknown', 'p50 ms', 'p99 ms'];
+
+interface Stats {
+  readonly series: readonly SeriesSummary[];
+}
+
+/** Shows outcomes and latency per tenant and class. */
+export class StatsCommand extends AdminCommand {
+  public override readonly usage = 'stats';
+  public override readonly summary = 'Show outcomes and latency per tenant and class';
+  public override readonly options = [
+    { usage: '--scope <scope>', summary: 'daemon (default), cells or fleet' },
+  ];
+  public override readonly examples = ['stats', 'stats --scope cells --json'];
+
+  protected override async runWith(client: AdminClient, call: CommandCall): Promise<ExitCode> {
+    const { scope } = call.options;
+    const query = { scope: typeof scope === 'string' ? scope : '' };
+    const { body } = await client.send<Stats>('/admin/v1/stats', { query });
+    this.print(call, body, () => formatTable(HEADINGS, body.series.map(formatSeries)));
+    return exitCodes.done;
+  }
+}
+
+function formatSeries({ tenant, class: className, outcomes, phases }: SeriesSummary): readonly unknown[] {
+  const { delivered = 0, late = 0, refused = 0, failed = 0, unknown = 0 } = outcomes;
+  const counts = [delivered, late, refused, failed, unknown];
+  return [tenant, className, ...counts, phases.whole?.p50Ms, phases.whole?.p99Ms];
+}
--- /dev/null
+++ b/packages/cli/src/UsageError.ts
@@ -0,0 +1,10 @@
+import { CommandError } from '#cli/CommandError.js';
+import { exitCodes } from '#cli/ExitCodes.js';
+
+/** Ends a command because of its arguments or options. */
+export class UsageError extends CommandError {
+  public constructor(message: string) {
+    super(exitCodes.usage, { code: 'usage', step: 'settings', peer: '' }, message);
+    this.name = 'UsageError';
+  }
+}
--- a/scripts/buildBinary.mjs
+++ b/scripts/buildBinary.mjs
@@ -13,6 +13,8 @@
   outfile: 'dist/amaranthrouter.cjs',
   bundle: true,
   platform: 'node',
+  // jsonc-parser has a 'main' that esbuild cannot follow; its 'module' is the same code.
+  mainFields: ['module', 'main'],
   target: 'node20',
   format: 'cjs',
   logLevel: 'warning',
