--- a/packages/cli/src/Main.ts
+++ b/packages/cli/src/Main.ts
@@ -1,24 +1,42 @@
-import { cac } from 'cac';
-import { runDaemon } from '#cli/RunDaemon.js';
-import { runDemo } from '#cli/RunDemo.js';
-import { runStandinBackend } from '#cli/RunStandinBackend.js';
-import { runStandinStore } from '#cli/RunStandinStore.js';
+import { CatalogueCommand } from '#cli/CatalogueCommand.js';
+import { CheckCommand } from '#cli/CheckCommand.js';
+import type { Command } from '#cli/Command.js';
+import { ConfirmLostCommand } from '#cli/ConfirmLostCommand.js';
+import { DaemonCommand } from '#cli/DaemonCommand.js';
+import { DemoCommand } from '#cli/DemoCommand.js';
+import { DrainCommand } from '#cli/DrainCommand.js';
+import { ExplainCommand } from '#cli/ExplainCommand.js';
+import { HeldCommand } from '#cli/HeldCommand.js';
+import { OwnersCommand } from '#cli/OwnersCommand.js';
+import { ProcessTerminal } from '#cli/ProcessTerminal.js';
+import { ReturnCommand } from '#cli/ReturnCommand.js';
+import { runCli } from '#cli/RunCli.js';
+import { StandinBackendCommand } from '#cli/StandinBackendCommand.js';
+import { StandinStoreCommand } from '#cli/StandinStoreCommand.js';
+import { StatsCommand } from '#cli/StatsCommand.js';
+import { StatusCommand } from '#cli/StatusCommand.js';
 
-const cli = cac('amaranthrouter');
-cli.command('daemon <settings>', 'Run a daemon').action(async (file: string) => {
-  process.exitCode = await runDaemon(file);
-  process.exit();
+declare const AMARANTHROUTER_VERSION: string | undefined;
+
+const version = typeof AMARANTHROUTER_VERSION === 'undefined' ? 'development' : AMARANTHROUTER_VERSION;
+
+const commands: readonly Command[] = [
+  new DaemonCommand(),
+  new DemoCommand(),
+  new StandinStoreCommand(),
+  new StandinBackendCommand(),
+  new CheckCommand(),
+  new CatalogueCommand(),
+  new DrainCommand(),
+  new ReturnCommand(),
+  new ConfirmLostCommand(),
+  new OwnersCommand(),
+  new StatusCommand(),
+  new StatsCommand(),
+  new HeldCommand(),
+  new ExplainCommand(),
+];
+
+void runCli(commands, process.argv, version, new ProcessTerminal()).then((exitCode) => {
+  process.exitCode = exitCode;
 });
-cli.command('standin-store', 'Run a stand-in object store').action(() => runStandinStore());
-cli
-  .command('standin-backend <options>', 'Run a stand-in backend server')
-  .action((text: string) => runStandinBackend(text));
-cli
-  .command('demo [folder]', 'Run a deployment on loopback under load, and check what must hold')
-  .option('--seed <number>', 'Seed of the load', { default: 20261204 })
-  .option('--logs <names>', 'Log names of the daemons', { default: '' })
-  .action(async (folder: string | undefined, options: { readonly seed: number; readonly logs: string }) => {
-    process.exitCode = await runDemo(folder ?? 'examples/pamoja', options.seed, options.logs);
-  });
-cli.help();
-cli.parse();
