--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -62,6 +62,11 @@
     return `http://127.0.0.1:${this.find(serverId).daemon.values.get('caller') ?? 0}`;
   }
 
+  /** Process of a daemon, for its processor time and memory. */
+  public daemonProcess(serverId: string): FleetProcess {
+    return this.find(serverId).daemon;
+  }
+
   /** Base URL of the administration API of a daemon. */
   public adminUrl(serverId: string): string {
     return `http://127.0.0.1:${this.find(serverId).daemon.values.get('admin') ?? 0}`;
@@ -165,6 +170,14 @@
 
   private startBackend(instance: FleetInstance, daemon: FleetProcess): Promise<FleetProcess> {
     const { serverId, service, slots, connections, checksToken } = instance;
+    const announceUrl = `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`;
+    const { backendCommand } = this.options;
+    if (backendCommand !== undefined) {
+      return FleetProcess.start(
+        backendCommand(announceUrl, service),
+        join(this.folder, `${serverId}-backend.log`),
+      );
+    }
     const options = {
       service,
       slots,
@@ -172,7 +185,7 @@
       checksToken,
       serviceMs: this.options.serviceMs,
       coldStartMs: this.options.coldStartMs,
-      announceUrl: `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`,
+      announceUrl,
       reportLagMs: REPORT_LAG_MS,
       seed: this.options.seed,
       recordFile: join(this.folder, `${serverId}.records`),
--- a/packages/load/src/FleetOptions.ts
+++ b/packages/load/src/FleetOptions.ts
@@ -16,4 +16,6 @@
   readonly timings?: Partial<Timings>;
   /** Log names of the daemons, for example `amaranthrouter:*`; empty for none. */
   readonly logs: string;
+  /** Command that runs a backend server in place of the stand-in, from its announcement URL and service. */
+  readonly backendCommand?: (announceUrl: string, service: string) => readonly string[];
 }
--- a/packages/load/src/FleetProcess.ts
+++ b/packages/load/src/FleetProcess.ts
@@ -1,7 +1,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream } from 'node:fs';
+import { createWriteStream, readFileSync } from 'node:fs';
 
 const READY_TIMEOUT_MS = 20_000;
+/** Duration of a tick of the times in /proc, in milliseconds (USER_HZ is 100 on Linux). */
+const TICK_MS = 10;
+const PAGE_BYTES = 4096;
 
 /** A child process that prints one line `ready name=value ...` when it serves. */
 export class FleetProcess {
@@ -39,11 +42,28 @@
     this.child.kill(name);
   }
 
+  /** Processor time used so far, in milliseconds. */
+  public readCpuMs(): number {
+    const [user = 0, system = 0] = this.readStat().slice(11, 13).map(Number);
+    return (user + system) * TICK_MS;
+  }
+
+  /** Resident memory in bytes. */
+  public readResidentBytes(): number {
+    return Number(this.readStat()[21] ?? 0) * PAGE_BYTES;
+  }
+
   /** Whether the process has ended. */
   public get hasEnded(): boolean {
     return this.child.exitCode !== null || this.child.signalCode !== null;
   }
 
+  /** Fields of /proc/pid/stat from the third on; the second, the program name, may contain blanks. */
+  private readStat(): readonly string[] {
+    const text = readFileSync(`/proc/${this.child.pid ?? 0}/stat`, 'utf8');
+    return text.slice(text.lastIndexOf(')') + 2).split(' ');
+  }
+
   /** Resolves with the exit code when the process has ended; -1 after a signal. */
   public waitEnd(): Promise<number> {
     if (this.hasEnded) return Promise.resolve(this.child.exitCode ?? -1);
--- /dev/null
+++ b/packages/load/src/LoopOptions.ts
@@ -0,0 +1,10 @@
+/** What a closed loop of requests sends. */
+export interface LoopOptions {
+  readonly url: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Keys that are used in turn. */
+  readonly keys: readonly string[];
+  readonly connections: number;
+  readonly durationMs: number;
+}
--- /dev/null
+++ b/packages/load/src/LoopResult.ts
@@ -0,0 +1,7 @@
+/** Result of a closed loop of requests; latencies in microseconds. */
+export interface LoopResult {
+  readonly ratePerSecond: number;
+  readonly bad: number;
+  readonly p50Us: number;
+  readonly p99Us: number;
+}
