Bound the planning of moves and skip shards that wait for fences

Change: owners' shards are grouped once a call, members within the tolerance end the search, shards with fences are left out, and the budget is trimmed by time.

--- a/packages/assignment/src/CostAwarePolicy.ts
+++ b/packages/assignment/src/CostAwarePolicy.ts
@@ -4,12 +4,12 @@
 import { chooseOwner } from '#assignment/ChooseOwner.js';
 import { FillLimit } from '#assignment/FillLimit.js';
 import { findParentSlot } from '#assignment/FindParentSlot.js';
-import { listOwnedShards } from '#assignment/ListOwnedShards.js';
 import { LoadTally } from '#assignment/LoadTally.js';
 import type { Move } from '#assignment/Move.js';
 import type { MoveBudget } from '#assignment/MoveBudget.js';
 import { placeByLoad } from '#assignment/PlaceByLoad.js';
 import { planDrains } from '#assignment/PlanDrains.js';
+import { recordMoves } from '#assignment/RecordMoves.js';
 import { weighShards } from '#assignment/WeighShards.js';
 import type { Withdrawn } from '#assignment/Withdrawn.js';
 
@@ -27,7 +27,7 @@
 /** The same for a hot-key row, which moves one key. */
 const ROW_COST = 0.1;
 /** Most loaded members that are considered as sources, which bounds the time of one call. */
-const MAX_SOURCES = 4;
+const MAX_SOURCES = 8;
 /** Moves for balance in one call. */
 const MAX_BATCH = 8;
 
@@ -39,12 +39,14 @@
 }
 
 interface Search {
-  readonly cell: Cell;
+  /** Shards that may be moved for balance, by owner. */
+  readonly owned: ReadonlyMap<string, readonly string[]>;
   readonly weights: ReadonlyMap<string, number>;
   readonly tally: LoadTally;
   readonly limit: FillLimit;
   readonly resting: ReadonlySet<string>;
-  readonly threshold: number;
+  /** Difference of utilization that two members may keep. */
+  readonly tolerance: number;
   /** Mean weight of a hash slot. */
   readonly slotWeight: number;
 }
@@ -66,9 +68,10 @@
     cell: Cell,
     loads: CellLoads,
     withdrawn: readonly Withdrawn[],
-    budget: MoveBudget,
+    allBudget: MoveBudget,
     nowMs: number,
   ): readonly Move[] {
+    const budget = recordMoves(allBudget, [], nowMs);
     const weights = weighShards(cell, loads);
     const tally = new LoadTally(cell, loads, withdrawn);
     for (const [shardId, shard] of Object.entries(cell.shards))
@@ -81,9 +84,16 @@
     const limit = new FillLimit(cell, budget, nowMs);
     // A shard that moved within the last minute rests, so that a late load report cannot send it back and forth.
     const resting = new Set([...budget.recent, ...drains].map((move) => move.shardId));
-    const threshold = this.findThreshold(budget, nowMs);
     const room = budget.balancePerMinute - budget.recent.filter((move) => move.reason === 'balance').length;
-    const search = { cell, weights, tally, limit, resting, threshold, slotWeight: findSlotWeight(weights) };
+    const search: Search = {
+      owned: groupMovable(cell),
+      weights,
+      tally,
+      limit,
+      resting,
+      tolerance: this.findThreshold(budget, nowMs) * tally.fairUtilization(),
+      slotWeight: findSlotWeight(weights),
+    };
     return [...drains, ...this.planBalance(search, Math.min(room, MAX_BATCH))];
   }
 
@@ -110,6 +120,18 @@
   }
 }
 
+/** Groups shards by owner; a shard with fences stays, since its owner does not act on it yet. */
+function groupMovable(cell: Cell): ReadonlyMap<string, readonly string[]> {
+  const groups = new Map<string, string[]>(); // eslint-disable-line no-restricted-syntax -- local result
+  for (const [shardId, { owner, fences }] of Object.entries(cell.shards)) {
+    if (fences.length > 0) continue;
+    const group = groups.get(owner);
+    if (group === undefined) groups.set(owner, [shardId]);
+    else group.push(shardId);
+  }
+  return groups;
+}
+
 function findSlotWeight(weights: ReadonlyMap<string, number>): number {
   const total = [...weights.values()].reduce((sum, weight) => sum + weight, 0);
   const slots = [...weights.keys()].filter((shardId) => findParentSlot(shardId) === undefined).length;
@@ -123,14 +145,16 @@
 
 /** Finds the best move from the most loaded member that has one. */
 function findBestOffer(search: Search): Offer | undefined {
-  const { cell, tally } = search;
+  const { tally, owned, resting, tolerance } = search;
   const sources = [...tally.targets]
     .map(({ serverId }) => ({ serverId, utilization: tally.utilization(serverId) }))
     .sort((left, right) => right.utilization - left.utilization)
     .slice(0, MAX_SOURCES);
-  for (const { serverId } of sources) {
-    const best = listOwnedShards(cell, serverId)
-      .filter((shardId) => !search.resting.has(shardId))
+  const least = Math.min(...tally.targets.map(({ serverId }) => tally.targetUtilization(serverId, 0)));
+  for (const { serverId, utilization } of sources) {
+    if (utilization - least <= tolerance) return undefined;
+    const best = (owned.get(serverId) ?? [])
+      .filter((shardId) => !resting.has(shardId))
       .map((shardId) => createOffer(search, shardId, serverId))
       .reduce(chooseBetter, undefined);
     if (best !== undefined) return best;
@@ -144,7 +168,7 @@
 
 /** Values a move by how far it lowers the greater utilization of its two members; undefined if it does not pay. */
 function createOffer(
-  { weights, tally, limit, threshold, slotWeight }: Search,
+  { weights, tally, limit, tolerance, slotWeight }: Search,
   shardId: string,
   from: string,
 ): Offer | undefined {
@@ -154,7 +178,7 @@
   if (to === '' || limit.isFull(to)) return undefined;
   const source = tally.utilization(from);
   const target = tally.targetUtilization(to, 0);
-  if (source - target <= threshold * tally.fairUtilization()) return undefined;
+  if (source - target <= tolerance) return undefined;
   const after = Math.max(tally.utilization(from, -weight), tally.targetUtilization(to, weight));
   const cost = (findParentSlot(shardId) === undefined ? SLOT_COST : ROW_COST) * slotWeight;
   const value = source - after - cost / tally.slotsOf(from);
--- a/packages/assignment/test/moves.test.ts
+++ b/packages/assignment/test/moves.test.ts
@@ -74,6 +74,34 @@
   t.end();
 });
 
+t.test('a new member is filled when load is skewed', (t) => {
+  const cell = join(full(SIX.slice(0, 5)), 's3b0');
+  // Ten slots carry most of the load, so that all others weigh far less than the mean slot.
+  const shards = new Map(Object.keys(cell.shards).map((id, slot) => [id, slot % 13 === 0 ? 40 : 4]));
+  const { cell: filled } = run(cell, 300_000, () => ({ shards, shares: new Map() }));
+  const loads = SIX.map((id) =>
+    listOwnedShards(filled, id).reduce((sum, one) => sum + (shards.get(one) ?? 0), 0),
+  );
+  t.ok(
+    Math.max(...loads) - Math.min(...loads) <= 0.3 * (loads.reduce((sum, load) => sum + load, 0) / 6),
+    loads.join(),
+  );
+  t.end();
+});
+
+t.test('a failure domain that returns fills by doubling', (t) => {
+  const ids = [...SIX, 's4a0', 's4a1', 's4a2', 's4a3'];
+  const withdrawn: readonly Withdrawn[] = [{ kind: 'failureDomain', name: 'd4a' }];
+  const { cell } = run(full(ids), 10_000, undefined, withdrawn);
+  const { moves } = run(cell, 30_000);
+  const countIn = (fromMs: number): number =>
+    moves.filter((move) => move.to.startsWith('s4a') && move.atMs >= fromMs && move.atMs < fromMs + 10_000)
+      .length;
+  t.ok(countIn(0) > 0 && countIn(0) <= 8, `${countIn(0)} moves`);
+  t.ok(countIn(10_000) <= 8 && countIn(20_000) <= 16);
+  t.end();
+});
+
 t.test('a new member fills slowly at first', (t) => {
   const { moves } = run(join(full(SIX.slice(0, 5)), 's3b0'), 60_000);
   t.equal(moves.filter((move) => move.atMs < 10_000).length, 4);
@@ -109,6 +137,31 @@
   t.end();
 });
 
+t.test('a shard whose owner waits for a fence stays where it is', (t) => {
+  const loads: CellLoads = { shards: new Map([['*/0', 100]]), shares: new Map() };
+  const taken = write(planTakeover(full(), SIX.slice(0, 4)));
+  t.ok(
+    run(join(taken, 's1a9'), 5_000, () => loads).moves.every(
+      ({ shardId }) => taken.shards[shardId]!.fences.length === 0,
+    ),
+  );
+  t.end();
+});
+
+t.test('moves that were begun over a minute ago do not count', (t) => {
+  const cell = join(full(SIX.slice(0, 5)), 's3b0');
+  const old = Array.from({ length: 60 }, (_, slot): Move => ({
+    shardId: `*/${slot}`,
+    from: 'a',
+    to: 's3b0',
+    reason: 'balance',
+  }));
+  const budget = recordMoves(createMoveBudget(), old, 0);
+  t.equal(planMoves(cell, noLoads, [], budget, 59_000).length, 0);
+  t.equal(planMoves(cell, noLoads, [], budget, 61_000).length, 4);
+  t.end();
+});
+
 t.test('a member in a cold start receives less of a takeover', (t) => {
   const loads: CellLoads = { shards: new Map(), shares: new Map([['s1b0', 1 / 6]]) };
   const before = full();
