Start the model of the ownership protocol

Change: a transition system that drives the real holder, witness and fence, with a breadth-first search.

--- /dev/null
+++ b/packages/model/src/Absent.ts
@@ -0,0 +1,2 @@
+/** Number that stands for an absent value in a key. */
+export const ABSENT = 40;
--- /dev/null
+++ b/packages/model/src/GuardName.ts
@@ -0,0 +1,4 @@
+import type { GUARDS } from '#model/Guards.js';
+
+/** Name of a guard of the protocol that the check can switch off. */
+export type GuardName = keyof typeof GUARDS;
--- /dev/null
+++ b/packages/model/src/ListWitnessSteps.ts
@@ -0,0 +1,62 @@
+import { createWitness } from '#lease/CreateWitness.js';
+import { stepWitness } from '#lease/StepWitness.js';
+import type { WitnessState } from '#lease/WitnessState.js';
+import type { ModelConfig } from '#model/ModelConfig.js';
+import type { ModelState } from '#model/ModelState.js';
+import type { ModelStep } from '#model/ModelStep.js';
+import { spendBudget } from '#model/SpendBudget.js';
+import { withoutNonce } from '#model/WithoutNonce.js';
+
+const SERVER_ID = '0';
+
+/** Lists restarts of witnesses, and the end of watching a server whose fence is satisfied. */
+export function listWitnessSteps(state: ModelState, config: ModelConfig): readonly ModelStep[] {
+  return state.witnesses.flatMap((witness, index) => [
+    ...listRestart(state, witness, index, config),
+    ...listForget(state, witness, index, config),
+  ]);
+}
+
+function listRestart(
+  state: ModelState,
+  witness: WitnessState,
+  index: number,
+  config: ModelConfig,
+): readonly ModelStep[] {
+  if (state.budget.witnessRestarts === 0) return [];
+  const nonce = config.guardOff === 'nonce' ? witness.context.nonce : `n${state.budget.witnessRestarts}`;
+  const { state: started } = stepWitness(createWitness(), { type: 'started', nowMs: 0, nonce }, config.lease);
+  const witnesses = state.witnesses.with(index, started);
+  const processes = state.processes.map(({ holder, ...process }) => ({
+    ...process,
+    holder:
+      holder === undefined || config.guardOff === 'nonce' ? holder : withoutNonce(holder, String(index)),
+  }));
+  const next = spendBudget({ ...state, witnesses, processes }, 'witnessRestarts');
+  return [{ label: `w${index + 1} restarts`, state: next }];
+}
+
+function listForget(
+  state: ModelState,
+  witness: WitnessState,
+  index: number,
+  config: ModelConfig,
+): readonly ModelStep[] {
+  const { epoch } = state.cell;
+  const isFenced = state.processes.some(({ fences }) =>
+    fences.some(({ value, context }) => value === 'satisfied' && context.fence.epoch === epoch),
+  );
+  const record = witness.context.records.get(SERVER_ID);
+  if (state.cell.gone[0] !== true || !isFenced || record === undefined) return [];
+  if (record.promisedEpoch >= epoch && config.guardOff !== 'forgetKeepsPromise') return [];
+  const next =
+    config.guardOff === 'forgetKeepsPromise'
+      ? { ...witness, context: { ...witness.context, records: new Map() } }
+      : stepWitness(witness, { type: 'forget', serverId: SERVER_ID, epoch, nowMs: 0 }, config.lease).state;
+  return [
+    {
+      label: `w${index + 1} stops watching S`,
+      state: { ...state, witnesses: state.witnesses.with(index, next) },
+    },
+  ];
+}
--- /dev/null
+++ b/packages/model/src/ModelExchange.ts
@@ -0,0 +1,9 @@
+import type { WitnessState } from '#lease/WitnessState.js';
+import type { ModelProcess } from '#model/ModelProcess.js';
+
+/** A process and a witness after an exchange. `isAnswered` is false if the witness stayed silent. */
+export interface ModelExchange {
+  readonly process: ModelProcess;
+  readonly witness: WitnessState;
+  readonly isAnswered: boolean;
+}
--- /dev/null
+++ b/packages/model/src/ModelRecords.ts
@@ -0,0 +1,5 @@
+/** Idempotency records of the shard, reduced to one request id. */
+export interface ModelRecords {
+  readonly knownSince: number;
+  readonly hasRun: boolean;
+}
--- /dev/null
+++ b/packages/model/src/NormalizeState.ts
@@ -0,0 +1,39 @@
+import type { ModelConfig } from '#model/ModelConfig.js';
+import type { ModelMessage } from '#model/ModelMessage.js';
+import type { ModelState } from '#model/ModelState.js';
+import { partsOf } from '#model/PartsOf.js';
+
+/** Ages above this number of steps have the same effect in every rule of the model. */
+const OLDEST_SEND = -9;
+
+/** Maps states that the protocol cannot tell apart to one, which keeps the model finite. */
+export function normalizeState(state: ModelState, config: ModelConfig): ModelState {
+  const parts = partsOf(config);
+  return {
+    ...state,
+    cell: parts.cells.intern(state.cell),
+    // Only a store that takes writes based on older versions can lose what was acknowledged.
+    acknowledged: config.guardOff === 'conditionalUpdate' ? state.acknowledged : 0,
+    witnesses: state.witnesses.map((witness) => parts.witnesses.intern(witness)),
+    processes: state.processes.map((process) => parts.processes.intern(process)),
+    messages: state.messages.map((message) => normalizeMessage(message, config)),
+  };
+}
+
+function normalizeMessage(message: ModelMessage, config: ModelConfig): ModelMessage {
+  const { leaseMs, promiseMaxAgeMs } = config.lease;
+  switch (message.type) {
+    case 'renew': {
+      const sentAtMs = Math.max(-leaseMs, message.request.sentAtMs);
+      return { ...message, request: { ...message.request, sentAtMs } };
+    }
+    case 'renewReply': {
+      const sentAtMs = Math.max(-leaseMs, message.reply.sentAtMs);
+      return { ...message, reply: { ...message.reply, sentAtMs } };
+    }
+    case 'promiseReply': {
+      const oldest = Math.max(OLDEST_SEND, -promiseMaxAgeMs - 1);
+      return { ...message, reply: { ...message.reply, sentAtMs: Math.max(oldest, message.reply.sentAtMs) } };
+    }
+  }
+}
