--- a/packages/admin/src/AdminChart.ts
+++ b/packages/admin/src/AdminChart.ts
@@ -27,6 +27,10 @@
           ? [{ type: 'report', reply: context.reply, port: Left(describeFailure(event.error)) }]
           : [],
     }),
+    reportStop: (context) => ({
+      context,
+      commands: [{ type: 'report', reply: context.reply, port: Left(describeFailure(new Error('stopped'))) }],
+    }),
     answer: (context, event) => ({
       context,
       commands: event.type === 'request' ? [{ type: 'answer', req: event.req, res: event.res }] : [],
--- a/packages/admin/test/admin.test.ts
+++ b/packages/admin/test/admin.test.ts
@@ -315,3 +315,12 @@
   t.equal(status, 200);
   await t.rejects(fetch(`http://127.0.0.1:${port}/admin/v1/status`, { headers }));
 });
+
+t.test('stop before the port is open', async (t) => {
+  const options = { host: '127.0.0.1', port: 0, fleetKey: 'k' };
+  const task = new AdminTask(new FakeAdminBackend(), options, new SystemClock());
+  const started = task.start();
+  await Promise.resolve();
+  task.stop();
+  t.match((await started).swap().unsafeCoerce(), { message: /stopped/ });
+});
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -1,17 +1,8 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import t from 'tap';
 import type { Test } from 'tap';
-import { CatalogueCommand } from '#cli/CatalogueCommand.js';
-import { CheckCommand } from '#cli/CheckCommand.js';
-import { ConfirmLostCommand } from '#cli/ConfirmLostCommand.js';
-import { DrainCommand } from '#cli/DrainCommand.js';
-import { ExplainCommand } from '#cli/ExplainCommand.js';
-import { HeldCommand } from '#cli/HeldCommand.js';
-import { OwnersCommand } from '#cli/OwnersCommand.js';
-import { ReturnCommand } from '#cli/ReturnCommand.js';
+import { operatorCommands } from '#cli/OperatorCommands.js';
 import { runCli } from '#cli/RunCli.js';
-import { StatsCommand } from '#cli/StatsCommand.js';
-import { StatusCommand } from '#cli/StatusCommand.js';
 import { FakeAdminBackend } from '../../admin/test/FakeAdminBackend.js';
 import { startAdmin } from '../../admin/test/StartAdmin.js';
 import { FakeTerminal } from './FakeTerminal.js';
@@ -22,22 +13,9 @@
   readonly errors: string;
 }
 
-const COMMANDS = [
-  new CheckCommand(),
-  new CatalogueCommand(),
-  new DrainCommand(),
-  new ReturnCommand(),
-  new ConfirmLostCommand(),
-  new OwnersCommand(),
-  new StatusCommand(),
-  new StatsCommand(),
-  new HeldCommand(),
-  new ExplainCommand(),
-];
-
 async function run(args: readonly string[], env: Readonly<Record<string, string>> = {}): Promise<Result> {
   const terminal = new FakeTerminal(env);
-  const code = await runCli(COMMANDS, ['node', 'amaranthrouter', ...args], '1.2.3', terminal);
+  const code = await runCli(operatorCommands, ['node', 'amaranthrouter', ...args], '1.2.3', terminal);
   return { code, output: terminal.output, errors: terminal.errors };
 }
 
