--- /dev/null
+++ b/packages/control/src/MoveMessage.ts
@@ -0,0 +1,19 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { HandoverAnswer } from '#control/HandoverAnswer.js';
+import type { HandoverCall } from '#control/HandoverCall.js';
+import type { Intent } from '#control/Intent.js';
+import type { MoveEvent } from '#control/MoveEvent.js';
+import type { ShardLoads } from '#control/ShardLoads.js';
+
+/** Messages to `MoveTask`. */
+export type MoveMessage =
+  | { readonly type: 'start'; readonly incarnation: string }
+  | { readonly type: 'cell'; readonly cell: Cell }
+  | { readonly type: 'intent'; readonly intent: Intent }
+  /** Load of the own shards, or of those of a peer. */
+  | { readonly type: 'load'; readonly serverId: string; readonly loads: ShardLoads }
+  | { readonly type: 'handover'; readonly call: HandoverCall; readonly from: string; readonly reply: Reply }
+  | { readonly type: 'transfer'; readonly transferId: number; readonly event: MoveEvent }
+  | { readonly type: 'tick' };
+
+type Reply = (answer: HandoverAnswer | undefined) => void;
--- /dev/null
+++ b/packages/proxy/src/EntryListener.ts
@@ -0,0 +1,12 @@
+import type { Outcome } from '#delivery/Outcome.js';
+import type { EntryEnd } from '#proxy/EntryEnd.js';
+
+/** What the entry task tells the rest of the daemon. */
+export interface EntryListener {
+  /** One request of a caller ended. */
+  readonly onEnd: (end: EntryEnd) => void;
+  /** The outcome of an answer that needed a receipt is known. */
+  readonly onReceipt: (tenant: string, requestClass: string, outcome: Outcome) => void;
+  /** A cell is missing, or an answer showed that it is out of date. */
+  readonly onCellNeeded: (service: string, index: number) => void;
+}
--- /dev/null
+++ b/packages/proxy/src/OwnerTask.ts
@@ -0,0 +1,412 @@
+import { BackendQueue } from '#admission/BackendQueue.js';
+import { FairOrder } from '#admission/FairOrder.js';
+import { PriorityOrder } from '#admission/PriorityOrder.js';
+import type { QueueResult } from '#admission/QueueResult.js';
+import { SlowStart } from '#admission/SlowStart.js';
+import { findShard } from '#assignment/FindShard.js';
+import { formatPlacement } from '#assignment/FormatPlacement.js';
+import type { Cell } from '#assignment/Cell.js';
+import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
+import type { ReleaseRequest } from '#control/ReleaseRequest.js';
+import type { Cancel } from '#core/Cancel.js';
+import type { Clock } from '#core/Clock.js';
+import { Logger } from '#core/Logger.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import { Task } from '#core/Task.js';
+import type { BackendFacts } from '#proxy/BackendFacts.js';
+import type { BackendMessage } from '#proxy/BackendMessage.js';
+import type { BackendOutcome } from '#proxy/BackendOutcome.js';
+import { CrashWatch } from '#proxy/CrashWatch.js';
+import { OnceGate } from '#proxy/OnceGate.js';
+import type { Order } from '#proxy/Order.js';
+import type { OrderEvent } from '#proxy/OrderEvent.js';
+import type { OwnedOrder } from '#proxy/OwnedOrder.js';
+import type { OwnerListener } from '#proxy/OwnerListener.js';
+import type { OwnerMessage } from '#proxy/OwnerMessage.js';
+import type { OwnerReport } from '#proxy/OwnerReport.js';
+
+const TICK_MS = 20;
+const SLOW_TICKS = 50;
+const MAX_WAITING = 4096;
+const MOVE_RETRY_MS = 50;
+
+/**
+ * Admits orders to the backend server beside this daemon: checks lease and ownership at the moment of use, idempotency,
+ * quarantine, deadline and slots. Owns the queue, the idempotency records and the slow-start state.
+ */
+export class OwnerTask extends Task<OwnerMessage> {
+  private readonly logger = new Logger('owner');
+  private readonly gate: OnceGate;
+  private readonly queue = new BackendQueue(new PriorityOrder(() => new FairOrder()), 1, MAX_WAITING);
+  private readonly crashes = new CrashWatch();
+  private readonly orders = new Map<string, OwnedOrder>();
+  private readonly releases = new Map<string, ReleaseRequest>();
+  private readonly shardCounts = new Map<string, number>();
+  private slowStart = new SlowStart(1);
+  private ownership: OwnershipUpdate = { type: 'ownership', epoch: 0, leaseEndMs: 0, shards: new Map() };
+  private cells: ReadonlyMap<string, Cell> = new Map();
+  private facts: BackendFacts | undefined;
+  private ticks = 0;
+  private drained: (() => void) | undefined;
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(
+    private readonly serverId: string,
+    horizonMs: number,
+    private readonly clock: Clock,
+    private readonly postToBackend: (message: BackendMessage) => void,
+    private readonly listener: OwnerListener,
+  ) {
+    super();
+    this.gate = new OnceGate(serverId, horizonMs, clock, (orderId, bodyHash) =>
+      this.post({ type: 'bodyHashed', orderId, bodyHash }),
+    );
+  }
+
+  /** Starts the timers. */
+  public start(): void {
+    this.scheduleTick();
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: OwnerMessage): void {
+    switch (message.type) {
+      case 'order':
+        this.acceptOrder(message.order, message.needsOwnership, message.graceMs);
+        break;
+      case 'backendEvent':
+        this.handleEvent(message.orderId, message.event);
+        break;
+      case 'backendDone':
+        this.handleDone(message.orderId, message.outcome);
+        break;
+      case 'cancel':
+        this.cancel(message.orderId);
+        break;
+      case 'bodyHashed':
+        this.applyBodyHash(message.orderId, message.bodyHash);
+        break;
+      case 'ownership':
+        this.applyOwnership(message);
+        break;
+      case 'cell':
+        this.cells = new Map(this.cells).set(`${message.cell.service}/${message.cell.index}`, message.cell);
+        break;
+      case 'release':
+        this.release(message);
+        break;
+      case 'adopt':
+        this.gate.adopt(message.records);
+        break;
+      case 'backendFacts':
+        this.applyFacts(message.facts);
+        break;
+      case 'marks':
+        this.crashes.merge(message.marks, this.clock.monotonicMs());
+        break;
+      case 'held':
+        message.reply(this.crashes.list(this.clock.monotonicMs()));
+        break;
+      case 'lift':
+        message.reply(this.lift(message.fingerprint));
+        break;
+      case 'drain':
+        this.beginDrain(message.reply);
+        break;
+      case 'report':
+        message.reply(this.report());
+        break;
+      case 'tick':
+        this.tick();
+        break;
+    }
+  }
+
+  private acceptOrder(order: Order, needsOwnership: boolean, graceMs: number): void {
+    const shardId = needsOwnership ? this.findOwnedShard(order) : '';
+    if (shardId === undefined) {
+      order.emit({ type: 'refused', fields: this.createFault('notOwner', 'own', 421, MOVE_RETRY_MS) });
+      return;
+    }
+    if (this.releases.has(shardId)) {
+      order.emit({ type: 'refused', fields: this.createFault('shardMoving', 'own', 503, MOVE_RETRY_MS) });
+      return;
+    }
+    if (shardId !== '') this.shardCounts.set(shardId, (this.shardCounts.get(shardId) ?? 0) + 1);
+    const recorded = !order.entry.repeatable;
+    if (recorded && !this.gate.admit(order, shardId)) return;
+    this.orders.set(order.orderId, { order, shardId, recorded, graceMs });
+    this.enqueue(order);
+  }
+
+  /** Returns the shard of the order if this daemon may act on it now. */
+  private findOwnedShard(order: Order): string | undefined {
+    const { head, entry } = order;
+    const placement = formatPlacement(entry.homeRegions);
+    for (const cell of this.cells.values()) {
+      if (cell.service !== head.service) continue;
+      const found = findShard(cell, placement, head.key);
+      if (found !== undefined && this.mayActOn(found.shardId)) return found.shardId;
+    }
+    return undefined;
+  }
+
+  private mayActOn(shardId: string): boolean {
+    return this.clock.monotonicMs() < this.ownership.leaseEndMs && this.ownership.shards.has(shardId);
+  }
+
+  private applyBodyHash(orderId: string, bodyHash: string): void {
+    const owned = this.orders.get(orderId);
+    this.gate.applyBodyHash(owned?.order, orderId, owned?.shardId ?? '', bodyHash);
+  }
+
+  private enqueue(order: Order): void {
+    const nowMs = this.clock.monotonicMs();
+    const verdict = this.crashes.check(order, nowMs);
+    if (verdict.kind === 'hold') {
+      this.end(order.orderId, { type: 'refused', fields: { ...verdict.error, peer: this.serverId } });
+      return;
+    }
+    const { priority, share } = order.entry.limits;
+    const request = {
+      id: order.orderId,
+      tenant: order.head.tenant,
+      class: order.head.class,
+      priority,
+      share,
+      deadlineMs: order.deadlineAtMs,
+      exclusive: verdict.kind === 'alone',
+    };
+    this.apply(this.queue.arrive(request, nowMs));
+  }
+
+  private apply(results: readonly QueueResult[]): void {
+    for (const result of results) {
+      if (result.kind === 'start') this.startOrder(result.id);
+      else this.end(result.id, { type: 'refused', fields: { ...result.error, peer: this.serverId } });
+    }
+  }
+
+  private startOrder(orderId: string): void {
+    const owned = this.orders.get(orderId);
+    if (owned === undefined) return;
+    const { order, shardId, recorded } = owned;
+    // The lease may have ended while the order waited.
+    if (shardId !== '' && !this.mayActOn(shardId)) {
+      this.end(orderId, {
+        type: 'refused',
+        fields: this.createFault('leaseExpired', 'own', 503, MOVE_RETRY_MS),
+      });
+      this.apply(this.queue.finish(orderId, this.clock.monotonicMs(), false));
+      return;
+    }
+    const body = recorded ? this.gate.start(order) : order.body;
+    const token = shardId === '' ? 0 : (this.ownership.shards.get(shardId)?.token ?? 0);
+    const deadlineAtMs = this.capDeadline(owned);
+    this.postToBackend({
+      type: 'run',
+      backendOrder: { order, body, deadlineAtMs, epoch: this.ownership.epoch, token },
+    });
+  }
+
+  /** A backend server that does not check grants stops by itself at the deadline, so that is capped at the lease end. */
+  private capDeadline({ order, shardId, graceMs }: OwnedOrder): number {
+    if (shardId === '' || this.facts?.checksToken === true) return order.deadlineAtMs;
+    return Math.min(order.deadlineAtMs, this.ownership.leaseEndMs + graceMs);
+  }
+
+  private handleEvent(orderId: string, event: OrderEvent): void {
+    const owned = this.orders.get(orderId);
+    if (owned === undefined) return;
+    if (event.type === 'head') {
+      const head = { ...event.head, epoch: this.gate.currentEpoch(owned.shardId) };
+      this.gate.noteHead(orderId, head);
+      owned.order.emit({ ...event, head });
+      return;
+    }
+    if (event.type === 'data') {
+      this.gate.noteData(orderId, event.chunk);
+      owned.order.emit(event);
+      return;
+    }
+    this.end(orderId, event);
+  }
+
+  /** Ends an order with its last event, and answers the repeats that wait for it. */
+  private end(orderId: string, event: Exclude<OrderEvent, { readonly type: 'head' | 'data' }>): void {
+    const owned = this.orders.get(orderId);
+    if (owned === undefined) return;
+    this.orders.delete(orderId);
+    if (owned.recorded) this.gate.end(owned.order, owned.shardId, event);
+    owned.order.emit(event);
+    this.finishRelease(owned.shardId);
+  }
+
+  private handleDone(orderId: string, outcome: BackendOutcome): void {
+    const nowMs = this.clock.monotonicMs();
+    const running = this.queue.runningCount;
+    const owned = this.orders.get(orderId);
+    if (outcome.kind === 'lost' && owned !== undefined) this.crashes.noteLost(owned.order, nowMs);
+    if (outcome.kind === 'answered' && owned !== undefined) this.clearMarks(owned.order, nowMs);
+    this.slowStart.observe(
+      {
+        kind: toSampleKind(outcome.kind),
+        startedMs: nowMs - outcome.serviceMs,
+        latencyMs: outcome.serviceMs,
+        running,
+      },
+      nowMs,
+    );
+    this.apply(this.queue.finish(orderId, nowMs, outcome.kind === 'answered'));
+    this.apply(this.queue.setLimit(this.currentLimit(), nowMs));
+    this.finishDrain();
+  }
+
+  private applyFacts(facts: BackendFacts | undefined): void {
+    const nowMs = this.clock.monotonicMs();
+    const before = this.facts;
+    this.facts = facts;
+    if (before !== undefined && before.incarnation !== facts?.incarnation)
+      this.markDeath(before.incarnation, nowMs);
+    if (facts !== undefined) {
+      if (before === undefined) this.slowStart = new SlowStart(facts.slots);
+      this.slowStart.announce(facts.incarnation, facts.slots, nowMs);
+      if (facts.leaving && this.queue.state === 'serving') this.apply(this.queue.drain());
+      if (!facts.leaving && this.queue.state !== 'serving' && this.drained === undefined) this.queue.resume();
+    }
+    this.apply(this.queue.setLimit(this.currentLimit(), nowMs));
+    if (before?.incarnation !== facts?.incarnation || before?.leaving !== facts?.leaving)
+      this.listener.onBackend(facts);
+  }
+
+  private clearMarks(order: Order, nowMs: number): void {
+    const marks = this.crashes.noteAnswered(order, nowMs);
+    if (marks.length > 0) this.listener.onMarks(marks);
+  }
+
+  private markDeath(incarnation: string, nowMs: number): void {
+    const marks = this.crashes.markDeath(`${this.serverId}/${incarnation}`, nowMs);
+    if (marks.length === 0) return;
+    this.logger.log('backendDied', { step: 'quarantine', peer: this.serverId, inFlight: marks.length });
+    this.listener.onMarks(marks);
+  }
+
+  private currentLimit(): number {
+    if (this.facts === undefined) return 1;
+    return Math.min(this.facts.slots, this.slowStart.limit);
+  }
+
+  private cancel(orderId: string): void {
+    const owned = this.orders.get(orderId);
+    if (owned === undefined) return;
+    if (this.queue.cancel(orderId)) {
+      this.end(orderId, { type: 'refused', fields: this.createFault('callerGone', 'queue', 499, 0) });
+      return;
+    }
+    // The answer of a non-repeatable order serves the repeats of its id, so the order goes on.
+    if (!owned.recorded) this.postToBackend({ type: 'cancel', orderId });
+  }
+
+  private applyOwnership(update: OwnershipUpdate): void {
+    const isExtended = update.leaseEndMs > this.ownership.leaseEndMs || update.epoch !== this.ownership.epoch;
+    const isSameMap = update.shards === this.ownership.shards;
+    this.ownership = update;
+    if (isExtended) this.postToBackend({ type: 'grant', epoch: update.epoch, leaseEndMs: update.leaseEndMs });
+    if (isSameMap) return;
+    for (const shardId of [...this.releases.keys()])
+      if (!update.shards.has(shardId)) this.releases.delete(shardId);
+    for (const [shardId, { token }] of update.shards) {
+      if (!this.releases.has(shardId)) this.gate.openShard(shardId, token);
+    }
+  }
+
+  private release(request: ReleaseRequest): void {
+    const { shardId } = request;
+    this.releases.set(shardId, request);
+    for (const { order, shardId: other } of [...this.orders.values()]) {
+      if (other !== shardId || !this.queue.cancel(order.orderId)) continue;
+      this.end(order.orderId, {
+        type: 'refused',
+        fields: this.createFault('shardMoving', 'move', 503, MOVE_RETRY_MS),
+      });
+    }
+    this.finishRelease(shardId);
+  }
+
+  /** Answers a release once no order of the shard runs. */
+  private finishRelease(shardId: string): void {
+    const request = this.releases.get(shardId);
+    if (request === undefined) return;
+    for (const owned of this.orders.values()) if (owned.shardId === shardId) return;
+    const owned = this.ownership.shards.get(shardId);
+    // Without ownership no order of the shard can start, and the next grant of it has to find no release.
+    if (owned === undefined) this.releases.delete(shardId);
+    request.reply(this.gate.releaseShard(shardId, owned?.token ?? 0));
+  }
+
+  private lift(fingerprint: string): boolean {
+    const marks = this.crashes.lift(fingerprint, this.clock.monotonicMs());
+    if (marks.length > 0) this.listener.onMarks(marks);
+    return marks.length > 0;
+  }
+
+  private beginDrain(reply: () => void): void {
+    this.drained = reply;
+    this.apply(this.queue.drain());
+    this.finishDrain();
+  }
+
+  private finishDrain(): void {
+    if (this.drained === undefined || this.queue.runningCount > 0) return;
+    this.drained();
+  }
+
+  private tick(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.apply(this.queue.expire(nowMs));
+    this.ticks += 1;
+    if (this.ticks % SLOW_TICKS !== 0) return;
+    this.gate.turnWindows(nowMs);
+    this.crashes.expire(nowMs);
+    this.listener.onLoad(new Map(this.shardCounts));
+    this.shardCounts.clear();
+  }
+
+  private scheduleTick(): void {
+    this.cancelTick = this.clock.schedule(TICK_MS, () => {
+      this.post({ type: 'tick' });
+      this.scheduleTick();
+    });
+  }
+
+  private report(): OwnerReport {
+    return {
+      running: this.queue.runningCount,
+      waiting: this.queue.waitingCount,
+      limit: this.currentLimit(),
+      slowStart: this.slowStart.state,
+      backend: this.facts,
+      ownedShards: this.ownership.shards.size,
+      leaseEndMs: this.ownership.leaseEndMs,
+      onceRecords: this.gate.size,
+    };
+  }
+
+  private createFault(
+    code: string,
+    step: RouterErrorFields['step'],
+    status: number,
+    retryAfterMs: number,
+  ): RouterErrorFields {
+    return { code, step, peer: this.serverId, ran: 'not run', status, retryAfterMs };
+  }
+}
+
+function toSampleKind(kind: BackendOutcome['kind']): 'answered' | 'shed' | 'refused' | 'failed' {
+  if (kind === 'answered' || kind === 'shed') return kind;
+  return kind === 'unreachable' ? 'refused' : 'failed';
+}
