Make the queue and the receipt table constant-time

Cause: the first entry of a Set or Map is found by passing the places of deleted ones; a receipt cost 50 us once 65,536 were remembered, and each expiry of a queue scanned all waiting requests. Change: a linked list holds waiting requests; ended receipts are kept in two generations; a full receipt table drops a sixteenth at once; expiry is skipped until a request can be late; a request that starts at once skips the order.

--- a/packages/admission/src/BackendQueue.ts
+++ b/packages/admission/src/BackendQueue.ts
@@ -8,6 +8,9 @@
 import { ServiceTimes } from '#admission/ServiceTimes.js';
 import type { WaitingRequest } from '#admission/WaitingRequest.js';
 
+/** Least time that a request is expected to take, in milliseconds. */
+const MIN_SERVICE_MS = 0.1;
+
 interface Running {
   readonly request: WaitingRequest;
   readonly startedMs: number;
@@ -26,6 +29,8 @@
   private readonly waitingById = new Map<string, WaitingRequest>();
   private drainState: ChartSnapshot<undefined> = { value: DRAIN_CHART.initial, context: undefined };
   private limit: number;
+  /** No waiting request becomes late before this time. */
+  private nextLateMs = Infinity;
 
   public constructor(order: QueueOrder, limit: number, maxWaiting: number) {
     this.order = order;
@@ -58,14 +63,12 @@
   public arrive(request: QueuedRequest, nowMs: number): readonly QueueResult[] {
     if (this.state !== 'serving') return [refuse(request.id, 'draining', 503, undefined)];
     const waiting = { ...request, expectedMs: this.times.expect(request.class, nowMs) };
+    if (this.startsAtOnce(waiting, nowMs)) return [this.start(waiting, nowMs)];
     const lateMs = this.expectedFinishMs(waiting, nowMs) - request.deadlineMs;
-    const idle = this.running.size === 0 && this.order.size === 0 && this.limit >= 1;
-    // With nothing running there would never be a newer measurement, so the request runs as a trial.
-    const isTrial = idle && nowMs < request.deadlineMs;
-    if (lateMs > 0 && !isTrial) return [refuseLate(request.id, lateMs)];
+    if (lateMs > 0) return [refuseLate(request.id, lateMs)];
     this.order.add(waiting);
     this.waitingById.set(request.id, waiting);
-    if (isTrial) return [this.start(waiting, nowMs)];
+    this.nextLateMs = Math.min(this.nextLateMs, lateAfterMs(waiting));
     const results = this.startNext(nowMs);
     return this.order.size > this.maxWaiting ? [...results, ...this.dropLast()] : results;
   }
@@ -92,7 +95,13 @@
 
   /** Refuses the waiting requests that can no longer finish in time; called every few milliseconds. */
   public expire(nowMs: number): readonly QueueResult[] {
-    const late = [...this.order.waiting()].filter((request) => isLate(request, nowMs));
+    if (nowMs <= this.nextLateMs) return this.startNext(nowMs);
+    const waiting = this.order.waiting();
+    const late = waiting.filter((request) => isLate(request, nowMs));
+    this.nextLateMs = waiting.reduce(
+      (least, request) => (isLate(request, nowMs) ? least : Math.min(least, lateAfterMs(request))),
+      Infinity,
+    );
     const refused = late.map((request) => this.giveUp(request));
     return [...refused, ...this.startNext(nowMs)];
   }
@@ -100,7 +109,7 @@
   /** Refuses everything that waits and everything that arrives from now on; what runs completes. */
   public drain(): readonly QueueResult[] {
     this.advanceDrain('drain');
-    const waiting = [...this.order.waiting()];
+    const waiting = this.order.waiting();
     for (const request of waiting) this.leave(request);
     if (this.running.size === 0) this.advanceDrain('emptied');
     return waiting.map(({ id }) => refuse(id, 'draining', 503, undefined));
@@ -119,6 +128,12 @@
     return nowMs + waitMs + request.expectedMs;
   }
 
+  private startsAtOnce(request: WaitingRequest, nowMs: number): boolean {
+    if (this.order.size > 0 || !this.canStart(request)) return false;
+    // With nothing running there would never be a newer measurement, so the request runs as a trial.
+    return this.running.size === 0 ? nowMs < request.deadlineMs : !isLate(request, nowMs);
+  }
+
   private startNext(nowMs: number): readonly QueueResult[] {
     const results: QueueResult[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
     for (let next = this.order.next(); next !== undefined; next = this.order.next()) {
@@ -173,8 +188,13 @@
   }
 }
 
+/** Latest time at which a request may start. Without a measured service time it still has to start in time. */
+function lateAfterMs(request: WaitingRequest): number {
+  return request.deadlineMs - Math.max(request.expectedMs, MIN_SERVICE_MS);
+}
+
 function isLate(request: WaitingRequest, nowMs: number): boolean {
-  return nowMs + request.expectedMs > request.deadlineMs || nowMs >= request.deadlineMs;
+  return nowMs > lateAfterMs(request);
 }
 
 function refuseLate(id: string, retryAfterMs: number): QueueResult {
--- a/packages/admission/src/FairOrder.ts
+++ b/packages/admission/src/FairOrder.ts
@@ -1,11 +1,11 @@
 import { QueueOrder } from '#admission/QueueOrder.js';
+import { RequestList } from '#admission/RequestList.js';
 import type { WaitingRequest } from '#admission/WaitingRequest.js';
 
 class TenantQueue {
-  public readonly requests = new Set<WaitingRequest>();
+  public readonly requests = new RequestList();
   /** Service time used, divided by the share; the tenant with the lowest value is next. */
   public usedMs = 0;
-  public waitingMs = 0;
   public running = 0;
   public share = 1;
 }
@@ -26,18 +26,14 @@
   }
 
   public override add(request: WaitingRequest): void {
-    const queue = this.findQueue(request.tenant);
-    if (queue.requests.size === 0 && queue.running === 0)
-      queue.usedMs = Math.max(queue.usedMs, this.virtualMs);
+    const queue = this.enterQueue(request.tenant);
     queue.share = Math.max(1, request.share);
     queue.requests.add(request);
-    queue.waitingMs += request.expectedMs;
     this.count += 1;
   }
 
   public override next(): WaitingRequest | undefined {
-    const [first] = this.findNextQueue()?.requests ?? [];
-    return first;
+    return this.findNextQueue()?.requests.first;
   }
 
   public override last(): WaitingRequest | undefined {
@@ -45,11 +41,11 @@
     for (const queue of this.tenants.values()) {
       if (queue.requests.size > 0 && (worst === undefined || endOf(queue) > endOf(worst))) worst = queue;
     }
-    return [...(worst?.requests ?? [])].at(-1);
+    return worst?.requests.last;
   }
 
   public override start(request: WaitingRequest): void {
-    const queue = this.findQueue(request.tenant);
+    const queue = this.enterQueue(request.tenant);
     this.virtualMs = Math.max(this.virtualMs, queue.usedMs);
     queue.running += 1;
     queue.usedMs += request.expectedMs / Math.max(1, request.share);
@@ -58,27 +54,26 @@
 
   public override remove(request: WaitingRequest): void {
     const queue = this.tenants.get(request.tenant);
-    if (queue?.requests.delete(request) !== true) return;
-    queue.waitingMs = queue.requests.size === 0 ? 0 : queue.waitingMs - request.expectedMs;
+    if (queue?.requests.remove(request) !== true) return;
     this.count -= 1;
     this.forgetIdle(request.tenant, queue);
   }
 
-  public override *waiting(): Iterable<WaitingRequest> {
-    for (const queue of this.tenants.values()) yield* queue.requests;
+  public override waiting(): readonly WaitingRequest[] {
+    return [...this.tenants.values()].flatMap(({ requests }) => requests.toArray());
   }
 
   /** Counts, of each other tenant, the work that starts until its used time reaches that of `request`. */
   public override workAheadMs(request: WaitingRequest): number {
     const own = this.tenants.get(request.tenant);
-    const ownWaitingMs = own?.waitingMs ?? 0;
+    const ownWaitingMs = own?.requests.totalMs ?? 0;
     const share = Math.max(1, request.share);
     const startMs = Math.max(own?.usedMs ?? 0, this.isBusy(own) ? 0 : this.virtualMs) + ownWaitingMs / share;
     let total = ownWaitingMs;
     for (const queue of this.tenants.values()) {
       if (queue === own) continue;
       const untilStart = Math.max(0, startMs - queue.usedMs) * queue.share;
-      total += Math.min(queue.waitingMs, untilStart);
+      total += Math.min(queue.requests.totalMs, untilStart);
     }
     return total;
   }
@@ -100,11 +95,11 @@
     return best;
   }
 
-  private findQueue(tenant: string): TenantQueue {
-    const known = this.tenants.get(tenant);
-    if (known !== undefined) return known;
-    const queue = new TenantQueue();
+  /** Finds the queue of a tenant; one that was idle continues at the used time of the others. */
+  private enterQueue(tenant: string): TenantQueue {
+    const queue = this.tenants.get(tenant) ?? new TenantQueue();
     this.tenants.set(tenant, queue);
+    if (!this.isBusy(queue)) queue.usedMs = Math.max(queue.usedMs, this.virtualMs);
     return queue;
   }
 
@@ -120,5 +115,5 @@
 
 /** Used time of the tenant when all its waiting requests have run. */
 function endOf(queue: TenantQueue): number {
-  return queue.usedMs + queue.waitingMs / queue.share;
+  return queue.usedMs + queue.requests.totalMs / queue.share;
 }
--- a/packages/admission/src/FifoOrder.ts
+++ b/packages/admission/src/FifoOrder.ts
@@ -1,10 +1,10 @@
 import { QueueOrder } from '#admission/QueueOrder.js';
+import { RequestList } from '#admission/RequestList.js';
 import type { WaitingRequest } from '#admission/WaitingRequest.js';
 
 /** Starts requests in the order of their arrival. */
 export class FifoOrder extends QueueOrder {
-  private readonly requests = new Set<WaitingRequest>();
-  private totalMs = 0;
+  private readonly requests = new RequestList();
 
   public override get size(): number {
     return this.requests.size;
@@ -12,33 +12,30 @@
 
   public override add(request: WaitingRequest): void {
     this.requests.add(request);
-    this.totalMs += request.expectedMs;
   }
 
   public override next(): WaitingRequest | undefined {
-    const [first] = this.requests;
-    return first;
+    return this.requests.first;
   }
 
   public override last(): WaitingRequest | undefined {
-    return [...this.requests].at(-1);
+    return this.requests.last;
   }
 
   public override start(request: WaitingRequest): void {
-    this.remove(request);
+    this.requests.remove(request);
   }
 
   public override remove(request: WaitingRequest): void {
-    if (!this.requests.delete(request)) return;
-    this.totalMs = this.requests.size === 0 ? 0 : this.totalMs - request.expectedMs;
+    this.requests.remove(request);
   }
 
-  public override waiting(): Iterable<WaitingRequest> {
-    return this.requests;
+  public override waiting(): readonly WaitingRequest[] {
+    return this.requests.toArray();
   }
 
   public override workAheadMs(): number {
-    return this.totalMs;
+    return this.requests.totalMs;
   }
 
   public override finished(): void {
--- a/packages/admission/src/PriorityOrder.ts
+++ b/packages/admission/src/PriorityOrder.ts
@@ -33,8 +33,10 @@
   }
 
   public override start(request: WaitingRequest): void {
-    this.findLevel(request.priority).start(request);
-    this.count -= 1;
+    const level = this.findLevel(request.priority);
+    const before = level.size;
+    level.start(request);
+    this.count -= before - level.size;
   }
 
   public override remove(request: WaitingRequest): void {
@@ -44,8 +46,8 @@
     this.count -= before - level.size;
   }
 
-  public override *waiting(): Iterable<WaitingRequest> {
-    for (const level of this.levels.values()) yield* level.waiting();
+  public override waiting(): readonly WaitingRequest[] {
+    return [...this.levels.values()].flatMap((level) => level.waiting());
   }
 
   public override workAheadMs(request: WaitingRequest): number {
--- a/packages/admission/src/QueueOrder.ts
+++ b/packages/admission/src/QueueOrder.ts
@@ -13,14 +13,14 @@
   /** The request that starts last, and is given up when too many wait. */
   public abstract last(): WaitingRequest | undefined;
 
-  /** Removes a request that starts. */
+  /** Notes the start of a request, and removes it if it was waiting. */
   public abstract start(request: WaitingRequest): void;
 
   /** Removes a request that does not start. */
   public abstract remove(request: WaitingRequest): void;
 
   /** All waiting requests, in no particular order. */
-  public abstract waiting(): Iterable<WaitingRequest>;
+  public abstract waiting(): readonly WaitingRequest[];
 
   /** Sum of the expected service times, in milliseconds, of the requests that would start before `request`. */
   public abstract workAheadMs(request: WaitingRequest): number;
--- a/packages/admission/src/ServiceTimes.ts
+++ b/packages/admission/src/ServiceTimes.ts
@@ -1,7 +1,7 @@
 /** Weight of a new measurement in the moving average. */
 const WEIGHT = 0.1;
 
-/** Classes whose service times are kept at most; the one measured longest ago is forgotten. */
+/** Classes whose service times are kept at most; the oldest is forgotten. */
 const MAX_CLASSES = 256;
 
 /**
@@ -10,9 +10,13 @@
  */
 const STALE_MS = 5_000;
 
-interface ClassTime {
-  readonly meanMs: number;
-  readonly measuredMs: number;
+class ClassTime {
+  public meanMs: number;
+  public measuredMs = 0;
+
+  public constructor(meanMs: number) {
+    this.meanMs = meanMs;
+  }
 }
 
 /** Moving averages of the service time at one backend server, in milliseconds: of each class, and of all. */
@@ -22,12 +26,9 @@
 
   public add(requestClass: string, serviceMs: number, nowMs: number): void {
     this.all = average(this.all, serviceMs);
-    const known = this.byClass.get(requestClass);
-    const [oldest] = this.byClass.keys();
-    if (this.byClass.size >= MAX_CLASSES && oldest !== undefined) this.byClass.delete(oldest);
-    // Deleted and added again, so that the map is ordered by the last measurement.
-    this.byClass.delete(requestClass);
-    this.byClass.set(requestClass, { meanMs: average(known?.meanMs, serviceMs), measuredMs: nowMs });
+    const known = this.byClass.get(requestClass) ?? this.addClass(requestClass, serviceMs);
+    known.meanMs = average(known.meanMs, serviceMs);
+    known.measuredMs = nowMs;
   }
 
   /** Expected service time of a request; that of all classes for a class without measurements, 0 without any. */
@@ -37,6 +38,18 @@
     if (known === undefined) return all;
     return nowMs - known.measuredMs > STALE_MS ? Math.min(all, known.meanMs) : known.meanMs;
   }
+
+  private addClass(requestClass: string, serviceMs: number): ClassTime {
+    if (this.byClass.size >= MAX_CLASSES) this.forgetOldest();
+    const added = new ClassTime(serviceMs);
+    this.byClass.set(requestClass, added);
+    return added;
+  }
+
+  private forgetOldest(): void {
+    const [oldest] = this.byClass.keys();
+    if (oldest !== undefined) this.byClass.delete(oldest);
+  }
 }
 
 function average(mean: number | undefined, value: number): number {
--- a/packages/delivery/src/ReceiptTable.ts
+++ b/packages/delivery/src/ReceiptTable.ts
@@ -7,6 +7,9 @@
 /** Width of the groups in which pending receipts expire, in milliseconds. */
 const EXPIRY_STEP_MS = 100;
 
+/** A full table drops this part (1/16) at once, since finding the oldest entry of a large map is slow. */
+const DROP_PART = 16;
+
 const NOT_FOUND: RouterErrorFields = {
   code: 'receiptNotFound',
   step: 'receipt',
@@ -21,7 +24,8 @@
 }
 
 /**
- * Receipts that callers still owe, at most `maxPending`, and the outcomes of the newest `maxPending` that ended.
+ * Receipts that callers still owe, at most `maxPending`, and the outcomes of at least the newest
+ * `maxPending` that ended.
  * Each receipt is counted once: by `confirm`, or by `expect` or `expire`, which return those to count as
  * `sentUnconfirmed`.
  */
@@ -30,7 +34,9 @@
   private readonly graceMs: number;
   private readonly evidence = new ReceiptEvidence();
   private readonly pending = new Map<string, PendingReceipt>();
-  private readonly ended = new Map<string, EndedReceipt>();
+  /** Ended receipts in two generations, the older of which is forgotten when the newer is full. */
+  private ended = new Map<string, EndedReceipt>();
+  private endedBefore = new Map<string, EndedReceipt>();
   private readonly groups = new Map<number, Set<string>>();
 
   /** `graceMs` is the time after the deadline for which a receipt still counts, as `late`. */
@@ -75,10 +81,13 @@
   }
 
   private dropOldest(): readonly PendingReceipt[] {
-    const [oldest] = this.pending.values();
-    if (oldest === undefined) return [];
-    this.end(oldest, 'sentUnconfirmed');
-    return [oldest];
+    const oldest: PendingReceipt[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
+    for (const receipt of this.pending.values()) {
+      if (oldest.length * DROP_PART >= this.maxPending) break;
+      oldest.push(receipt);
+    }
+    for (const receipt of oldest) this.end(receipt, 'sentUnconfirmed');
+    return oldest;
   }
 
   private end(receipt: PendingReceipt, outcome: Outcome): void {
@@ -96,12 +105,12 @@
   }
 
   private forgetOldestEnded(): void {
-    const [oldest] = this.ended.keys();
-    if (oldest !== undefined) this.ended.delete(oldest);
+    this.endedBefore = this.ended;
+    this.ended = new Map();
   }
 
   private findEnded(id: string, tenant: string): ReceiptResult {
-    const ended = this.ended.get(id);
+    const ended = this.ended.get(id) ?? this.endedBefore.get(id);
     if (ended?.tenant !== tenant) return { kind: 'refused', error: NOT_FOUND };
     return { kind: 'repeated', outcome: ended.outcome };
   }
