Cancel request timers of the load generator and add a warm-up

Change: an emitter and a cancelled timer in place of AbortSignal.timeout; warmUpMs leaves out the first latencies; only members that are not gone count.

--- a/packages/assignment/src/JoinCell.ts
+++ b/packages/assignment/src/JoinCell.ts
@@ -16,11 +16,12 @@
 /**
  * Adds a member, or gives an existing server id a new grant. A server that joins again gets a fence for its old epoch
  * and new tokens for its shards, since it lost its idempotency records. Unowned shards are assigned at once; shards of
- * other members are not touched. Throws a `RouterError` (`cellFull`) beyond 64 members.
+ * other members are not touched. Throws a `RouterError` (`cellFull`) beyond 64 members that are not `gone`.
  */
 export function joinCell(cell: Cell, facts: MemberFacts, options: AssignOptions = {}): Cell {
   const old = findMember(cell, facts.serverId);
-  if (old === undefined && cell.members.length >= MAX_MEMBERS) throw createFullError(facts.serverId);
+  const live = cell.members.filter((member) => member.state !== 'gone').length;
+  if (old === undefined && live >= MAX_MEMBERS) throw createFullError(facts.serverId);
   const fenced = old === undefined ? cell : fenceOwnGrant(cell, old, options.graceMs ?? 0);
   const entered = enterMember(fenced, old, facts);
   const witnesses = chooseWitnesses(entered, facts.serverId, options.peers);
--- a/packages/assignment/test/assignment.test.ts
+++ b/packages/assignment/test/assignment.test.ts
@@ -91,6 +91,15 @@
   t.end();
 });
 
+t.test('a cell refuses a 65th member, but not the return of a known one', (t) => {
+  const ids = Array.from({ length: 64 }, (_, n) => `s${n % 3}a${n}`);
+  const cell = join(createCell('x', 0), ...ids);
+  t.throws(() => joinCell(cell, createFacts('s1b0')), /64 members/);
+  t.doesNotThrow(() => joinCell(cell, createFacts(ids[0]!)));
+  t.doesNotThrow(() => joinCell(planTakeover(cell, [ids[1]!]), createFacts('s1b0')));
+  t.end();
+});
+
 t.test('a takeover keeps a fence until each new owner cleared it', (t) => {
   const cell = full();
   const taken = write(planTakeover(cell, ['s1a0', 's2a0'], { graceMs: 70 }));
--- a/packages/load/src/LoadGenerator.ts
+++ b/packages/load/src/LoadGenerator.ts
@@ -1,5 +1,6 @@
+import { EventEmitter } from 'node:events';
 import { build, type Histogram } from 'hdr-histogram-js';
-import { Pool } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
 import type { Clock } from '#core/Clock.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { SystemClock } from '#core/SystemClock.js';
@@ -196,21 +197,38 @@
     const { part, target } = call;
     const { method, path, body } = this.content.createOrder(call);
     const remainingMs = Math.max(1, Math.floor(call.intendedMs + part.deadlineMs - this.clock.monotonicMs()));
+    const headers = createHeaders(call, remainingMs);
+    const sent = {
+      method,
+      path: `/v1/${part.service}/${path}`,
+      headers,
+      body: method === 'GET' ? null : body,
+    };
     try {
-      const response = await this.findPool(target).request({
-        method,
-        path: `/v1/${part.service}/${path}`,
-        headers: createHeaders(call, remainingMs),
-        body: method === 'GET' ? null : body,
-        signal: AbortSignal.timeout(remainingMs + LATE_MS),
-      });
-      const received = Buffer.from(await response.body.arrayBuffer());
-      return readAnswer(response.statusCode, response.headers, received);
+      return await this.exchange(target, sent, remainingMs + LATE_MS);
     } catch {
       return LOST;
     }
   }
 
+  /** Sends a request and reads the whole response; rejects when the time is up. */
+  private async exchange(
+    target: string,
+    sent: Omit<Dispatcher.RequestOptions, 'opaque'>,
+    timeoutMs: number,
+  ): Promise<Answer> {
+    // An emitter costs less than an AbortSignal, whose timer also stays after the response.
+    const signal = new EventEmitter();
+    const cancel = this.clock.schedule(timeoutMs, () => signal.emit('abort'));
+    try {
+      const response = await this.findPool(target).request({ ...sent, signal });
+      const received = Buffer.from(await response.body.arrayBuffer());
+      return readAnswer(response.statusCode, response.headers, received);
+    } finally {
+      cancel();
+    }
+  }
+
   private handleAnswer(call: Call, answer: Answer): void {
     const nowMs = this.clock.monotonicMs();
     const isSuccess = answer.status >= 200 && answer.status < 300;
@@ -261,16 +279,15 @@
 
   private async sendReceipt(target: string, answer: Answer): Promise<boolean> {
     const { delivery } = answer;
+    const sent = {
+      method: 'POST' as const,
+      path: delivery.startsWith('/') ? delivery : `/v1/-/receipts/${delivery}`,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ bytes: answer.body.length }),
+    };
     try {
-      const response = await this.findPool(target).request({
-        method: 'POST',
-        path: delivery.startsWith('/') ? delivery : `/v1/-/receipts/${delivery}`,
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ bytes: answer.body.length }),
-        signal: AbortSignal.timeout(LATE_MS),
-      });
-      await response.body.dump();
-      return response.statusCode < 300;
+      const { status } = await this.exchange(target, sent, LATE_MS);
+      return status < 300;
     } catch {
       return false;
     }
@@ -288,6 +305,7 @@
     const counts = this.outcomes.get(name) ?? NO_OUTCOMES;
     this.outcomes.set(name, { ...counts, [outcome]: counts[outcome] + 1 });
     if (outcome !== 'ok' && outcome !== 'late') return;
+    if (call.intendedMs < this.startMs + this.settings.warmUpMs) return;
     const histogram = this.latencies.get(name) ?? createHistogram();
     histogram.recordValue(
       Math.min(MAX_LATENCY_US, Math.max(1, Math.round((nowMs - call.intendedMs) * 1_000))),
--- a/packages/load/src/LoadSettings.ts
+++ b/packages/load/src/LoadSettings.ts
@@ -9,6 +9,8 @@
   readonly maxRequests: number;
   /** Time in which requests are started, in milliseconds. */
   readonly maxDurationMs: number;
+  /** Time at the start whose latencies are not recorded, in milliseconds; connections are opened and code is compiled. */
+  readonly warmUpMs: number;
   /** Arrivals beyond this number of requests in flight are counted as skipped. */
   readonly maxInFlight: number;
   /** Connections to each address. */
--- a/packages/load/test/generator.test.ts
+++ b/packages/load/test/generator.test.ts
@@ -79,6 +79,7 @@
   ratePerSecond: 200,
   maxRequests: 60,
   maxDurationMs: 2_000,
+  warmUpMs: 0,
   maxInFlight: 100,
   connections: 8,
   seed: 5,
@@ -129,6 +130,12 @@
   t.ok(median > 50_000, `median ${median} us`);
 });
 
+t.test('latencies of the warm-up are left out', async (t) => {
+  const { report, counts } = await runLoad(route, { warmUpMs: 102 });
+  t.match(counts, { ok: 60 });
+  t.equal(report.latencies.get('agents/levy')?.totalCount, 40);
+});
+
 t.test('repeats after a lost connection keep the id and the epoch', async (t) => {
   const { seen, counts } = await runLoad((one, res, all) => {
     const tries = all.filter((other) => other.path === one.path && other.headers['amr-epoch'] !== undefined);
