--- a/packages/assignment/test/moves.test.ts
+++ b/packages/assignment/test/moves.test.ts
@@ -5,7 +5,9 @@
 import { completeMoves } from '#assignment/CompleteMoves.js';
 import { createCell } from '#assignment/CreateCell.js';
 import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
+import { deriveShardLoads } from '#assignment/DeriveShardLoads.js';
 import { ensurePlacements } from '#assignment/EnsurePlacements.js';
+import { findParentSlot } from '#assignment/FindParentSlot.js';
 import { formatKeyShardId } from '#assignment/FormatKeyShardId.js';
 import { GreedyPolicy } from '#assignment/GreedyPolicy.js';
 import { joinCell } from '#assignment/JoinCell.js';
@@ -199,6 +201,24 @@
   t.end();
 });
 
+t.test('the load of a row is not counted in its slot too', (t) => {
+  const cell = full();
+  const row = formatKeyShardId('*', 'stall-7');
+  const slot = findParentSlot(row) ?? '';
+  const split = splitHotKeys(cell, cell.shards[slot]!.owner, [row]);
+  const derive = (state: Cell): ReadonlyMap<string, number> =>
+    deriveShardLoads(state, new Map([[slot, 50]]), new Map([[row, 40]]));
+  t.same([...derive(cell)], [[slot, 50]]);
+  t.same(
+    [...derive(split)],
+    [
+      [slot, 10],
+      [row, 40],
+    ],
+  );
+  t.end();
+});
+
 t.test('a hot key gets a row, and a cold row goes home and ends', (t) => {
   const cell = full();
   const row = formatKeyShardId('*', 'stall-7');
--- a/packages/load/src/Measure.ts
+++ b/packages/load/src/Measure.ts
@@ -1,11 +1,12 @@
 import { cac } from 'cac';
+import { ChurnMeasurement } from '#load/ChurnMeasurement.js';
 import { formatTable } from '#load/FormatTable.js';
 import { ImbalanceMeasurement } from '#load/ImbalanceMeasurement.js';
 import type { Measurement } from '#load/Measurement.js';
 
 const DEFAULT_SEED = 20_261_204;
 
-const MEASUREMENTS: readonly Measurement[] = [new ImbalanceMeasurement()];
+const MEASUREMENTS: readonly Measurement[] = [new ImbalanceMeasurement(), new ChurnMeasurement()];
 
 async function measure(name: string): Promise<void> {
   const measurement = MEASUREMENTS.find((one) => one.name === name);
--- a/packages/load/src/RunImbalance.ts
+++ b/packages/load/src/RunImbalance.ts
@@ -2,13 +2,10 @@
 import type { Cell } from '#assignment/Cell.js';
 import type { CellLoads } from '#assignment/CellLoads.js';
 import { completeMoves } from '#assignment/CompleteMoves.js';
-import { createCell } from '#assignment/CreateCell.js';
 import { createMoveBudget } from '#assignment/CreateMoveBudget.js';
 import { deriveShardLoads } from '#assignment/DeriveShardLoads.js';
-import { ensurePlacements } from '#assignment/EnsurePlacements.js';
 import { findParentSlot } from '#assignment/FindParentSlot.js';
 import { foldHotKeys } from '#assignment/FoldHotKeys.js';
-import { joinCell } from '#assignment/JoinCell.js';
 import type { Move } from '#assignment/Move.js';
 import type { MoveBudget } from '#assignment/MoveBudget.js';
 import { noLoads } from '#assignment/NoLoads.js';
@@ -18,6 +15,7 @@
 import { slotCount } from '#assignment/SlotCount.js';
 import { smoothLoads } from '#assignment/SmoothLoads.js';
 import { splitHotKeys } from '#assignment/SplitHotKeys.js';
+import { createTestCell } from '#load/CreateTestCell.js';
 import type { ImbalanceFigures } from '#load/ImbalanceFigures.js';
 import { ImbalanceLoad } from '#load/ImbalanceLoad.js';
 import type { ImbalanceScenario } from '#load/ImbalanceScenario.js';
@@ -71,28 +69,7 @@
 }
 
 function createRun(scenario: ImbalanceScenario, { policy }: ImbalanceVariant): Run {
-  const ids = Array.from({ length: scenario.members }, (_, index) => `s${index}`);
-  const joined = ids.reduce(
-    (cell, serverId, index) => {
-      const facts = {
-        serverId,
-        incarnation: serverId,
-        region: `r${index >> 1}`,
-        failureDomain: `d${index}`,
-        vm: `v${index}`,
-        host: '127.0.0.1',
-        callerPort: 1,
-        peerPort: 1,
-        udpPort: 1,
-        adminPort: 1,
-        checksToken: true,
-        slots: 6,
-      };
-      return joinCell(cell, facts, { policy });
-    },
-    createCell('permits', 0),
-  );
-  const cell = ensurePlacements(joined, ['*'], { policy });
+  const cell = createTestCell(scenario.members, policy);
   return { cell, budget: createMoveBudget(), slotLoads: noLoads, keyLoads: noLoads };
 }
 
