--- a/packages/load/src/Demo.ts
+++ b/packages/load/src/Demo.ts
@@ -70,6 +70,7 @@
         keys: { keyCount: KEY_COUNT, exponent: 0.9, hotKeys: HOT_KEYS, shiftEveryMs: 5000 },
         mix: createMix(catalogue),
         followOwner: false,
+        warmUpMs: 0,
       },
       createContent((call) =>
         this.keys.set(call.requestId, `${call.part.service}/${call.part.class}/${call.key}`),
