--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -140,9 +140,9 @@
     connections: CONNECTIONS,
     durationMs,
   };
-  const [program = '', ...args] = [...NODE, 'build/load/src/LoopMain.js', JSON.stringify(options)];
+  const args = [...NODE.slice(1), 'build/load/src/LoopMain.js', JSON.stringify(options)];
   const beforeMs = variant.process.readCpuMs();
-  const { stdout } = await promisify(execFile)(program, args);
+  const { stdout } = await promisify(execFile)(process.execPath, args);
   const usedMs = variant.process.readCpuMs() - beforeMs;
   const result = JSON.parse(stdout) as LoopResult;
   const requests = (result.ratePerSecond * durationMs) / 1000;
