Measure queue orders under overload; limit bytes between regions

Cause: the choice of the queue order had no figures, and bytes between regions had no admission. Change: MeasureOverload calculates three streams at one server at 2.5 times its capacity; admit takes a token count, and interRegionLimits gives the limits for bytes. Conclusion: the fair order within a priority stays the default.

--- a/packages/admission/src/EntryLimiter.ts
+++ b/packages/admission/src/EntryLimiter.ts
@@ -22,10 +22,10 @@
 export class EntryLimiter extends AdmissionPolicy {
   private readonly entries = new Map<string, EntryUse>();
 
-  public override admit(key: string, limits: RateLimits, nowMs: number): AdmissionResult {
+  public override admit(key: string, limits: RateLimits, nowMs: number, count = 1): AdmissionResult {
     const use = this.findUse(key, limits, nowMs);
     if (use.inFlight >= limits.concurrency) return refuseAdmission('concurrencyLimit', CONCURRENCY_RETRY_MS);
-    if (!use.bucket.take(nowMs)) return refuseAdmission('rateLimit', use.bucket.waitMs(nowMs));
+    if (!use.bucket.take(nowMs, count)) return refuseAdmission('rateLimit', use.bucket.waitMs(nowMs, count));
     use.inFlight += 1;
     return { kind: 'admit' };
   }
--- /dev/null
+++ b/packages/admission/src/MeasureOverload.ts
@@ -0,0 +1,38 @@
+// Prints what each queue order does for three streams at an overloaded backend server: a calculation without processes.
+import { FairOrder } from '#admission/FairOrder.js';
+import { FifoOrder } from '#admission/FifoOrder.js';
+import type { OverloadStream } from '#admission/OverloadStream.js';
+import { PriorityOrder } from '#admission/PriorityOrder.js';
+import { simulateOverload } from '#admission/SimulateOverload.js';
+
+const DEFAULT_SEED = 20261204;
+
+/** Target for the streams within their share, as a part of their requests that are answered by the deadline. */
+const TARGET_ON_TIME = 0.99;
+
+const SEED = Number(process.env.SEED ?? DEFAULT_SEED);
+
+const STREAMS: readonly OverloadStream[] = [
+  { tenant: 'urgent', priority: 0, share: 1, load: 0.2 },
+  { tenant: 'steady', priority: 5, share: 1, load: 0.3 },
+  { tenant: 'flood', priority: 5, share: 1, load: 2 },
+];
+
+const ORDERS = [
+  { name: 'FIFO', order: new FifoOrder() },
+  { name: 'priority only', order: new PriorityOrder(() => new FifoOrder()) },
+  { name: 'priority, then fair (default)', order: new PriorityOrder(() => new FairOrder()) },
+];
+
+const percent = (part: number): string => (part * 100).toFixed(2);
+
+console.log(`target: urgent and steady on time in ${percent(TARGET_ON_TIME)} % of their requests`);
+console.log(`seed ${SEED}, 6 slots, mean service 5 ms, deadline 100 ms, 30 s, ${JSON.stringify(STREAMS)}`);
+console.log('order | stream | on time % | late % | refused % | used % of capacity | target');
+for (const { name, order } of ORDERS) {
+  for (const { tenant, onTime, late, refused, used } of simulateOverload(SEED, STREAMS, order)) {
+    const verdict = onTime >= TARGET_ON_TIME ? 'met' : 'missed';
+    const cells = [name, tenant, ...[onTime, late, refused, used].map(percent)];
+    console.log([...cells, tenant === 'flood' ? '-' : verdict].join(' | '));
+  }
+}
--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -26,7 +26,7 @@
   public applied = 0;
   public inFlight = 0;
   public askedMs = -Infinity;
-  /** Requests that arrived since the last ask, admitted or not. */
+  /** Tokens that were wanted since the last ask, given or not. */
   public arrived = 0;
   public peakInFlight = 0;
   /** Requests refused since the last ask because too many were in flight. */
@@ -77,17 +77,19 @@
     for (const use of this.entries.values()) this.setLimits(use, use.limits, nowMs);
   }
 
-  public override admit(key: string, limits: RateLimits, nowMs: number): AdmissionResult {
+  public override admit(key: string, limits: RateLimits, nowMs: number, count = 1): AdmissionResult {
     const use = this.findUse(key, limits, nowMs);
     this.endSlice(use, nowMs);
-    use.arrived += 1;
+    use.arrived += count;
     use.peakInFlight = Math.max(use.peakInFlight, use.inFlight + 1);
     const concurrency = (use.slice?.concurrency ?? 0) + use.safe.concurrency;
     if (use.inFlight >= concurrency) {
       use.crowded += 1;
       return refuseAdmission('concurrencyLimit', ASK_ROUND_TRIP_MS);
     }
-    if (!use.bucket.take(nowMs) && !use.safeBucket.take(nowMs)) return this.refuseRate(use, nowMs);
+    if (!use.bucket.take(nowMs, count) && !use.safeBucket.take(nowMs, count)) {
+      return this.refuseRate(use, nowMs, count);
+    }
     use.inFlight += 1;
     return { kind: 'admit' };
   }
@@ -158,8 +160,8 @@
     return { entry: key, client, applied, held, ratePerSecond, concurrency, inFlight, sentMs: nowMs };
   }
 
-  private refuseRate(use: EntryUse, nowMs: number): AdmissionResult {
-    const waitMs = Math.min(use.bucket.waitMs(nowMs), use.safeBucket.waitMs(nowMs));
+  private refuseRate(use: EntryUse, nowMs: number, count: number): AdmissionResult {
+    const waitMs = Math.min(use.bucket.waitMs(nowMs, count), use.safeBucket.waitMs(nowMs, count));
     return refuseAdmission('rateLimit', use.slice === undefined ? ASK_ROUND_TRIP_MS : waitMs);
   }
 
--- a/packages/admission/src/TokenBucket.ts
+++ b/packages/admission/src/TokenBucket.ts
@@ -42,12 +42,12 @@
     this.tokens = Math.min(this.burst, this.tokens + tokens);
   }
 
-  /** Time until one token is there, in milliseconds; infinite without a rate or with a burst below 1. */
-  public waitMs(nowMs: number): number {
+  /** Time until `count` tokens are there, in milliseconds; infinite without a rate or with a lower burst. */
+  public waitMs(nowMs: number, count = 1): number {
     this.accrue(nowMs);
-    if (this.tokens >= 1) return 0;
-    if (this.burst < 1 || this.ratePerSecond <= 0) return Infinity;
-    return ((1 - this.tokens) / this.ratePerSecond) * 1_000;
+    if (this.tokens >= count) return 0;
+    if (this.burst < count || this.ratePerSecond <= 0) return Infinity;
+    return ((count - this.tokens) / this.ratePerSecond) * 1_000;
   }
 
   private accrue(nowMs: number): void {
--- a/packages/admission/test/admission.test.ts
+++ b/packages/admission/test/admission.test.ts
@@ -8,6 +8,7 @@
 import type { CrashMark } from '#admission/CrashMark.js';
 import { entryKey } from '#admission/EntryKey.js';
 import { EntryLimiter } from '#admission/EntryLimiter.js';
+import { interRegionLimits } from '#admission/InterRegionLimits.js';
 import { Quarantine } from '#admission/Quarantine.js';
 import drain from '../charts/drain.json' with { type: 'json' };
 import quarantine from '../charts/quarantine.json' with { type: 'json' };
@@ -61,6 +62,27 @@
   t.end();
 });
 
+// Guards against an entry whose bytes between regions exceed what it may use, or that may use none.
+t.test('bytes between regions', (t) => {
+  const limiter = new EntryLimiter();
+  const entry = {
+    ...LIMITS,
+    share: 1,
+    priority: 5,
+    defaultDeadlineMs: 100,
+    maxDeadlineMs: 100,
+    maxBodyBytes: 1_000,
+    interRegionBytesPerSecond: 1_000,
+  };
+  const limits = interRegionLimits(entry);
+  t.equal(limiter.admit('e', limits, 0, 900).kind, 'admit');
+  t.match(limiter.admit('e', limits, 0, 200), { error: { code: 'rateLimit', retryAfterMs: 100 } });
+  t.equal(limiter.admit('e', limits, 100, 200).kind, 'admit');
+  const none = interRegionLimits({ ...entry, interRegionBytesPerSecond: 0 });
+  t.equal(limiter.admit('none', none, 1_000, 1).kind, 'refuse');
+  t.end();
+});
+
 // Guards against a request that takes down one backend server after the other.
 t.test('hold at two marks', (t) => {
   const table = new Quarantine(10, 1_000);
--- a/packages/delivery/src/DeliveryEvent.ts
+++ b/packages/delivery/src/DeliveryEvent.ts
@@ -2,7 +2,7 @@
  * Events of one response. `ordered`: a byte of the order may have reached the backend server. `head` and `chunk`: parts
  * of the response were written to the caller. `written`: its last byte was handed to the socket. `flushed`: the socket
  * took all of it and is open. `refused`: the request did not run. `backendLost`: no complete response will come.
- * `timedOut`: the deadline passed without a response head, or the time for a receipt ended. Times are monotonic.
+ * `timedOut`: the time for the response or for the receipt ended; what was not sent by then is not sent. Times are monotonic.
  */
 export type DeliveryEvent =
   | { readonly type: 'ordered' | 'head' | 'written' | 'refused' | 'backendLost' | 'timedOut' | 'callerGone' }
