Ask for quota slices once per 0.6 of their time, and repeat sooner when unanswered

Cause: asks were sent every 0.4 of a slice whether answered or not, so one lost message could end a slice unrenewed. Change: an ask is due at 0.6 of the slice and is repeated every 0.1 of it until a new slice arrives.

--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -9,12 +9,12 @@
 import { TokenBucket } from '#admission/TokenBucket.js';
 
 /** Part of a slice's time after which the next one is asked for. */
-const ASK_AFTER = 0.4;
+const ASK_AFTER = 0.6;
 
 /** Time after which a request without a slice may try again, in milliseconds; one round trip between regions. */
 const ASK_ROUND_TRIP_MS = 50;
 
-/** Part of a slice's time after which an ask is repeated early, while the daemon can admit nothing. */
+/** Part of a slice's time after which an unanswered ask is repeated. */
 const RETRY_AFTER = 0.1;
 
 class EntryUse {
@@ -102,8 +102,7 @@
   /** Whether an ask is due before the usual time, because requests arrive and there is no usable slice. */
   public needsAsk(key: string, nowMs: number): boolean {
     const use = this.entries.get(key);
-    if (use === undefined || use.arrived === 0 || isUsable(use.slice)) return false;
-    return nowMs - use.askedMs >= Math.max(ASK_ROUND_TRIP_MS, this.settings.sliceMs * RETRY_AFTER);
+    return use !== undefined && use.arrived > 0 && !isUsable(use.slice) && this.mayAsk(use, nowMs);
   }
 
   /** Returns the asks that are due: for entries in use, ahead of the end of their slices. */
@@ -136,8 +135,12 @@
 
   private isDue(key: string, use: EntryUse, nowMs: number): boolean {
     if (this.needsAsk(key, nowMs)) return true;
-    const used = use.arrived > 0 || use.inFlight > 0;
-    return use.slice !== undefined && used && nowMs - use.askedMs >= this.settings.sliceMs * ASK_AFTER;
+    if (use.slice === undefined || (use.arrived === 0 && use.inFlight === 0)) return false;
+    return nowMs >= use.slice.sentMs + use.slice.sliceMs * ASK_AFTER && this.mayAsk(use, nowMs);
+  }
+
+  private mayAsk(use: EntryUse, nowMs: number): boolean {
+    return nowMs - use.askedMs >= Math.max(ASK_ROUND_TRIP_MS, this.settings.sliceMs * RETRY_AFTER);
   }
 
   private buildAsk(key: string, use: EntryUse, nowMs: number): QuotaAsk {
