Test cells whose witnesses belong to other services

Cause: at today's sizes a cell has two members in a region, so that witnesses come from other services.

--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -47,13 +47,17 @@
 
   /** Starts the store and daemons `s0`.. in three failure domains, and waits until each holds a lease. */
   public async start(count: number): Promise<void> {
-    this.storePort = await this.server.start();
+    await this.startStore();
     for (let index = 0; index < count; index += 1) await this.add(`s${index}`, `d${index % 3}`);
     await this.waitFor('leases', () => this.live().every((daemon) => daemon.hasLease()));
   }
 
+  public async startStore(): Promise<void> {
+    this.storePort = await this.server.start();
+  }
+
   /** Starts one daemon; a second one with the same name replaces the first in `daemons`. */
-  public async add(serverId: string, failureDomain: string): Promise<FleetDaemon> {
+  public async add(serverId: string, failureDomain: string, service = SERVICE): Promise<FleetDaemon> {
     const logger = new Logger(`test:${serverId}`);
     const clock = new PausableClock();
     const random = new RandomSource(this.daemons.size + 1);
@@ -107,7 +111,8 @@
     };
     this.daemons.set(serverId, daemon);
     this.seeds.push(`${HOST}:${ports.peerPort}`);
-    daemon.plane.start(daemon.facts, SERVICE);
+    daemon.service = service;
+    daemon.plane.start(daemon.facts, service);
     return daemon;
   }
 
@@ -131,9 +136,10 @@
     }
   }
 
-  /** Whether each of the 128 shards of the only placement is usable by exactly one of the live daemons. */
-  public isServed(): boolean {
-    const owned = this.live().flatMap((daemon) => [...daemon.usable().keys()]);
+  /** Whether each of the 128 shards of a service's only placement is usable by exactly one of its live daemons. */
+  public isServed(service = SERVICE): boolean {
+    const daemons = this.live().filter((daemon) => daemon.service === service);
+    const owned = daemons.flatMap((daemon) => [...daemon.usable().keys()]);
     return owned.length === 128 && new Set(owned).size === 128;
   }
 
@@ -167,7 +173,8 @@
   private checkOwners(): void {
     const owners = new Map<string, string>();
     for (const daemon of this.live()) {
-      for (const shardId of daemon.usable().keys()) {
+      for (const shard of daemon.usable().keys()) {
+        const shardId = `${daemon.service}/${shard}`;
         const other = owners.get(shardId);
         if (other !== undefined) this.conflicts.push(`${shardId} by ${other} and ${daemon.serverId}`);
         owners.set(shardId, daemon.serverId);
@@ -184,9 +191,10 @@
     await this.server.stop();
   }
 
-  /** A catalogue with one service. */
-  public static catalogue(name = SERVICE): Catalogue {
-    const services = [{ name, keyed: true, cells: 1, orderGraceMs: 0 }];
+  /** A catalogue of services without entries; one service if none is named. */
+  public static catalogue(...names: readonly string[]): Catalogue {
+    const list = names.length === 0 ? [SERVICE] : names;
+    const services = list.map((name) => ({ name, keyed: true, cells: 1, orderGraceMs: 0 }));
     return { regions: ['r1'], services, owners: [], entries: [] };
   }
 }
--- a/packages/control/test/FleetDaemon.ts
+++ b/packages/control/test/FleetDaemon.ts
@@ -17,6 +17,7 @@
   public readonly clock: PausableClock;
   public plane!: ControlPlane;
   public facts!: MemberFacts;
+  public service = '';
   public isKilled = false;
   public ownership: OwnershipUpdate | undefined;
   public cell: Cell | undefined;
@@ -46,6 +47,7 @@
         this.ownership = event;
         return;
       case 'cell':
+        if (event.cell.service !== this.service) return;
         this.cell = event.cell;
         for (const fence of event.cell.fences) this.fences.set(fence.id, fence.serverId);
         return;
