Keep a daemon within its call budget during a store outage

Cause: suspicions during an outage called the store every 400 ms and would spend the call budget before the store returns; and a lease update could list a shard between its release request and its withdrawal. Change: one pause for all repeated store calls, doubled up to 5 s; watches pause up to 10 s; release requests follow the update that withdraws the shards. Conclusion: no change of behaviour while the store responds.

--- a/packages/control/src/CellMessage.ts
+++ b/packages/control/src/CellMessage.ts
@@ -6,6 +6,7 @@
 import type { CellStatus } from '#control/CellStatus.js';
 import type { Intent } from '#control/Intent.js';
 import type { RegistrationRequest } from '#control/RegistrationRequest.js';
+import type { ReleaseRequest } from '#control/ReleaseRequest.js';
 import type { SuspectReport } from '#control/SuspectReport.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
 
@@ -47,8 +48,9 @@
     }
   | { readonly type: 'read'; readonly name: string; readonly reply: (cell: Cell | undefined) => void }
   | { readonly type: 'fetchEnded'; readonly name: string; readonly cell: Cell | undefined }
-  /** Shards that are being given away and must not be used. */
-  | { readonly type: 'withhold'; readonly shardIds: readonly string[] }
+  /** Shards that are given away: withdraws their use, and then sends the requests to the request path. */
+  | { readonly type: 'withhold'; readonly requests: readonly ReleaseRequest[] }
+  /** Shards whose transfer ended; those that are still owned may be used again. */
   | { readonly type: 'restore'; readonly shardIds: readonly string[] }
   /** Writes planned moves to one member; `incarnation` is the process that holds the records. */
   | {
--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -97,7 +97,8 @@
   private startedMs = 0;
   private pending: readonly PendingWrite[] = [];
   private failures = 0;
-  private registerNotBeforeMs = 0;
+  /** Time before which the store is not called for what is asked for again later. */
+  private storeNotBeforeMs = 0;
   private suspects: readonly Suspect[] = [];
   private waiting: ReadonlyMap<string, readonly ((cell: Cell | undefined) => void)[]> = new Map();
   private foreignReadAtMs = Number.NEGATIVE_INFINITY;
@@ -180,8 +181,7 @@
         this.endFetch(message);
         return;
       case 'withhold':
-        this.withheld = new Set([...this.withheld, ...message.shardIds]);
-        this.refreshUsable();
+        this.withhold(message);
         return;
       case 'restore':
         this.withheld = new Set([...this.withheld].filter((id) => !message.shardIds.includes(id)));
@@ -253,7 +253,7 @@
   private requestRegistration({ reason, silentWitnesses }: MessageOf<'register'>): void {
     const nowMs = this.context.clock.monotonicMs();
     const cell = this.ownCell();
-    if (this.membership !== 'member' || cell === undefined || nowMs < this.registerNotBeforeMs) return;
+    if (this.membership !== 'member' || cell === undefined || nowMs < this.storeNotBeforeMs) return;
     this.reason = reason;
     const kept = [...this.silent].filter(([, atMs]) => nowMs - atMs < SILENCE_KEPT_MS);
     this.silent = new Map([...kept, ...silentWitnesses.map((id) => [id, nowMs] as const)]);
@@ -302,10 +302,6 @@
       this.advance('undecided');
       return;
     }
-    const isDone = outcome.type === 'accepted' || (outcome.type === 'unchanged' && !replaced);
-    this.failures = isDone ? 0 : this.failures + 1;
-    const pauseMs = isDone ? 0 : this.backoff();
-    this.registerNotBeforeMs = this.context.clock.monotonicMs() + pauseMs;
     if (outcome.type === 'accepted') this.adoptOwn(outcome.cell);
     if (replaced) this.advance('replaced');
     else this.advance(outcome.type === 'accepted' && this.isListed() ? 'accepted' : 'failed');
@@ -394,9 +390,11 @@
     this.suspects = [...this.suspects, { ...report, atMs: this.context.clock.monotonicMs() }];
   }
 
+  /** Suspicions are reported again at the renewal interval, so that those of a store outage may be dropped. */
   private takeOver(): void {
     const suspects = this.suspects;
     this.suspects = [];
+    if (this.context.clock.monotonicMs() < this.storeNotBeforeMs) return;
     for (const name of new Set(suspects.map(({ cellName }) => cellName))) {
       const reports = suspects.filter(({ cellName }) => cellName === name);
       void this.writeTakeover(name, reports);
@@ -447,6 +445,13 @@
 
   // Planned moves and leaving
 
+  /** The request follows the update: an update that lists the shard again tells that it was not moved. */
+  private withhold({ requests }: MessageOf<'withhold'>): void {
+    this.withheld = new Set([...this.withheld, ...requests.map(({ shardId }) => shardId)]);
+    this.refreshUsable();
+    for (const request of requests) this.links.emit(request);
+  }
+
   /** A write without a reply is settled before the moves are reported; until then the shards stay withheld. */
   private async completeMoves({ moves, to, incarnation, reply }: MessageOf<'complete'>): Promise<void> {
     const { service, index } = this.requireHome();
@@ -732,8 +737,11 @@
   }
 
   private noteOutcome(change: string, outcome: CellOutcome, peer = ''): void {
-    const isStoreFault = outcome.type === 'failed' && outcome.code !== 'storeConflict';
-    this.storeReachable = !isStoreFault && outcome.type !== 'undecided';
+    const isConflict = outcome.type === 'failed' && outcome.code === 'storeConflict';
+    const isFailure = outcome.type === 'failed' || outcome.type === 'undecided';
+    this.failures = isFailure ? this.failures + 1 : 0;
+    this.storeNotBeforeMs = isFailure ? this.context.clock.monotonicMs() + this.backoff() : 0;
+    this.storeReachable = !isFailure || isConflict;
     const version = 'cell' in outcome ? outcome.cell?.version : undefined;
     const code = outcome.type === 'failed' ? outcome.code : undefined;
     const fields = { step: 'store', peer, change, outcome: outcome.type, version, code } as const;
--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -141,12 +141,12 @@
     const transferId = (this.lastTransferId += 1);
     this.context.logger.log('moveBegun', { step: 'move', peer: to, shards: moves.length });
     this.setTransfer(transferId, { value: CHART.initial, context: { moves, to, records: [] } });
-    this.links.cell({ type: 'withhold', shardIds: listShards(moves) });
-    for (const { shardId } of moves) {
+    const requests = moves.map(({ shardId }) => {
       const reply = (records: ShardRecords): void =>
         this.postEvent(transferId, { type: 'released', records });
-      this.links.emit({ type: 'release', shardId, reply });
-    }
+      return { type: 'release', shardId, reply } as const;
+    });
+    this.links.cell({ type: 'withhold', requests });
     this.context.clock.schedule(RELEASE_LIMIT_MS, () =>
       this.postEvent(transferId, { type: 'releaseExpired' }),
     );
--- a/packages/control/src/SpreadMessage.ts
+++ b/packages/control/src/SpreadMessage.ts
@@ -38,5 +38,6 @@
       readonly reply: (outcome: Either<RouterError, PutOutcome>) => void;
     }
   | { readonly type: 'watchEnded'; readonly name: SharedObject['name']; readonly failed: boolean }
+  | { readonly type: 'watchDue'; readonly name: SharedObject['name'] }
   | { readonly type: 'fetchEnded'; readonly name: SharedObject['name'] }
   | { readonly type: 'status'; readonly reply: (status: SpreadStatus) => void };
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -33,8 +33,9 @@
 const NAMES = ['catalogue', 'intent'] as const;
 /** A waiting watch counts as one call, so that few long ones cost less than many short ones. */
 const WATCH_MS = 25_000;
-/** Pause after a failed watch; six readers together then call a failing store at most six times a second. */
+/** Pause after a failed watch, doubled with each failure; the longest one keeps a reader within its call budget. */
 const WATCH_RETRY_MS = 1_000;
+const WATCH_RETRY_MAX_MS = 10_000;
 /** Part of the digests that go to a seed, which connects the cells with one another. */
 const SEED_FRACTION = 0.25;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -59,6 +60,7 @@
   private seen: ReadonlyMap<string, SeenVersions> = new Map();
   private watching: ReadonlySet<string> = new Set();
   private fetching: ReadonlySet<string> = new Set();
+  private watchFailures = 0;
   private marks = 0;
   private cancelTick: Cancel = () => undefined;
 
@@ -117,6 +119,9 @@
       case 'watchEnded':
         this.endWatch(message);
         return;
+      case 'watchDue':
+        this.resumeWatch(message.name);
+        return;
       case 'fetchEnded':
         this.fetching = new Set([...this.fetching].filter((name) => name !== message.name));
         return;
@@ -266,12 +271,19 @@
 
   private endWatch({ name, failed }: MessageOf<'watchEnded'>): void {
     if (!failed) {
-      this.watching = new Set([...this.watching].filter((other) => other !== name));
-      this.watchStore();
+      this.watchFailures = 0;
+      this.resumeWatch(name);
       return;
     }
-    const pauseMs = WATCH_RETRY_MS * (0.5 + this.context.random.fraction());
-    this.context.clock.schedule(pauseMs, () => this.post({ type: 'watchEnded', name, failed: false }));
+    const limitMs = Math.min(WATCH_RETRY_MAX_MS, WATCH_RETRY_MS * 2 ** this.watchFailures);
+    this.watchFailures += 1;
+    const pauseMs = limitMs * (0.5 + this.context.random.fraction() / 2);
+    this.context.clock.schedule(pauseMs, () => this.post({ type: 'watchDue', name }));
+  }
+
+  private resumeWatch(name: SharedObject['name']): void {
+    this.watching = new Set([...this.watching].filter((other) => other !== name));
+    this.watchStore();
   }
 
   /**
