--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -52,8 +52,14 @@
     await this.waitFor('leases', () => this.live().every((daemon) => daemon.hasLease()));
   }
 
-  public async startStore(): Promise<void> {
+  public async startStore(): Promise<number> {
     this.storePort = await this.server.start();
+    return this.storePort;
+  }
+
+  /** Uses a store that another process runs. */
+  public useStore(port: number): void {
+    this.storePort = port;
   }
 
   /** Starts one daemon; a second one with the same name replaces the first in `daemons`. */
