--- /dev/null
+++ b/packages/model/src/Configure.ts
@@ -0,0 +1,29 @@
+import type { ModelBudget } from '#model/ModelBudget.js';
+import type { ModelConfig } from '#model/ModelConfig.js';
+import { STEPS } from '#model/Steps.js';
+
+const NONE: ModelBudget = {
+  takeovers: 0,
+  registrations: 0,
+  moves: 0,
+  witnessRestarts: 0,
+  daemonRestarts: 0,
+  delays: 0,
+  attempts: 0,
+};
+
+/** Returns a configuration with three witnesses and the given faults and changes. */
+export function configure(
+  name: string,
+  budget: Partial<ModelBudget>,
+  steps: keyof typeof STEPS = 'long',
+): ModelConfig {
+  return {
+    name,
+    lease: STEPS[steps],
+    sets: [[0, 1, 2]],
+    firstEpoch: 1,
+    budget: { ...NONE, ...budget },
+    guardOff: undefined,
+  };
+}
