Connect the administration API with the daemon

Nothing answered the administration API of a real daemon. DaemonAdminBackend now does, from the control tasks, the store, the owner task and calls to other daemons (adminStatus, adminStats, adminMoves, adminHeld, adminLift, adminExplain). Compiles and lints; not yet run.

--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -2,6 +2,7 @@
 import type { Either } from 'purify-ts';
 import type { Cell } from '#assignment/Cell.js';
 import type { MemberFacts } from '#assignment/MemberFacts.js';
+import type { RecordedMove } from '#assignment/RecordedMove.js';
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import type { RouterError } from '#core/RouterError.js';
 import type { CellStatus } from '#control/CellStatus.js';
@@ -131,6 +132,11 @@
     return { lease, cell, spread };
   }
 
+  /** Resolves with the planned moves of own shards that are under way. */
+  public readMoves(): Promise<readonly RecordedMove[]> {
+    return this.move.ask((reply) => ({ type: 'moves', reply }));
+  }
+
   private put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
     return this.spread.ask((reply) => ({ type: 'put', change, reply }));
   }
--- a/packages/control/src/LeaseStatus.ts
+++ b/packages/control/src/LeaseStatus.ts
@@ -6,4 +6,7 @@
   /** End of the lease on the monotonic clock, in milliseconds. */
   readonly leaseEndMs: number;
   readonly witnesses: readonly string[];
+  /** Renewals that witnesses granted, and those that were refused or not answered, since the start. */
+  readonly granted: number;
+  readonly lost: number;
 }
--- a/packages/control/src/LeaseTask.ts
+++ b/packages/control/src/LeaseTask.ts
@@ -23,6 +23,8 @@
   private directory: Directory = new Map();
   private digest: Digest = NO_DIGEST;
   private cellName = '';
+  private granted = 0;
+  private lost = 0;
   private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
@@ -101,8 +103,11 @@
     const call = encodeRenewCall({ request, cell: cellName, digest: this.digest });
     const timeoutMs = this.context.config.leaseMs;
     const answer = await this.context.transport.call(peer, 'renew', call, { channel: 'udp', timeoutMs });
+    if (answer.isLeft()) this.lost += 1;
     answer.ifRight((value) => {
       const { reply, digest } = decodeRenewAnswer(value as RenewAnswerTuple, cellName);
+      if (reply.granted) this.granted += 1;
+      else this.lost += 1;
       this.post({ type: 'reply', witness, reply });
       this.links.spread({ type: 'seen', digest, from: witness });
     });
@@ -116,7 +121,9 @@
 
   private replyStatus(reply: Extract<LeaseMessage, { readonly type: 'status' }>['reply']): void {
     const { epoch, leaseEndMs, links } = this.state.context;
-    reply({ state: this.state.value, epoch, leaseEndMs, witnesses: links.map(({ witness }) => witness) });
+    const witnesses = links.map(({ witness }) => witness);
+    const { granted, lost } = this;
+    reply({ state: this.state.value, epoch, leaseEndMs, witnesses, granted, lost });
   }
 
   private logChange(from: string): void {
--- a/packages/control/src/MoveMessage.ts
+++ b/packages/control/src/MoveMessage.ts
@@ -1,4 +1,5 @@
 import type { Cell } from '#assignment/Cell.js';
+import type { RecordedMove } from '#assignment/RecordedMove.js';
 import type { HandoverAnswer } from '#control/HandoverAnswer.js';
 import type { HandoverCall } from '#control/HandoverCall.js';
 import type { Intent } from '#control/Intent.js';
@@ -14,6 +15,7 @@
   | { readonly type: 'load'; readonly serverId: string; readonly loads: ShardLoads }
   | { readonly type: 'handover'; readonly call: HandoverCall; readonly from: string; readonly reply: Reply }
   | { readonly type: 'transfer'; readonly transferId: number; readonly event: MoveEvent }
+  | { readonly type: 'moves'; readonly reply: (moves: readonly RecordedMove[]) => void }
   | { readonly type: 'tick' };
 
 type Reply = (answer: HandoverAnswer | undefined) => void;
--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -7,6 +7,7 @@
 import type { MoveBudget } from '#assignment/MoveBudget.js';
 import { noLoads } from '#assignment/NoLoads.js';
 import { planMoves } from '#assignment/PlanMoves.js';
+import type { RecordedMove } from '#assignment/RecordedMove.js';
 import { recordMoves } from '#assignment/RecordMoves.js';
 import { advanceChart } from '#chart/AdvanceChart.js';
 import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
@@ -90,12 +91,21 @@
       case 'transfer':
         this.advance(message.transferId, message.event);
         return;
+      case 'moves':
+        message.reply(this.listMoves());
+        return;
       case 'tick':
         this.scheduleTick();
         this.plan();
     }
   }
 
+  private listMoves(): readonly RecordedMove[] {
+    const moves = [...this.transfers.values()].flatMap(({ context }) => context.moves);
+    const recorded = new Map(this.budget.recent.map((move) => [move.shardId, move]));
+    return moves.flatMap((move) => recorded.get(move.shardId) ?? []);
+  }
+
   private noteLoad({ serverId, loads }: MessageOf<'load'>): void {
     const report = { loads, atMs: this.context.clock.monotonicMs() };
     this.reports = new Map([...this.reports, [serverId, report]]);
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -290,7 +290,7 @@
 
   private async put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
     const { name, value, author, ifVersion } = change;
-    const authored = { author, [name]: value };
+    const authored = { author, timeMs: this.context.clock.wallMs(), [name]: value };
     const updated = await updateObject(this.context.store, {
       name,
       change: (current) => ((current?.version ?? 0) === ifVersion ? authored : undefined),
--- /dev/null
+++ b/packages/daemon/src/CompareCells.ts
@@ -0,0 +1,20 @@
+import type { Cell } from '#assignment/Cell.js';
+import { listOwnedShards } from '#assignment/ListOwnedShards.js';
+import type { CellChanges } from '#daemon/CellChanges.js';
+
+/** Counts what changed for a member between two versions of its cell. A shard that a takeover took from it counts not. */
+export function compareCells(before: Cell | undefined, after: Cell, serverId: string): CellChanges {
+  if (before === undefined) return { takeovers: 0, plannedMoves: 0, hotKeyMoves: 0 };
+  const given = listOwnedShards(before, serverId).filter((shardId) => {
+    const shard = after.shards[shardId];
+    return shard !== undefined && shard.owner !== serverId && shard.fences.length === 0;
+  });
+  const received = listOwnedShards(after, serverId).filter(
+    (shardId) => before.shards[shardId]?.owner !== serverId,
+  );
+  return {
+    takeovers: received.filter((shardId) => (after.shards[shardId]?.fences.length ?? 0) > 0).length,
+    plannedMoves: given.length,
+    hotKeyMoves: given.filter((shardId) => shardId.includes('/key:')).length,
+  };
+}
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,43 +1,69 @@
 import { randomBytes } from 'node:crypto';
+import { AdminTask } from '#admin/AdminTask.js';
 import type { MemberFacts } from '#assignment/MemberFacts.js';
-import type { CrashMark } from '#admission/CrashMark.js';
-import type { Cell } from '#assignment/Cell.js';
+import { advanceChart } from '#chart/AdvanceChart.js';
+import { compileChart } from '#chart/CompileChart.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import { ControlPlane } from '#control/ControlPlane.js';
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { SystemClock } from '#core/SystemClock.js';
+import { applyToView } from '#daemon/ApplyToView.js';
+import { buildAdmin } from '#daemon/BuildAdmin.js';
+import { compareCells } from '#daemon/CompareCells.js';
 import type { DaemonPorts } from '#daemon/DaemonPorts.js';
+import { EMPTY_VIEW } from '#daemon/EmptyView.js';
+import type { FleetView } from '#daemon/FleetView.js';
+import type { LocalAdmin } from '#daemon/LocalAdmin.js';
+import { MeasureRequests } from '#daemon/MeasureRequests.js';
+import { MeteredStore } from '#daemon/MeteredStore.js';
+import type { PresenceCommand } from '#daemon/PresenceCommand.js';
+import { PRESENCE_RULES } from '#daemon/PresenceRules.js';
 import { RequestPath } from '#daemon/RequestPath.js';
+import { requireRight } from '#daemon/RequireRight.js';
+import { sendMarks } from '#daemon/SendMarks.js';
+import { StoreMeter } from '#daemon/StoreMeter.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { BackendFacts } from '#proxy/BackendFacts.js';
-import type { EntryEnd } from '#proxy/EntryEnd.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
 import { PeerTransport } from '#rpc/PeerTransport.js';
 import type { Settings } from '#settings/Settings.js';
 import { HttpObjectStore } from '#store/HttpObjectStore.js';
+import file from '../charts/presence.json' with { type: 'json' };
 
+const CHART = compileChart('presence.json', file, PRESENCE_RULES);
 /** A cell that was just fetched is not asked for again within this time, however many requests miss it. */
 const CELL_FETCH_PAUSE_MS = 100;
-const MICROS_PER_MS = 1000;
+/** Operators use few daemons at a time, so that these calls to the store don't grow with the fleet. */
+const ADMIN_CALLS_PER_SECOND = 1;
+/** Part of `shutdownMs` for giving shards away; the rest is for open requests, also while the store is down. */
+const DRAIN_PART = 0.7;
 
-/** One daemon: the request path, the control tasks, and the connections between them. */
+/** One daemon: the request path, the control tasks, the administration API, and the connections between them. */
 export class Daemon {
   private readonly clock = new SystemClock();
   private readonly logger = new Logger('daemon');
   private readonly metrics = new MetricsRecorder();
+  private readonly measure = new MeasureRequests(this.metrics);
+  private readonly meter = new StoreMeter(this.clock);
   private readonly random = new RandomSource(randomBytes(4).readInt32LE());
   private readonly transport: PeerTransport;
-  private readonly store: HttpObjectStore;
-  private readonly control: ControlPlane;
+  private readonly store: MeteredStore;
+  private readonly adminStore: MeteredStore;
   private readonly path: RequestPath;
-  private readonly cells = new Map<string, Cell>();
+  private readonly local: LocalAdmin;
+  private readonly admin: AdminTask;
   private readonly fetchedAtMs = new Map<string, number>();
-  private ports: DaemonPorts = { caller: 0, peer: 0, udp: 0, backend: 0 };
-  private joined = false;
+  private control: ControlPlane;
+  private view: FleetView = EMPTY_VIEW;
+  private presence: string = CHART.initial;
+  private facts: BackendFacts | undefined;
+  private drained: Promise<boolean> = Promise.resolve(true);
+  private ports: DaemonPorts = { caller: 0, peer: 0, udp: 0, admin: 0, backend: 0 };
 
   public constructor(private readonly settings: Settings) {
-    const { serverId, host, ports, fleetKey, storeUrl } = settings;
-    const { clock, random } = this;
+    const { serverId, host, ports, fleetKey, adminTls } = settings;
+    const { clock, random, metrics, meter } = this;
     this.transport = new PeerTransport({
       serverId,
       host,
@@ -47,71 +73,162 @@
       clock,
       logger: new Logger('rpc'),
     });
-    this.store = new HttpObjectStore({ url: storeUrl, clock, random });
-    this.path = new RequestPath(settings, clock, random.integer(0x7fff_ffff), {
-      onEnd: (end) => this.record(end),
-      onReceipt: (tenant, requestClass, outcome) => this.metrics.countOutcome(tenant, requestClass, outcome),
-      onCellNeeded: (service, index) => this.fetchCell(service, index),
-      onLoad: () => undefined,
-      onMarks: (marks) => this.sendMarks(marks),
-      onBackend: (facts) => this.applyBackend(facts),
-    });
-    this.control = new ControlPlane({
-      settings,
-      transport: this.transport,
-      store: this.store,
-      clock,
-      logger: new Logger('control'),
-      random,
-      listener: (event) => this.applyControl(event),
-    });
+    this.store = this.connectStore();
+    this.adminStore = this.connectStore(ADMIN_CALLS_PER_SECOND);
+    this.path = this.buildPath();
+    this.control = this.buildControl();
+    const { local, backend } = buildAdmin(
+      {
+        settings,
+        clock,
+        random,
+        metrics,
+        meter,
+        owner: this.path.owner,
+        control: () => this.control,
+        view: () => this.view,
+        transportStats: () => this.transport.readStats(),
+      },
+      this.transport,
+      this.adminStore,
+    );
+    this.local = local;
+    const tls = adminTls === undefined ? {} : { tls: adminTls };
+    this.admin = new AdminTask(backend, { host, port: ports.admin, fleetKey, ...tls }, clock);
   }
 
   /** Opens all ports; the daemon joins its cell when the backend server beside it announces itself. */
   public async start(): Promise<DaemonPorts> {
     const { peerPort, udpPort } = await this.transport.start();
-    const { caller, backend } = await this.path.start();
     this.transport.handle('marks', (params) => {
-      this.path.applyMarks(params as readonly CrashMark[]);
+      this.path.applyMarks(params as readonly RequestMark[]);
       return Promise.resolve({});
     });
-    this.ports = { caller, peer: peerPort, udp: udpPort, backend };
-    this.logger.log('started', { caller, peerPort, udpPort, backend });
+    const admin = requireRight(await this.admin.start());
+    const { caller, backend } = await this.path.start();
+    this.ports = { caller, peer: peerPort, udp: udpPort, admin, backend };
+    this.logger.log('started', { caller, peerPort, udpPort, admin, backend });
     return this.ports;
   }
 
   /** Leaves without cutting off a request: gives the shards away, then waits for open requests, within `shutdownMs`. */
   public async shutDown(): Promise<void> {
     this.logger.log('shutdownStarted', { step: 'shutdown' });
-    const deadline = new Promise<void>((resolve) =>
-      this.clock.schedule(this.settings.timings.shutdownMs, resolve),
-    );
-    await Promise.race([deadline, this.leave()]);
+    await Promise.race([this.wait(this.settings.timings.shutdownMs), this.leave()]);
     this.logger.log('shutdownEnded', { step: 'shutdown' });
     await this.stop();
   }
 
   /** Stops at once. */
   public async stop(): Promise<void> {
+    this.admin.stop();
     this.path.stop();
     this.control.stop();
     await this.transport.stop();
-    await this.store.close();
+    await Promise.all([this.store.close(), this.adminStore.close()]);
   }
 
+  /** The entry goes on serving until the shards have left. */
   private async leave(): Promise<void> {
+    this.path.announceClose();
+    this.advance('shutDown');
+    await Promise.race([this.wait(this.settings.timings.shutdownMs * DRAIN_PART), this.drained]);
+    this.logger.log('shardsLeft', { step: 'shutdown' });
     await this.path.close();
   }
 
+  private wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => this.clock.schedule(durationMs, resolve));
+  }
+
+  private connectStore(callsPerSecond?: number): MeteredStore {
+    const { clock, random } = this;
+    const budget = callsPerSecond === undefined ? {} : { callsPerSecond };
+    const store = new HttpObjectStore({ url: this.settings.storeUrl, clock, random, ...budget });
+    return new MeteredStore(store, this.meter);
+  }
+
+  private buildPath(): RequestPath {
+    return new RequestPath(this.settings, this.clock, this.random.integer(0x7fff_ffff), {
+      onEnd: (end) => this.measure.noteEnd(end),
+      onReceipt: (tenant, requestClass, outcome, wholeMs) =>
+        this.measure.noteOutcome(tenant, requestClass, outcome, wholeMs),
+      onCellNeeded: (service, index) => this.fetchCell(service, index),
+      onLoad: (requestsPerSecond) => this.reportLoad(Object.fromEntries(requestsPerSecond)),
+      onMarks: (marks) => sendMarks(this.transport, this.settings.serverId, this.view.cells.values(), marks),
+      onBackend: (facts) => this.applyBackend(facts),
+      onAnswered: (times) => this.measure.noteAnswered(times),
+    });
+  }
+
+  private buildControl(): ControlPlane {
+    const control: ControlPlane = new ControlPlane({
+      settings: this.settings,
+      transport: this.transport,
+      store: this.store,
+      clock: this.clock,
+      logger: new Logger('control'),
+      random: this.random,
+      // Replies to a replaced control plane may still arrive.
+      listener: (event) => {
+        if (this.control === control) this.applyControl(event);
+      },
+    });
+    return control;
+  }
+
   private applyControl(event: ControlEvent): void {
-    if (event.type === 'cell') this.cells.set(`${event.cell.service}/${event.cell.index}`, event.cell);
+    if (event.type === 'cell') this.countChanges(event.cell);
+    if (event.type === 'catalogue') this.metrics.count('catalogueChanges');
+    this.view = applyToView(this.view, event);
     this.path.apply(event);
   }
 
+  private countChanges(cell: Extract<ControlEvent, { readonly type: 'cell' }>['cell']): void {
+    const before = this.view.cells.get(`${cell.service}/${cell.index}`);
+    const changes = compareCells(before, cell, this.settings.serverId);
+    this.metrics.count('takeovers', changes.takeovers);
+    this.metrics.count('plannedMoves', changes.plannedMoves);
+    this.metrics.count('hotKeyMoves', changes.hotKeyMoves);
+  }
+
+  private reportLoad(loads: Readonly<Record<string, number>>): void {
+    this.local.noteLoads(loads);
+    this.control.reportLoad(loads);
+  }
+
+  /** The daemon stays for callers while its backend server is lost, and also while that leaves. */
   private applyBackend(facts: BackendFacts | undefined): void {
-    if (facts === undefined || this.joined) return;
-    this.joined = true;
-    this.control.start(this.createMemberFacts(facts), facts.service);
+    if (facts === undefined) return;
+    this.facts = facts;
+    this.advance(facts.leaving ? 'leaving' : 'present');
+  }
+
+  private advance(type: string): void {
+    const before = this.presence;
+    const step = advanceChart(CHART, { value: before, context: undefined }, { type });
+    if (!step.taken) return;
+    this.presence = step.snapshot.value;
+    this.logger.log('presence', { step: 'join', from: before, to: this.presence });
+    this.local.noteLeaving(this.presence === 'leaving' || this.presence === 'stopping');
+    for (const command of step.commands) this.carryOut(command);
+  }
+
+  private carryOut(command: PresenceCommand): void {
+    switch (command) {
+      case 'join':
+        if (this.facts !== undefined)
+          this.control.start(this.createMemberFacts(this.facts), this.facts.service);
+        break;
+      case 'drain':
+        this.drained = this.control.drain();
+        break;
+      case 'replaceControl':
+        // A control plane that has left its cell does not join again. The new one writes a new epoch, as after a restart.
+        this.control.stop();
+        this.control = this.buildControl();
+        break;
+    }
   }
 
   private createMemberFacts(facts: BackendFacts): MemberFacts {
@@ -126,7 +243,7 @@
       callerPort: this.ports.caller,
       peerPort: this.ports.peer,
       udpPort: this.ports.udp,
-      adminPort: 0,
+      adminPort: this.ports.admin,
       checksToken: facts.checksToken,
       slots: facts.slots,
     };
@@ -135,26 +252,10 @@
   private fetchCell(service: string, index: number): void {
     const name = `${service}/${index}`;
     const nowMs = this.clock.monotonicMs();
+    this.metrics.count('misdirected');
     if (nowMs - (this.fetchedAtMs.get(name) ?? -CELL_FETCH_PAUSE_MS) < CELL_FETCH_PAUSE_MS) return;
     this.fetchedAtMs.set(name, nowMs);
-    const known = this.cells.get(name)?.version ?? 0;
+    const known = this.view.cells.get(name)?.version ?? 0;
     void this.control.fetchCell(service, index, known + 1);
   }
-
-  private sendMarks(marks: readonly CrashMark[]): void {
-    const members = [...this.cells.values()].flatMap((cell) => cell.members);
-    const peers = members.filter(
-      ({ serverId, state }) => serverId !== this.settings.serverId && state !== 'gone',
-    );
-    for (const peer of peers) this.transport.notify(peer, 'marks', marks);
-  }
-
-  private record(end: EntryEnd): void {
-    this.metrics.countOutcome(end.tenant, end.class, end.outcome);
-    this.metrics.recordPhase(end.tenant, end.class, 'whole', end.wholeMs * MICROS_PER_MS);
-    this.metrics.recordPhase(end.tenant, end.class, 'backend', end.orderMs * MICROS_PER_MS);
-    if (end.outcome === 'delivered') {
-      this.metrics.recordPhase(end.tenant, end.class, 'deliveredInTime', end.wholeMs * MICROS_PER_MS);
-    }
-  }
 }
--- a/packages/daemon/src/DaemonPorts.ts
+++ b/packages/daemon/src/DaemonPorts.ts
@@ -3,5 +3,6 @@
   readonly caller: number;
   readonly peer: number;
   readonly udp: number;
+  readonly admin: number;
   readonly backend: number;
 }
--- /dev/null
+++ b/packages/daemon/src/MeasurePropagation.ts
@@ -0,0 +1,50 @@
+import type { PageRequest } from '#admin/PageRequest.js';
+import type { Propagation } from '#admin/Propagation.js';
+import type { PropagationRow } from '#admin/PropagationRow.js';
+import type { Member } from '#assignment/Member.js';
+import type { SeenVersions } from '#control/SeenVersions.js';
+import { cutPage } from '#daemon/CutPage.js';
+import type { DaemonReport } from '#daemon/DaemonReport.js';
+import type { FleetCaller } from '#daemon/FleetCaller.js';
+
+type Versions = Pick<PropagationRow, 'catalogueVersion' | 'intentVersion'>;
+
+/** Lists the versions of all members. Versions only rise, so a member seen with the newest ones is not asked again. */
+export async function measurePropagation(
+  caller: FleetCaller,
+  members: readonly Member[],
+  seen: readonly SeenVersions[],
+  newest: Versions,
+  nowMs: number,
+  page: PageRequest,
+): Promise<Propagation> {
+  const seenById = new Map(seen.map((each) => [each.serverId, each]));
+  const heard = members.map((member) => toRow(member, seenById.get(member.serverId), nowMs));
+  const behind = new Set(heard.filter((row) => !isCurrent(row, newest)).map(({ serverId }) => serverId));
+  const asked = members.filter(({ serverId }) => behind.has(serverId));
+  const answers = await caller.askAll<DaemonReport>(asked, 'adminStatus', {});
+  const fresh = new Map(answers.map(({ member, answer }) => [member.serverId, answer?.status]));
+  const rows = heard.map((row) => {
+    const status = fresh.get(row.serverId);
+    if (status === undefined) return row;
+    const { catalogueVersion, intentVersion } = status;
+    return { ...row, catalogueVersion, intentVersion, ageMs: 0 };
+  });
+  const current = rows.filter((row) => isCurrent(row, newest)).length;
+  const keyOf = (row: PropagationRow): string => `${isCurrent(row, newest) ? 1 : 0}/${row.serverId}`;
+  return { ...newest, daemons: rows.length, current, rows: cutPage(rows, keyOf, page) };
+}
+
+function toRow({ serverId, region }: Member, seen: SeenVersions | undefined, nowMs: number): PropagationRow {
+  return {
+    serverId,
+    region,
+    catalogueVersion: seen?.digest.c ?? 0,
+    intentVersion: seen?.digest.i ?? 0,
+    ageMs: seen === undefined ? 0 : Math.round(nowMs - seen.seenAtMs),
+  };
+}
+
+function isCurrent(row: Versions, newest: Versions): boolean {
+  return row.catalogueVersion >= newest.catalogueVersion && row.intentVersion >= newest.intentVersion;
+}
--- /dev/null
+++ b/packages/daemon/src/MeasureRequests.ts
@@ -0,0 +1,33 @@
+import type { Outcome } from '#delivery/Outcome.js';
+import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import type { EntryEnd } from '#proxy/EntryEnd.js';
+import type { OrderTimes } from '#proxy/OrderTimes.js';
+
+const MICROS_PER_MS = 1_000;
+
+/** Records the requests of callers and the orders of this daemon's backend server. */
+export class MeasureRequests {
+  public constructor(private readonly metrics: MetricsRecorder) {}
+
+  /** Records the end of a request at the entry. */
+  public noteEnd(end: EntryEnd): void {
+    const { tenant, class: requestClass, outcome, wholeMs, code, retries } = end;
+    this.noteOutcome(tenant, requestClass, outcome, wholeMs);
+    if (retries > 0) this.metrics.count('retries', retries);
+    if (code === 'quarantined') this.metrics.count('held');
+  }
+
+  /** Records the outcome of a request, `wholeMs` after its arrival. */
+  public noteOutcome(tenant: string, requestClass: string, outcome: Outcome, wholeMs: number): void {
+    const micros = wholeMs * MICROS_PER_MS;
+    this.metrics.countOutcome(tenant, requestClass, outcome);
+    this.metrics.recordPhase(tenant, requestClass, 'whole', micros);
+    if (outcome === 'delivered') this.metrics.recordPhase(tenant, requestClass, 'deliveredInTime', micros);
+  }
+
+  /** Records an order that the backend server answered. */
+  public noteAnswered({ tenant, class: requestClass, queueMs, backendMs }: OrderTimes): void {
+    this.metrics.recordPhase(tenant, requestClass, 'queue', queueMs * MICROS_PER_MS);
+    this.metrics.recordPhase(tenant, requestClass, 'backend', backendMs * MICROS_PER_MS);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/MeteredStore.ts
@@ -0,0 +1,48 @@
+import type { Either } from 'purify-ts';
+import type { RouterError } from '#core/RouterError.js';
+import type { StoreMeter } from '#daemon/StoreMeter.js';
+import { ObjectStore } from '#store/ObjectStore.js';
+import type { PutRequest } from '#store/PutRequest.js';
+import type { PutResult } from '#store/PutResult.js';
+import type { StoreObject } from '#store/StoreObject.js';
+
+/** Passes calls on to a store and counts them. A call that its own budget refuses was not sent and is not counted. */
+export class MeteredStore extends ObjectStore {
+  public constructor(
+    private readonly store: ObjectStore,
+    private readonly meter: StoreMeter,
+  ) {
+    super();
+  }
+
+  public override get(name: string): Promise<Either<RouterError, StoreObject | undefined>> {
+    return this.count(this.store.get(name));
+  }
+
+  public override put(request: PutRequest): Promise<Either<RouterError, PutResult>> {
+    return this.count(this.store.put(request));
+  }
+
+  public override watch(
+    name: string,
+    afterVersion: number,
+    timeoutMs: number,
+  ): Promise<Either<RouterError, StoreObject | undefined>> {
+    return this.count(this.store.watch(name, afterVersion, timeoutMs));
+  }
+
+  public override close(): Promise<void> {
+    return this.store.close();
+  }
+
+  private async count<T>(call: Promise<Either<RouterError, T>>): Promise<Either<RouterError, T>> {
+    const result = await call;
+    const code = result
+      .swap()
+      .map((err) => err.fields.code)
+      .orDefault('');
+    if (code === 'storeBudgetSpent') return result;
+    this.meter.note(result.isRight());
+    return result;
+  }
+}
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -1,18 +1,16 @@
 import { EntryLimiter } from '#admission/EntryLimiter.js';
-import type { CrashMark } from '#admission/CrashMark.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { Clock } from '#core/Clock.js';
 import { RandomSource } from '#core/RandomSource.js';
-import type { BackendFacts } from '#proxy/BackendFacts.js';
 import { BackendTask } from '#proxy/BackendTask.js';
 import { CallerPort } from '#proxy/CallerPort.js';
 import { EntryTask } from '#proxy/EntryTask.js';
 import { ForwardTask } from '#proxy/ForwardTask.js';
 import { HopTask } from '#proxy/HopTask.js';
-import type { OwnerReport } from '#proxy/OwnerReport.js';
 import { OwnerTask } from '#proxy/OwnerTask.js';
 import { ReceiptTask } from '#proxy/ReceiptTask.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
 import { FleetHopSigner } from '#daemon/FleetHopSigner.js';
 import type { RequestPathListener } from '#daemon/RequestPathListener.js';
 import type { Settings } from '#settings/Settings.js';
@@ -46,6 +44,7 @@
         onLoad: listener.onLoad,
         onMarks: listener.onMarks,
         onBackend: listener.onBackend,
+        onAnswered: listener.onAnswered,
       },
     );
     this.backend = new BackendTask(
@@ -106,15 +105,21 @@
         this.owner.post(event);
         break;
       case 'intent':
+        this.entry.post(event);
         break;
     }
   }
 
   /** Applies marks of requests that crashed other backend servers. */
-  public applyMarks(marks: readonly CrashMark[]): void {
+  public applyMarks(marks: readonly RequestMark[]): void {
     this.owner.post({ type: 'marks', marks });
   }
 
+  /** Goes on serving, but ends each connection of a caller after its answer. */
+  public announceClose(): void {
+    this.port.announceClose();
+  }
+
   /** Ends all open requests: accepts no new ones, and resolves when none is open. */
   public async close(): Promise<void> {
     this.port.close();
@@ -131,9 +136,4 @@
     for (const task of [this.entry, this.hop, this.receipts, this.forward, this.owner, this.backend])
       task.stop();
   }
-
-  /** Resolves with the backend server that has announced itself, if any. */
-  public async readBackend(): Promise<BackendFacts | undefined> {
-    return (await this.owner.ask<OwnerReport>((reply) => ({ type: 'report', reply }))).backend;
-  }
 }
--- /dev/null
+++ b/packages/daemon/src/RequireRight.ts
@@ -0,0 +1,12 @@
+import type { Either } from 'purify-ts';
+import type { RouterError } from '#core/RouterError.js';
+
+/** Returns the value of a result, or throws its error, as the administration API expects rejections. */
+export function requireRight<T>(result: Either<RouterError, T>): T {
+  return result.caseOf({
+    Left: (err) => {
+      throw err;
+    },
+    Right: (value) => value,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/RunBounded.ts
@@ -0,0 +1,14 @@
+/** Runs `work` for each item, at most `width` at once, and resolves with the results in the order of the items. */
+export async function runBounded<T, R>(
+  items: readonly T[],
+  width: number,
+  work: (item: T) => Promise<R>,
+): Promise<readonly R[]> {
+  const results = new Map<number, R>();
+  const iterator = items.entries();
+  const runNext = async (): Promise<void> => {
+    for (const [index, item] of iterator) results.set(index, await work(item));
+  };
+  await Promise.all(Array.from({ length: Math.min(width, items.length) }, runNext));
+  return items.map((_, index) => results.get(index) as R);
+}
--- /dev/null
+++ b/packages/daemon/src/SendMarks.ts
@@ -0,0 +1,21 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
+import type { Transport } from '#rpc/Transport.js';
+
+/** Marks in one datagram: each takes up to 300 bytes of the 1,400. */
+const MARKS_PER_DATAGRAM = 4;
+
+/** Sends marks of requests to the other members of the cells that this daemon knows. */
+export function sendMarks(
+  transport: Transport,
+  serverId: string,
+  cells: Iterable<Cell>,
+  marks: readonly RequestMark[],
+): void {
+  const members = [...cells].flatMap((cell) => cell.members);
+  const peers = members.filter((member) => member.serverId !== serverId && member.state !== 'gone');
+  for (let start = 0; start < marks.length; start += MARKS_PER_DATAGRAM) {
+    const part = marks.slice(start, start + MARKS_PER_DATAGRAM);
+    for (const peer of peers) transport.notify(peer, 'marks', part);
+  }
+}
--- a/packages/metrics/src/MetricsRecorder.ts
+++ b/packages/metrics/src/MetricsRecorder.ts
@@ -45,6 +45,11 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + by);
   }
 
+  /** Sets a counter to a total that another task keeps. */
+  public raise(name: CounterName, total: number): void {
+    this.counters.set(name, total);
+  }
+
   /** Sets a current value of the daemon. */
   public setGauge(name: GaugeName, value: number): void {
     this.gauges.set(name, value);
--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -19,6 +19,7 @@
 export class CallerPort {
   private readonly logger = new Logger('caller');
   private readonly server: Server;
+  private leaving = false;
 
   public constructor(
     private readonly postToEntry: (message: EntryMessage) => void,
@@ -51,6 +52,11 @@
     });
   }
 
+  /** Goes on serving, but ends each connection after its answer, so that few idle ones are left at the close. */
+  public announceClose(): void {
+    this.leaving = true;
+  }
+
   /** Accepts no new connections; open ones close after their current request. */
   public close(): void {
     this.server.close();
@@ -64,7 +70,7 @@
   }
 
   private pass(req: IncomingMessage, res: ServerResponse): void {
-    if (!this.server.listening) res.shouldKeepAlive = false;
+    if (this.leaving || !this.server.listening) res.shouldKeepAlive = false;
     if (req.headers['amr-hop'] !== undefined) this.postToHop({ type: 'request', req, res });
     else if (req.url?.startsWith('/v1/-/') === true) this.passInternal(req, res);
     else this.postToEntry({ type: 'request', req, res });
--- a/packages/proxy/src/ChooseTarget.ts
+++ b/packages/proxy/src/ChooseTarget.ts
@@ -3,6 +3,7 @@
 import { findCellIndex } from '#assignment/FindCellIndex.js';
 import { findShard } from '#assignment/FindShard.js';
 import { formatPlacement } from '#assignment/FormatPlacement.js';
+import { isWithdrawn } from '#assignment/IsWithdrawn.js';
 import type { Member } from '#assignment/Member.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import type { Candidate } from '#balance/Candidate.js';
@@ -28,7 +29,13 @@
   if (cell === undefined) return refuse('noCell', 503);
   const member = checked.needsOwnership
     ? findOwner(cell, facts)
-    : choosePeer(cell, facts, policy, random, nowMs);
+    : choosePeer(
+        cell.members.filter((each) => each.state === 'active' && !isWithdrawn(each, view.withdrawn)),
+        facts,
+        policy,
+        random,
+        nowMs,
+      );
   if (member === undefined) return refuse(checked.needsOwnership ? 'noOwner' : 'noBackendServer', 503);
   return Right({ member, crossesRegions: member.region !== facts.region });
 }
@@ -40,13 +47,12 @@
 }
 
 function choosePeer(
-  cell: Cell,
+  active: readonly Member[],
   facts: TargetFacts,
   policy: BalancePolicy,
   random: RandomSource,
   nowMs: number,
 ): Member | undefined {
-  const active = cell.members.filter((member) => member.state === 'active');
   const { homeRegions, limits } = facts.checked.entry;
   const otherRegions = limits.interRegionBytesPerSecond > 0;
   const choose = (excluded: ReadonlySet<string>): Candidate | undefined =>
--- a/packages/proxy/src/CrashWatch.ts
+++ b/packages/proxy/src/CrashWatch.ts
@@ -1,15 +1,20 @@
 import type { CrashMark } from '#admission/CrashMark.js';
 import { Quarantine } from '#admission/Quarantine.js';
 import type { QuarantineResult } from '#admission/QuarantineResult.js';
-import type { QuarantineRow } from '#admission/QuarantineRow.js';
 import { createFingerprint } from '#proxy/CreateFingerprint.js';
+import type { MarkedRequest } from '#proxy/MarkedRequest.js';
 import type { Order } from '#proxy/Order.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
 
 const MAX_ENTRIES = 10_000;
 const KEEP_MS = 3_600_000;
 /** Orders that were lost within this time before a death was noticed count as in flight at the death. */
 const DEATH_WINDOW_MS = 2000;
 
+type Origin = Pick<RequestMark, 'tenant' | 'service' | 'class'>;
+
+const FORGOTTEN: Origin = { tenant: '', service: '', class: '' };
+
 interface LostOrder {
   readonly order: Order;
   readonly atMs: number;
@@ -18,6 +23,8 @@
 /** Finds the requests that were in flight when a backend server died. Used by the owner task alone. */
 export class CrashWatch {
   private readonly quarantine = new Quarantine(MAX_ENTRIES, KEEP_MS);
+  /** Where marked requests come from, by fingerprint; the entry that was added first is forgotten first. */
+  private readonly origins = new Map<string, Origin>();
   private lost: readonly LostOrder[] = [];
 
   /** Decides how an order may run. */
@@ -33,42 +40,62 @@
   }
 
   /** Clears the marks of an order that was answered, so that requests beside a crashing one are not blamed for good. */
-  public noteAnswered(order: Order, nowMs: number): readonly CrashMark[] {
+  public noteAnswered(order: Order, nowMs: number): readonly RequestMark[] {
     if (this.quarantine.size === 0) return [];
-    return this.quarantine.clear(fingerprintOf(order), nowMs);
+    return this.describe(this.quarantine.clear(fingerprintOf(order), nowMs));
   }
 
   /** Marks the orders that were lost with a backend server; `death` names the process that died. */
-  public markDeath(death: string, nowMs: number): readonly CrashMark[] {
+  public markDeath(death: string, nowMs: number): readonly RequestMark[] {
     const recent = this.lost.filter(({ atMs }) => nowMs - atMs < DEATH_WINDOW_MS);
     this.lost = [];
     if (recent.length === 0) return [];
-    return this.quarantine.mark(
+    for (const { order } of recent) this.remember(fingerprintOf(order), originOf(order));
+    const marks = this.quarantine.mark(
       recent.map(({ order }) => fingerprintOf(order)),
       death,
       nowMs,
     );
+    return this.describe(marks);
   }
 
   /** Merges marks of other daemons. */
-  public merge(marks: readonly CrashMark[], nowMs: number): void {
+  public merge(marks: readonly RequestMark[], nowMs: number): void {
+    for (const mark of marks) if (mark.tenant !== '') this.remember(mark.fingerprint, mark);
     this.quarantine.merge(marks, nowMs);
   }
 
   /** Lists requests that are marked or held. */
-  public list(nowMs: number): readonly QuarantineRow[] {
-    return this.quarantine.list(nowMs);
+  public list(nowMs: number): readonly MarkedRequest[] {
+    return this.quarantine
+      .list(nowMs)
+      .map((row) => ({ ...row, ...(this.origins.get(row.fingerprint) ?? FORGOTTEN) }));
   }
 
   /** Lifts a hold; returns the marks to send to other daemons. */
-  public lift(fingerprint: string, nowMs: number): readonly CrashMark[] {
-    return this.quarantine.clear(fingerprint, nowMs);
+  public lift(fingerprint: string, nowMs: number): readonly RequestMark[] {
+    return this.describe(this.quarantine.clear(fingerprint, nowMs));
   }
 
   /** Forgets old marks. */
   public expire(nowMs: number): void {
     this.quarantine.expire(nowMs);
   }
+
+  private describe(marks: readonly CrashMark[]): readonly RequestMark[] {
+    return marks.map((mark) => ({ ...mark, ...(this.origins.get(mark.fingerprint) ?? FORGOTTEN) }));
+  }
+
+  private remember(fingerprint: string, { tenant, service, class: requestClass }: Origin): void {
+    this.origins.delete(fingerprint);
+    this.origins.set(fingerprint, { tenant, service, class: requestClass });
+    const [oldest] = this.origins.keys();
+    if (this.origins.size > MAX_ENTRIES && oldest !== undefined) this.origins.delete(oldest);
+  }
+}
+
+function originOf({ entry }: Order): Origin {
+  return { tenant: entry.owner, service: entry.service, class: entry.class };
 }
 
 function fingerprintOf(order: Order): string {
--- a/packages/proxy/src/EntryEnd.ts
+++ b/packages/proxy/src/EntryEnd.ts
@@ -8,6 +8,8 @@
   readonly outcome: Outcome;
   /** Code of the refusal or failure; empty for answers. */
   readonly code: string;
+  /** Attempts after the first one. */
+  readonly retries: number;
   /** Time from arrival to the end of the answer, in milliseconds. */
   readonly wholeMs: number;
   /** Time of the last attempt at the owner, in milliseconds. */
--- a/packages/proxy/src/EntryMessage.ts
+++ b/packages/proxy/src/EntryMessage.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CatalogueUpdate } from '#control/CatalogueUpdate.js';
 import type { CellUpdate } from '#control/CellUpdate.js';
+import type { IntentUpdate } from '#control/IntentUpdate.js';
 import type { DeliveryCounts } from '#delivery/DeliveryCounts.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import type { PendingReceipt } from '#delivery/PendingReceipt.js';
@@ -11,6 +12,7 @@
 export type EntryMessage =
   | CatalogueUpdate
   | CellUpdate
+  | IntentUpdate
   | { readonly type: 'request'; readonly req: IncomingMessage; readonly res: ServerResponse }
   | { readonly type: 'bodyRead'; readonly exchangeId: string; readonly body: Buffer }
   | {
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -60,7 +60,9 @@
   private readonly meter = new InterRegionMeter();
   private readonly sentEvidence = new SentEvidence();
   private readonly receiptEvidence = new ReceiptEvidence();
-  private view: RoutingView = { index: undefined, cells: new Map() };
+  private view: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
+  /** Arrival times of requests whose receipts are awaited. */
+  private readonly receiptStarts = new Map<string, number>();
   private nextId = 0;
   private closed: (() => void) | undefined;
 
@@ -101,6 +103,9 @@
       case 'catalogue':
         this.view = { ...this.view, index: indexCatalogue(message.catalogue) };
         break;
+      case 'intent':
+        this.view = { ...this.view, withdrawn: message.intent.withdrawals };
+        break;
       case 'cell':
         this.applyCell(message.cell);
         break;
@@ -153,7 +158,7 @@
     this.budget.noteRequest(owner, requestClass, nowMs);
     const result = this.admission.admit(entryKey(owner, service, requestClass), limits, nowMs);
     if (result.kind === 'refuse') {
-      this.count(checked, 'refused', result.error.code, nowMs, nowMs);
+      this.count(checked, 'refused', result.error.code, 0, nowMs, nowMs);
       this.refuseAtOnce(req, res, result.error);
       return;
     }
@@ -387,6 +392,7 @@
       const expectedBytes = this.exchanges.get(id)?.delivery.context.sentBytes ?? 0;
       const receipt = { id, tenant: owner, class: requestClass, expectedBytes, deadlineMs: deadlineAtMs };
       this.change(id, { isReceiptDue: true });
+      this.receiptStarts.set(id, exchange.startedMs);
       this.links.postToReceipts({ type: 'expect', receipt });
     }
     res.end(() => this.post({ type: 'exchange', exchangeId: id, event: { type: 'flushed' } }));
@@ -415,12 +421,15 @@
     if (exchange === undefined) return;
     this.exchanges.delete(exchangeId);
     exchange.cancelDeadline();
-    const { checked, code, startedMs, attemptStartedMs } = exchange;
+    const { checked, code, startedMs, attemptStartedMs, snapshot } = exchange;
+    const retries = Math.max(0, snapshot.context.attempt - 1);
     const { owner, service, class: requestClass } = checked.entry;
     this.admission.release(entryKey(owner, service, requestClass));
     const outcome = findOutcome(exchange.delivery);
     // The receipt task reports the outcome of an answer whose receipt it awaits.
-    if (!exchange.isReceiptDue) this.count(checked, outcome ?? 'failed', code, startedMs, attemptStartedMs);
+    if (!exchange.isReceiptDue) {
+      this.count(checked, outcome ?? 'failed', code, retries, startedMs, attemptStartedMs);
+    }
     this.finishClose();
   }
 
@@ -428,6 +437,7 @@
     checked: CheckedRequest,
     outcome: Outcome,
     code: string,
+    retries: number,
     startedMs: number,
     attemptStartedMs: number,
   ): void {
@@ -436,12 +446,16 @@
     this.ledger.end(owner, requestClass, outcome);
     const wholeMs = nowMs - startedMs;
     const orderMs = nowMs - attemptStartedMs;
-    this.listener.onEnd({ tenant: owner, class: requestClass, service, outcome, code, wholeMs, orderMs });
+    const end = { tenant: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
+    this.listener.onEnd(end);
   }
 
   private countReceipt(receipt: PendingReceipt, outcome: Outcome): void {
     this.ledger.end(receipt.tenant, receipt.class, outcome);
-    this.listener.onReceipt(receipt.tenant, receipt.class, outcome);
+    const nowMs = this.clock.monotonicMs();
+    const wholeMs = nowMs - (this.receiptStarts.get(receipt.id) ?? nowMs);
+    this.receiptStarts.delete(receipt.id);
+    this.listener.onReceipt(receipt.tenant, receipt.class, outcome, wholeMs);
   }
 
   private finishClose(): void {
--- a/packages/proxy/src/HopTask.ts
+++ b/packages/proxy/src/HopTask.ts
@@ -36,7 +36,7 @@
 export class HopTask extends Task<HopMessage> {
   private readonly logger = new Logger('hop');
   private readonly hops = new Map<string, OpenHop>();
-  private view: RoutingView = { index: undefined, cells: new Map() };
+  private view: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
   private closed: (() => void) | undefined;
   private nextOrder = 0;
 
--- a/packages/proxy/src/OwnedOrder.ts
+++ b/packages/proxy/src/OwnedOrder.ts
@@ -9,4 +9,6 @@
   readonly recorded: boolean;
   /** Time that the order may run past the lease end, in milliseconds. */
   readonly graceMs: number;
+  /** Monotonic time of the arrival, in milliseconds. */
+  readonly arrivedMs: number;
 }
--- a/packages/proxy/src/OwnerListener.ts
+++ b/packages/proxy/src/OwnerListener.ts
@@ -1,11 +1,14 @@
-import type { CrashMark } from '#admission/CrashMark.js';
 import type { BackendFacts } from '#proxy/BackendFacts.js';
+import type { OrderTimes } from '#proxy/OrderTimes.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
 
 /** What the owner task tells the rest of the daemon. */
 export interface OwnerListener {
   /** Requests a second of each owned shard, measured over the last second. */
   readonly onLoad: (requestsPerSecond: ReadonlyMap<string, number>) => void;
   /** Marks to send to the other daemons of the cell. */
-  readonly onMarks: (marks: readonly CrashMark[]) => void;
+  readonly onMarks: (marks: readonly RequestMark[]) => void;
   readonly onBackend: (facts: BackendFacts | undefined) => void;
+  /** The backend server answered an order. */
+  readonly onAnswered: (times: OrderTimes) => void;
 }
--- a/packages/proxy/src/OwnerMessage.ts
+++ b/packages/proxy/src/OwnerMessage.ts
@@ -1,12 +1,12 @@
-import type { CrashMark } from '#admission/CrashMark.js';
-import type { QuarantineRow } from '#admission/QuarantineRow.js';
 import type { AdoptRequest } from '#control/AdoptRequest.js';
 import type { CellUpdate } from '#control/CellUpdate.js';
 import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
 import type { ReleaseRequest } from '#control/ReleaseRequest.js';
 import type { BackendSignal } from '#proxy/BackendSignal.js';
+import type { MarkedRequest } from '#proxy/MarkedRequest.js';
 import type { Order } from '#proxy/Order.js';
 import type { OwnerReport } from '#proxy/OwnerReport.js';
+import type { RequestMark } from '#proxy/RequestMark.js';
 
 /** Messages of the owner task. */
 export type OwnerMessage =
@@ -23,8 +23,8 @@
     }
   | { readonly type: 'cancel'; readonly orderId: string }
   | { readonly type: 'bodyHashed'; readonly orderId: string; readonly bodyHash: string }
-  | { readonly type: 'marks'; readonly marks: readonly CrashMark[] }
-  | { readonly type: 'held'; readonly reply: (rows: readonly QuarantineRow[]) => void }
+  | { readonly type: 'marks'; readonly marks: readonly RequestMark[] }
+  | { readonly type: 'held'; readonly reply: (rows: readonly MarkedRequest[]) => void }
   | { readonly type: 'lift'; readonly fingerprint: string; readonly reply: (lifted: boolean) => void }
   | { readonly type: 'drain'; readonly reply: () => void }
   | { readonly type: 'report'; readonly reply: (report: OwnerReport) => void }
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -139,7 +139,8 @@
     if (shardId !== '') this.shardCounts.set(shardId, (this.shardCounts.get(shardId) ?? 0) + 1);
     const recorded = !order.entry.repeatable;
     if (recorded && !this.gate.admit(order, shardId)) return;
-    this.orders.set(order.orderId, { order, shardId, recorded, graceMs });
+    const arrivedMs = this.clock.monotonicMs();
+    this.orders.set(order.orderId, { order, shardId, recorded, graceMs, arrivedMs });
     this.enqueue(order);
   }
 
@@ -251,7 +252,8 @@
     const running = this.queue.runningCount;
     const owned = this.orders.get(orderId);
     if (outcome.kind === 'lost' && owned !== undefined) this.crashes.noteLost(owned.order, nowMs);
-    if (outcome.kind === 'answered' && owned !== undefined) this.clearMarks(owned.order, nowMs);
+    if (outcome.kind === 'answered' && owned !== undefined)
+      this.noteAnswered(owned, outcome.serviceMs, nowMs);
     this.slowStart.observe(
       {
         kind: toSampleKind(outcome.kind),
@@ -283,6 +285,13 @@
       this.listener.onBackend(facts);
   }
 
+  private noteAnswered({ order, arrivedMs }: OwnedOrder, serviceMs: number, nowMs: number): void {
+    const { owner: tenant, class: requestClass } = order.entry;
+    const queueMs = Math.max(0, nowMs - serviceMs - arrivedMs);
+    this.listener.onAnswered({ tenant, class: requestClass, queueMs, backendMs: serviceMs });
+    this.clearMarks(order, nowMs);
+  }
+
   private clearMarks(order: Order, nowMs: number): void {
     const marks = this.crashes.noteAnswered(order, nowMs);
     if (marks.length > 0) this.listener.onMarks(marks);
