--- /dev/null
+++ b/packages/daemon/test/CallAdmin.ts
@@ -0,0 +1,32 @@
+import { request } from 'undici';
+import type { Fleet } from '#load/Fleet.js';
+
+interface AdminResult {
+  readonly status: number;
+  readonly version: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Calls the administration API of a daemon as an operator. */
+export async function callAdmin(
+  fleet: Fleet,
+  serverId: string,
+  path: string,
+  change: {
+    readonly method?: 'GET' | 'PUT' | 'POST' | 'DELETE';
+    readonly ifVersion?: number;
+    readonly body?: unknown;
+  } = {},
+): Promise<AdminResult> {
+  const { method = 'GET', ifVersion, body } = change;
+  const answer = await request(`${fleet.adminUrl(serverId)}${path}`, {
+    method,
+    headers: {
+      authorization: 'Bearer token-operators',
+      ...(ifVersion === undefined ? {} : { 'if-match': `"${ifVersion}"` }),
+    },
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  const version = Number(String(answer.headers.etag ?? '0').replaceAll('"', ''));
+  return { status: answer.statusCode, version, body: (await answer.body.json()) as AdminResult['body'] };
+}
--- /dev/null
+++ b/packages/daemon/test/SendRequest.ts
@@ -0,0 +1,29 @@
+import { request } from 'undici';
+import type { Fleet } from '#load/Fleet.js';
+
+interface CallerResult {
+  readonly status: number;
+  /** Code of a refusal or failure; empty for answers. */
+  readonly error: string;
+  /** `not run`, `ran` or `unknown`; empty for answers. */
+  readonly ran: string;
+  /** Bytes received. */
+  readonly bytes: number;
+}
+
+/** Sends one request of the class `look`; rejects if the connection fails. */
+export async function sendRequest(
+  fleet: Fleet,
+  serverId: string,
+  key: string,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<CallerResult> {
+  const answer = await request(`${fleet.callerUrl(serverId)}/v1/badges/${path}`, {
+    headers: { 'amr-tenant': 'alpha', 'amr-class': 'look', 'amr-key': key, ...headers },
+  });
+  const body = Buffer.from(await answer.body.arrayBuffer());
+  if (answer.statusCode < 400) return { status: answer.statusCode, error: '', ran: '', bytes: body.length };
+  const { error, ran } = JSON.parse(body.toString()) as { readonly error: string; readonly ran: string };
+  return { status: answer.statusCode, error, ran, bytes: body.length };
+}
--- /dev/null
+++ b/packages/daemon/test/leave.test.ts
@@ -0,0 +1,109 @@
+import t from 'tap';
+import { callAdmin } from './CallAdmin.js';
+import { sendRequest } from './SendRequest.js';
+import { startFleet } from './StartFleet.js';
+import { waitFor } from './WaitFor.js';
+
+t.test('SIGTERM cuts off nothing', async (t) => {
+  // A response that is cut off makes its caller repeat a request that has run.
+  const fleet = await startFleet(4);
+  t.teardown(() => fleet.stop());
+  const results: { readonly rid: string; readonly status: number; readonly bytes: number }[] = [];
+  const lost: string[] = [];
+  let running = true;
+  const loop = async (worker: number): Promise<void> => {
+    for (let count = 0; running && count < 20_000; count += 1) {
+      const rid = `r${worker}-${count}`;
+      const sent = sendRequest(fleet, 'd1', rid, `look?rid=${rid}&bytes=20000`);
+      const result = await sent.catch(() => undefined);
+      if (result === undefined) {
+        lost.push(rid);
+        return;
+      }
+      results.push({ rid, ...result });
+    }
+  };
+  const workers = Promise.all(Array.from({ length: 8 }, (_, index) => loop(index)));
+  await waitFor('requests are answered', () => results.length > 50);
+  fleet.signal('d1', 'SIGTERM', 'daemon');
+  t.equal(await fleet.waitDaemonEnd('d1'), 0);
+  running = false;
+  await workers;
+  const broken = results.filter(({ status, bytes }) => status === 200 && bytes !== 20_000);
+  t.same(broken, []);
+  const failed = results.filter(({ status }) => status >= 500 && status !== 503);
+  t.same(failed, []);
+  // A connection that was refused at the end must not belong to a request that ran.
+  const ran = new Set(fleet.readRecords().map(({ requestId }) => requestId));
+  t.same(
+    lost.filter((rid) => ran.has(rid)),
+    [],
+  );
+  const cell = await fleet.readCell('badges');
+  t.notOk(Object.values(cell?.shards ?? {}).some(({ owner }) => owner === 'd1'));
+});
+
+t.test('backend leaves and returns', async (t) => {
+  // A daemon whose backend server left must give its shards away, go on serving callers, and own shards again later.
+  const fleet = await startFleet(4);
+  t.teardown(() => fleet.stop());
+  const countOwned = async (): Promise<number> => {
+    const cell = await fleet.readCell('badges');
+    return Object.values(cell?.shards ?? {}).filter(({ owner }) => owner === 'd1').length;
+  };
+  await fleet.controlBackend('d1', '/-/leave', '');
+  await waitFor('d1 owns nothing', async () => (await countOwned()) === 0);
+  await waitFor(
+    'd1 serves callers',
+    async () => (await sendRequest(fleet, 'd1', 'k', 'look')).status === 200,
+  );
+  fleet.signal('d1', 'SIGKILL', 'backend');
+  await fleet.waitBackendEnd('d1');
+  await fleet.restartBackend('d1');
+  await waitFor('d1 owns shards again', async () => (await countOwned()) > 0, 60_000);
+  const { body } = await callAdmin(fleet, 'd1', '/admin/v1/status');
+  t.equal(body.draining, false);
+});
+
+t.test('crashing request is held', async (t) => {
+  // A request that its caller repeats would otherwise bring down one backend server after the other.
+  const fleet = await startFleet(3);
+  t.teardown(() => fleet.stop());
+  const owners = await callAdmin(fleet, 'd1', '/admin/v1/owners?service=badges&key=k');
+  const owner = (owners.body.items as readonly { readonly serverId: string }[])[0]!.serverId;
+  const sendCrash = (): ReturnType<typeof sendRequest> => sendRequest(fleet, owner, 'k', 'crash');
+  for (let death = 0; death < 2; death += 1) {
+    // The request is repeated, as its caller would do, until it has reached the backend server.
+    const ended = fleet.waitBackendEnd(owner).then(() => true);
+    await waitFor('the backend server died', async () => {
+      await sendCrash();
+      return Promise.race([ended, Promise.resolve(false)]);
+    });
+    await fleet.restartBackend(owner);
+    await waitFor(
+      'the daemon has its new backend server',
+      async () => (await callAdmin(fleet, owner, '/admin/v1/status')).body.service === 'badges',
+    );
+  }
+  await waitFor('the request is held', async () => (await sendCrash()).error === 'quarantined');
+  const listHeld = async (id: string): Promise<readonly Record<string, unknown>[]> =>
+    (await callAdmin(fleet, id, '/admin/v1/held')).body.items as readonly Record<string, unknown>[];
+  const held = await listHeld('d1');
+  t.match(held, [{ tenant: 'alpha', service: 'badges', class: 'look', servers: [owner] }]);
+  const lifted = await callAdmin(fleet, 'd2', `/admin/v1/held/${String(held[0]!.id)}`, { method: 'DELETE' });
+  t.equal(lifted.status, 200, JSON.stringify(lifted.body));
+  await waitFor('no hold is left', async () => (await listHeld('d3')).length === 0);
+  t.not((await sendCrash()).error, 'quarantined');
+});
+
+t.test('forged hop is refused', async (t) => {
+  // Whoever could forge the head of a forwarded request would pass the entry's checks and limits.
+  const fleet = await startFleet(3);
+  t.teardown(() => fleet.stop());
+  const forged = { 'amr-hop': `${Date.now()}.00ff`, 'amr-hop-from': 'd2', 'amr-request-id': 'd2-1' };
+  for (const id of ['d1', 'd2', 'd3']) {
+    const result = await sendRequest(fleet, id, 'k', 'look?rid=forged', forged);
+    t.match(result, { status: 403, error: 'hopRejected', ran: 'not run' });
+  }
+  t.notOk(fleet.readRecords().some(({ requestId }) => requestId === 'forged'));
+});
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -44,6 +44,18 @@
     this.members.set(instance.serverId, { instance, daemon, backend });
   }
 
+  /** Starts a new backend server beside a daemon whose former one has ended. */
+  public async restartBackend(serverId: string): Promise<void> {
+    const member = this.find(serverId);
+    const backend = await this.startBackend(member.instance, member.daemon);
+    this.members.set(serverId, { ...member, backend });
+  }
+
+  /** Resolves when the backend server of an instance has ended. */
+  public async waitBackendEnd(serverId: string): Promise<void> {
+    await this.find(serverId).backend.waitEnd();
+  }
+
   /** Resolves when every shard of every cell has an owner and all instances are members, or fails after `timeoutMs`. */
   public async waitServing(timeoutMs: number): Promise<void> {
     const endMs = Date.now() + timeoutMs;
