--- a/packages/proxy/src/ChooseTarget.ts
+++ b/packages/proxy/src/ChooseTarget.ts
@@ -29,7 +29,7 @@
   if (cell === undefined) return refuse('noCell', 503);
   const member = checked.needsOwnership
     ? findOwner(cell, facts)
-    : choosePeer(cell, facts, policy, random, nowMs);
+    : choosePeer(cell, view, facts, policy, random, nowMs);
   if (member === undefined) return refuse(checked.needsOwnership ? 'noOwner' : 'noBackendServer', 503);
   return Right({ member, crossesRegions: member.region !== facts.region });
 }
@@ -42,6 +42,7 @@
 
 function choosePeer(
   cell: Cell,
+  view: RoutingView,
   facts: TargetFacts,
   policy: BalancePolicy,
   random: RandomSource,
@@ -52,7 +53,7 @@
   const otherRegions = limits.interRegionBytesPerSecond > 0;
   const choose = (excluded: ReadonlySet<string>): Candidate | undefined =>
     policy.choose(
-      listCandidates(cell),
+      listCandidates(cell, view.withdrawn),
       { region, failureDomain, homeRegions, otherRegions, excluded },
       random,
       nowMs,
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -59,7 +59,9 @@
   private readonly meter = new InterRegionMeter();
   private readonly sentEvidence = new SentEvidence();
   private readonly receiptEvidence = new ReceiptEvidence();
-  private view: RoutingView = { index: undefined, cells: new Map() };
+  private view: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
+  /** Arrival times of requests whose receipts are awaited. */
+  private readonly receiptStarts = new Map<string, number>();
   private nextId = 0;
   private closed: (() => void) | undefined;
 
@@ -101,6 +103,9 @@
       case 'catalogue':
         this.view = { ...this.view, index: indexCatalogue(message.catalogue) };
         break;
+      case 'intent':
+        this.view = { ...this.view, withdrawn: message.intent.withdrawals };
+        break;
       case 'cell':
         this.applyCell(message.cell);
         break;
@@ -153,7 +158,7 @@
     this.retries.noteRequest(owner, requestClass, nowMs);
     const result = this.admission.admit(entryKey(owner, service, requestClass), limits, nowMs);
     if (result.kind === 'refuse') {
-      this.count(checked, 'refused', result.error.code, nowMs, nowMs);
+      this.count(checked, 'refused', result.error.code, 0, nowMs, nowMs);
       this.refuseAtOnce(req, res, result.error);
       return;
     }
@@ -366,6 +371,7 @@
       const expectedBytes = open.delivery.context.sentBytes;
       const receipt = { id, tenant: owner, class: requestClass, expectedBytes, deadlineMs: deadlineAtMs };
       this.exchanges.set(id, { ...open, isReceiptDue: true });
+      this.receiptStarts.set(id, open.exchange.startedMs);
       this.links.postToReceipts({ type: 'expect', receipt });
     }
     res.end(() => this.post({ type: 'exchange', exchangeId: id, event: { type: 'flushed' } }));
@@ -396,12 +402,14 @@
     this.exchanges.delete(exchangeId);
     const { exchange, code, attempt } = open;
     exchange.cancelDeadline();
+    const retries = Math.max(0, open.snapshot.context.attempt - 1);
     const { owner, service, class: requestClass } = exchange.checked.entry;
     this.admission.release(entryKey(owner, service, requestClass));
     const outcome = findOutcome(open.delivery) ?? 'failed';
     // The receipt task reports the outcome of an answer whose receipt it awaits.
-    if (!open.isReceiptDue)
-      this.count(exchange.checked, outcome, code, exchange.startedMs, attempt.startedMs);
+    if (!open.isReceiptDue) {
+      this.count(exchange.checked, outcome, code, retries, exchange.startedMs, attempt.startedMs);
+    }
     this.finishClose();
   }
 
@@ -409,6 +417,7 @@
     checked: CheckedRequest,
     outcome: Outcome,
     code: string,
+    retries: number,
     startedMs: number,
     attemptStartedMs: number,
   ): void {
@@ -417,12 +426,16 @@
     this.ledger.end(owner, requestClass, outcome);
     const wholeMs = nowMs - startedMs;
     const orderMs = nowMs - attemptStartedMs;
-    this.listener.onEnd({ tenant: owner, class: requestClass, service, outcome, code, wholeMs, orderMs });
+    const end = { tenant: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
+    this.listener.onEnd(end);
   }
 
   private countReceipt(receipt: PendingReceipt, outcome: Outcome): void {
     this.ledger.end(receipt.tenant, receipt.class, outcome);
-    this.listener.onReceipt(receipt.tenant, receipt.class, outcome);
+    const nowMs = this.clock.monotonicMs();
+    const wholeMs = nowMs - (this.receiptStarts.get(receipt.id) ?? nowMs);
+    this.receiptStarts.delete(receipt.id);
+    this.listener.onReceipt(receipt.tenant, receipt.class, outcome, wholeMs);
   }
 
   private finishClose(): void {
--- a/packages/proxy/src/ListCandidates.ts
+++ b/packages/proxy/src/ListCandidates.ts
@@ -1,14 +1,21 @@
 import type { Cell } from '#assignment/Cell.js';
+import { isWithdrawn } from '#assignment/IsWithdrawn.js';
 import type { Candidate } from '#balance/Candidate.js';
+import type { RoutingView } from '#proxy/RoutingView.js';
 
-const candidatesByCell = new WeakMap<Cell, readonly Candidate[]>();
+interface Listed {
+  readonly withdrawn: RoutingView['withdrawn'];
+  readonly candidates: readonly Candidate[];
+}
+
+const listedByCell = new WeakMap<Cell, Listed>();
 
-/** Lists the active members of a cell as candidates; computed once for each version of the cell. */
-export function listCandidates(cell: Cell): readonly Candidate[] {
-  const known = candidatesByCell.get(cell);
-  if (known !== undefined) return known;
+/** Lists the active members of a cell that operators have not taken out; computed once for each version of both. */
+export function listCandidates(cell: Cell, withdrawn: RoutingView['withdrawn']): readonly Candidate[] {
+  const known = listedByCell.get(cell);
+  if (known?.withdrawn === withdrawn) return known.candidates;
   const candidates = cell.members
-    .filter(({ state }) => state === 'active')
+    .filter((member) => member.state === 'active' && !isWithdrawn(member, withdrawn))
     .map(({ serverId, region, failureDomain, slots }) => ({
       serverId,
       region,
@@ -17,6 +24,6 @@
       share: 1,
       reportedLoad: 0,
     }));
-  candidatesByCell.set(cell, candidates);
+  listedByCell.set(cell, { withdrawn, candidates });
   return candidates;
 }
