--- a/packages/load/src/Measure.ts
+++ b/packages/load/src/Measure.ts
@@ -1,5 +1,6 @@
 import { cac } from 'cac';
 import { ChurnMeasurement } from '#load/ChurnMeasurement.js';
+import { ControlCostMeasurement } from '#load/ControlCostMeasurement.js';
 import { formatTable } from '#load/FormatTable.js';
 import { ImbalanceMeasurement } from '#load/ImbalanceMeasurement.js';
 import type { Measurement } from '#load/Measurement.js';
@@ -11,6 +12,7 @@
   new ImbalanceMeasurement(),
   new ChurnMeasurement(),
   new OverheadMeasurement(),
+  new ControlCostMeasurement(),
 ];
 
 async function measure(name: string): Promise<void> {
