Keep the newest patches of the catalogue

Change: PatchLog keeps the newest patches; the spread task will answer with them. Figures: calculated from 276 KB for 1,000 entries and 414 B for a patch of one entry.

--- /dev/null
+++ b/packages/control/src/PatchLog.ts
@@ -0,0 +1,26 @@
+import type { CataloguePatch } from '#catalogue/CataloguePatch.js';
+import { createPatch } from '#catalogue/CreatePatch.js';
+import type { VersionedCatalogue } from '#catalogue/VersionedCatalogue.js';
+
+/**
+ * The newest changes of the catalogue, for peers that hold a slightly older version. A catalogue of 1,000 entries is
+ * 276 KB; at 13,000 changes a day, sending it whole would cost a daemon 41 KB a second, a patch of one entry 62 B.
+ */
+export class PatchLog {
+  private patches: readonly CataloguePatch[] = [];
+
+  public constructor(private readonly maxPatches: number) {}
+
+  /** Notes that this daemon went from one version to the next; a step that skips versions is kept as one patch. */
+  public note(before: VersionedCatalogue, after: VersionedCatalogue): void {
+    const patch = createPatch(before, after);
+    const kept = this.patches.at(-1)?.toVersion === before.version ? this.patches : [];
+    this.patches = [...kept, patch].slice(-this.maxPatches);
+  }
+
+  /** Returns the patches that lead from `version` to the newest one, or undefined if they are not all kept. */
+  public since(version: number): readonly CataloguePatch[] | undefined {
+    const first = this.patches.findIndex(({ fromVersion }) => fromVersion === version);
+    return first < 0 ? undefined : this.patches.slice(first);
+  }
+}
