Estimate the wait behind a request that runs alone; check the outlier chart against xstate

Cause: an arrival during an exclusive run counted its remaining time divided by the slots, and so could wait past its deadline; charts/outlier.json was the only chart not compared with xstate. Change: a request that waits for everything that runs waits for the longest of it; a generated test of the chart.

--- a/packages/admission/src/BackendQueue.ts
+++ b/packages/admission/src/BackendQueue.ts
@@ -122,10 +122,13 @@
 
   /** Time at which a request that arrives now is expected to finish. */
   public expectedFinishMs(request: WaitingRequest, nowMs: number): number {
-    const aheadMs = this.order.workAheadMs(request);
-    const free = this.running.size < this.limit && this.order.size === 0 && !request.exclusive;
-    const waitMs = free ? 0 : (this.remainingMs(nowMs) + aheadMs) / Math.max(1, this.limit);
-    return nowMs + waitMs + request.expectedMs;
+    if (this.order.size === 0 && this.canStart(request)) return nowMs + request.expectedMs;
+    const slots = Math.max(1, this.limit);
+    const remaining = Array.from(this.running.values(), (running) => remainingMs(running, nowMs));
+    const alone = request.exclusive || this.runsExclusive();
+    // A request that waits for all that run waits for the longest of them, and otherwise for the next free slot.
+    const runningMs = alone ? Math.max(0, ...remaining) : remaining.reduce((sum, ms) => sum + ms, 0) / slots;
+    return nowMs + runningMs + this.order.workAheadMs(request) / slots + request.expectedMs;
   }
 
   private startsAtOnce(request: WaitingRequest, nowMs: number): boolean {
@@ -166,8 +169,12 @@
   private canStart(request: WaitingRequest): boolean {
     if (this.running.size === 0) return this.limit >= 1;
     if (request.exclusive || this.running.size >= this.limit) return false;
+    return !this.runsExclusive();
+  }
+
+  private runsExclusive(): boolean {
     const [first] = this.running.values();
-    return first?.request.exclusive !== true;
+    return first?.request.exclusive === true;
   }
 
   private leave(request: WaitingRequest): void {
@@ -175,14 +182,6 @@
     this.waitingById.delete(request.id);
   }
 
-  private remainingMs(nowMs: number): number {
-    let total = 0;
-    for (const { request, startedMs } of this.running.values()) {
-      total += Math.max(0, startedMs + request.expectedMs - nowMs);
-    }
-    return total;
-  }
-
   private advanceDrain(type: DrainEvent['type']): void {
     this.drainState = advanceChart(DRAIN_CHART, this.drainState, { type }).snapshot;
   }
@@ -193,6 +192,10 @@
   return request.deadlineMs - Math.max(request.expectedMs, MIN_SERVICE_MS);
 }
 
+function remainingMs({ request, startedMs }: Running, nowMs: number): number {
+  return Math.max(0, startedMs + request.expectedMs - nowMs);
+}
+
 function isLate(request: WaitingRequest, nowMs: number): boolean {
   return nowMs > lateAfterMs(request);
 }
--- a/packages/admission/test/queue.test.ts
+++ b/packages/admission/test/queue.test.ts
@@ -167,6 +167,13 @@
   t.same(started(queue.finish('a', 1)), ['alone']);
   t.same(queue.arrive(request('c'), 1), []);
   t.same(started(queue.finish('alone', 2)), ['c', 'b']);
+  for (const id of ['c', 'b']) queue.finish(id, 12);
+  queue.arrive(request('second', { exclusive: true }), 12);
+  t.match(
+    queue.arrive(request('late', { deadlineMs: 17 }), 12),
+    [{ kind: 'refuse' }],
+    'it waits for the other',
+  );
   t.end();
 });
 
--- a/packages/balance/test/balance.test.ts
+++ b/packages/balance/test/balance.test.ts
@@ -1,5 +1,8 @@
 import fc from 'fast-check';
 import t from 'tap';
+import { createActor, createMachine } from 'xstate';
+import { advanceChart } from '#chart/AdvanceChart.js';
+import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
 import { RandomSource } from '#core/RandomSource.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import type { Candidate } from '#balance/Candidate.js';
@@ -7,13 +10,17 @@
 import { decideRetry } from '#balance/DecideRetry.js';
 import type { HedgeFacts } from '#balance/HedgeFacts.js';
 import { LeastReportedLoad } from '#balance/LeastReportedLoad.js';
+import { OUTLIER_CHART } from '#balance/OutlierChart.js';
+import type { OutlierContext } from '#balance/OutlierContext.js';
 import { OutlierDetector } from '#balance/OutlierDetector.js';
+import type { OutlierEvent } from '#balance/OutlierEvent.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
 import type { RequestFacts } from '#balance/RequestFacts.js';
 import { RetryBudget } from '#balance/RetryBudget.js';
 import type { RetryFacts } from '#balance/RetryFacts.js';
 import { RoundRobin } from '#balance/RoundRobin.js';
 import { simulateStraggler } from '#balance/SimulateStraggler.js';
+import file from '../charts/outlier.json' with { type: 'json' };
 
 const SEED = Number(process.env.SEED ?? 20261204);
 t.comment(`seed ${SEED}`);
@@ -214,6 +221,35 @@
   t.end();
 });
 
+// Guards against a chart file that means something else to the interpreter than to xstate.
+t.test('chart agrees with xstate', (t) => {
+  const event: fc.Arbitrary<OutlierEvent> = fc.oneof(
+    fc.record({ type: fc.constant('judged' as const), isOutlier: fc.boolean(), hasRoom: fc.boolean() }),
+    fc.record({ type: fc.constant('waited' as const) }),
+    fc.record({ type: fc.constant('trialEnded' as const), good: fc.boolean() }),
+  );
+  const property = fc.property(fc.array(event), (events) => {
+    let snapshot: ChartSnapshot<OutlierContext> = { value: OUTLIER_CHART.initial, context: { ejections: 0 } };
+    let ejections = 0;
+    const machine = createMachine(file as never).provide({
+      guards: {
+        mayEject: ({ event }: { event: { isOutlier: boolean; hasRoom: boolean } }) =>
+          event.isOutlier && event.hasRoom,
+        isGood: ({ event }: { event: { good: boolean } }) => event.good,
+      },
+      actions: { countEjection: () => (ejections += 1), forgetEjections: () => (ejections = 0) },
+    } as never);
+    const actor = createActor(machine).start();
+    return events.every((event) => {
+      actor.send(event);
+      snapshot = advanceChart(OUTLIER_CHART, snapshot, event).snapshot;
+      return snapshot.value === actor.getSnapshot().value && snapshot.context.ejections === ejections;
+    });
+  });
+  t.doesNotThrow(() => fc.assert(property, { seed: SEED, numRuns: 300 }));
+  t.end();
+});
+
 const RETRY: RetryFacts = {
   tenant: 'a',
   class: 'c',
--- a/packages/once/src/OnceTable.ts
+++ b/packages/once/src/OnceTable.ts
@@ -50,7 +50,10 @@
     this.replaceShard(moved.shardId, shard);
   }
 
-  /** Ends a shard and returns its records for the hand-over; what still runs is handed over as unknown. */
+  /**
+   * Ends a shard and returns its records for the hand-over; what still runs is handed over as unknown. Throws if the
+   * shard is not open.
+   */
   public closeShard(shardId: string): ShardRecords {
     const shard = this.findShard(shardId);
     this.replaceShard(shardId, undefined);
@@ -80,7 +83,10 @@
     return this.byteCount;
   }
 
-  /** Decides whether an id may run. A known id is a repeat whatever its epoch, since its outcome is remembered. */
+  /**
+   * Decides whether an id may run. A known id is a repeat whatever its epoch, since its outcome is remembered. Throws if
+   * the shard is not open.
+   */
   public admit(
     shardId: string,
     tenant: string,
