Run fault plans against a small fleet and check the histories

Change: FaultRun makes a plan of one to three timed faults from a seed, runs it against six instances under load with repeats by the caller, and checks the history; a daemon logs its counts when it shuts down, and requests without an outcome are reported. A caller repeats at another address after a lost connection. The stand-in backend server numbers its runs, since an order that arrived twice under one order id would have shown as one run.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -87,6 +87,8 @@
       this.clock.schedule(this.settings.timings.shutdownMs, resolve),
     );
     await Promise.race([deadline, this.leave()]);
+    for (const { tenant, class: requestClass, received, inFlight } of await this.path.readCounts())
+      this.logger.log('counts', { step: 'shutdown', tenant, class: requestClass, received, inFlight });
     this.logger.log('shutdownEnded', { step: 'shutdown' });
     await this.stop();
   }
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -1,6 +1,7 @@
 import { EntryLimiter } from '#admission/EntryLimiter.js';
 import type { CrashMark } from '#admission/CrashMark.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
+import type { DeliveryCounts } from '#delivery/DeliveryCounts.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { Clock } from '#core/Clock.js';
 import { RandomSource } from '#core/RandomSource.js';
@@ -132,6 +133,11 @@
       task.stop();
   }
 
+  /** Resolves with the counts of the requests that arrived at this daemon, by tenant and class. */
+  public readCounts(): Promise<readonly DeliveryCounts[]> {
+    return this.entry.ask<readonly DeliveryCounts[]>((reply) => ({ type: 'counts', reply }));
+  }
+
   /** Resolves with the backend server that has announced itself, if any. */
   public async readBackend(): Promise<BackendFacts | undefined> {
     return (await this.owner.ask<OwnerReport>((reply) => ({ type: 'report', reply }))).backend;
--- /dev/null
+++ b/packages/load/src/CreateFaultFleetOptions.ts
@@ -0,0 +1,84 @@
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { Entry } from '#catalogue/Entry.js';
+import type { FleetInstance } from '#load/FleetInstance.js';
+import type { FleetOptions } from '#load/FleetOptions.js';
+
+const SERVICE = 'accounts';
+const REGION = 'r1';
+const INSTANCES = 6;
+const DOMAINS = 3;
+const SERVICE_MS = 15;
+/** Longest time of an order: 1.5 times the mean, 3 times that on a cold server, and time for a busy machine. */
+const GRACE_MS = 200;
+/** Half of the defaults, in the same ratio. */
+const TIMINGS = { leaseMs: 750, renewEveryMs: 200, clockDrift: 0.01 } as const;
+
+/** Creates the options of a fleet of six instances of one service with keys over three failure domains of a region. */
+export function createFaultFleetOptions(
+  command: readonly string[],
+  seed: number,
+  logs: string,
+): FleetOptions {
+  return {
+    command,
+    instances: Array.from({ length: INSTANCES }, (_, index) => createInstance(index)),
+    catalogue: createCatalogue(),
+    serviceMs: SERVICE_MS,
+    coldStartMs: 500,
+    seed,
+    timings: TIMINGS,
+    logs,
+  };
+}
+
+function createInstance(index: number): FleetInstance {
+  return {
+    serverId: `s${index}`,
+    service: SERVICE,
+    region: REGION,
+    failureDomain: `d${index % DOMAINS}`,
+    vm: `vm${index}`,
+    slots: 8,
+    connections: 60,
+    // One server of each failure domain checks the token.
+    checksToken: index < DOMAINS,
+  };
+}
+
+function createCatalogue(): Catalogue {
+  return {
+    regions: [REGION],
+    services: [{ name: SERVICE, keyed: true, cells: 1, orderGraceMs: GRACE_MS }],
+    owners: [
+      { name: 'alpha', tokenHashes: ['a'.repeat(64)], operator: true },
+      { name: 'beta', tokenHashes: ['b'.repeat(64)], operator: false },
+    ],
+    entries: [
+      createEntry('alpha', 'read', true),
+      createEntry('alpha', 'pay', false),
+      createEntry('beta', 'pay', false),
+    ],
+  };
+}
+
+function createEntry(owner: string, name: string, repeatable: boolean): Entry {
+  return {
+    owner,
+    service: SERVICE,
+    class: name,
+    repeatable,
+    evidence: repeatable ? 'sent' : 'receipt',
+    homeRegions: [],
+    limits: {
+      ratePerSecond: 5000,
+      burst: 1000,
+      concurrency: 500,
+      share: 1,
+      priority: 1,
+      defaultDeadlineMs: 2000,
+      maxDeadlineMs: 10_000,
+      maxBodyBytes: 4096,
+      interRegionBytesPerSecond: 0,
+    },
+  };
+}
--- a/packages/load/src/DecideNextStep.ts
+++ b/packages/load/src/DecideNextStep.ts
@@ -21,7 +21,8 @@
   const next: Call = { ...call, attempt: attempt + 1, epoch, target };
   if (answer.status === EPOCH_REQUIRED && call.epoch === '' && epoch !== '')
     return { kind: 'repeat', call: next, delayMs: 0 };
-  const isFinal = answer.status !== 0 && !isNotRun;
+  const isUnsure = answer.status === 0 || (part.repeatsUnknown === true && answer.ran === 'unknown');
+  const isFinal = !isUnsure && !isNotRun;
   const hasTime = nowMs + answer.retryAfterMs < intendedMs + part.deadlineMs;
   if (isFinal || !hasTime || attempt > part.maxRepeats) return { kind: 'finish', outcome: classify(answer) };
   return { kind: 'repeat', call: next, delayMs: answer.retryAfterMs };
--- /dev/null
+++ b/packages/load/src/Fault.ts
@@ -0,0 +1,11 @@
+import type { FaultName } from '#load/FaultName.js';
+
+/** A fault that starts and ends at given times after the start of the load. */
+export interface Fault {
+  readonly name: FaultName;
+  readonly atMs: number;
+  /** Time until a frozen process continues, a store recovers, or a lost process is replaced. */
+  readonly durationMs: number;
+  /** Index of the instance that is hit; for `loseDomain`, of one instance of the failure domain. */
+  readonly instance: number;
+}
--- /dev/null
+++ b/packages/load/src/FaultRun.ts
@@ -0,0 +1,38 @@
+import { cac } from 'cac';
+import { createFaultPlan } from '#load/CreateFaultPlan.js';
+import { formatTable } from '#load/FormatTable.js';
+import { runFaultPlan } from '#load/RunFaultPlan.js';
+
+const INSTANCES = 6;
+const MAX_PRINTED = 20;
+const COMMAND: readonly string[] = [
+  process.execPath,
+  '--disable-warning=ExperimentalWarning',
+  'build/cli/src/Main.js',
+];
+
+async function runSeed(seed: number, logs: string): Promise<boolean> {
+  const plan = createFaultPlan(seed, INSTANCES);
+  console.log(`seed ${seed}`);
+  for (const fault of plan)
+    console.log(`  ${fault.name} s${fault.instance} at ${fault.atMs} ms for ${fault.durationMs} ms`);
+  const { violations, report, orders } = await runFaultPlan(plan, seed, COMMAND, logs);
+  const rows = [...report.outcomes].map(([name, counts]) => [name, ...Object.values(counts).map(String)]);
+  console.log(formatTable(['tenant/class', 'ok', 'late', 'corrupt', 'refused', 'failed', 'unknown'], rows));
+  console.log(`${report.sent} requests, ${orders} orders run, ${violations.length} violations`);
+  for (const violation of violations.slice(0, MAX_PRINTED)) console.log(`  ${violation}`);
+  return violations.length === 0;
+}
+
+const cli = cac('fault-run');
+cli
+  .command('', 'Runs plans of faults against a small fleet and checks the histories')
+  .option('--seed <seed>', 'Seed of the first run', { default: 1 })
+  .option('--runs <runs>', 'Number of runs, each with the next seed', { default: 1 })
+  .option('--logs <names>', 'Log names of the daemons', { default: 'amaranthrouter:daemon' })
+  .action(async (options: { readonly seed: number; readonly runs: number; readonly logs: string }) => {
+    for (let seed = options.seed; seed < options.seed + options.runs; seed++)
+      if (!(await runSeed(seed, options.logs))) process.exitCode = 1;
+  });
+cli.help();
+cli.parse();
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
@@ -23,6 +23,8 @@
 export class Fleet {
   private readonly folder = mkdtempSync(join(tmpdir(), 'amaranthrouter-'));
   private readonly members = new Map<string, FleetMember>();
+  /** Wall-clock times at which backend servers had been killed, by server, in milliseconds. */
+  private readonly backendEnds = new Map<string, readonly number[]>();
   private store: FleetProcess | undefined;
   private seeds: readonly string[] = [];
 
@@ -79,6 +81,40 @@
     if (what !== 'daemon') backend.signal(name);
   }
 
+  /** Kills processes of an instance and resolves when they have ended. */
+  public async kill(serverId: string, what: 'daemon' | 'backend' | 'vm'): Promise<void> {
+    const { daemon, backend } = this.find(serverId);
+    this.signal(serverId, 'SIGKILL', what);
+    if (what !== 'backend') await daemon.waitEnd();
+    if (what === 'daemon') return;
+    await backend.waitEnd();
+    this.backendEnds.set(serverId, [...(this.backendEnds.get(serverId) ?? []), Date.now()]);
+  }
+
+  /** Starts the processes of an instance that have ended. A backend server is replaced along with its daemon. */
+  public async replaceLost(serverId: string): Promise<void> {
+    const member = this.find(serverId);
+    if (member.daemon.hasEnded) {
+      if (!member.backend.hasEnded) await this.kill(serverId, 'backend');
+      await this.startInstance(member.instance);
+    } else if (member.backend.hasEnded) {
+      const backend = await this.startBackend(member.instance, member.daemon);
+      this.members.set(serverId, { ...member, backend });
+    }
+  }
+
+  /**
+   * Shuts the living daemons down gracefully and resolves with their counts of requests in flight that are not zero,
+   * one line each; a daemon that does not end its shutdown in time has such a line, too. Needs the logs of the daemons.
+   */
+  public async shutDownDaemons(timeoutMs: number): Promise<readonly string[]> {
+    const living = [...this.members.values()].filter(({ daemon }) => !daemon.hasEnded);
+    for (const { daemon } of living) daemon.signal('SIGTERM');
+    const endMs = Date.now() + timeoutMs;
+    const found = await Promise.all(living.map(({ instance }) => this.readCounts(instance.serverId, endMs)));
+    return found.flat();
+  }
+
   /** Resolves with the exit code of a daemon when it has ended. */
   public waitDaemonEnd(serverId: string): Promise<number> {
     return this.find(serverId).daemon.waitEnd();
@@ -117,10 +153,11 @@
     return { ...body.value, version: Number(String(answer.headers.etag ?? '0').replace(/"/g, '')) };
   }
 
-  /** Reads the requests that all backend servers ran, those of killed ones included. */
+  /** Reads the requests that all backend servers ran; a run that `kill` cut off ends with its process. */
   public readRecords(): readonly RunRecord[] {
     const files = readdirSync(this.folder).filter((name) => name.endsWith('.records'));
-    return files.flatMap((name) => readRunRecords(join(this.folder, name)));
+    const records = files.flatMap((name) => readRunRecords(join(this.folder, name)));
+    return records.map((record) => (record.endMs === 0 ? this.endWithProcess(record) : record));
   }
 
   /** Reads how often a living backend server had more requests at once than it could bear. */
@@ -146,6 +183,22 @@
     else process.stderr.write(`logs are kept in ${this.folder}\n`);
   }
 
+  private async readCounts(serverId: string, endMs: number): Promise<readonly string[]> {
+    for (;;) {
+      const text = readFileSync(join(this.folder, `${serverId}.log`), 'utf8');
+      const lines = text.split('\n').filter((line) => line.includes('event=counts'));
+      if (text.includes('event=shutdownEnded'))
+        return lines.filter((line) => !line.includes('inFlight=0')).map((line) => `${serverId}: ${line}`);
+      if (Date.now() > endMs) return [`${serverId}: no end of the shutdown`];
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  private endWithProcess(record: RunRecord): RunRecord {
+    const ends = this.backendEnds.get(record.serverId) ?? [];
+    return { ...record, endMs: ends.find((endMs) => endMs >= record.startMs) ?? 0 };
+  }
+
   private async startDaemon(instance: FleetInstance): Promise<FleetProcess> {
     const { serverId, vm, region, failureDomain } = instance;
     const settings = {
--- a/packages/load/src/LoadClass.ts
+++ b/packages/load/src/LoadClass.ts
@@ -15,4 +15,6 @@
   readonly confirms: boolean;
   /** Repeats after a refusal that says `not run`, or after a lost connection; the first 428 does not count. */
   readonly maxRepeats: number;
+  /** Whether the same id is sent again after an answer that does not tell whether the request ran. */
+  readonly repeatsUnknown?: boolean;
 }
--- a/packages/load/src/LoadGenerator.ts
+++ b/packages/load/src/LoadGenerator.ts
@@ -239,7 +239,8 @@
       this.confirm(call, answer);
     const step = decideNextStep(call, answer, isContentRight, nowMs);
     if (step.kind === 'repeat') {
-      this.clock.schedule(step.delayMs, () => this.post({ type: 'repeat', call: step.call }));
+      const next = answer.status === 0 ? this.retarget(step.call) : step.call;
+      this.clock.schedule(step.delayMs, () => this.post({ type: 'repeat', call: next }));
       return;
     }
     this.count(call, step.outcome, nowMs);
@@ -247,6 +248,12 @@
     this.finishWhenIdle();
   }
 
+  /** Sends the next attempt to another address, as the present one may be lost. */
+  private retarget(call: Call): Call {
+    const { targets } = this.settings;
+    return { ...call, target: targets[(targets.indexOf(call.target) + 1) % targets.length] ?? call.target };
+  }
+
   private recordResponse(call: Call, answer: Answer, isContentRight: boolean): void {
     if (answer.status === 0) return;
     this.history?.record({
--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -140,7 +140,7 @@
     connections: CONNECTIONS,
     durationMs,
   };
-  const [program = '', ...args] = [...NODE, 'build/load/src/LoopMain.js', JSON.stringify(options)];
+  const [program, ...args] = [...NODE, 'build/load/src/LoopMain.js', JSON.stringify(options)];
   const beforeMs = variant.process.readCpuMs();
   const { stdout } = await promisify(execFile)(program, args);
   const usedMs = variant.process.readCpuMs() - beforeMs;
--- /dev/null
+++ b/packages/load/src/RunFaultPlan.ts
@@ -0,0 +1,117 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
+import { checkHistory } from '#load/CheckHistory.js';
+import { createContent } from '#load/CreateContent.js';
+import { createFaultFleetOptions } from '#load/CreateFaultFleetOptions.js';
+import { createMix } from '#load/CreateMix.js';
+import type { Fault } from '#load/Fault.js';
+import { faultActions } from '#load/FaultActions.js';
+import type { FaultPlan } from '#load/FaultPlan.js';
+import type { FaultRunResult } from '#load/FaultRunResult.js';
+import { FaultTarget } from '#load/FaultTarget.js';
+import { Fleet } from '#load/Fleet.js';
+import type { FleetOptions } from '#load/FleetOptions.js';
+import { HistoryRecorder } from '#load/HistoryRecorder.js';
+import { LoadGenerator } from '#load/LoadGenerator.js';
+import type { LoadReport } from '#load/LoadReport.js';
+import { toOrderEvent } from '#load/ToOrderEvent.js';
+
+const READY_MS = 30_000;
+/** After the last fault, time for every shard to get an owner again; generous, since the machine may be busy. */
+const RECOVERY_MS = 30_000;
+/** Longer than the default deadline of the fault fleet and the grace period of receipts together. */
+const RECEIPTS_MS = 3000;
+const SHUTDOWN_MS = 15_000;
+const RATE_PER_SECOND = 150;
+/** Load goes on for this time after the last fault has ended. */
+const TAIL_MS = 1500;
+/** Few keys, so that each is asked for often and an overlap of two owners shows. */
+const KEYS = { keyCount: 40, exponent: 0.5, hotKeys: 4, shiftEveryMs: 2000 } as const;
+
+/** Runs a fleet on loopback under load and the faults of a plan, and checks the history. */
+export async function runFaultPlan(
+  plan: FaultPlan,
+  seed: number,
+  command: readonly string[],
+  logs = 'amaranthrouter:daemon',
+): Promise<FaultRunResult> {
+  const options = createFaultFleetOptions(command, seed, logs);
+  const fleet = new Fleet(options);
+  const history = new HistoryRecorder();
+  try {
+    await fleet.start();
+    await fleet.waitServing(READY_MS);
+    const generator = createGenerator(fleet, options, history, plan);
+    const loading = generator.run();
+    const target = new FaultTarget(fleet, options.instances);
+    await Promise.all(plan.map((fault) => runFault(target, fault)));
+    const report = await loading;
+    const failure = await fleet.waitServing(RECOVERY_MS).then(
+      () => [],
+      (error: unknown) => [`notRecovered: ${String(error)}`],
+    );
+    // Receipts that never come are given up a short time after the deadline of their request.
+    await delay(RECEIPTS_MS);
+    const counts = await fleet.shutDownDaemons(SHUTDOWN_MS);
+    return check(fleet, options, history, report, [
+      ...failure,
+      ...counts.map((line) => `notReconciled: ${line}`),
+    ]);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runFault(target: FaultTarget, fault: Fault): Promise<void> {
+  const action = faultActions[fault.name];
+  await delay(fault.atMs);
+  await action.inject(target, fault);
+  await delay(fault.durationMs);
+  await action.lift(target, fault);
+}
+
+function createGenerator(
+  fleet: Fleet,
+  { instances, catalogue, seed }: FleetOptions,
+  history: HistoryRecorder,
+  plan: FaultPlan,
+): LoadGenerator {
+  const maxDurationMs = Math.max(...plan.map((fault) => fault.atMs + fault.durationMs)) + TAIL_MS;
+  return new LoadGenerator(
+    {
+      targets: instances.map(({ serverId }) => fleet.callerUrl(serverId)),
+      ratePerSecond: RATE_PER_SECOND,
+      maxRequests: Math.floor((RATE_PER_SECOND * maxDurationMs) / 1000),
+      maxDurationMs,
+      warmUpMs: 0,
+      maxInFlight: 1500,
+      connections: 64,
+      seed,
+      keys: KEYS,
+      mix: createMix(catalogue).map((part) => ({ ...part, repeatsUnknown: true })),
+      followOwner: false,
+    },
+    createContent(),
+    history,
+  );
+}
+
+function check(
+  fleet: Fleet,
+  { catalogue }: FleetOptions,
+  history: HistoryRecorder,
+  report: LoadReport,
+  failure: readonly string[],
+): FaultRunResult {
+  const index = indexCatalogue({ version: 1, author: '', catalogue });
+  const orders = fleet.readRecords().map((record) => toOrderEvent(record, index));
+  const violations = checkHistory([...history.list(), ...orders]);
+  const ended = [...report.outcomes.values()].flatMap((counts) => Object.values(counts));
+  const total = ended.reduce((sum, count) => sum + count, 0) + report.unfinished;
+  const mismatch = total === report.sent ? [] : [`counts: ${report.sent} sent, ${total} accounted for`];
+  return {
+    violations: [...violations.map(({ rule, message }) => `${rule}: ${message}`), ...mismatch, ...failure],
+    report,
+    orders: orders.length,
+  };
+}
--- a/packages/standin/src/BackendServer.ts
+++ b/packages/standin/src/BackendServer.ts
@@ -30,6 +30,7 @@
   private leaving = false;
   private serverId = '';
   private overloads = 0;
+  private runs = 0;
   private port = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -131,6 +132,7 @@
     if (req.url?.includes('crash') === true) process.exit(70);
     this.inFlight += 1;
     if (this.inFlight > this.capacity()) this.overloads += 1;
+    this.runs += 1;
     const record = this.createRecord(req);
     this.writeRecord(record);
     await new Promise((resolve) => setTimeout(resolve, this.drawServiceMs()));
@@ -154,7 +156,8 @@
   private createRecord(req: IncomingMessage): RunRecord {
     const text = (name: string): string => String(req.headers[name] ?? '');
     return {
-      orderId: text('amr-order-id'),
+      // An order that arrives twice has to show as two runs.
+      orderId: `${text('amr-order-id')}/${this.incarnation}/${this.runs}`,
       requestId: /[?&]rid=([A-Za-z0-9_.-]+)/.exec(req.url ?? '')?.[1] ?? '',
       serverId: this.serverId,
       service: this.options.service,
--- a/packages/standin/src/RunRecord.ts
+++ b/packages/standin/src/RunRecord.ts
@@ -1,5 +1,6 @@
 /** One request that a stand-in backend server ran. */
 export interface RunRecord {
+  /** Unique for each run: the order id that the daemon sent, the incarnation of the server and a number. */
   readonly orderId: string;
   /** Value of `rid` in the query of the request. */
   readonly requestId: string;
