--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -115,6 +115,8 @@
   public async shutDown(): Promise<void> {
     this.logger.log('shutdownStarted', { step: 'shutdown' });
     await Promise.race([this.wait(this.settings.timings.shutdownMs), this.leave()]);
+    for (const { tenant, class: requestClass, received, inFlight } of await this.path.readCounts())
+      this.logger.log('counts', { step: 'shutdown', tenant, class: requestClass, received, inFlight });
     this.logger.log('shutdownEnded', { step: 'shutdown' });
     await this.stop();
   }
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -1,5 +1,6 @@
 import { EntryLimiter } from '#admission/EntryLimiter.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
+import type { DeliveryCounts } from '#delivery/DeliveryCounts.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { Clock } from '#core/Clock.js';
 import { RandomSource } from '#core/RandomSource.js';
@@ -136,4 +137,9 @@
     for (const task of [this.entry, this.hop, this.receipts, this.forward, this.owner, this.backend])
       task.stop();
   }
+
+  /** Resolves with the counts of the requests that arrived at this daemon, by tenant and class. */
+  public readCounts(): Promise<readonly DeliveryCounts[]> {
+    return this.entry.ask<readonly DeliveryCounts[]>((reply) => ({ type: 'counts', reply }));
+  }
 }
