--- a/packages/lease/test/fence.test.ts
+++ b/packages/lease/test/fence.test.ts
@@ -79,3 +79,11 @@
   t.equal(run(ask.state, tick(CONFIG.silentMs + 100)).state.value, 'satisfied');
   t.end();
 });
+
+t.test('a fence without witnesses waits W', (t) => {
+  const fence = { ...FENCE, witnesses: [], graceMs: 100 };
+  const { state } = run(createFence(), { type: 'begin', fence, nowMs: 0 });
+  t.equal(run(state, tick(1515 + 100)).state.value, 'collecting');
+  t.equal(run(state, tick(1515 + 101)).state.value, 'satisfied');
+  t.end();
+});
--- a/packages/model/src/NormalizeProcess.ts
+++ b/packages/model/src/NormalizeProcess.ts
@@ -4,9 +4,7 @@
 import type { ModelConfig } from '#model/ModelConfig.js';
 import type { ModelParts } from '#model/ModelParts.js';
 import type { ModelProcess } from '#model/ModelProcess.js';
-
-/** Ages above this number of steps have the same effect in every rule of the model. */
-const OLDEST_SEND = -9;
+import { OLDEST_SEND } from '#model/OldestSend.js';
 
 /**
  * Maps times that have passed to the newest time with the same effect, and makes fields constant that only steer
--- a/packages/model/src/NormalizeState.ts
+++ b/packages/model/src/NormalizeState.ts
@@ -1,11 +1,9 @@
 import type { ModelConfig } from '#model/ModelConfig.js';
 import type { ModelMessage } from '#model/ModelMessage.js';
 import type { ModelState } from '#model/ModelState.js';
+import { OLDEST_SEND } from '#model/OldestSend.js';
 import { partsOf } from '#model/PartsOf.js';
 
-/** Ages above this number of steps have the same effect in every rule of the model. */
-const OLDEST_SEND = -9;
-
 /** Maps states that the protocol cannot tell apart to one, which keeps the model finite. */
 export function normalizeState(state: ModelState, config: ModelConfig): ModelState {
   const parts = partsOf(config);
