Split the membership of a daemon from its cells

Change: MembershipTask (joining, epochs, witnesses, isolation, drain); CellTask writes its changes. Conclusion: behaviour is unchanged.

--- a/packages/control/src/CellMessage.ts
+++ b/packages/control/src/CellMessage.ts
@@ -1,30 +1,22 @@
 import type { Cell } from '#assignment/Cell.js';
-import type { MemberFacts } from '#assignment/MemberFacts.js';
 import type { Move } from '#assignment/Move.js';
 import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { CellHome } from '#control/CellHome.js';
 import type { CellOutcome } from '#control/CellOutcome.js';
 import type { CellStatus } from '#control/CellStatus.js';
 import type { Intent } from '#control/Intent.js';
-import type { RegistrationRequest } from '#control/RegistrationRequest.js';
 import type { ReleaseRequest } from '#control/ReleaseRequest.js';
 import type { SuspectReport } from '#control/SuspectReport.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
+import type { PendingWrite } from '#store/PendingWrite.js';
 
 /** Messages to `CellTask`. */
 export type CellMessage =
-  | { readonly type: 'start'; readonly facts: MemberFacts; readonly service: string; readonly index: number }
+  | { readonly type: 'start'; readonly home: CellHome }
   | { readonly type: 'catalogue'; readonly catalogue: Catalogue }
   | { readonly type: 'intent'; readonly intent: Intent }
   /** The lease changed; times are of the monotonic clock. */
   | { readonly type: 'lease'; readonly epoch: number; readonly leaseEndMs: number }
-  /** The holder needs a new epoch. */
-  | {
-      readonly type: 'register';
-      readonly reason: RegistrationRequest['reason'];
-      readonly silentWitnesses: readonly string[];
-    }
-  | { readonly type: 'registerEnded'; readonly outcome: CellOutcome; readonly replaced: boolean }
-  | { readonly type: 'retry' }
   | { readonly type: 'suspect'; readonly report: SuspectReport }
   | { readonly type: 'takeOver' }
   | { readonly type: 'fenceSatisfied'; readonly fenceId: number }
@@ -60,11 +52,17 @@
       readonly incarnation: string;
       readonly reply: (outcome: CellOutcome) => void;
     }
-  /** Gives all shards away and leaves the cell; replies when that is done. */
-  | { readonly type: 'drain'; readonly reply: () => void }
-  | { readonly type: 'drainFailed' }
-  | { readonly type: 'left'; readonly outcome: CellOutcome }
-  /** An isolated member heard a peer again. */
-  | { readonly type: 'reachable' }
+  /** Changes the own cell; a result of undefined or the same cell writes nothing. */
+  | {
+      readonly type: 'change';
+      /** Name of the change for the log. */
+      readonly what: string;
+      readonly change: (cell: Cell) => Cell | undefined;
+      /** Earlier writes of this change that are not settled. */
+      readonly pending: readonly PendingWrite[];
+      readonly reply: (outcome: CellOutcome) => void;
+    }
+  /** Reads cells of other services if the own one has too few members in the region; replies when that is done. */
+  | { readonly type: 'findWitnesses'; readonly reply: () => void }
   | { readonly type: 'status'; readonly reply: (status: CellStatus) => void }
   | { readonly type: 'tick' };
--- a/packages/control/src/CellStatus.ts
+++ b/packages/control/src/CellStatus.ts
@@ -1,7 +1,5 @@
-/** State of a daemon's membership. */
+/** State of a daemon's own cell. */
 export interface CellStatus {
-  /** State of charts/membership.json. */
-  readonly membership: string;
   /** Name of the own cell's object; empty before the start. */
   readonly cellName: string;
   readonly cellVersion: number;
--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -5,62 +5,45 @@
 import { ensurePlacements } from '#assignment/EnsurePlacements.js';
 import { findMember } from '#assignment/FindMember.js';
 import { listOwnedShards } from '#assignment/ListOwnedShards.js';
-import type { Member } from '#assignment/Member.js';
-import type { MemberFacts } from '#assignment/MemberFacts.js';
 import { planTakeover } from '#assignment/PlanTakeover.js';
-import { removeMember } from '#assignment/RemoveMember.js';
-import { setMemberState } from '#assignment/SetMemberState.js';
 import type { Catalogue } from '#catalogue/Catalogue.js';
-import { advanceChart } from '#chart/AdvanceChart.js';
-import { compileChart } from '#chart/CompileChart.js';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
+import { Backoff } from '#control/Backoff.js';
 import { buildDirectory } from '#control/BuildDirectory.js';
+import type { CellHome } from '#control/CellHome.js';
 import type { CellMessage } from '#control/CellMessage.js';
 import type { CellOutcome } from '#control/CellOutcome.js';
 import { CellWriter } from '#control/CellWriter.js';
 import type { ControlContext } from '#control/ControlContext.js';
+import { createAssignOptions } from '#control/CreateAssignOptions.js';
 import type { Directory } from '#control/Directory.js';
 import { formatCellName } from '#control/FormatCellName.js';
 import type { Intent } from '#control/Intent.js';
+import { isListed } from '#control/IsListed.js';
 import { listOwnFences } from '#control/ListOwnFences.js';
 import { listPlacements } from '#control/ListPlacements.js';
 import { listUsableShards } from '#control/ListUsableShards.js';
-import type { MembershipCommand } from '#control/MembershipCommand.js';
-import { MEMBERSHIP_RULES } from '#control/MembershipRules.js';
+import { NO_INTENT } from '#control/NoIntent.js';
 import type { OwnedShard } from '#control/OwnedShard.js';
 import { parseCellName } from '#control/ParseCellName.js';
 import { parseSeed } from '#control/ParseSeed.js';
-import { planRegistration } from '#control/PlanRegistration.js';
 import { readCell } from '#control/ReadCell.js';
-import type { RegistrationRequest } from '#control/RegistrationRequest.js';
 import type { SuspectReport } from '#control/SuspectReport.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
 import type { PendingWrite } from '#store/PendingWrite.js';
-import file from '../charts/membership.json' with { type: 'json' };
 
 type MessageOf<T extends CellMessage['type']> = Extract<CellMessage, { readonly type: T }>;
-type Reason = RegistrationRequest['reason'];
-
-interface Home {
-  readonly facts: MemberFacts;
-  readonly service: string;
-  readonly index: number;
-  readonly name: string;
-}
 
 interface Suspect extends SuspectReport {
   readonly atMs: number;
 }
 
-const CHART = compileChart('membership.json', file, MEMBERSHIP_RULES);
 /** All suspects of a cell seen within this time go into one write. */
 const COLLECT_MS = 100;
 /** A report that waited longer, for example in a paused process, is checked anew by the witnesses. */
 const SUSPECT_AGE_MS = 2_000;
-const RETRY_MIN_MS = 100;
-const RETRY_MAX_MS = 5_000;
 const TICK_MS = 500;
 const FETCH_TIMEOUT_MS = 2_000;
 /** Satisfied fences are cleared together; they only cost space in the cell until then. */
@@ -70,41 +53,33 @@
 const FOREIGN_REFRESH_MS = 2_000;
 /** Cells without enough members in a region stay so for long; the store is asked less and less often. */
 const FOREIGN_REFRESH_MAX_MS = 60_000;
-/** A holder that hears no peer would otherwise exchange its silent witnesses in turn, with a new epoch each time. */
-const SILENCE_KEPT_MS = 10_000;
 const WITNESS_COUNT = 3;
 const NOBODY: ReadonlyMap<string, OwnedShard> = new Map();
 
-/** Owns the cell of the own service and the cells fetched on demand, and writes all changes of cells. */
+/**
+ * Owns the cell of the own service and the cells fetched on demand, writes all changes of cells, and tells the request
+ * path which shards this daemon may use.
+ */
 export class CellTask extends Task<CellMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private readonly writer: CellWriter;
   private readonly seeds: readonly PeerAddress[];
-  private membership: string = CHART.initial;
-  private home: Home | undefined;
+  private readonly backoff: Backoff;
+  private home: CellHome | undefined;
   private cells: ReadonlyMap<string, Cell> = new Map();
   private catalogue: Catalogue | undefined;
-  private intent: Intent = { withdrawals: [], confirmedLost: [] };
+  private intent: Intent = NO_INTENT;
   private lease = { epoch: 0, leaseEndMs: Number.NEGATIVE_INFINITY };
   private satisfied: ReadonlySet<number> = new Set();
   private withheld: ReadonlySet<string> = new Set();
   private usable: ReadonlyMap<string, OwnedShard> = NOBODY;
-  private reason: Reason = 'join';
-  /** Witnesses that left renewals unanswered, with the time of the report. */
-  private silent: ReadonlyMap<string, number> = new Map();
-  private wasMember = false;
-  private startedMs = 0;
-  private pending: readonly PendingWrite[] = [];
-  private failures = 0;
   /** Time before which the store is not called for what is asked for again later. */
   private storeNotBeforeMs = 0;
   private suspects: readonly Suspect[] = [];
   private waiting: ReadonlyMap<string, readonly ((cell: Cell | undefined) => void)[]> = new Map();
   private foreignReadAtMs = Number.NEGATIVE_INFINITY;
   private foreignPauseMs = FOREIGN_REFRESH_MS;
-  private drainReplies: readonly (() => void)[] = [];
-  private isLeaving = false;
   private isClearing = false;
   private isPlacing = false;
   private storeReachable = true;
@@ -117,6 +92,7 @@
     this.links = links;
     this.writer = new CellWriter(context.store, writer);
     this.seeds = context.settings.seeds.map(parseSeed);
+    this.backoff = new Backoff(context.random);
     this.scheduleTick();
   }
 
@@ -128,8 +104,7 @@
   protected override receive(message: CellMessage): void {
     switch (message.type) {
       case 'start':
-        this.home = { ...message, name: formatCellName(message.service, message.index) };
-        this.advance('start');
+        this.home = message.home;
         return;
       case 'catalogue':
         this.catalogue = message.catalogue;
@@ -141,15 +116,6 @@
         this.lease = message;
         this.emitOwnership();
         return;
-      case 'register':
-        this.requestRegistration(message);
-        return;
-      case 'registerEnded':
-        this.endRegistration(message);
-        return;
-      case 'retry':
-        this.advance('retry');
-        return;
       case 'suspect':
         this.collectSuspect(message.report);
         return;
@@ -190,195 +156,19 @@
       case 'complete':
         void this.completeMoves(message);
         return;
-      case 'drain':
-        this.drainReplies = [...this.drainReplies, message.reply];
-        void this.beginDrain();
+      case 'change':
+        void this.change(message);
         return;
-      case 'drainFailed':
-        void this.beginDrain();
-        return;
-      case 'left':
-        this.endDrain(message.outcome);
-        return;
-      case 'reachable':
-        this.advance('reachable');
+      case 'findWitnesses':
+        void this.findWitnesses().then(message.reply);
         return;
       case 'status':
         this.replyStatus(message.reply);
         return;
       case 'tick':
         this.scheduleTick();
-        this.improveWitnesses();
         this.addPlacements();
-        this.checkIsolation();
-        this.leaveIfEmpty();
-    }
-  }
-
-  private advance(event: string): void {
-    const snapshot = { value: this.membership, context: undefined };
-    const step = advanceChart(CHART, snapshot, { type: event });
-    if (step.snapshot.value !== this.membership) {
-      const log = { step: 'join', from: this.membership, to: step.snapshot.value } as const;
-      this.context.logger.log('membership', log);
-    }
-    this.membership = step.snapshot.value;
-    for (const command of step.commands) this.execute(command);
-  }
-
-  private execute(command: MembershipCommand): void {
-    switch (command) {
-      case 'write':
-        void this.writeRegistration();
-        return;
-      case 'startEpoch':
-        this.startEpoch();
-        return;
-      case 'refuseEpoch':
-        this.links.lease({ type: 'registrationRefused' });
-        return;
-      case 'retryLater':
-        this.context.clock.schedule(this.backoff(), () => this.post({ type: 'retry' }));
-        return;
-      case 'stopOwning':
-        this.refreshUsable();
-        return;
-      case 'giveUp':
-        this.giveUp();
-    }
-  }
-
-  // Registration of the own member
-
-  private requestRegistration({ reason, silentWitnesses }: MessageOf<'register'>): void {
-    const nowMs = this.context.clock.monotonicMs();
-    const cell = this.ownCell();
-    if (this.membership !== 'member' || cell === undefined || nowMs < this.storeNotBeforeMs) return;
-    this.reason = reason;
-    const kept = [...this.silent].filter(([, atMs]) => nowMs - atMs < SILENCE_KEPT_MS);
-    this.silent = new Map([...kept, ...silentWitnesses.map((id) => [id, nowMs] as const)]);
-    if (planRegistration(cell, this.registration()).type === 'keep') {
-      this.refreshForeign();
-      return;
-    }
-    this.advance('register');
-  }
-
-  private registration(): RegistrationRequest {
-    const { facts, service } = this.requireHome();
-    return {
-      facts,
-      wasMember: this.wasMember,
-      reason: this.reason,
-      silentWitnesses: [...this.silent.keys()],
-      placements: listPlacements(this.catalogue, service),
-      options: this.assignOptions(service),
-    };
-  }
-
-  private async writeRegistration(): Promise<void> {
-    const { service, index } = this.requireHome();
-    if (this.needsForeignCells()) await this.readForeignCells();
-    let replaced = false;
-    let isFirst = this.pending.length === 0;
-    const change = (cell: Cell): Cell | undefined => {
-      const plan = planRegistration(cell, this.registration());
-      replaced = plan.type === 'replaced';
-      if (plan.type !== 'write') return undefined;
-      // The write follows at once. A failing read before it must not keep the lease from being extended.
-      if (isFirst) this.startedMs = this.context.clock.monotonicMs();
-      isFirst = false;
-      this.links.lease({ type: 'registering', startedMs: this.startedMs });
-      return plan.cell;
-    };
-    const outcome = await this.writer.update(service, index, change, this.pending);
-    this.post({ type: 'registerEnded', outcome, replaced });
-  }
-
-  private endRegistration({ outcome, replaced }: MessageOf<'registerEnded'>): void {
-    this.noteOutcome('register', outcome);
-    this.pending = outcome.type === 'undecided' ? outcome.pending : [];
-    if (outcome.type === 'undecided') {
-      this.advance('undecided');
-      return;
     }
-    if (outcome.type === 'accepted') this.adoptOwn(outcome.cell);
-    if (replaced) this.advance('replaced');
-    else this.advance(outcome.type === 'accepted' && this.isListed() ? 'accepted' : 'failed');
-    if (outcome.type === 'unchanged' && outcome.cell !== undefined) this.adopt(outcome.cell);
-    this.checkMembership();
-  }
-
-  private startEpoch(): void {
-    const member = this.ownMember();
-    if (member === undefined) return;
-    this.wasMember = true;
-    const { epoch, witnesses } = member;
-    const { startedMs } = this;
-    this.links.lease({ type: 'registered', epoch, witnesses, startedMs, cellName: this.requireHome().name });
-  }
-
-  /** A member looks for better witnesses while it has too few or one of them left. */
-  private improveWitnesses(): void {
-    const cell = this.ownCell();
-    const own = this.ownMember();
-    if (cell === undefined || own === undefined || this.membership !== 'member') return;
-    const directory = this.directory();
-    const usable = own.witnesses.filter((id) => directory.get(id)?.state === 'active');
-    if (usable.length >= WITNESS_COUNT) return;
-    this.post({ type: 'register', reason: 'witnesses', silentWitnesses: [] });
-  }
-
-  private checkMembership(): void {
-    const cell = this.ownCell();
-    if (cell === undefined || !this.wasMember) return;
-    const member = findMember(cell, this.requireHome().facts.serverId);
-    const isOther = member !== undefined && member.incarnation !== this.requireHome().facts.incarnation;
-    if (isOther) this.advance('replaced');
-    else if (!this.isListed() && this.drainReplies.length > 0) this.endDrain({ type: 'unchanged', cell });
-    else if (!this.isListed()) {
-      this.reason = 'join';
-      this.advance('taken');
-    }
-  }
-
-  // Isolation
-
-  /**
-   * A member whose renewals arrive but that hears no answer has no lease, and its witnesses don't suspect it. If the
-   * store is reachable it gives its shards up itself. The limit exceeds the silent period of witnesses that all restart.
-   */
-  private checkIsolation(): void {
-    const { config } = this.context;
-    const nowMs = this.context.clock.monotonicMs();
-    if (this.membership === 'isolated') void this.probePeer();
-    const cell = this.ownCell();
-    const own = this.ownMember();
-    if (this.membership !== 'member' || cell === undefined || own === undefined) return;
-    const aliveMs = Math.max(this.lease.leaseEndMs, this.startedMs);
-    if (nowMs < aliveMs + config.silentMs + 2 * config.witnessExpiryMs) return;
-    const others = cell.members.filter((member) => member.state === 'active' && member !== own);
-    if (others.length > 0 && listOwnedShards(cell, own.serverId).length > 0) this.advance('isolated');
-  }
-
-  private giveUp(): void {
-    const own = this.ownMember();
-    if (own === undefined) return;
-    const { serverId, epoch } = own;
-    this.context.logger.log('isolated', { step: 'lease', epoch });
-    this.collectSuspect({ cellName: this.requireHome().name, serverId, epoch });
-  }
-
-  private async probePeer(): Promise<void> {
-    const own = this.context.settings.serverId;
-    const peers = [...this.directory().values()].filter(
-      ({ serverId, state }) => serverId !== own && state !== 'gone',
-    );
-    const peer = this.context.random.pick(peers);
-    if (peer === undefined) return;
-    const options = { channel: 'udp', timeoutMs: TICK_MS } as const;
-    const answer = await this.context.transport.call(peer, 'probe', {}, options);
-    if (answer.isRight()) this.post({ type: 'reachable' });
   }
 
   // Takeover
@@ -443,7 +233,7 @@
     if (outcome.type === 'failed' || outcome.type === 'undecided') this.scheduleClearing();
   }
 
-  // Planned moves and leaving
+  // Changes asked for by other tasks
 
   /** The request follows the update: an update that lists the shard again tells that it was not moved. */
   private withhold({ requests }: MessageOf<'withhold'>): void {
@@ -459,7 +249,7 @@
     for (;;) {
       const change = (cell: Cell): Cell | undefined => {
         const isSame = findMember(cell, to)?.incarnation === incarnation;
-        if (!isSame || !this.isListedIn(cell)) return undefined;
+        if (!isSame || !isListed(cell, this.home)) return undefined;
         return moves.reduce(
           (next, { shardId, from }) => completeMove(next, shardId, from, to).orDefault(next),
           cell,
@@ -473,59 +263,22 @@
         return;
       }
       pending = outcome.pending;
-      const pauseMs = this.backoff();
+      const pauseMs = this.backoff.pauseMs();
       await new Promise<void>((resolve) => this.context.clock.schedule(pauseMs, resolve));
     }
   }
 
-  private async beginDrain(): Promise<void> {
-    if (this.home === undefined) {
-      this.post({ type: 'left', outcome: { type: 'unchanged', cell: undefined } });
-      return;
-    }
-    const { service, index, facts } = this.home;
-    const change = (cell: Cell): Cell => setMemberState(cell, [facts.serverId], 'draining');
-    const outcome = await this.writer.update(service, index, change);
-    this.noteOutcome('drain', outcome);
+  private async change({ what, change, pending, reply }: MessageOf<'change'>): Promise<void> {
+    const { service, index } = this.requireHome();
+    const outcome = await this.writer.update(service, index, change, pending);
+    this.noteOutcome(what, outcome);
     this.publish(outcome);
-    if (outcome.type !== 'failed' && outcome.type !== 'undecided') return;
-    this.context.clock.schedule(this.backoff(), () => this.post({ type: 'drainFailed' }));
-  }
-
-  /** A draining member leaves the cell once its last shard has moved. */
-  private leaveIfEmpty(): void {
-    const cell = this.ownCell();
-    const own = this.ownMember();
-    if (cell === undefined || own?.state !== 'draining' || this.isLeaving) return;
-    if (this.drainReplies.length === 0 || listOwnedShards(cell, own.serverId).length > 0) return;
-    this.isLeaving = true;
-    void this.leave();
-  }
-
-  private async leave(): Promise<void> {
-    const { service, index, facts } = this.requireHome();
-    const outcome = await this.writer.update(service, index, (cell) =>
-      this.isListedIn(cell) ? removeMember(cell, facts.serverId).orDefault(cell) : undefined,
-    );
-    this.noteOutcome('leave', outcome);
-    if (outcome.type === 'accepted') this.notifyMembers(outcome.cell);
-    this.post({ type: 'left', outcome });
-  }
-
-  private endDrain(outcome: CellOutcome): void {
-    this.isLeaving = false;
-    const isOut =
-      outcome.type === 'accepted' ||
-      (outcome.type === 'unchanged' && (outcome.cell === undefined || !this.isListedIn(outcome.cell)));
-    if (!isOut) return;
-    this.advance('left');
-    for (const reply of this.drainReplies) reply();
-    this.drainReplies = [];
+    reply(outcome);
   }
 
   private addPlacements(): void {
     const cell = this.ownCell();
-    if (cell === undefined || this.membership !== 'member' || this.isPlacing) return;
+    if (cell === undefined || !isListed(cell, this.home) || this.isPlacing) return;
     const { service, index } = this.requireHome();
     const add = (current: Cell): Cell =>
       ensurePlacements(current, listPlacements(this.catalogue, service), this.assignOptions(service));
@@ -540,18 +293,9 @@
 
   // Cells held
 
-  private adoptOwn(cell: Cell): void {
-    this.adopt(cell);
-    this.notifyMembers(cell);
-  }
-
   private publish(outcome: CellOutcome): void {
-    if (outcome.type === 'accepted') {
-      this.post({ type: 'adopt', cell: outcome.cell });
-      this.notifyMembers(outcome.cell);
-    } else if (outcome.type === 'unchanged' && outcome.cell !== undefined) {
-      this.post({ type: 'adopt', cell: outcome.cell });
-    }
+    if ('cell' in outcome && outcome.cell !== undefined) this.adopt(outcome.cell);
+    if (outcome.type === 'accepted') this.notifyMembers(outcome.cell);
   }
 
   private notifyMembers(cell: Cell): void {
@@ -569,6 +313,7 @@
     const directory = this.directory();
     this.links.lease({ type: 'directory', directory });
     this.links.fence({ type: 'directory', directory });
+    this.links.membership({ type: 'directory', directory });
     this.links.spread({ type: 'directory', directory });
     this.links.witness({ type: 'cell', name, cell });
     this.links.emit({ type: 'cell', cell });
@@ -579,14 +324,14 @@
     this.links.fence({ type: 'fences', fences });
     const open = new Set(cell.fences.map((fence) => fence.id));
     this.satisfied = new Set([...this.satisfied].filter((id) => open.has(id)));
-    if (fences.some((fence) => fence.witnesses.some((id) => !directory.has(id)))) this.refreshForeign();
+    if (fences.some((fence) => fence.witnesses.some((id) => !directory.has(id)))) void this.findWitnesses();
     this.refreshUsable();
-    this.checkMembership();
+    this.links.membership({ type: 'cell', cell });
   }
 
   private refreshUsable(): void {
     const cell = this.ownCell();
-    const isActive = cell !== undefined && this.isListed() && !CHART.finalStates.has(this.membership);
+    const isActive = cell !== undefined && isListed(cell, this.home);
     const { serverId } = this.context.settings;
     this.usable = isActive ? listUsableShards(cell, serverId, this.satisfied, this.withheld) : NOBODY;
     this.emitOwnership();
@@ -672,8 +417,8 @@
     return candidates.length < WITNESS_COUNT;
   }
 
-  private refreshForeign(): void {
-    if (this.needsForeignCells()) void this.readForeignCells();
+  private async findWitnesses(): Promise<void> {
+    if (this.needsForeignCells()) await this.readForeignCells();
   }
 
   private async readForeignCells(): Promise<void> {
@@ -691,9 +436,7 @@
   // State
 
   private assignOptions(service: string): AssignOptions {
-    const graceMs = this.catalogue?.services.find(({ name }) => name === service)?.orderGraceMs ?? 0;
-    const peers = [...this.directory().values()];
-    return { graceMs, peers, withdrawn: this.intent.withdrawals };
+    return createAssignOptions(service, this.catalogue, this.intent, this.directory());
   }
 
   private directory(): Directory {
@@ -704,25 +447,7 @@
     return this.home && this.cells.get(this.home.name);
   }
 
-  private ownMember(): Member | undefined {
-    const cell = this.ownCell();
-    return cell && this.home && findMember(cell, this.home.facts.serverId);
-  }
-
-  private isListed(): boolean {
-    const cell = this.ownCell();
-    return cell !== undefined && this.isListedIn(cell);
-  }
-
-  /** Whether a cell lists this very process as a member that was not taken over. */
-  private isListedIn(cell: Cell): boolean {
-    const member = this.home && findMember(cell, this.home.facts.serverId);
-    return (
-      member !== undefined && member.state !== 'gone' && member.incarnation === this.home?.facts.incarnation
-    );
-  }
-
-  private requireHome(): Home {
+  private requireHome(): CellHome {
     if (this.home === undefined) throw new Error('the control plane has not started');
     return this.home;
   }
@@ -731,16 +456,11 @@
     return this.cells.get(name)?.version ?? 0;
   }
 
-  private backoff(): number {
-    const limitMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** this.failures);
-    return limitMs * (0.5 + this.context.random.fraction() / 2);
-  }
-
   private noteOutcome(change: string, outcome: CellOutcome, peer = ''): void {
     const isConflict = outcome.type === 'failed' && outcome.code === 'storeConflict';
     const isFailure = outcome.type === 'failed' || outcome.type === 'undecided';
-    this.failures = isFailure ? this.failures + 1 : 0;
-    this.storeNotBeforeMs = isFailure ? this.context.clock.monotonicMs() + this.backoff() : 0;
+    this.backoff.count(isFailure);
+    this.storeNotBeforeMs = this.context.clock.monotonicMs() + this.backoff.pauseMs();
     this.storeReachable = !isFailure || isConflict;
     const version = 'cell' in outcome ? outcome.cell?.version : undefined;
     const code = outcome.type === 'failed' ? outcome.code : undefined;
@@ -752,7 +472,6 @@
     const cell = this.ownCell();
     const { serverId } = this.context.settings;
     reply({
-      membership: this.membership,
       cellName: this.home?.name ?? '',
       cellVersion: cell?.version ?? 0,
       ownedShards: cell === undefined ? 0 : listOwnedShards(cell, serverId).length,
--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -18,6 +18,7 @@
 import type { Intent } from '#control/Intent.js';
 import type { LeaseStatus } from '#control/LeaseStatus.js';
 import { LeaseTask } from '#control/LeaseTask.js';
+import { MembershipTask } from '#control/MembershipTask.js';
 import { MoveTask } from '#control/MoveTask.js';
 import type { PutObject } from '#control/PutObject.js';
 import type { PutOutcome } from '#control/PutOutcome.js';
@@ -37,6 +38,7 @@
   private readonly cell: CellTask;
   private readonly fence: FenceTask;
   private readonly lease: LeaseTask;
+  private readonly membership: MembershipTask;
   private readonly move: MoveTask;
   private readonly spread: SpreadTask;
   private readonly witness: WitnessTask;
@@ -48,6 +50,7 @@
       cell: (message) => this.cell.post(message),
       fence: (message) => this.fence.post(message),
       lease: (message) => this.lease.post(message),
+      membership: (message) => this.membership.post(message),
       move: (message) => this.move.post(message),
       spread: (message) => this.spread.post(message),
       witness: (message) => this.witness.post(message),
@@ -56,6 +59,7 @@
     this.cell = new CellTask(this.context, links, writer);
     this.fence = new FenceTask(this.context, links);
     this.lease = new LeaseTask(this.context, links);
+    this.membership = new MembershipTask(this.context, links);
     this.move = new MoveTask(this.context, links);
     this.spread = new SpreadTask(this.context, links, writer);
     this.witness = new WitnessTask(this.context, links);
@@ -67,12 +71,23 @@
     this.spread.post({ type: 'start' });
     if (service === '') return;
     this.move.post({ type: 'start', incarnation: facts.incarnation });
-    this.cell.post({ type: 'start', facts, service, index });
+    const home = { facts, service, index, name: formatCellName(service, index) };
+    this.cell.post({ type: 'start', home });
+    this.membership.post({ type: 'start', home });
   }
 
   /** Stops all tasks at once, as a loss of the process would; the lease then expires by itself. */
   public stop(): void {
-    for (const task of [this.cell, this.fence, this.lease, this.move, this.spread, this.witness]) task.stop();
+    for (const task of [
+      this.cell,
+      this.fence,
+      this.lease,
+      this.membership,
+      this.move,
+      this.spread,
+      this.witness,
+    ])
+      task.stop();
   }
 
   /**
@@ -87,7 +102,7 @@
         cancel();
         resolve(true);
       };
-      this.cell.post({ type: 'drain', reply });
+      this.membership.post({ type: 'drain', reply });
     });
   }
 
@@ -123,12 +138,13 @@
 
   /** Resolves with the present state. */
   public async readStatus(): Promise<ControlStatus> {
-    const [lease, cell, spread] = await Promise.all([
+    const [membership, lease, cell, spread] = await Promise.all([
+      this.membership.ask<string>((reply) => ({ type: 'status', reply })),
       this.lease.ask<LeaseStatus>((reply) => ({ type: 'status', reply })),
       this.cell.ask<CellStatus>((reply) => ({ type: 'status', reply })),
       this.spread.ask<SpreadStatus>((reply) => ({ type: 'status', reply })),
     ]);
-    return { lease, cell, spread };
+    return { membership, lease, cell, spread };
   }
 
   private put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
--- a/packages/control/src/LeaseTask.ts
+++ b/packages/control/src/LeaseTask.ts
@@ -82,9 +82,10 @@
     switch (command.type) {
       case 'leaseChanged':
         this.links.cell({ type: 'lease', epoch: command.epoch, leaseEndMs: command.leaseEndMs });
+        this.links.membership({ type: 'lease', leaseEndMs: command.leaseEndMs });
         return;
       case 'reRegister':
-        this.links.cell({ ...command, type: 'register' });
+        this.links.membership({ ...command, type: 'register' });
         return;
       case 'sendRenew':
         void this.sendRenewal(command);
--- a/packages/control/src/MembershipCommand.ts
+++ b/packages/control/src/MembershipCommand.ts
@@ -1,3 +1,2 @@
 /** Next step of a daemon's membership in its cell. */
-export type MembershipCommand =
-  'write' | 'startEpoch' | 'refuseEpoch' | 'retryLater' | 'stopOwning' | 'giveUp';
+export type MembershipCommand = 'write' | 'startEpoch' | 'refuseEpoch' | 'retryLater' | 'giveUp';
--- /dev/null
+++ b/packages/control/src/MembershipMessage.ts
@@ -0,0 +1,35 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { CellHome } from '#control/CellHome.js';
+import type { CellOutcome } from '#control/CellOutcome.js';
+import type { Directory } from '#control/Directory.js';
+import type { Intent } from '#control/Intent.js';
+import type { RegistrationRequest } from '#control/RegistrationRequest.js';
+
+/** Messages to `MembershipTask`. */
+export type MembershipMessage =
+  | { readonly type: 'start'; readonly home: CellHome }
+  /** A newer version of the own cell. */
+  | { readonly type: 'cell'; readonly cell: Cell }
+  | { readonly type: 'directory'; readonly directory: Directory }
+  | { readonly type: 'catalogue'; readonly catalogue: Catalogue }
+  | { readonly type: 'intent'; readonly intent: Intent }
+  /** End of the lease on the monotonic clock, in milliseconds. */
+  | { readonly type: 'lease'; readonly leaseEndMs: number }
+  /** The holder needs a new epoch. */
+  | {
+      readonly type: 'register';
+      readonly reason: RegistrationRequest['reason'];
+      readonly silentWitnesses: readonly string[];
+    }
+  | { readonly type: 'registerEnded'; readonly outcome: CellOutcome; readonly replaced: boolean }
+  | { readonly type: 'retry' }
+  /** Gives all shards away and leaves the cell; replies when that is done. */
+  | { readonly type: 'drain'; readonly reply: () => void }
+  | { readonly type: 'drainRetry' }
+  | { readonly type: 'leaveEnded'; readonly outcome: CellOutcome }
+  /** An isolated member heard a peer again. */
+  | { readonly type: 'reachable' }
+  /** Replies with the state of charts/membership.json. */
+  | { readonly type: 'status'; readonly reply: (membership: string) => void }
+  | { readonly type: 'tick' };
--- a/packages/control/src/MembershipRules.ts
+++ b/packages/control/src/MembershipRules.ts
@@ -11,7 +11,6 @@
     startEpoch: () => command('startEpoch'),
     refuseEpoch: () => command('refuseEpoch'),
     retryLater: () => command('retryLater'),
-    stopOwning: () => command('stopOwning'),
     giveUp: () => command('giveUp'),
   },
 };
--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -22,6 +22,7 @@
 import type { MoveEvent } from '#control/MoveEvent.js';
 import type { MoveMessage } from '#control/MoveMessage.js';
 import { MOVE_RULES } from '#control/MoveRules.js';
+import { NO_INTENT } from '#control/NoIntent.js';
 import type { ShardLoads } from '#control/ShardLoads.js';
 import { splitRecords } from '#control/SplitRecords.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
@@ -51,7 +52,7 @@
   private readonly links: TaskLinks;
   private incarnation = '';
   private cell: Cell | undefined;
-  private intent: Intent = { withdrawals: [], confirmedLost: [] };
+  private intent: Intent = NO_INTENT;
   private budget: MoveBudget = createMoveBudget();
   private reports: ReadonlyMap<string, LoadReport> = new Map();
   private transfers: ReadonlyMap<number, ChartSnapshot<MoveContext>> = new Map();
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -145,11 +145,13 @@
       const { author, catalogue } = value as Authored & { readonly catalogue: Catalogue };
       this.links.emit({ type: 'catalogue', catalogue: { version, author, catalogue } });
       this.links.cell({ type: 'catalogue', catalogue });
+      this.links.membership({ type: 'catalogue', catalogue });
       return;
     }
     const { intent } = value as Authored & { readonly intent: Intent };
     this.links.emit({ type: 'intent', version, intent });
     this.links.cell({ type: 'intent', intent });
+    this.links.membership({ type: 'intent', intent });
     this.links.move({ type: 'intent', intent });
     const lost = { type: 'confirmedLost', serverIds: intent.confirmedLost } as const;
     this.links.fence(lost);
--- a/packages/control/test/collect.test.ts
+++ b/packages/control/test/collect.test.ts
@@ -20,6 +20,7 @@
   cell: NOTHING,
   fence: NOTHING,
   lease: NOTHING,
+  membership: NOTHING,
   move: NOTHING,
   spread: NOTHING,
   witness: NOTHING,
