Give operators' changes a store budget of their own

Cause: in a fleet of 18 daemons, the calls of joins and moves had spent the budget of the first member about 40 s after the start, and each drain and confirm-lost through it was answered 503 storeBudgetSpent.

--- a/packages/cli/src/ListHistory.ts
+++ b/packages/cli/src/ListHistory.ts
@@ -14,7 +14,8 @@
   const rows = body.items.map(({ version, author, timeMs }) => [
     version,
     author,
-    new Date(timeMs).toISOString(),
+    // A catalogue that was put into the store directly has no time.
+    timeMs === 0 ? '-' : new Date(timeMs).toISOString(),
   ]);
   const table = formatTable(['version', 'author', 'time'], rows);
   terminal.print(options.json === true ? JSON.stringify(body.items, null, 2) : table);
--- a/packages/control/src/ControlContext.ts
+++ b/packages/control/src/ControlContext.ts
@@ -12,6 +12,8 @@
   readonly config: LeaseConfig;
   readonly transport: Transport;
   readonly store: ObjectStore;
+  /** Store client for operators' changes; `store` itself if left out. */
+  readonly operatorStore?: ObjectStore;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
--- a/packages/control/src/ControlOptions.ts
+++ b/packages/control/src/ControlOptions.ts
@@ -11,6 +11,11 @@
   readonly settings: Settings;
   readonly transport: Transport;
   readonly store: ObjectStore;
+  /**
+   * Store client for operators' changes, so that a drain can be recorded when joins, moves and takeovers have spent the
+   * call budget of `store`; `store` itself if left out.
+   */
+  readonly operatorStore?: ObjectStore;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -291,7 +291,8 @@
   private async put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
     const { name, value, author, ifVersion } = change;
     const authored = { author, timeMs: this.context.clock.wallMs(), [name]: value };
-    const updated = await updateObject(this.context.store, {
+    const { store, operatorStore = store } = this.context;
+    const updated = await updateObject(operatorStore, {
       name,
       change: (current) => ((current?.version ?? 0) === ifVersion ? authored : undefined),
       nextMark: () => `${this.writer}/${name}/${(this.marks += 1)}`,
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -166,6 +166,7 @@
       settings: this.settings,
       transport: this.transport,
       store: this.store,
+      operatorStore: this.adminStore,
       clock: this.clock,
       logger: new Logger('control'),
       random: this.random,
