--- a/packages/daemon/src/UpdateGauges.ts
+++ b/packages/daemon/src/UpdateGauges.ts
@@ -20,7 +20,6 @@
   metrics.setGauge('queueLength', owner.waiting);
   metrics.setGauge('slotsInUse', owner.running);
   metrics.setGauge('slotLimit', status.backend.slotLimit);
-  metrics.setGauge('backendConnections', owner.backend?.connections ?? 0);
   metrics.setGauge('onceRecords', owner.onceRecords);
   metrics.setGauge('leaseLeftMs', status.leaseLeftMs);
   metrics.setGauge('storeReachable', status.store.reachable ? 1 : 0);
