--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import type { Cell } from '#assignment/Cell.js';
+import type { Intent } from '#control/Intent.js';
 import type { RunRecord } from '#standin/RunRecord.js';
 import type { FleetInstance } from '#load/FleetInstance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
@@ -136,6 +137,14 @@
     await answer.body.dump();
   }
 
+  /** Replaces the operator intent in the store. */
+  public async setIntent(intent: Intent): Promise<void> {
+    const current = await request(`${this.storeUrl()}/objects/intent`);
+    await current.body.dump();
+    const tag = current.headers.etag;
+    await this.put('intent', { author: 'setup', intent }, typeof tag === 'string' ? tag : undefined);
+  }
+
   /** Reads the call counts of the store. */
   public async readStoreStats(): Promise<Readonly<Record<string, number>>> {
     const answer = await request(`${this.storeUrl()}/stats`);
@@ -255,10 +264,10 @@
     return ((await answer.body.json()) as { readonly overloads: number }).overloads;
   }
 
-  private async put(name: string, value: unknown): Promise<void> {
+  private async put(name: string, value: unknown, tag?: string): Promise<void> {
     const answer = await request(`${this.storeUrl()}/objects/${encodeURIComponent(name)}`, {
       method: 'PUT',
-      headers: { 'if-none-match': '*' },
+      headers: tag === undefined ? { 'if-none-match': '*' } : { 'if-match': tag },
       body: JSON.stringify({ marks: ['fleet/1'], value }),
     });
     await answer.body.dump();
--- a/packages/load/src/Measure.ts
+++ b/packages/load/src/Measure.ts
@@ -4,6 +4,7 @@
 import { ImbalanceMeasurement } from '#load/ImbalanceMeasurement.js';
 import type { Measurement } from '#load/Measurement.js';
 import { OverheadMeasurement } from '#load/OverheadMeasurement.js';
+import { UnavailableMeasurement } from '#load/UnavailableMeasurement.js';
 
 const DEFAULT_SEED = 20_261_204;
 
@@ -11,6 +12,7 @@
   new ImbalanceMeasurement(),
   new ChurnMeasurement(),
   new OverheadMeasurement(),
+  new UnavailableMeasurement(),
 ];
 
 async function measure(name: string): Promise<void> {
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -48,7 +48,10 @@
 const BUFFERED_BODY_BYTES = 65_536;
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
-const FIRST_SNAPSHOT = { value: EXCHANGE_CHART.initial, context: { attempt: 0, lastFault: undefined } };
+const FIRST_SNAPSHOT = {
+  value: EXCHANGE_CHART.initial,
+  context: { attempt: 0, lastFault: undefined, mayHaveRun: false },
+};
 
 /** Serves callers: checks, admits and routes their requests, retries where that is safe, and judges delivery. */
 export class EntryTask extends Task<EntryMessage> {
--- a/packages/proxy/src/ExchangeChart.ts
+++ b/packages/proxy/src/ExchangeChart.ts
@@ -1,6 +1,7 @@
 import type { ChartUpdate } from '#chart/ChartUpdate.js';
 import { compileChart } from '#chart/CompileChart.js';
 import type { CompiledChart } from '#chart/CompiledChart.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import type { ExchangeCommand } from '#proxy/ExchangeCommand.js';
 import type { ExchangeContext } from '#proxy/ExchangeContext.js';
 import type { ExchangeEvent } from '#proxy/ExchangeEvent.js';
@@ -26,7 +27,7 @@
     writeChunk: (context, event) =>
       event.type === 'data' ? emit(context, { type: 'writeChunk', chunk: event.chunk }) : emit(context),
     sendRefusal: (context, event) =>
-      hasFault(event) ? emit(context, { type: 'sendRefusal', fields: event.fields }) : emit(context),
+      hasFault(event) ? emit(context, reportFault(context, event.fields)) : emit(context),
     sendFailure: (context, event) =>
       hasFault(event) ? emit(context, { type: 'sendFailure', fields: event.fields }) : emit(context),
     sendLastFault,
@@ -47,7 +48,7 @@
 function scheduleRetry(context: ExchangeContext, event: ExchangeEvent): Update {
   if (!hasFault(event)) return emit(context);
   return emit(
-    { ...context, lastFault: event.fields },
+    { ...context, lastFault: event.fields, mayHaveRun: context.mayHaveRun || event.fields.ran !== 'not run' },
     { type: 'scheduleRetry', delayMs: event.retryDelayMs ?? 0 },
   );
 }
@@ -55,7 +56,15 @@
 function sendLastFault(context: ExchangeContext): Update {
   const fields = context.lastFault;
   if (fields === undefined) return emit(context, { type: 'sendTimeout' });
-  return emit(context, { type: fields.ran === 'not run' ? 'sendRefusal' : 'sendFailure', fields });
+  return emit(context, reportFault(context, fields));
+}
+
+/** A fault is reported as a refusal only if no attempt may have run. */
+function reportFault({ mayHaveRun }: ExchangeContext, fields: RouterErrorFields): ExchangeCommand {
+  if (fields.ran !== 'not run') return { type: 'sendFailure', fields };
+  return mayHaveRun
+    ? { type: 'sendFailure', fields: { ...fields, ran: 'unknown' } }
+    : { type: 'sendRefusal', fields };
 }
 
 function emit(context: ExchangeContext, ...commands: readonly ExchangeCommand[]): Update {
--- a/packages/proxy/src/ExchangeContext.ts
+++ b/packages/proxy/src/ExchangeContext.ts
@@ -6,4 +6,6 @@
   readonly attempt: number;
   /** Fault of the last attempt, while another one is due. */
   readonly lastFault: RouterErrorFields | undefined;
+  /** Whether an earlier attempt may have run, so that the refusal of a later one proves nothing about the request. */
+  readonly mayHaveRun: boolean;
 }
