Split the entry and owner tasks by responsibility

Change: the table of open exchanges (ExchangeTable), the counting of outcomes (OutcomeCounts), the check of ownership at the moment of use (OwnershipView) and the capacity of the backend server (BackendCapacity) are classes of their own. No test of the request path existed here. Conclusion: no intended change of behaviour.

--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -5,16 +5,11 @@
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import { OutlierDetector } from '#balance/OutlierDetector.js';
 import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
-import { advanceChart } from '#chart/AdvanceChart.js';
 import type { Clock } from '#core/Clock.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
-import { DELIVERY_CHART } from '#delivery/DeliveryChart.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
-import { DeliveryLedger } from '#delivery/DeliveryLedger.js';
-import { findOutcome } from '#delivery/FindOutcome.js';
-import type { Outcome } from '#delivery/Outcome.js';
 import { ReceiptEvidence } from '#delivery/ReceiptEvidence.js';
 import { SentEvidence } from '#delivery/SentEvidence.js';
 import { startDelivery } from '#delivery/StartDelivery.js';
@@ -25,8 +20,8 @@
 import type { EntryLinks } from '#proxy/EntryLinks.js';
 import type { EntryListener } from '#proxy/EntryListener.js';
 import type { EntryMessage } from '#proxy/EntryMessage.js';
-import type { Attempt } from '#proxy/Attempt.js';
 import type { Exchange } from '#proxy/Exchange.js';
+import { ExchangeTable } from '#proxy/ExchangeTable.js';
 import type { OpenExchange } from '#proxy/OpenExchange.js';
 import { RetryPlanner } from '#proxy/RetryPlanner.js';
 import { EXCHANGE_CHART } from '#proxy/ExchangeChart.js';
@@ -35,9 +30,9 @@
 import { InterRegionMeter } from '#proxy/InterRegionMeter.js';
 import { limitBody } from '#proxy/LimitBody.js';
 import type { OrderEvent } from '#proxy/OrderEvent.js';
+import { OutcomeCounts } from '#proxy/OutcomeCounts.js';
 import { parseRequestHead } from '#proxy/ParseRequestHead.js';
 import { readBody } from '#proxy/ReadBody.js';
-import type { PendingReceipt } from '#delivery/PendingReceipt.js';
 import type { RequestHead } from '#proxy/RequestHead.js';
 import type { RoutingView } from '#proxy/RoutingView.js';
 import type { Target } from '#proxy/Target.js';
@@ -52,16 +47,14 @@
 
 /** Serves callers: checks, admits and routes their requests, retries where that is safe, and judges delivery. */
 export class EntryTask extends Task<EntryMessage> {
-  private readonly exchanges = new Map<string, OpenExchange>();
-  private readonly ledger = new DeliveryLedger();
+  private readonly exchanges = new ExchangeTable();
+  private readonly outcomes: OutcomeCounts;
   private readonly retries: RetryPlanner;
   private readonly outliers = new OutlierDetector();
   private readonly meter = new InterRegionMeter();
   private readonly sentEvidence = new SentEvidence();
   private readonly receiptEvidence = new ReceiptEvidence();
   private view: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
-  /** Arrival times of requests whose receipts are awaited. */
-  private readonly receiptStarts = new Map<string, number>();
   private nextId = 0;
   private closed: (() => void) | undefined;
 
@@ -76,11 +69,12 @@
   ) {
     super();
     this.retries = new RetryPlanner(clock, random);
+    this.outcomes = new OutcomeCounts(clock, listener);
   }
 
   public override stop(): void {
     super.stop();
-    for (const { exchange } of this.exchanges.values()) exchange.cancelDeadline();
+    this.exchanges.cancelDeadlines();
   }
 
   protected override receive(message: EntryMessage): void {
@@ -98,7 +92,7 @@
         this.advance(message.exchangeId, message.event);
         break;
       case 'receiptEnded':
-        this.countReceipt(message.receipt, message.outcome);
+        this.outcomes.countReceipt(message.receipt, message.outcome);
         break;
       case 'catalogue':
         this.view = { ...this.view, index: indexCatalogue(message.catalogue) };
@@ -110,7 +104,7 @@
         this.applyCell(message.cell);
         break;
       case 'counts':
-        message.reply(this.ledger.counts());
+        message.reply(this.outcomes.counts());
         break;
       case 'close':
         this.closed = message.reply;
@@ -154,16 +148,16 @@
   private admit(req: IncomingMessage, res: ServerResponse, head: RequestHead, checked: CheckedRequest): void {
     const nowMs = this.clock.monotonicMs();
     const { owner, service, class: requestClass, limits } = checked.entry;
-    this.ledger.begin(owner, requestClass);
+    this.outcomes.begin(owner, requestClass);
     this.retries.noteRequest(owner, requestClass, nowMs);
     const result = this.admission.admit(entryKey(owner, service, requestClass), limits, nowMs);
     if (result.kind === 'refuse') {
-      this.count(checked, 'refused', result.error.code, 0, nowMs, nowMs);
+      this.outcomes.countRefused(checked, result.error.code, nowMs);
       this.refuseAtOnce(req, res, result.error);
       return;
     }
     const id = head.requestId;
-    this.exchanges.set(id, this.open(req, res, head, checked, nowMs));
+    this.exchanges.add(this.open(req, res, head, checked, nowMs));
     res.once('close', () => {
       if (!res.writableFinished)
         this.post({ type: 'exchange', exchangeId: id, event: { type: 'callerGone' } });
@@ -200,29 +194,14 @@
   }
 
   private acceptBody(exchangeId: string, body: Buffer): void {
-    this.setAttempt(exchangeId, (attempt) => ({ ...attempt, body }));
+    this.exchanges.setAttempt(exchangeId, (attempt) => ({ ...attempt, body }));
     this.advance(exchangeId, { type: 'accepted' });
   }
 
-  private setAttempt(exchangeId: string, update: (attempt: Attempt) => Attempt): void {
-    const open = this.exchanges.get(exchangeId);
-    if (open !== undefined) this.exchanges.set(exchangeId, { ...open, attempt: update(open.attempt) });
-  }
-
-  private setCode(exchangeId: string, code: string): void {
-    const open = this.exchanges.get(exchangeId);
-    if (open !== undefined) this.exchanges.set(exchangeId, { ...open, code });
-  }
-
   private advance(exchangeId: string, event: ExchangeEvent): void {
-    const open = this.exchanges.get(exchangeId);
-    if (open === undefined) return;
-    const step = advanceChart(EXCHANGE_CHART, open.snapshot, event);
-    if (!step.taken) return;
-    if (step.snapshot.value !== open.snapshot.value)
-      this.exchanges.set(exchangeId, { ...open, snapshot: step.snapshot });
+    const step = this.exchanges.advance(exchangeId, event);
     for (const command of step.commands) this.carryOut(exchangeId, command);
-    if (EXCHANGE_CHART.finalStates.has(step.snapshot.value)) this.close(exchangeId);
+    if (step.isOver) this.close(exchangeId);
   }
 
   private carryOut(exchangeId: string, command: ExchangeCommand): void {
@@ -242,13 +221,13 @@
         );
         break;
       case 'sendHead':
-        this.deliver(exchangeId, { type: 'head' });
+        this.exchanges.deliver(exchangeId, { type: 'head' });
         writeAnswerHead(exchange, command.head);
         exchange.res.on('drain', command.flow.resume);
-        this.setAttempt(exchangeId, (attempt) => ({ ...attempt, pause: command.flow.pause }));
+        this.exchanges.setAttempt(exchangeId, (attempt) => ({ ...attempt, pause: command.flow.pause }));
         break;
       case 'writeChunk':
-        this.deliver(exchangeId, { type: 'chunk', bytes: command.chunk.length });
+        this.exchanges.deliver(exchangeId, { type: 'chunk', bytes: command.chunk.length });
         this.meter.add(open, command.chunk.length, this.clock.monotonicMs());
         if (!exchange.res.write(command.chunk)) open.attempt.pause?.();
         break;
@@ -256,7 +235,7 @@
         this.endAnswer(exchange);
         break;
       case 'noteFlushed':
-        this.deliver(exchangeId, { type: 'flushed', nowMs: this.clock.monotonicMs() });
+        this.exchanges.deliver(exchangeId, { type: 'flushed', nowMs: this.clock.monotonicMs() });
         break;
       case 'sendRefusal':
         this.fail(exchange, command.fields, { type: 'refused' });
@@ -269,8 +248,8 @@
         this.fail(exchange, this.createTimeout(open), { type: 'timedOut' });
         break;
       case 'abandon':
-        this.setCode(exchangeId, 'callerGone');
-        this.deliver(exchangeId, { type: 'callerGone' });
+        this.exchanges.setCode(exchangeId, 'callerGone');
+        this.exchanges.deliver(exchangeId, { type: 'callerGone' });
         break;
     }
   }
@@ -306,11 +285,11 @@
     const { exchange } = open;
     const { id, checked, req } = exchange;
     const { serverId } = target.member;
-    this.deliver(id, { type: 'ordered' });
+    this.exchanges.deliver(id, { type: 'ordered' });
     const tried = checked.needsOwnership ? NO_SERVERS : new Set([...open.attempt.tried, serverId]);
     const isStream = open.attempt.body === req;
     const body = isStream ? limitBody(req, checked.entry.limits.maxBodyBytes) : open.attempt.body;
-    this.setAttempt(id, () => ({ body, target, tried, startedMs: nowMs, pause: undefined }));
+    this.exchanges.setAttempt(id, () => ({ body, target, tried, startedMs: nowMs, pause: undefined }));
     this.balance.started(serverId);
     const order = {
       orderId: formatOrderId(id, attempt),
@@ -360,26 +339,24 @@
     const latencyMs = nowMs - attempt.startedMs;
     this.balance.finished(serverId, latencyMs, ok, nowMs);
     this.outliers.observe(serverId, latencyMs, ok, nowMs);
-    this.setAttempt(exchange.id, (present) => ({ ...present, target: undefined }));
+    this.exchanges.setAttempt(exchange.id, (present) => ({ ...present, target: undefined }));
   }
 
-  private endAnswer({ id, res, checked, deadlineAtMs }: Exchange): void {
-    this.deliver(id, { type: 'written' });
-    const open = this.exchanges.get(id);
-    if (checked.entry.evidence === 'receipt' && open !== undefined) {
+  private endAnswer({ id, res, checked, startedMs, deadlineAtMs }: Exchange): void {
+    this.exchanges.deliver(id, { type: 'written' });
+    if (checked.entry.evidence === 'receipt') {
       const { owner, class: requestClass } = checked.entry;
-      const expectedBytes = open.delivery.context.sentBytes;
+      const expectedBytes = this.exchanges.noteReceiptDue(id);
       const receipt = { id, tenant: owner, class: requestClass, expectedBytes, deadlineMs: deadlineAtMs };
-      this.exchanges.set(id, { ...open, isReceiptDue: true });
-      this.receiptStarts.set(id, open.exchange.startedMs);
+      this.outcomes.expectReceipt(id, startedMs);
       this.links.postToReceipts({ type: 'expect', receipt });
     }
     res.end(() => this.post({ type: 'exchange', exchangeId: id, event: { type: 'flushed' } }));
   }
 
   private fail(exchange: Exchange, fields: RouterErrorFields, event: DeliveryEvent): void {
-    this.setCode(exchange.id, fields.code);
-    this.deliver(exchange.id, event);
+    this.exchanges.setCode(exchange.id, fields.code);
+    this.exchanges.deliver(exchange.id, event);
     this.refuseAtOnce(exchange.req, exchange.res, fields);
   }
 
@@ -389,55 +366,16 @@
     return { code: 'deadlineExceeded', step: 'deliver', peer, ran, status: 504 };
   }
 
-  private deliver(exchangeId: string, event: DeliveryEvent): void {
-    const open = this.exchanges.get(exchangeId);
-    if (open === undefined) return;
-    const { snapshot } = advanceChart(DELIVERY_CHART, open.delivery, event);
-    if (snapshot !== open.delivery) this.exchanges.set(exchangeId, { ...open, delivery: snapshot });
-  }
-
   private close(exchangeId: string): void {
-    const open = this.exchanges.get(exchangeId);
+    const open = this.exchanges.remove(exchangeId);
     if (open === undefined) return;
-    this.exchanges.delete(exchangeId);
-    const { exchange, code, attempt } = open;
-    exchange.cancelDeadline();
-    const retries = Math.max(0, open.snapshot.context.attempt - 1);
-    const { owner, service, class: requestClass } = exchange.checked.entry;
+    open.exchange.cancelDeadline();
+    const { owner, service, class: requestClass } = open.exchange.checked.entry;
     this.admission.release(entryKey(owner, service, requestClass));
-    const outcome = findOutcome(open.delivery) ?? 'failed';
-    // The receipt task reports the outcome of an answer whose receipt it awaits.
-    if (!open.isReceiptDue) {
-      this.count(exchange.checked, outcome, code, retries, exchange.startedMs, attempt.startedMs);
-    }
+    this.outcomes.countEnd(open);
     this.finishClose();
   }
 
-  private count(
-    checked: CheckedRequest,
-    outcome: Outcome,
-    code: string,
-    retries: number,
-    startedMs: number,
-    attemptStartedMs: number,
-  ): void {
-    const { owner, service, class: requestClass } = checked.entry;
-    const nowMs = this.clock.monotonicMs();
-    this.ledger.end(owner, requestClass, outcome);
-    const wholeMs = nowMs - startedMs;
-    const orderMs = nowMs - attemptStartedMs;
-    const end = { tenant: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
-    this.listener.onEnd(end);
-  }
-
-  private countReceipt(receipt: PendingReceipt, outcome: Outcome): void {
-    this.ledger.end(receipt.tenant, receipt.class, outcome);
-    const nowMs = this.clock.monotonicMs();
-    const wholeMs = nowMs - (this.receiptStarts.get(receipt.id) ?? nowMs);
-    this.receiptStarts.delete(receipt.id);
-    this.listener.onReceipt(receipt.tenant, receipt.class, outcome, wholeMs);
-  }
-
   private finishClose(): void {
     if (this.exchanges.size === 0) this.closed?.();
   }
--- /dev/null
+++ b/packages/proxy/src/OutcomeCounts.ts
@@ -0,0 +1,76 @@
+import type { Clock } from '#core/Clock.js';
+import type { DeliveryCounts } from '#delivery/DeliveryCounts.js';
+import { DeliveryLedger } from '#delivery/DeliveryLedger.js';
+import { findOutcome } from '#delivery/FindOutcome.js';
+import type { Outcome } from '#delivery/Outcome.js';
+import type { PendingReceipt } from '#delivery/PendingReceipt.js';
+import type { CheckedRequest } from '#proxy/CheckedRequest.js';
+import type { EntryListener } from '#proxy/EntryListener.js';
+import type { OpenExchange } from '#proxy/OpenExchange.js';
+
+/** Counts the outcome of each request of an entry task once, and reports it to the listener. */
+export class OutcomeCounts {
+  private readonly ledger = new DeliveryLedger();
+  /** Arrival times of requests whose receipts are awaited. */
+  private readonly receiptStarts = new Map<string, number>();
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly listener: EntryListener,
+  ) {}
+
+  /** Counts the arrival of a request. */
+  public begin(tenant: string, requestClass: string): void {
+    this.ledger.begin(tenant, requestClass);
+  }
+
+  /** Counts a request that was not admitted; `startedMs` is its arrival. */
+  public countRefused(checked: CheckedRequest, code: string, startedMs: number): void {
+    this.count(checked, 'refused', code, 0, startedMs, startedMs);
+  }
+
+  /** Counts the end of an exchange; the receipt task reports the outcome of an answer whose receipt it awaits. */
+  public countEnd(open: OpenExchange): void {
+    if (open.isReceiptDue) return;
+    const { exchange, code, attempt } = open;
+    const retries = Math.max(0, open.snapshot.context.attempt - 1);
+    const outcome = findOutcome(open.delivery) ?? 'failed';
+    this.count(exchange.checked, outcome, code, retries, exchange.startedMs, attempt.startedMs);
+  }
+
+  /** Notes when a request arrived whose receipt is awaited. */
+  public expectReceipt(exchangeId: string, startedMs: number): void {
+    this.receiptStarts.set(exchangeId, startedMs);
+  }
+
+  /** Counts the outcome of an answer that needed a receipt. */
+  public countReceipt(receipt: PendingReceipt, outcome: Outcome): void {
+    this.ledger.end(receipt.tenant, receipt.class, outcome);
+    const nowMs = this.clock.monotonicMs();
+    const wholeMs = nowMs - (this.receiptStarts.get(receipt.id) ?? nowMs);
+    this.receiptStarts.delete(receipt.id);
+    this.listener.onReceipt(receipt.tenant, receipt.class, outcome, wholeMs);
+  }
+
+  /** Counts so far, by tenant and class. */
+  public counts(): readonly DeliveryCounts[] {
+    return this.ledger.counts();
+  }
+
+  private count(
+    checked: CheckedRequest,
+    outcome: Outcome,
+    code: string,
+    retries: number,
+    startedMs: number,
+    attemptStartedMs: number,
+  ): void {
+    const { owner, service, class: requestClass } = checked.entry;
+    const nowMs = this.clock.monotonicMs();
+    this.ledger.end(owner, requestClass, outcome);
+    const wholeMs = nowMs - startedMs;
+    const orderMs = nowMs - attemptStartedMs;
+    const end = { tenant: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
+    this.listener.onEnd(end);
+  }
+}
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -2,10 +2,6 @@
 import { FairOrder } from '#admission/FairOrder.js';
 import { PriorityOrder } from '#admission/PriorityOrder.js';
 import type { QueueResult } from '#admission/QueueResult.js';
-import { SlowStart } from '#admission/SlowStart.js';
-import { findShard } from '#assignment/FindShard.js';
-import { formatPlacement } from '#assignment/FormatPlacement.js';
-import type { Cell } from '#assignment/Cell.js';
 import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
 import type { ReleaseRequest } from '#control/ReleaseRequest.js';
 import type { Cancel } from '#core/Cancel.js';
@@ -13,6 +9,7 @@
 import { Logger } from '#core/Logger.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
+import { BackendCapacity } from '#proxy/BackendCapacity.js';
 import type { BackendFacts } from '#proxy/BackendFacts.js';
 import type { BackendMessage } from '#proxy/BackendMessage.js';
 import type { BackendOutcome } from '#proxy/BackendOutcome.js';
@@ -24,6 +21,7 @@
 import type { OwnerListener } from '#proxy/OwnerListener.js';
 import type { OwnerMessage } from '#proxy/OwnerMessage.js';
 import type { OwnerReport } from '#proxy/OwnerReport.js';
+import { OwnershipView } from '#proxy/OwnershipView.js';
 
 const TICK_MS = 20;
 const SLOW_TICKS = 50;
@@ -42,10 +40,8 @@
   private readonly orders = new Map<string, OwnedOrder>();
   private readonly releases = new Map<string, ReleaseRequest>();
   private readonly shardCounts = new Map<string, number>();
-  private slowStart = new SlowStart(1);
-  private ownership: OwnershipUpdate = { type: 'ownership', epoch: 0, leaseEndMs: 0, shards: new Map() };
-  private cells: ReadonlyMap<string, Cell> = new Map();
-  private facts: BackendFacts | undefined;
+  private readonly ownership: OwnershipView;
+  private readonly capacity = new BackendCapacity();
   private ticks = 0;
   private drained: (() => void) | undefined;
   private cancelTick: Cancel = () => undefined;
@@ -58,6 +54,7 @@
     private readonly listener: OwnerListener,
   ) {
     super();
+    this.ownership = new OwnershipView(clock);
     this.gate = new OnceGate(serverId, horizonMs, clock, (orderId, bodyHash) =>
       this.post({ type: 'bodyHashed', orderId, bodyHash }),
     );
@@ -94,7 +91,7 @@
         this.applyOwnership(message);
         break;
       case 'cell':
-        this.cells = new Map(this.cells).set(`${message.cell.service}/${message.cell.index}`, message.cell);
+        this.ownership.setCell(message.cell);
         break;
       case 'release':
         this.release(message);
@@ -127,7 +124,10 @@
   }
 
   private acceptOrder(order: Order, needsOwnership: boolean, graceMs: number): void {
-    const shardId = needsOwnership ? this.findOwnedShard(order) : '';
+    const { head, entry } = order;
+    const shardId = needsOwnership
+      ? this.ownership.findUsable(head.service, entry.homeRegions, head.key)?.shardId
+      : '';
     if (shardId === undefined) {
       order.emit({ type: 'refused', fields: this.createFault('notOwner', 'own', 421, MOVE_RETRY_MS) });
       return;
@@ -144,22 +144,6 @@
     this.enqueue(order);
   }
 
-  /** Returns the shard of the order if this daemon may act on it now. */
-  private findOwnedShard(order: Order): string | undefined {
-    const { head, entry } = order;
-    const placement = formatPlacement(entry.homeRegions);
-    for (const cell of this.cells.values()) {
-      if (cell.service !== head.service) continue;
-      const found = findShard(cell, placement, head.key);
-      if (found !== undefined && this.mayActOn(found.shardId)) return found.shardId;
-    }
-    return undefined;
-  }
-
-  private mayActOn(shardId: string): boolean {
-    return this.clock.monotonicMs() < this.ownership.leaseEndMs && this.ownership.shards.has(shardId);
-  }
-
   private applyBodyHash(orderId: string, bodyHash: string): void {
     const owned = this.orders.get(orderId);
     this.gate.applyBodyHash(owned?.order, orderId, owned?.shardId ?? '', bodyHash);
@@ -197,7 +181,7 @@
     if (owned === undefined) return;
     const { order, shardId, recorded } = owned;
     // The lease may have ended while the order waited.
-    if (shardId !== '' && !this.mayActOn(shardId)) {
+    if (shardId !== '' && !this.ownership.mayActOn(shardId)) {
       this.end(orderId, {
         type: 'refused',
         fields: this.createFault('leaseExpired', 'own', 503, MOVE_RETRY_MS),
@@ -206,18 +190,18 @@
       return;
     }
     const body = recorded ? this.gate.start(order) : order.body;
-    const token = shardId === '' ? 0 : (this.ownership.shards.get(shardId)?.token ?? 0);
+    const token = shardId === '' ? 0 : (this.ownership.current.shards.get(shardId)?.token ?? 0);
     const deadlineAtMs = this.capDeadline(owned);
     this.postToBackend({
       type: 'run',
-      backendOrder: { order, body, deadlineAtMs, epoch: this.ownership.epoch, token },
+      backendOrder: { order, body, deadlineAtMs, epoch: this.ownership.current.epoch, token },
     });
   }
 
   /** A backend server that does not check grants stops by itself at the deadline, so that is capped at the lease end. */
   private capDeadline({ order, shardId, graceMs }: OwnedOrder): number {
-    if (shardId === '' || this.facts?.checksToken === true) return order.deadlineAtMs;
-    return Math.min(order.deadlineAtMs, this.ownership.leaseEndMs + graceMs);
+    if (shardId === '' || this.capacity.facts?.checksToken === true) return order.deadlineAtMs;
+    return Math.min(order.deadlineAtMs, this.ownership.current.leaseEndMs + graceMs);
   }
 
   private handleEvent(orderId: string, event: OrderEvent): void {
@@ -254,33 +238,23 @@
     if (outcome.kind === 'lost' && owned !== undefined) this.crashes.noteLost(owned.order, nowMs);
     if (outcome.kind === 'answered' && owned !== undefined)
       this.noteAnswered(owned, outcome.serviceMs, nowMs);
-    this.slowStart.observe(
-      {
-        kind: toSampleKind(outcome.kind),
-        startedMs: nowMs - outcome.serviceMs,
-        latencyMs: outcome.serviceMs,
-        running,
-      },
-      nowMs,
-    );
+    this.capacity.observe(outcome, running, nowMs);
     this.apply(this.queue.finish(orderId, nowMs, outcome.kind === 'answered'));
-    this.apply(this.queue.setLimit(this.currentLimit(), nowMs));
+    this.apply(this.queue.setLimit(this.capacity.limit, nowMs));
     this.finishDrain();
   }
 
   private applyFacts(facts: BackendFacts | undefined): void {
     const nowMs = this.clock.monotonicMs();
-    const before = this.facts;
-    this.facts = facts;
+    const before = this.capacity.facts;
+    this.capacity.applyFacts(facts, nowMs);
     if (before !== undefined && before.incarnation !== facts?.incarnation)
       this.markDeath(before.incarnation, nowMs);
     if (facts !== undefined) {
-      if (before === undefined) this.slowStart = new SlowStart(facts.slots);
-      this.slowStart.announce(facts.incarnation, facts.slots, nowMs);
       if (facts.leaving && this.queue.state === 'serving') this.apply(this.queue.drain());
       if (!facts.leaving && this.queue.state !== 'serving' && this.drained === undefined) this.queue.resume();
     }
-    this.apply(this.queue.setLimit(this.currentLimit(), nowMs));
+    this.apply(this.queue.setLimit(this.capacity.limit, nowMs));
     if (before?.incarnation !== facts?.incarnation || before?.leaving !== facts?.leaving)
       this.listener.onBackend(facts);
   }
@@ -304,11 +278,6 @@
     this.listener.onMarks(marks);
   }
 
-  private currentLimit(): number {
-    if (this.facts === undefined) return 1;
-    return Math.min(this.facts.slots, this.slowStart.limit);
-  }
-
   private cancel(orderId: string): void {
     const owned = this.orders.get(orderId);
     if (owned === undefined) return;
@@ -321,9 +290,10 @@
   }
 
   private applyOwnership(update: OwnershipUpdate): void {
-    const isExtended = update.leaseEndMs > this.ownership.leaseEndMs || update.epoch !== this.ownership.epoch;
-    const isSameMap = update.shards === this.ownership.shards;
-    this.ownership = update;
+    const isExtended =
+      update.leaseEndMs > this.ownership.current.leaseEndMs || update.epoch !== this.ownership.current.epoch;
+    const isSameMap = update.shards === this.ownership.current.shards;
+    this.ownership.set(update);
     if (isExtended) this.postToBackend({ type: 'grant', epoch: update.epoch, leaseEndMs: update.leaseEndMs });
     if (isSameMap) return;
     for (const shardId of [...this.releases.keys()])
@@ -351,7 +321,7 @@
     const request = this.releases.get(shardId);
     if (request === undefined) return;
     for (const owned of this.orders.values()) if (owned.shardId === shardId) return;
-    const owned = this.ownership.shards.get(shardId);
+    const owned = this.ownership.current.shards.get(shardId);
     // Without ownership no order of the shard can start, and the next grant of it has to find no release.
     if (owned === undefined) this.releases.delete(shardId);
     request.reply(this.gate.releaseShard(shardId, owned?.token ?? 0));
@@ -396,11 +366,11 @@
     return {
       running: this.queue.runningCount,
       waiting: this.queue.waitingCount,
-      limit: this.currentLimit(),
-      slowStart: this.slowStart.state,
-      backend: this.facts,
-      ownedShards: this.ownership.shards.size,
-      leaseEndMs: this.ownership.leaseEndMs,
+      limit: this.capacity.limit,
+      slowStart: this.capacity.slowStartState,
+      backend: this.capacity.facts,
+      ownedShards: this.ownership.current.shards.size,
+      leaseEndMs: this.ownership.current.leaseEndMs,
       onceRecords: this.gate.size,
     };
   }
@@ -414,8 +384,3 @@
     return { code, step, peer: this.serverId, ran: 'not run', status, retryAfterMs };
   }
 }
-
-function toSampleKind(kind: BackendOutcome['kind']): 'answered' | 'shed' | 'refused' | 'failed' {
-  if (kind === 'answered' || kind === 'shed') return kind;
-  return kind === 'unreachable' ? 'refused' : 'failed';
-}
--- /dev/null
+++ b/packages/proxy/src/OwnershipView.ts
@@ -0,0 +1,43 @@
+import type { Cell } from '#assignment/Cell.js';
+import { findShard } from '#assignment/FindShard.js';
+import { formatPlacement } from '#assignment/FormatPlacement.js';
+import type { OwnedShard } from '#control/OwnedShard.js';
+import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
+import type { Clock } from '#core/Clock.js';
+
+/** What this daemon owns and until when, with the cells by which the shard of a key is found. */
+export class OwnershipView {
+  private update: OwnershipUpdate = { type: 'ownership', epoch: 0, leaseEndMs: 0, shards: new Map() };
+  private cells: ReadonlyMap<string, Cell> = new Map();
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** The last update. */
+  public get current(): OwnershipUpdate {
+    return this.update;
+  }
+
+  public set(update: OwnershipUpdate): void {
+    this.update = update;
+  }
+
+  public setCell(cell: Cell): void {
+    this.cells = new Map(this.cells).set(`${cell.service}/${cell.index}`, cell);
+  }
+
+  /** Returns the shard of a key if this daemon may act on it now. */
+  public findUsable(service: string, homeRegions: readonly string[], key: string): OwnedShard | undefined {
+    const placement = formatPlacement(homeRegions);
+    for (const cell of this.cells.values()) {
+      if (cell.service !== service) continue;
+      const found = findShard(cell, placement, key);
+      if (found !== undefined && this.mayActOn(found.shardId)) return this.update.shards.get(found.shardId);
+    }
+    return undefined;
+  }
+
+  /** Whether the lease is valid now and covers the shard. */
+  public mayActOn(shardId: string): boolean {
+    return this.clock.monotonicMs() < this.update.leaseEndMs && this.update.shards.has(shardId);
+  }
+}
