Hold the limits of catalogue entries for the whole fleet

Cause: the entry task counted rate and concurrency by EntryLimiter, per daemon, so a fleet admitted a multiple of each limit. Change: the daemon that owns the key quota/{entry} divides the limits of the entry (QuotaTask); the entry task asks it for slices and keeps requests that arrive before the first slice for up to 60 ms (EntryAdmission). Asks to another daemon are the RPC method `quota`. A new token of the shard starts a new holder, which drops asks for its first 250 ms. QuotaClient got `hasSlice`. A slice that is due for renewal at the loss ends before the next holder can renew it.

--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -99,6 +99,12 @@
     if (use !== undefined && use.inFlight > 0) use.inFlight -= 1;
   }
 
+  /** Whether the entry has a slice that has not ended. */
+  public hasSlice(key: string, nowMs: number): boolean {
+    const slice = this.entries.get(key)?.slice;
+    return slice !== undefined && nowMs < slice.sentMs + slice.sliceMs;
+  }
+
   /** Whether an ask is due before the usual time, because requests arrive and there is no usable slice. */
   public needsAsk(key: string, nowMs: number): boolean {
     const use = this.entries.get(key);
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,5 +1,8 @@
 import { randomBytes } from 'node:crypto';
 import { AdminTask } from '#admin/AdminTask.js';
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import type { Member } from '#assignment/Member.js';
 import type { MemberFacts } from '#assignment/MemberFacts.js';
 import { advanceChart } from '#chart/AdvanceChart.js';
 import { compileChart } from '#chart/CompileChart.js';
@@ -34,6 +37,8 @@
 const CHART = compileChart('presence.json', file, PRESENCE_RULES);
 /** A cell that was just fetched is not asked for again within this time, however many requests miss it. */
 const CELL_FETCH_PAUSE_MS = 100;
+/** An unanswered ask for a slice is repeated after this time. */
+const QUOTA_TIMEOUT_MS = 500;
 /** Operators use few daemons at a time, so that these calls to the store don't grow with the fleet. */
 const ADMIN_CALLS_PER_SECOND = 1;
 /** Part of `shutdownMs` for giving shards away; the rest is for open requests, also while the store is down. */
@@ -104,6 +109,7 @@
       this.path.applyMarks(params as readonly RequestMark[]);
       return Promise.resolve({});
     });
+    this.transport.handle('quota', (params) => this.path.askQuota(params as QuotaAsk));
     const admin = requireRight(await this.admin.start());
     const { caller, backend } = await this.path.start();
     this.ports = { caller, peer: peerPort, udp: udpPort, admin, backend };
@@ -154,6 +160,7 @@
       onReceipt: (tenant, requestClass, outcome, wholeMs) =>
         this.measure.noteOutcome(tenant, requestClass, outcome, wholeMs),
       onCellNeeded: (service, index) => this.fetchCell(service, index),
+      onQuotaAsk: (holder, ask) => void this.askQuota(holder, ask),
       onLoad: (requestsPerSecond) => this.reportLoad(Object.fromEntries(requestsPerSecond)),
       onMarks: (marks) => sendMarks(this.transport, this.settings.serverId, this.view.cells.values(), marks),
       onBackend: (facts) => this.applyBackend(facts),
@@ -161,6 +168,13 @@
     });
   }
 
+  /** An ask that is lost or refused is repeated by the entry task. */
+  private async askQuota(holder: Member, ask: QuotaAsk): Promise<void> {
+    const options = { channel: 'udp', timeoutMs: QUOTA_TIMEOUT_MS } as const;
+    const answer = await this.transport.call(holder, 'quota', ask, options);
+    answer.ifRight((slice) => this.path.applySlice(slice as QuotaSlice));
+  }
+
   private buildControl(): ControlPlane {
     const control: ControlPlane = new ControlPlane({
       settings: this.settings,
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -1,4 +1,7 @@
-import { EntryLimiter } from '#admission/EntryLimiter.js';
+import { randomUUID } from 'node:crypto';
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import { QuotaClient } from '#admission/QuotaClient.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { Clock } from '#core/Clock.js';
@@ -9,6 +12,8 @@
 import { ForwardTask } from '#proxy/ForwardTask.js';
 import { HopTask } from '#proxy/HopTask.js';
 import { OwnerTask } from '#proxy/OwnerTask.js';
+import { QUOTA_CONSTANTS } from '#proxy/QuotaConstants.js';
+import { QuotaTask } from '#proxy/QuotaTask.js';
 import { ReceiptTask } from '#proxy/ReceiptTask.js';
 import type { RequestMark } from '#proxy/RequestMark.js';
 import { FleetHopSigner } from '#daemon/FleetHopSigner.js';
@@ -22,6 +27,7 @@
   private readonly backend: BackendTask;
   private readonly forward: ForwardTask;
   private readonly hop: HopTask;
+  private readonly quota: QuotaTask;
   private readonly receipts: ReceiptTask;
   private readonly port: CallerPort;
   private callerPort = 0;
@@ -55,6 +61,7 @@
     );
     this.forward = new ForwardTask(serverId, clock, signer);
     this.hop = new HopTask(identity, clock, signer, (message) => this.owner.post(message));
+    this.quota = new QuotaTask(clock);
     this.receipts = new ReceiptTask(clock, (receipt, outcome) =>
       this.entry.post({ type: 'receiptEnded', receipt, outcome }),
     );
@@ -62,11 +69,12 @@
       identity,
       clock,
       new RandomSource(seed),
-      new EntryLimiter(),
+      new QuotaClient(QUOTA_CONSTANTS, `${serverId}/${randomUUID()}`),
       new PowerOfTwoChoices(),
       {
         postToOwner: (message) => this.owner.post(message),
         postToForward: (message) => this.forward.post(message),
+        postToQuota: (message) => this.quota.post(message),
         postToReceipts: (message) => this.receipts.post(message),
       },
       listener,
@@ -83,6 +91,7 @@
     this.callerPort = await this.port.start(this.settings.ports.caller, this.settings.host);
     const backend = await this.backend.start(this.settings.ports.backend);
     this.owner.start();
+    this.entry.start();
     this.receipts.start();
     return { caller: this.callerPort, backend };
   }
@@ -94,12 +103,17 @@
         this.owner.post(event);
         this.entry.post(event);
         this.hop.post(event);
+        this.quota.post(event);
         break;
       case 'catalogue':
         this.entry.post(event);
+        this.quota.post(event);
         this.hop.post(event);
         break;
       case 'ownership':
+        this.owner.post(event);
+        this.quota.post(event);
+        break;
       case 'release':
       case 'adopt':
         this.owner.post(event);
@@ -115,6 +129,16 @@
     this.owner.post({ type: 'marks', marks });
   }
 
+  /** Answers an ask of another daemon; undefined if this one does not hold the limits of the entry. */
+  public askQuota(ask: QuotaAsk): Promise<QuotaSlice | undefined> {
+    return this.quota.ask<QuotaSlice | undefined>((reply) => ({ type: 'ask', ask, reply }));
+  }
+
+  /** Applies the reply of another daemon to an ask. */
+  public applySlice(slice: QuotaSlice): void {
+    this.entry.post({ type: 'slice', slice });
+  }
+
   /** Goes on serving, but ends each connection of a caller after its answer. */
   public announceClose(): void {
     this.port.announceClose();
@@ -133,7 +157,15 @@
   /** Stops all tasks at once. */
   public stop(): void {
     this.port.stop();
-    for (const task of [this.entry, this.hop, this.receipts, this.forward, this.owner, this.backend])
+    for (const task of [
+      this.entry,
+      this.hop,
+      this.receipts,
+      this.forward,
+      this.quota,
+      this.owner,
+      this.backend,
+    ])
       task.stop();
   }
 }
--- a/packages/proxy/src/EntryListener.ts
+++ b/packages/proxy/src/EntryListener.ts
@@ -1,3 +1,5 @@
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import type { Member } from '#assignment/Member.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import type { EntryEnd } from '#proxy/EntryEnd.js';
 
@@ -9,4 +11,6 @@
   readonly onReceipt: (tenant: string, requestClass: string, outcome: Outcome, wholeMs: number) => void;
   /** A cell is missing, or an answer showed that it is out of date. */
   readonly onCellNeeded: (service: string, index: number) => void;
+  /** Asks another daemon, the holder of an entry's limits, for a slice; its reply comes back as the message `slice`. */
+  readonly onQuotaAsk: (holder: Member, ask: QuotaAsk) => void;
 }
--- a/packages/proxy/src/EntryMessage.ts
+++ b/packages/proxy/src/EntryMessage.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
 import type { CatalogueUpdate } from '#control/CatalogueUpdate.js';
 import type { CellUpdate } from '#control/CellUpdate.js';
 import type { IntentUpdate } from '#control/IntentUpdate.js';
@@ -23,5 +24,8 @@
     }
   | { readonly type: 'exchange'; readonly exchangeId: string; readonly event: ExchangeEvent }
   | { readonly type: 'receiptEnded'; readonly receipt: PendingReceipt; readonly outcome: Outcome }
+  | { readonly type: 'slice'; readonly slice: QuotaSlice }
+  | { readonly type: 'admissionDue'; readonly requestId: string }
+  | { readonly type: 'tick' }
   | { readonly type: 'counts'; readonly reply: (counts: readonly DeliveryCounts[]) => void }
   | { readonly type: 'close'; readonly reply: () => void };
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -1,40 +1,43 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AdmissionPolicy } from '#admission/AdmissionPolicy.js';
 import { entryKey } from '#admission/EntryKey.js';
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import type { QuotaClient } from '#admission/QuotaClient.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import type { Cell } from '#assignment/Cell.js';
 import { findCellIndex } from '#assignment/FindCellIndex.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
-import { OutlierDetector } from '#balance/OutlierDetector.js';
-import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
+import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
-import { ReceiptEvidence } from '#delivery/ReceiptEvidence.js';
-import { SentEvidence } from '#delivery/SentEvidence.js';
-import { startDelivery } from '#delivery/StartDelivery.js';
-import type { CheckedRequest } from '#proxy/CheckedRequest.js';
+import type { ArrivedRequest } from '#proxy/ArrivedRequest.js';
 import { checkRequest } from '#proxy/CheckRequest.js';
-import { chooseTarget } from '#proxy/ChooseTarget.js';
+import { EntryAdmission } from '#proxy/EntryAdmission.js';
 import type { EntryIdentity } from '#proxy/EntryIdentity.js';
 import type { EntryLinks } from '#proxy/EntryLinks.js';
 import type { EntryListener } from '#proxy/EntryListener.js';
 import type { EntryMessage } from '#proxy/EntryMessage.js';
+import { computeDeadline } from '#proxy/ComputeDeadline.js';
+import { createTimeoutFault } from '#proxy/CreateTimeoutFault.js';
 import type { Exchange } from '#proxy/Exchange.js';
 import { ExchangeTable } from '#proxy/ExchangeTable.js';
 import type { OpenExchange } from '#proxy/OpenExchange.js';
 import { RetryPlanner } from '#proxy/RetryPlanner.js';
-import { EXCHANGE_CHART } from '#proxy/ExchangeChart.js';
 import type { ExchangeCommand } from '#proxy/ExchangeCommand.js';
 import type { ExchangeEvent } from '#proxy/ExchangeEvent.js';
-import { InterRegionMeter } from '#proxy/InterRegionMeter.js';
+import { findFleetPosition } from '#proxy/FindFleetPosition.js';
+import { findQuotaHolder } from '#proxy/FindQuotaHolder.js';
+import { isCellOutdated } from '#proxy/IsCellOutdated.js';
+import { listEntryKeys } from '#proxy/ListEntryKeys.js';
 import { limitBody } from '#proxy/LimitBody.js';
 import type { OrderEvent } from '#proxy/OrderEvent.js';
+import { OrderRouter } from '#proxy/OrderRouter.js';
 import { OutcomeCounts } from '#proxy/OutcomeCounts.js';
 import { parseRequestHead } from '#proxy/ParseRequestHead.js';
 import { readBody } from '#proxy/ReadBody.js';
-import type { RequestHead } from '#proxy/RequestHead.js';
-import type { RoutingView } from '#proxy/RoutingView.js';
+import { startExchange } from '#proxy/StartExchange.js';
 import type { Target } from '#proxy/Target.js';
 import { writeAnswerHead } from '#proxy/WriteAnswerHead.js';
 import { writeRefusal } from '#proxy/WriteRefusal.js';
@@ -42,38 +45,55 @@
 /** Bodies up to this length are held in memory, so that an attempt that did not run can be repeated. */
 const BUFFERED_BODY_BYTES = 65_536;
 
+/** A slice is asked for at its due time or this much later. */
+const ASK_TICK_MS = 50;
+
 const NO_SERVERS: ReadonlySet<string> = new Set();
-const FIRST_SNAPSHOT = { value: EXCHANGE_CHART.initial, context: { attempt: 0, lastFault: undefined } };
 
 /** Serves callers: checks, admits and routes their requests, retries where that is safe, and judges delivery. */
 export class EntryTask extends Task<EntryMessage> {
   private readonly exchanges = new ExchangeTable();
+  private readonly router: OrderRouter;
   private readonly outcomes: OutcomeCounts;
+  private readonly admission: EntryAdmission;
   private readonly retries: RetryPlanner;
-  private readonly outliers = new OutlierDetector();
-  private readonly meter = new InterRegionMeter();
-  private readonly sentEvidence = new SentEvidence();
-  private readonly receiptEvidence = new ReceiptEvidence();
-  private view: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
   private nextId = 0;
+  private cancelTick: Cancel = () => undefined;
   private closed: (() => void) | undefined;
 
   public constructor(
     private readonly identity: EntryIdentity,
     private readonly clock: Clock,
-    private readonly random: RandomSource,
-    private readonly admission: AdmissionPolicy,
-    private readonly balance: BalancePolicy,
+    random: RandomSource,
+    quota: QuotaClient,
+    balance: BalancePolicy,
     private readonly links: EntryLinks,
     private readonly listener: EntryListener,
   ) {
     super();
     this.retries = new RetryPlanner(clock, random);
+    this.router = new OrderRouter(identity, balance, random);
     this.outcomes = new OutcomeCounts(clock, listener);
+    this.admission = new EntryAdmission(
+      quota,
+      clock,
+      (ask) => this.sendAsk(ask),
+      (requestId) => this.post({ type: 'admissionDue', requestId }),
+    );
+  }
+
+  /** Starts the timers. */
+  public start(): void {
+    this.cancelTick = this.clock.schedule(ASK_TICK_MS, () => {
+      this.post({ type: 'tick' });
+      this.start();
+    });
   }
 
   public override stop(): void {
     super.stop();
+    this.cancelTick();
+    this.admission.stop();
     this.exchanges.cancelDeadlines();
   }
 
@@ -95,14 +115,24 @@
         this.outcomes.countReceipt(message.receipt, message.outcome);
         break;
       case 'catalogue':
-        this.view = { ...this.view, index: indexCatalogue(message.catalogue) };
+        this.router.setCatalogue(message.catalogue);
+        this.admission.retain(listEntryKeys(message.catalogue.catalogue));
         break;
       case 'intent':
-        this.view = { ...this.view, withdrawn: message.intent.withdrawals };
+        this.router.setWithdrawn(message.intent.withdrawals);
         break;
       case 'cell':
         this.applyCell(message.cell);
         break;
+      case 'slice':
+        this.admission.applySlice(message.slice);
+        break;
+      case 'admissionDue':
+        this.admission.decideNow(message.requestId);
+        break;
+      case 'tick':
+        this.admission.sendAsks();
+        break;
       case 'counts':
         message.reply(this.outcomes.counts());
         break;
@@ -113,16 +143,11 @@
     }
   }
 
-  private applyCell(cell: Extract<EntryMessage, { readonly type: 'cell' }>['cell']): void {
-    const cells = new Map(this.view.cells).set(`${cell.service}/${cell.index}`, cell);
-    this.view = { ...this.view, cells };
-    const active = [...cells.values()].flatMap(({ members }) =>
-      members.filter(({ state }) => state === 'active'),
-    );
-    const ids = active.map(({ serverId }) => serverId);
-    this.balance.retain(new Set(ids));
-    this.outliers.setPool(ids);
-    this.links.postToForward({ type: 'members', members: active });
+  private applyCell(cell: Cell): void {
+    const members = this.router.setCell(cell);
+    this.links.postToForward({ type: 'members', members });
+    const { rank, size } = findFleetPosition(this.router.view.cells.values(), this.identity.serverId);
+    this.admission.setPosition(rank, size);
   }
 
   private acceptRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -131,11 +156,12 @@
     const parsed = parseRequestHead(requestId, req.method ?? 'GET', req.url ?? '/', req.headers);
     parsed
       .chain((head) =>
-        checkRequest(this.view, head, this.identity.region).map((checked) => ({ head, checked })),
+        checkRequest(this.router.view, head, this.identity.region).map((checked) => ({ head, checked })),
       )
       .caseOf({
         Left: (fields) => this.refuseAtOnce(req, res, fields),
-        Right: ({ head, checked }) => this.admit(req, res, head, checked),
+        Right: ({ head, checked }) =>
+          this.admit({ req, res, head, checked, startedMs: this.clock.monotonicMs() }),
       });
   }
 
@@ -145,19 +171,35 @@
     writeRefusal(res, { ...fields, peer: fields.peer === '' ? this.identity.serverId : fields.peer });
   }
 
-  private admit(req: IncomingMessage, res: ServerResponse, head: RequestHead, checked: CheckedRequest): void {
-    const nowMs = this.clock.monotonicMs();
+  private admit(arrived: ArrivedRequest): void {
+    const { req, res, head, checked, startedMs } = arrived;
     const { owner, service, class: requestClass, limits } = checked.entry;
     this.outcomes.begin(owner, requestClass);
-    this.retries.noteRequest(owner, requestClass, nowMs);
-    const result = this.admission.admit(entryKey(owner, service, requestClass), limits, nowMs);
-    if (result.kind === 'refuse') {
-      this.outcomes.countRefused(checked, result.error.code, nowMs);
-      this.refuseAtOnce(req, res, result.error);
+    this.retries.noteRequest(owner, requestClass, startedMs);
+    const key = entryKey(owner, service, requestClass);
+    this.admission.request(head.requestId, key, limits, computeDeadline(head, checked), (result) => {
+      if (result.kind === 'admit') this.accept(arrived);
+      else {
+        this.outcomes.countRefused(checked, result.error.code, startedMs);
+        this.refuseAtOnce(req, res, result.error);
+      }
+      this.finishClose();
+    });
+  }
+
+  private accept(arrived: ArrivedRequest): void {
+    const { req, res, head, checked, startedMs } = arrived;
+    const id = head.requestId;
+    const deadlineAtMs = startedMs + computeDeadline(head, checked);
+    const cancelDeadline = this.clock.schedule(deadlineAtMs - this.clock.monotonicMs(), () =>
+      this.post({ type: 'exchange', exchangeId: id, event: { type: 'deadline' } }),
+    );
+    this.exchanges.add(startExchange({ ...arrived, id, deadlineAtMs, cancelDeadline }));
+    if (res.destroyed) {
+      // The caller left while the request waited for a slice, and its close event is over.
+      this.advance(id, { type: 'callerGone' });
       return;
     }
-    const id = head.requestId;
-    this.exchanges.add(this.open(req, res, head, checked, nowMs));
     res.once('close', () => {
       if (!res.writableFinished)
         this.post({ type: 'exchange', exchangeId: id, event: { type: 'callerGone' } });
@@ -168,31 +210,6 @@
     } else this.advance(id, { type: 'accepted' });
   }
 
-  private open(
-    req: IncomingMessage,
-    res: ServerResponse,
-    head: RequestHead,
-    checked: CheckedRequest,
-    nowMs: number,
-  ): OpenExchange {
-    const { limits, evidence, repeatable } = checked.entry;
-    const wantedMs = head.deadlineMs > 0 ? head.deadlineMs : limits.defaultDeadlineMs;
-    const deadlineAtMs = nowMs + Math.min(wantedMs, limits.maxDeadlineMs);
-    const id = head.requestId;
-    const cancelDeadline = this.clock.schedule(deadlineAtMs - nowMs, () =>
-      this.post({ type: 'exchange', exchangeId: id, event: { type: 'deadline' } }),
-    );
-    const proof = evidence === 'receipt' ? this.receiptEvidence : this.sentEvidence;
-    return {
-      exchange: { id, req, res, head, checked, startedMs: nowMs, deadlineAtMs, cancelDeadline },
-      snapshot: FIRST_SNAPSHOT,
-      delivery: startDelivery(proof, deadlineAtMs, repeatable),
-      attempt: { body: req, target: undefined, tried: NO_SERVERS, startedMs: nowMs, pause: undefined },
-      isReceiptDue: false,
-      code: '',
-    };
-  }
-
   private acceptBody(exchangeId: string, body: Buffer): void {
     this.exchanges.setAttempt(exchangeId, (attempt) => ({ ...attempt, body }));
     this.advance(exchangeId, { type: 'accepted' });
@@ -228,7 +245,7 @@
         break;
       case 'writeChunk':
         this.exchanges.deliver(exchangeId, { type: 'chunk', bytes: command.chunk.length });
-        this.meter.add(open, command.chunk.length, this.clock.monotonicMs());
+        this.router.noteBytes(open, command.chunk.length, this.clock.monotonicMs());
         if (!exchange.res.write(command.chunk)) open.attempt.pause?.();
         break;
       case 'endAnswer':
@@ -245,7 +262,7 @@
         this.fail(exchange, command.fields, { type: 'backendLost' });
         break;
       case 'sendTimeout':
-        this.fail(exchange, this.createTimeout(open), { type: 'timedOut' });
+        this.fail(exchange, createTimeoutFault(open, this.identity.serverId), { type: 'timedOut' });
         break;
       case 'abandon':
         this.exchanges.setCode(exchangeId, 'callerGone');
@@ -255,30 +272,13 @@
   }
 
   private dispatch(open: OpenExchange, attempt: number): void {
-    const { id, head, checked } = open.exchange;
+    const { id } = open.exchange;
     const nowMs = this.clock.monotonicMs();
-    const excluded = checked.needsOwnership ? NO_SERVERS : this.listExcluded(open, nowMs);
-    const { region, failureDomain } = this.identity;
-    chooseTarget(
-      this.view,
-      { head, checked, region, failureDomain, excluded },
-      this.balance,
-      this.random,
-      nowMs,
-    )
-      .chain((target) => this.meter.admit(target, open.exchange, nowMs))
-      .caseOf({
-        Left: (fields) =>
-          this.post({ type: 'order', exchangeId: id, attempt, event: { type: 'refused', fields } }),
-        Right: (target) => this.sendOrder(open, attempt, target, nowMs),
-      });
-  }
-
-  private listExcluded({ exchange, attempt }: OpenExchange, nowMs: number): ReadonlySet<string> {
-    const ejected = this.outliers.excluded(nowMs);
-    if (ejected.size === 0) return attempt.tried;
-    const trial = exchange.checked.entry.repeatable ? this.outliers.nextTrial(nowMs) : undefined;
-    return new Set([...attempt.tried, ...[...ejected].filter((serverId) => serverId !== trial)]);
+    this.router.choose(open, nowMs).caseOf({
+      Left: (fields) =>
+        this.post({ type: 'order', exchangeId: id, attempt, event: { type: 'refused', fields } }),
+      Right: (target) => this.sendOrder(open, attempt, target, nowMs),
+    });
   }
 
   private sendOrder(open: OpenExchange, attempt: number, target: Target, nowMs: number): void {
@@ -290,7 +290,7 @@
     const isStream = open.attempt.body === req;
     const body = isStream ? limitBody(req, checked.entry.limits.maxBodyBytes) : open.attempt.body;
     this.exchanges.setAttempt(id, () => ({ body, target, tried, startedMs: nowMs, pause: undefined }));
-    this.balance.started(serverId);
+    this.router.noteStart(serverId);
     const order = {
       orderId: formatOrderId(id, attempt),
       head: exchange.head,
@@ -317,7 +317,7 @@
     if (open?.snapshot.context.attempt !== attempt) return;
     if (event.type === 'refused' || event.type === 'broken') {
       const { fields } = event;
-      if (fields.code === 'notOwner' || fields.step === 'forward') this.requestCell(open.exchange);
+      if (isCellOutdated(fields)) this.requestCell(open.exchange);
       this.noteEnd(open, false);
       const retryDelayMs = this.retries.plan(open, fields);
       this.advance(exchangeId, retryDelayMs === undefined ? event : { ...event, retryDelayMs });
@@ -327,19 +327,27 @@
     this.advance(exchangeId, event);
   }
 
-  private requestCell(exchange: Exchange): void {
-    const { head, checked } = exchange;
+  private requestCell({ head, checked }: Exchange): void {
     this.listener.onCellNeeded(head.service, findCellIndex(head.key, checked.service.cells));
   }
 
-  private noteEnd({ exchange, attempt }: OpenExchange, ok: boolean): void {
-    const serverId = attempt.target?.member.serverId;
-    if (serverId === undefined) return;
-    const nowMs = this.clock.monotonicMs();
-    const latencyMs = nowMs - attempt.startedMs;
-    this.balance.finished(serverId, latencyMs, ok, nowMs);
-    this.outliers.observe(serverId, latencyMs, ok, nowMs);
-    this.exchanges.setAttempt(exchange.id, (present) => ({ ...present, target: undefined }));
+  private noteEnd(open: OpenExchange, ok: boolean): void {
+    this.router.noteEnd(open, ok, this.clock.monotonicMs());
+    this.exchanges.setAttempt(open.exchange.id, (attempt) => ({ ...attempt, target: undefined }));
+  }
+
+  private sendAsk(ask: QuotaAsk): void {
+    const route = findQuotaHolder(this.router.view, ask.entry);
+    if (route === undefined) return;
+    const { member } = route;
+    if (member === undefined) this.listener.onCellNeeded(route.service, route.cellIndex);
+    else if (member.serverId !== this.identity.serverId) this.listener.onQuotaAsk(member, ask);
+    else {
+      const reply = (slice: QuotaSlice | undefined): void => {
+        if (slice !== undefined) this.post({ type: 'slice', slice });
+      };
+      this.links.postToQuota({ type: 'ask', ask, reply });
+    }
   }
 
   private endAnswer({ id, res, checked, startedMs, deadlineAtMs }: Exchange): void {
@@ -360,12 +368,6 @@
     this.refuseAtOnce(exchange.req, exchange.res, fields);
   }
 
-  private createTimeout({ attempt, delivery }: OpenExchange): RouterErrorFields {
-    const peer = attempt.target?.member.serverId ?? this.identity.serverId;
-    const ran = delivery.context.orderSent ? 'unknown' : 'not run';
-    return { code: 'deadlineExceeded', step: 'deliver', peer, ran, status: 504 };
-  }
-
   private close(exchangeId: string): void {
     const open = this.exchanges.remove(exchangeId);
     if (open === undefined) return;
@@ -377,7 +379,7 @@
   }
 
   private finishClose(): void {
-    if (this.exchanges.size === 0) this.closed?.();
+    if (this.exchanges.size === 0 && this.admission.waitingCount === 0) this.closed?.();
   }
 }
 
--- /dev/null
+++ b/packages/proxy/src/FormatQuotaKey.ts
@@ -0,0 +1,4 @@
+/** Key whose owner holds the limits of a catalogue entry; see `entryKey`. */
+export function formatQuotaKey(entryKey: string): string {
+  return `quota/${entryKey}`;
+}
--- /dev/null
+++ b/packages/proxy/src/OrderRouter.ts
@@ -0,0 +1,94 @@
+import type { Either } from 'purify-ts';
+import type { Cell } from '#assignment/Cell.js';
+import type { Member } from '#assignment/Member.js';
+import type { Withdrawn } from '#assignment/Withdrawn.js';
+import type { BalancePolicy } from '#balance/BalancePolicy.js';
+import { OutlierDetector } from '#balance/OutlierDetector.js';
+import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
+import type { VersionedCatalogue } from '#catalogue/VersionedCatalogue.js';
+import type { RandomSource } from '#core/RandomSource.js';
+import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import { chooseTarget } from '#proxy/ChooseTarget.js';
+import type { EntryIdentity } from '#proxy/EntryIdentity.js';
+import { InterRegionMeter } from '#proxy/InterRegionMeter.js';
+import type { OpenExchange } from '#proxy/OpenExchange.js';
+import type { RoutingView } from '#proxy/RoutingView.js';
+import type { Target } from '#proxy/Target.js';
+
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
+/** Chooses the daemon for each order of an entry task, by its routing view and by how earlier orders ended. */
+export class OrderRouter {
+  private readonly outliers = new OutlierDetector();
+  private readonly meter = new InterRegionMeter();
+  private current: RoutingView = { index: undefined, cells: new Map(), withdrawn: [] };
+
+  public constructor(
+    private readonly identity: EntryIdentity,
+    private readonly balance: BalancePolicy,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** What orders are routed by. */
+  public get view(): RoutingView {
+    return this.current;
+  }
+
+  public setCatalogue(catalogue: VersionedCatalogue): void {
+    this.current = { ...this.current, index: indexCatalogue(catalogue) };
+  }
+
+  public setWithdrawn(withdrawn: readonly Withdrawn[]): void {
+    this.current = { ...this.current, withdrawn };
+  }
+
+  /** Applies a newer cell and returns the active members of all cells. */
+  public setCell(cell: Cell): readonly Member[] {
+    const cells = new Map(this.current.cells).set(`${cell.service}/${cell.index}`, cell);
+    this.current = { ...this.current, cells };
+    const active = [...cells.values()].flatMap(({ members }) =>
+      members.filter(({ state }) => state === 'active'),
+    );
+    const ids = active.map(({ serverId }) => serverId);
+    this.balance.retain(new Set(ids));
+    this.outliers.setPool(ids);
+    return active;
+  }
+
+  /** Chooses the target of the next attempt, or refuses it. */
+  public choose(open: OpenExchange, nowMs: number): Either<RouterErrorFields, Target> {
+    const { head, checked } = open.exchange;
+    const excluded = checked.needsOwnership ? NO_SERVERS : this.listExcluded(open, nowMs);
+    const { region, failureDomain } = this.identity;
+    const facts = { head, checked, region, failureDomain, excluded };
+    return chooseTarget(this.current, facts, this.balance, this.random, nowMs).chain((target) =>
+      this.meter.admit(target, open.exchange, nowMs),
+    );
+  }
+
+  /** Notes that an order was sent. */
+  public noteStart(serverId: string): void {
+    this.balance.started(serverId);
+  }
+
+  /** Notes the end of the present attempt. */
+  public noteEnd({ attempt }: OpenExchange, ok: boolean, nowMs: number): void {
+    const serverId = attempt.target?.member.serverId;
+    if (serverId === undefined) return;
+    const latencyMs = nowMs - attempt.startedMs;
+    this.balance.finished(serverId, latencyMs, ok, nowMs);
+    this.outliers.observe(serverId, latencyMs, ok, nowMs);
+  }
+
+  /** Counts a part of an answer that may have passed between regions. */
+  public noteBytes(open: OpenExchange, bytes: number, nowMs: number): void {
+    this.meter.add(open, bytes, nowMs);
+  }
+
+  private listExcluded({ exchange, attempt }: OpenExchange, nowMs: number): ReadonlySet<string> {
+    const ejected = this.outliers.excluded(nowMs);
+    if (ejected.size === 0) return attempt.tried;
+    const trial = exchange.checked.entry.repeatable ? this.outliers.nextTrial(nowMs) : undefined;
+    return new Set([...attempt.tried, ...[...ejected].filter((serverId) => serverId !== trial)]);
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/QuotaTask.ts
@@ -0,0 +1,80 @@
+import type { QuotaAsk } from '#admission/QuotaAsk.js';
+import { QuotaHolder } from '#admission/QuotaHolder.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import type { CatalogueIndex } from '#catalogue/CatalogueIndex.js';
+import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
+import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
+import type { Clock } from '#core/Clock.js';
+import { Task } from '#core/Task.js';
+import { findEntryByKey } from '#proxy/FindEntryByKey.js';
+import { formatQuotaKey } from '#proxy/FormatQuotaKey.js';
+import { OwnershipView } from '#proxy/OwnershipView.js';
+import { QUOTA_CONSTANTS } from '#proxy/QuotaConstants.js';
+import type { QuotaMessage } from '#proxy/QuotaMessage.js';
+
+/** An ask that was sent to this daemon before it became the holder, and was delayed, arrives within this time. */
+const DELAYED_ASK_MS = 250;
+
+interface HeldShard {
+  readonly token: number;
+  readonly sinceMs: number;
+  readonly holder: QuotaHolder;
+}
+
+/** Divides the fleet-wide limits of the entries whose quota keys this daemon owns. */
+export class QuotaTask extends Task<QuotaMessage> {
+  private readonly ownership: OwnershipView;
+  private index: CatalogueIndex | undefined;
+  private held: ReadonlyMap<string, HeldShard> = new Map();
+
+  public constructor(private readonly clock: Clock) {
+    super();
+    this.ownership = new OwnershipView(clock);
+  }
+
+  protected override receive(message: QuotaMessage): void {
+    switch (message.type) {
+      case 'catalogue':
+        this.index = indexCatalogue(message.catalogue);
+        break;
+      case 'cell':
+        this.ownership.setCell(message.cell);
+        break;
+      case 'ownership':
+        this.applyOwnership(message);
+        break;
+      case 'ask':
+        message.reply(this.answer(message.ask));
+        break;
+    }
+  }
+
+  /** Another daemon may have been the holder between two tokens, so each token starts with a new holder. */
+  private applyOwnership(update: OwnershipUpdate): void {
+    const isSameMap = update.shards === this.ownership.current.shards;
+    this.ownership.set(update);
+    if (isSameMap) return;
+    const sinceMs = this.clock.monotonicMs();
+    const hold = (token: number): HeldShard => ({
+      token,
+      sinceMs,
+      holder: new QuotaHolder(QUOTA_CONSTANTS, sinceMs),
+    });
+    this.held = new Map(
+      [...update.shards].map(([shardId, { token }]) => {
+        const known = this.held.get(shardId);
+        return [shardId, known?.token === token ? known : hold(token)];
+      }),
+    );
+  }
+
+  private answer(ask: QuotaAsk): QuotaSlice | undefined {
+    const entry = findEntryByKey(this.index, ask.entry);
+    if (entry === undefined) return undefined;
+    const shard = this.ownership.findUsable(entry.service, entry.homeRegions, formatQuotaKey(ask.entry));
+    const held = this.held.get(shard?.shardId ?? '');
+    const nowMs = this.clock.monotonicMs();
+    if (held === undefined || nowMs < held.sinceMs + DELAYED_ASK_MS) return undefined;
+    return held.holder.give(ask, entry.limits, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/proxy/test/CreateTestCell.ts
@@ -0,0 +1,12 @@
+import type { Cell } from '#assignment/Cell.js';
+import { createCell } from '#assignment/CreateCell.js';
+import type { Member } from '#assignment/Member.js';
+
+const SLOTS = 128;
+
+/** Creates the cell 0 of the service `badges`, all of whose shards belong to `owner` with one token. */
+export function createTestCell(members: readonly Member[], owner: string, token = 1): Cell {
+  const shard = { owner, token, fences: [] };
+  const slots = Array.from({ length: SLOTS }, (_, slot) => [`*/${slot}`, shard] as const);
+  return { ...createCell('badges', 0), version: token, members, shards: Object.fromEntries(slots) };
+}
--- /dev/null
+++ b/packages/proxy/test/QuotaFleet.ts
@@ -0,0 +1,138 @@
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
+import { QuotaClient } from '#admission/QuotaClient.js';
+import type { Cell } from '#assignment/Cell.js';
+import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
+import type { EntryLimits } from '#catalogue/EntryLimits.js';
+import { ManualClock } from '#core/ManualClock.js';
+import { RandomSource } from '#core/RandomSource.js';
+import { EntryTask } from '#proxy/EntryTask.js';
+import type { Order } from '#proxy/Order.js';
+import { QUOTA_CONSTANTS } from '#proxy/QuotaConstants.js';
+import { QuotaTask } from '#proxy/QuotaTask.js';
+import { createTestCatalogue } from './CreateTestCatalogue.js';
+import { createMember } from './CreateMember.js';
+import { createTestCell } from './CreateTestCell.js';
+import { listTestShards } from './ListTestShards.js';
+
+const STEP_MS = 10;
+
+interface Held {
+  readonly order: Order;
+  readonly endMs: number;
+}
+
+/** Two entry tasks and the quota tasks of both daemons on a manual clock; every order takes `holdMs`. */
+export class QuotaFleet {
+  public readonly admittedAtMs: number[] = [];
+  public peakInFlight = 0;
+  private readonly clock = new ManualClock();
+  private readonly quotas: ReadonlyMap<string, QuotaTask>;
+  private readonly entries: readonly EntryTask[];
+  private held: readonly Held[] = [];
+
+  public constructor(
+    limits: EntryLimits,
+    private readonly holdMs: number,
+  ) {
+    const ids = ['d1', 'd2'];
+    this.quotas = new Map(ids.map((id) => [id, new QuotaTask(this.clock)]));
+    this.entries = ids.map((id) => this.createEntry(id));
+    const catalogue = createTestCatalogue(limits);
+    for (const task of [...this.quotas.values(), ...this.entries])
+      task.post({ type: 'catalogue', catalogue });
+    for (const entry of this.entries) entry.start();
+    this.own('d1', this.route('d1', 1));
+  }
+
+  /** Routes asks to `owner`, which need not own the shards yet. */
+  public route(owner: string, token: number): Cell {
+    const cell = createTestCell([createMember('d1'), createMember('d2')], owner, token);
+    for (const task of [...this.quotas.values(), ...this.entries]) task.post({ type: 'cell', cell });
+    return cell;
+  }
+
+  /** Lets `owner` alone act on the shards; nobody for an empty name. */
+  public own(owner: string, cell: Cell): void {
+    for (const [id, quota] of this.quotas) {
+      const shards = id === owner ? listTestShards(cell) : new Map();
+      quota.post({ type: 'ownership', epoch: 1, leaseEndMs: Infinity, shards });
+    }
+  }
+
+  /** Sends `perStep` requests to each entry task every 10 ms. */
+  public async run(durationMs: number, perStep: number): Promise<void> {
+    for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
+      this.clock.advance(STEP_MS);
+      for (const { order } of this.held.filter(({ endMs: dueMs }) => dueMs <= this.nowMs)) endOrder(order);
+      this.held = this.held.filter(({ endMs: dueMs }) => dueMs > this.nowMs);
+      await setImmediate();
+      for (const entry of this.entries) {
+        for (let count = 0; count < perStep; count += 1) entry.post({ type: 'request', ...createRequest() });
+      }
+      await setImmediate();
+    }
+  }
+
+  /** Requests admitted in `[fromMs, toMs)`. */
+  public countAdmitted(fromMs: number, toMs: number): number {
+    return this.admittedAtMs.filter((atMs) => atMs >= fromMs && atMs < toMs).length;
+  }
+
+  public get nowMs(): number {
+    return this.clock.monotonicMs();
+  }
+
+  public stop(): void {
+    for (const entry of this.entries) entry.stop();
+  }
+
+  private createEntry(serverId: string): EntryTask {
+    const ignore = (): void => undefined;
+    const accept = (order: Order): void => {
+      this.admittedAtMs.push(this.nowMs);
+      this.held = [...this.held, { order, endMs: this.nowMs + this.holdMs }];
+      this.peakInFlight = Math.max(this.peakInFlight, this.held.length);
+    };
+    const entry: EntryTask = new EntryTask(
+      { serverId, region: 'r1', failureDomain: 'a' },
+      this.clock,
+      new RandomSource(1),
+      new QuotaClient(QUOTA_CONSTANTS, serverId),
+      new PowerOfTwoChoices(),
+      {
+        postToOwner: (message) => message.type === 'order' && accept(message.order),
+        postToForward: (message) => message.type === 'forward' && accept(message.order),
+        postToQuota: (message) => this.quotas.get(serverId)?.post(message),
+        postToReceipts: ignore,
+      },
+      {
+        onEnd: ignore,
+        onReceipt: ignore,
+        onCellNeeded: ignore,
+        onQuotaAsk: (holder, ask) =>
+          this.quotas.get(holder.serverId)?.post({
+            type: 'ask',
+            ask,
+            reply: (slice) => slice && entry.post({ type: 'slice', slice }),
+          }),
+      },
+    );
+    return entry;
+  }
+}
+
+/** The order ends in a way that is not retried. */
+function endOrder(order: Order): void {
+  const fields = { code: 'test', step: 'backend', peer: '', ran: 'not run', status: 400 } as const;
+  order.emit({ type: 'refused', fields });
+}
+
+function createRequest(): { readonly req: IncomingMessage; readonly res: ServerResponse } {
+  const req = new IncomingMessage(new Socket());
+  req.method = 'GET';
+  req.url = '/v1/badges/x';
+  req.headers = { 'amr-tenant': 'alpha', 'amr-class': 'look', 'amr-key': 'k' };
+  return { req, res: new ServerResponse(req) };
+}
--- /dev/null
+++ b/packages/proxy/test/quota.test.ts
@@ -0,0 +1,90 @@
+import t from 'tap';
+import { entryKey } from '#admission/EntryKey.js';
+import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import { ManualClock } from '#core/ManualClock.js';
+import { QuotaTask } from '#proxy/QuotaTask.js';
+import { createTestCatalogue } from './CreateTestCatalogue.js';
+import { createMember } from './CreateMember.js';
+import { createTestCell } from './CreateTestCell.js';
+import { listTestShards } from './ListTestShards.js';
+import { QuotaFleet } from './QuotaFleet.js';
+
+const { limits: DEFAULTS } = createTestCatalogue().catalogue.entries[0]!;
+const LIMITS = { ...DEFAULTS, ratePerSecond: 200, burst: 40, concurrency: 30, maxDeadlineMs: 1_000 };
+/** Time by which a new holder divides the whole limits: a slice, the longest deadline, and the first ask after them. */
+const WARM_UP_MS = 10_000;
+
+/** Admissions beyond the rate and the burst; 0 if the limit holds. */
+function findExcess(admittedAtMs: readonly number[]): number {
+  let tokens = LIMITS.burst;
+  let lastMs = 0;
+  let excess = 0;
+  for (const atMs of admittedAtMs) {
+    tokens = Math.min(LIMITS.burst, tokens + ((atMs - lastMs) * LIMITS.ratePerSecond) / 1_000) - 1;
+    lastMs = atMs;
+    // The clock advances in steps of 10 ms, so that one step's tokens arrive at once.
+    excess = Math.max(excess, -tokens - (10 * LIMITS.ratePerSecond) / 1_000);
+  }
+  return excess;
+}
+
+t.test('rate is fleet-wide', async (t) => {
+  // Limits counted by each daemon would admit a multiple of them.
+  const fleet = new QuotaFleet(LIMITS, 10);
+  t.teardown(() => fleet.stop());
+  await fleet.run(WARM_UP_MS + 5_000, 4);
+  t.ok(findExcess(fleet.admittedAtMs) <= 0, `excess ${findExcess(fleet.admittedAtMs)}`);
+  const admitted = fleet.countAdmitted(WARM_UP_MS, fleet.nowMs);
+  t.ok(admitted > 0.7 * 5 * LIMITS.ratePerSecond, `admitted ${admitted} in 5 s`);
+});
+
+t.test('concurrency is fleet-wide', async (t) => {
+  // Requests in flight at all daemons together would overload the backend servers.
+  const fleet = new QuotaFleet(LIMITS, 500);
+  t.teardown(() => fleet.stop());
+  await fleet.run(WARM_UP_MS + 5_000, 2);
+  t.ok(fleet.peakInFlight <= LIMITS.concurrency, `peak ${fleet.peakInFlight}`);
+  t.ok(fleet.peakInFlight > 0.7 * LIMITS.concurrency, `peak ${fleet.peakInFlight}`);
+});
+
+t.test('holder moves', async (t) => {
+  // Without slices that outlast the loss and a reserved part, each takeover would interrupt admission.
+  for (const phaseMs of [0, 1_000, 2_000, 2_900]) {
+    const fleet = new QuotaFleet(LIMITS, 10);
+    t.teardown(() => fleet.stop());
+    const lostMs = WARM_UP_MS + phaseMs;
+    await fleet.run(lostMs, 4);
+    fleet.own('', fleet.route('d1', 1));
+    await fleet.run(3_000, 4);
+    fleet.own('d2', fleet.route('d2', 2));
+    await fleet.run(WARM_UP_MS, 4);
+    t.ok(findExcess(fleet.admittedAtMs) <= 0, `excess ${findExcess(fleet.admittedAtMs)}`);
+    const perSecond = Array.from({ length: 13 }, (_, index) =>
+      fleet.countAdmitted(lostMs + index * 1_000, lostMs + (index + 1) * 1_000),
+    );
+    t.comment(`lost at ${lostMs} ms; admitted in each second after it: ${perSecond.join(' ')}`);
+    t.ok(perSecond.every((count) => count >= 0.08 * LIMITS.ratePerSecond));
+    t.ok((perSecond.at(-1) ?? 0) > 0.7 * LIMITS.ratePerSecond);
+  }
+});
+
+t.test('delayed ask is dropped', async (t) => {
+  // An ask from before the holder's time may report a slice that has ended since, which would be renewed.
+  const clock = new ManualClock();
+  const quota = new QuotaTask(clock);
+  const cell = createTestCell([createMember('d1')], 'd1');
+  quota.post({ type: 'catalogue', catalogue: createTestCatalogue() });
+  quota.post({ type: 'cell', cell });
+  quota.post({ type: 'ownership', epoch: 1, leaseEndMs: 1_000, shards: listTestShards(cell) });
+  const entry = entryKey('alpha', 'badges', 'look');
+  const held = { ratePerSecond: 10, burst: 2, concurrency: 2 };
+  const use = { held, applied: 3, ratePerSecond: 10, concurrency: 2, inFlight: 0, sentMs: 0 };
+  const askAt = (nowMs: number): Promise<QuotaSlice | undefined> => {
+    clock.advance(nowMs - clock.monotonicMs());
+    return quota.ask((reply) => ({ type: 'ask', ask: { entry, client: 'd2', ...use }, reply }));
+  };
+  t.equal(await askAt(0), undefined);
+  t.equal(await askAt(249), undefined);
+  t.match(await askAt(250), { number: 4, ...held });
+  t.equal(await askAt(1_000), undefined, 'the lease has ended');
+});
