Rank the instances that faults hit by the shards they own

Cause: without load the instance that started first keeps most shards ([83, 11, 11, 1, 11, 11] of 128 after 25 s), so that faults of the others hit few keys. Change: a plan names instances by rank of the shards they own; the unavailable measurement hits its owner after 8 s of load and counts failures after the event only.

--- a/packages/load/src/Fault.ts
+++ b/packages/load/src/Fault.ts
@@ -6,6 +6,6 @@
   readonly atMs: number;
   /** Time until a frozen process continues, a store recovers, or a lost process is replaced. */
   readonly durationMs: number;
-  /** Index of the instance that is hit; for `loseDomain`, of one instance of the failure domain. */
+  /** Rank of the instance that is hit, 0 for the owner of most shards; for `loseDomain`, of one instance of the failure domain. */
   readonly instance: number;
 }
--- a/packages/load/src/FaultRun.ts
+++ b/packages/load/src/FaultRun.ts
@@ -15,7 +15,7 @@
   const plan = createFaultPlan(seed, INSTANCES);
   console.log(`seed ${seed}`);
   for (const fault of plan)
-    console.log(`  ${fault.name} s${fault.instance} at ${fault.atMs} ms for ${fault.durationMs} ms`);
+    console.log(`  ${fault.name} of rank ${fault.instance} at ${fault.atMs} ms for ${fault.durationMs} ms`);
   const { violations, report, orders } = await runFaultPlan(plan, seed, COMMAND, logs);
   const rows = [...report.outcomes].map(([name, counts]) => [name, ...Object.values(counts).map(String)]);
   console.log(formatTable(['tenant/class', 'ok', 'late', 'corrupt', 'refused', 'failed', 'unknown'], rows));
--- a/packages/load/src/FaultRunResult.ts
+++ b/packages/load/src/FaultRunResult.ts
@@ -6,4 +6,10 @@
   readonly violations: readonly string[];
   readonly report: LoadReport;
   readonly orders: number;
+  /** Ids of requests that may not be repeated and ran. */
+  readonly ids: number;
+  /** Highest number of runs of one such id. */
+  readonly mostRuns: number;
+  /** Attempts after the first that callers sent for such ids. */
+  readonly repeats: number;
 }
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -60,6 +60,15 @@
     }
   }
 
+  /** Lists the instances of a service by the number of shards they own, the largest owner first. */
+  public async listByShards(service: string): Promise<readonly FleetInstance[]> {
+    const owners = Object.values((await this.readCell(service))?.shards ?? {}).map(({ owner }) => owner);
+    const count = ({ serverId }: FleetInstance): number =>
+      owners.filter((owner) => owner === serverId).length;
+    const members = this.options.instances.filter((instance) => instance.service === service);
+    return [...members].sort((left, right) => count(right) - count(left));
+  }
+
   /** Base URL for callers of a daemon. */
   public callerUrl(serverId: string): string {
     return `http://127.0.0.1:${this.find(serverId).daemon.values.get('caller') ?? 0}`;
--- a/packages/load/src/ListUnavailable.ts
+++ b/packages/load/src/ListUnavailable.ts
@@ -18,7 +18,7 @@
   const hit = new Set<string>();
   let failed = 0;
   for (const event of events) {
-    if (event.type !== 'send') continue;
+    if (event.type !== 'send' || event.atMs < causedMs) continue;
     const key = keys.get(event.requestId) ?? '';
     if (!isHit(key)) continue;
     hit.add(key);
--- a/packages/load/src/Measure.ts
+++ b/packages/load/src/Measure.ts
@@ -3,6 +3,7 @@
 import { formatTable } from '#load/FormatTable.js';
 import { ImbalanceMeasurement } from '#load/ImbalanceMeasurement.js';
 import type { Measurement } from '#load/Measurement.js';
+import { OnceMeasurement } from '#load/OnceMeasurement.js';
 import { OverheadMeasurement } from '#load/OverheadMeasurement.js';
 import { UnavailableMeasurement } from '#load/UnavailableMeasurement.js';
 
@@ -12,6 +13,7 @@
   new ImbalanceMeasurement(),
   new ChurnMeasurement(),
   new OverheadMeasurement(),
+  new OnceMeasurement(),
   new UnavailableMeasurement(),
 ];
 
--- /dev/null
+++ b/packages/load/src/OnceMeasurement.ts
@@ -0,0 +1,46 @@
+import type { Fault } from '#load/Fault.js';
+import type { FaultName } from '#load/FaultName.js';
+import type { FaultPlan } from '#load/FaultPlan.js';
+import { Measurement } from '#load/Measurement.js';
+import type { MeasurementResult } from '#load/MeasurementResult.js';
+import { runFaultPlan } from '#load/RunFaultPlan.js';
+
+const COMMAND: readonly string[] = [
+  process.execPath,
+  '--disable-warning=ExperimentalWarning',
+  'build/cli/src/Main.js',
+];
+const BASELINE = 'slow store';
+const AT_MS = 1500;
+const DURATION_MS = 2500;
+
+/** Plans by name. The loss of a VM makes the takeover write whose reply is then lost. */
+const PLANS: ReadonlyMap<string, FaultPlan> = new Map([
+  [BASELINE, [createFault('storeSlow')]],
+  ['daemon killed', [createFault('killDaemon')]],
+  ['VM lost', [createFault('killVm')]],
+  ['daemon frozen', [createFault('freezeDaemon')]],
+  ['VM lost, replies lost', [createFault('killVm'), createFault('loseReplies')]],
+]);
+
+/** Runs of each id of requests that may not be repeated, under faults and repeats by the caller. */
+export class OnceMeasurement extends Measurement {
+  public override readonly name: string = 'once';
+  public override readonly baseline: string = `${BASELINE} (no loss)`;
+  public override readonly target: string = 'no id runs twice, no rule of the history is broken';
+
+  public override async run(seed: number): Promise<MeasurementResult> {
+    const rows: (readonly string[])[] = []; // eslint-disable-line no-restricted-syntax -- local result
+    let isMet = true;
+    for (const [name, plan] of PLANS) {
+      const { violations, ids, mostRuns, repeats } = await runFaultPlan(plan, seed, COMMAND);
+      isMet &&= mostRuns <= 1 && violations.length === 0;
+      rows.push([name, ...[ids, repeats, mostRuns, violations.length].map(String)]);
+    }
+    return { columns: ['fault', 'ids run', 'repeats sent', 'most runs', 'violations'], rows, isMet };
+  }
+}
+
+function createFault(name: FaultName): Fault {
+  return { name, atMs: AT_MS, durationMs: DURATION_MS, instance: 0 };
+}
--- a/packages/load/src/RunFaultPlan.ts
+++ b/packages/load/src/RunFaultPlan.ts
@@ -11,9 +11,12 @@
 import { FaultTarget } from '#load/FaultTarget.js';
 import { Fleet } from '#load/Fleet.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
+import { groupBy } from '#load/GroupBy.js';
+import type { HistoryEvent } from '#load/HistoryEvent.js';
 import { HistoryRecorder } from '#load/HistoryRecorder.js';
 import { LoadGenerator } from '#load/LoadGenerator.js';
 import type { LoadReport } from '#load/LoadReport.js';
+import type { OrderEvent } from '#load/OrderEvent.js';
 import { toOrderEvent } from '#load/ToOrderEvent.js';
 
 const READY_MS = 30_000;
@@ -43,7 +46,7 @@
     await fleet.waitServing(READY_MS);
     const generator = createGenerator(fleet, options, history, plan);
     const loading = generator.run();
-    const target = new FaultTarget(fleet, options.instances);
+    const target = new FaultTarget(fleet, await fleet.listByShards(options.instances[0]?.service ?? ''));
     await Promise.all(plan.map((fault) => runFault(target, fault)));
     const report = await loading;
     const failure = await fleet.waitServing(RECOVERY_MS).then(
@@ -113,5 +116,21 @@
     violations: [...violations.map(({ rule, message }) => `${rule}: ${message}`), ...mismatch, ...failure],
     report,
     orders: orders.length,
+    ...countRuns(orders, history),
+  };
+}
+
+function countRuns(
+  orders: readonly OrderEvent[],
+  history: HistoryRecorder,
+): Pick<FaultRunResult, 'ids' | 'mostRuns' | 'repeats'> {
+  const marked = orders.filter(({ idempotencyKey }) => idempotencyKey !== '');
+  const groups = groupBy(marked, ({ tenant, idempotencyKey }) => `${tenant}/${idempotencyKey}`);
+  const isRepeat = (event: HistoryEvent): boolean =>
+    event.type === 'send' && !event.repeatable && event.attempt > 1;
+  return {
+    ids: groups.size,
+    mostRuns: Math.max(0, ...[...groups.values()].map((group) => group.length)),
+    repeats: history.list().filter(isRepeat).length,
   };
 }
--- a/packages/load/src/UnavailableMeasurement.ts
+++ b/packages/load/src/UnavailableMeasurement.ts
@@ -20,10 +20,10 @@
   'build/cli/src/Main.js',
 ];
 const READY_MS = 30_000;
-const SETTLE_MS = 2000;
-const LOAD_MS = 8000;
-const CAUSE_AFTER_MS = 2000;
-const RATE_PER_SECOND = 400;
+const LOAD_MS = 14_000;
+/** Under load, shards leave the server that started first, and slow start ends. */
+const CAUSE_AFTER_MS = 8000;
+const RATE_PER_SECOND = 250;
 const KEY_COUNT = 128;
 /** Short, so that a failed request shows when its key was unavailable; it also is the resolution of the result. */
 const DEADLINE_MS = 250;
@@ -85,14 +85,13 @@
   try {
     await fleet.start();
     await fleet.waitServing(READY_MS);
-    await delay(SETTLE_MS);
     const victim = instances[0]?.serverId ?? '';
     const hit = variant.hitsDomain ? listDomain(instances, victim) : [victim];
-    const cell = await fleet.readCell(options.catalogue.services[0]?.name ?? '');
-    const targets = instances.filter(({ serverId }) => !hit.includes(serverId));
+    // Callers of lost entry daemons would count as well.
+    const entries = instances.filter(({ serverId }) => !hit.includes(serverId));
     const generator = new LoadGenerator(
       {
-        targets: targets.map(({ serverId }) => fleet.callerUrl(serverId)),
+        targets: entries.map(({ serverId }) => fleet.callerUrl(serverId)),
         ratePerSecond: RATE_PER_SECOND,
         maxRequests: (RATE_PER_SECOND * LOAD_MS) / 1000,
         maxDurationMs: LOAD_MS,
@@ -111,6 +110,8 @@
     );
     const loading = generator.run();
     await delay(CAUSE_AFTER_MS);
+    const service = options.catalogue.services[0]?.name ?? '';
+    const cell = await fleet.readCell(service);
     const causedMs = Date.now();
     await Promise.all(hit.map((serverId) => variant.cause(fleet, serverId)));
     await loading;
