--- /dev/null
+++ b/packages/proxy/test/RawCaller.ts
@@ -0,0 +1,34 @@
+import { connect, type Socket } from 'node:net';
+import { waitUntil } from './WaitUntil.js';
+
+/** Caller that writes bytes of its own choice, and reads only while it is not paused. */
+export class RawCaller {
+  public text = '';
+  public closed = false;
+  public readonly socket: Socket;
+
+  public constructor(port: number) {
+    this.socket = connect(port, '127.0.0.1');
+    this.socket.setEncoding('latin1');
+    this.socket.on('data', (chunk: string) => (this.text += chunk));
+    this.socket.on('error', () => undefined);
+    this.socket.on('close', () => (this.closed = true));
+  }
+
+  /** Writes the head of a request of the class `look` with the key `k`, followed by `body`. */
+  public send(line: string, headers: readonly string[] = [], body = ''): void {
+    const common = ['host: x', 'amr-tenant: alpha', 'amr-class: look', 'amr-key: k'];
+    this.socket.write([line, ...common, ...headers, '', body].join('\r\n'));
+  }
+
+  /** Waits until what was received contains `part`, or the connection closes. */
+  public async waitFor(part: string): Promise<string> {
+    await waitUntil(`received: ${part}`, () => this.text.includes(part) || this.closed);
+    return this.text;
+  }
+
+  public async waitClosed(): Promise<string> {
+    await waitUntil('the connection closes', () => this.closed);
+    return this.text;
+  }
+}
