Let a request wait for the first token of its slice

Cause: the first slice of an entry carries no token, since the holder's spare bucket starts empty. A request that had waited for that slice was decided on at once and refused with rateLimit. Change: after a slice without a token the request waits for the next token, within its 60 ms and its deadline. Conclusion: small entries serve the first request after a pause.

--- a/packages/proxy/src/EntryAdmission.ts
+++ b/packages/proxy/src/EntryAdmission.ts
@@ -15,6 +15,7 @@
   readonly key: string;
   readonly limits: RateLimits;
   readonly decide: (result: AdmissionResult) => void;
+  readonly endMs: number;
   readonly cancelTimer: Cancel;
 }
 
@@ -50,10 +51,8 @@
     const result = this.quota.admit(key, limits, nowMs);
     const mayWait = !this.quota.hasSlice(key, nowMs) && this.waiting.size < MAX_WAITING;
     if (result.kind === 'refuse' && mayWait) {
-      const cancelTimer = this.clock.schedule(Math.min(waitMs, MAX_WAIT_MS), () =>
-        this.onWaitOver(requestId),
-      );
-      this.waiting.set(requestId, { key, limits, decide, cancelTimer });
+      const endMs = nowMs + Math.min(waitMs, MAX_WAIT_MS);
+      this.wait(requestId, { key, limits, decide, endMs }, endMs - nowMs);
     } else decide(result);
     if (this.quota.needsAsk(key, nowMs)) this.sendAsks();
   }
@@ -80,7 +79,8 @@
   /** Applies the reply of a holder and decides on the requests that waited for it. */
   public applySlice(slice: QuotaSlice): void {
     this.quota.apply(slice, this.clock.monotonicMs());
-    for (const [requestId, { key }] of [...this.waiting]) if (key === slice.entry) this.decideNow(requestId);
+    for (const [requestId, waiting] of [...this.waiting])
+      if (waiting.key === slice.entry) this.tryWaiting(requestId, waiting);
   }
 
   public setPosition(rank: number, fleetSize: number): void {
@@ -96,4 +96,20 @@
   public stop(): void {
     for (const { cancelTimer } of this.waiting.values()) cancelTimer();
   }
+
+  /** The first slice of an entry may carry no token yet; then the request waits for the next one, within its time. */
+  private tryWaiting(requestId: string, waiting: Waiting): void {
+    const nowMs = this.clock.monotonicMs();
+    const result = this.quota.admit(waiting.key, waiting.limits, nowMs);
+    waiting.cancelTimer();
+    this.waiting.delete(requestId);
+    const retryAfterMs = result.kind === 'refuse' ? (result.error.retryAfterMs ?? Infinity) : Infinity;
+    if (nowMs + retryAfterMs <= waiting.endMs) this.wait(requestId, waiting, retryAfterMs);
+    else waiting.decide(result);
+  }
+
+  private wait(requestId: string, waiting: Omit<Waiting, 'cancelTimer'>, delayMs: number): void {
+    const cancelTimer = this.clock.schedule(delayMs, () => this.onWaitOver(requestId));
+    this.waiting.set(requestId, { ...waiting, cancelTimer });
+  }
 }
--- a/packages/proxy/test/QuotaFleet.ts
+++ b/packages/proxy/test/QuotaFleet.ts
@@ -61,14 +61,14 @@
     }
   }
 
-  /** Sends `perStep` requests to each entry task every 10 ms. */
-  public async run(durationMs: number, perStep: number): Promise<void> {
+  /** Sends `perStep` requests to each of the first `senders` entry tasks every 10 ms. */
+  public async run(durationMs: number, perStep: number, senders = 2): Promise<void> {
     for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
       this.clock.advance(STEP_MS);
       for (const { order } of this.held.filter(({ endMs: dueMs }) => dueMs <= this.nowMs)) endOrder(order);
       this.held = this.held.filter(({ endMs: dueMs }) => dueMs > this.nowMs);
       await setImmediate();
-      for (const entry of this.entries) {
+      for (const entry of this.entries.slice(0, senders)) {
         for (let count = 0; count < perStep; count += 1) entry.post({ type: 'request', ...createRequest() });
       }
       await setImmediate();
--- a/packages/proxy/test/quota.test.ts
+++ b/packages/proxy/test/quota.test.ts
@@ -88,3 +88,39 @@
   t.match(await askAt(250), { number: 4, ...held });
   t.equal(await askAt(1_000), undefined, 'the lease has ended');
 });
+
+t.test('new token, new holder', async (t) => {
+  // Another daemon may have given slices between two tokens, so that what was counted under the first is too low.
+  const clock = new ManualClock();
+  const quota = new QuotaTask(clock);
+  quota.post({ type: 'catalogue', catalogue: createTestCatalogue() });
+  const own = (token: number): void => {
+    const cell = createTestCell([createMember('d1')], 'd1', token);
+    quota.post({ type: 'cell', cell });
+    quota.post({ type: 'ownership', epoch: 1, leaseEndMs: 99_000, shards: listTestShards(cell) });
+  };
+  const none = { ratePerSecond: 0, burst: 0, concurrency: 0 };
+  const use = { held: none, applied: 0, ratePerSecond: 10, concurrency: 2, inFlight: 0 };
+  const ask = (client: string): Promise<QuotaSlice | undefined> => {
+    const sent = { entry: entryKey('alpha', 'badges', 'look'), client, ...use, sentMs: clock.monotonicMs() };
+    return quota.ask((reply) => ({ type: 'ask', ask: sent, reply }));
+  };
+  own(1);
+  t.equal(await ask('d2'), undefined);
+  clock.advance(30_000);
+  t.ok(((await ask('d2'))?.burst ?? 0) > 0);
+  own(2);
+  t.equal(await ask('d3'), undefined);
+  clock.advance(250);
+  t.match(await ask('d3'), none);
+});
+
+t.test('first request waits', async (t) => {
+  // An entry too small for a reserved part would refuse the first requests after each pause.
+  const fleet = new QuotaFleet({ ...LIMITS, burst: 9, concurrency: 9 }, 10);
+  t.teardown(() => fleet.stop());
+  await fleet.run(WARM_UP_MS, 0);
+  await fleet.run(10, 1, 1);
+  await fleet.run(60, 0);
+  t.equal(fleet.countAdmitted(WARM_UP_MS, fleet.nowMs), 1);
+});
