Give the control tests a catalogue with an owner

Cause: the spread task now refuses a catalogue whose shape the schema does not allow, and the fixture had no owner. Change: the fixture names one; no check changes. Conclusion: fixture and schema agree.

--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -209,6 +209,11 @@
   public static catalogue(...names: readonly string[]): Catalogue {
     const list = names.length === 0 ? [SERVICE] : names;
     const services = list.map((name) => ({ name, keyed: true, cells: 1, orderGraceMs: 0 }));
-    return { regions: ['r1'], services, owners: [], entries: [] };
+    return {
+      regions: ['r1'],
+      services,
+      owners: [{ name: 'operations', tokenHashes: [], operator: true }],
+      entries: [],
+    };
   }
 }
