--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -9,7 +9,7 @@
 import { TokenBucket } from '#admission/TokenBucket.js';
 
 /** Part of a slice's time after which the next one is asked for. */
-const ASK_AFTER = 0.6;
+const ASK_AFTER = 0.3;
 
 /** Time after which a request without a slice may try again, in milliseconds; one round trip between regions. */
 const ASK_ROUND_TRIP_MS = 50;
--- a/packages/proxy/src/QuotaConstants.ts
+++ b/packages/proxy/src/QuotaConstants.ts
@@ -1,12 +1,12 @@
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 
 /**
- * Longer than the 3 s within which a lost holder is replaced. A slice is renewed after 0.6 of this time, so one that was due
- * for renewal at the loss ends 2 s after it, and the reserved part alone goes on.
+ * A new holder admits new demand only after one slice, so slices are short: with 5 s, most requests of the first seconds
+ * after a start or a move of the holder were refused.
  */
-const SLICE_MS = 5_000;
-/** Part of each limit by which admission goes on, at a low rate, while the holder cannot be reached. */
-const RESERVE = 0.1;
+const SLICE_MS = 2_000;
+/** Part of each limit by which admission goes on while the holder is replaced, which takes up to 3 s. */
+const RESERVE = 0.3;
 /** The same bound on clock-rate drift as that of the leases. */
 const CLOCK_DRIFT = 0.01;
 
--- a/packages/proxy/src/QuotaTask.ts
+++ b/packages/proxy/src/QuotaTask.ts
@@ -21,11 +21,16 @@
   readonly holder: QuotaHolder;
 }
 
+/** Token of a shard that was assigned by the first write of its cell, so that nobody held it before. */
+const FIRST_TOKEN = 1;
+
 /** Divides the fleet-wide limits of the entries whose quota keys this daemon owns. */
 export class QuotaTask extends Task<QuotaMessage> {
   private readonly ownership: OwnershipView;
   private index: CatalogueIndex | undefined;
   private held: ReadonlyMap<string, HeldShard> = new Map();
+  /** Shards that this daemon has held; one that it gave up and took back may have slices outstanding. */
+  private readonly heldBefore = new Set<string>();
 
   public constructor(private readonly clock: Clock) {
     super();
@@ -54,16 +59,17 @@
     const isSameMap = update.shards === this.ownership.current.shards;
     this.ownership.set(update);
     if (isSameMap) return;
-    const sinceMs = this.clock.monotonicMs();
-    const hold = (token: number): HeldShard => ({
-      token,
-      sinceMs,
-      holder: new QuotaHolder(QUOTA_CONSTANTS, sinceMs),
-    });
+    const nowMs = this.clock.monotonicMs();
+    const hold = (shardId: string, token: number): HeldShard => {
+      const isFirst = token === FIRST_TOKEN && !this.heldBefore.has(shardId);
+      const sinceMs = isFirst ? Number.NEGATIVE_INFINITY : nowMs;
+      this.heldBefore.add(shardId);
+      return { token, sinceMs, holder: new QuotaHolder(QUOTA_CONSTANTS, sinceMs) };
+    };
     this.held = new Map(
       [...update.shards].map(([shardId, { token }]) => {
         const known = this.held.get(shardId);
-        return [shardId, known?.token === token ? known : hold(token)];
+        return [shardId, known?.token === token ? known : hold(shardId, token)];
       }),
     );
   }
