Use short quota slices for entries with few units

Cause: an entry of 20 units divided among 17 daemons in slices of 2 s was refused far below its limits, and one request of an idle entry counted as a demand of 1,000 a second.

--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -1,5 +1,6 @@
 import { AdmissionPolicy } from '#admission/AdmissionPolicy.js';
 import type { AdmissionResult } from '#admission/AdmissionResult.js';
+import { findSliceMs } from '#admission/FindSliceMs.js';
 import type { QuotaAsk } from '#admission/QuotaAsk.js';
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 import type { QuotaSlice } from '#admission/QuotaSlice.js';
@@ -146,12 +147,15 @@
   }
 
   private mayAsk(use: EntryUse, nowMs: number): boolean {
-    return nowMs - use.askedMs >= Math.max(ASK_ROUND_TRIP_MS, this.settings.sliceMs * RETRY_AFTER);
+    return (
+      nowMs - use.askedMs >= Math.max(ASK_ROUND_TRIP_MS, findSliceMs(this.settings, use.limits) * RETRY_AFTER)
+    );
   }
 
   private buildAsk(key: string, use: EntryUse, nowMs: number): QuotaAsk {
     this.endSlice(use, nowMs);
-    const elapsedMs = Math.max(1, nowMs - use.sinceMs);
+    // Measured over less time, the first request of an idle entry would count as a demand of 1,000 a second.
+    const elapsedMs = Math.max(findSliceMs(this.settings, use.limits) * ASK_AFTER, nowMs - use.sinceMs);
     const ratePerSecond = Math.max((use.arrived * 1_000) / elapsedMs, use.ratePerSecond / 2);
     // Refused requests count as demand, but at most double it, since most of them are repeats.
     const concurrency = use.peakInFlight + Math.min(use.crowded, use.peakInFlight);
--- a/packages/admission/src/QuotaHolder.ts
+++ b/packages/admission/src/QuotaHolder.ts
@@ -1,5 +1,6 @@
 import type { EntryLimits } from '#catalogue/EntryLimits.js';
 import { addLimits } from '#admission/AddLimits.js';
+import { findSliceMs } from '#admission/FindSliceMs.js';
 import type { QuotaAsk } from '#admission/QuotaAsk.js';
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 import type { QuotaSlice } from '#admission/QuotaSlice.js';
@@ -78,13 +79,13 @@
     const entry = this.findEntry(ask.entry, limits, nowMs);
     const client = entry.clients.get(ask.client) ?? new ClientUse();
     entry.clients.set(ask.client, client);
-    const ready = this.knowsAllSlices(nowMs);
+    const ready = this.knowsAllSlices(entry, nowMs);
     if (!ready && client.given.length === 0) client.claim = ask.held;
     this.change(entry, client, nowMs, () => noteAsk(client, ask, nowMs));
     const part = ready ? this.divide(entry, client, nowMs) : client.claim;
     this.change(entry, client, nowMs, () => this.record(entry, client, part, nowMs));
     const tokens = ready ? this.takeSpareTokens(entry, part, nowMs) : 0;
-    const { sliceMs } = this.settings;
+    const sliceMs = this.sliceMsOf(entry);
     return { entry: ask.entry, number: client.number, ...part, tokens, sentMs: ask.sentMs, sliceMs };
   }
 
@@ -97,7 +98,7 @@
     const entry = this.entries.get(name) ?? new EntryUse(limits, nowMs);
     entry.limits = limits;
     this.entries.set(name, entry);
-    if (nowMs - entry.countedMs >= this.settings.sliceMs * RECOUNT_AFTER) this.recount(entry, nowMs);
+    if (nowMs - entry.countedMs >= this.sliceMsOf(entry) * RECOUNT_AFTER) this.recount(entry, nowMs);
     return entry;
   }
 
@@ -108,7 +109,7 @@
     for (const [name, client] of entry.clients) {
       client.given = client.given.filter(({ idleMs }) => idleMs >= nowMs);
       if (client.given.length === 0) client.inFlight = 0;
-      if (nowMs - client.seenMs > this.settings.sliceMs) client.demand = NOTHING;
+      if (nowMs - client.seenMs > this.sliceMsOf(entry)) client.demand = NOTHING;
       client.held = heldBy(client, nowMs);
       if (client.given.length === 0 && client.demand === NOTHING) entry.clients.delete(name);
       entry.held = addLimits(entry.held, client.held, 1);
@@ -150,12 +151,16 @@
     };
   }
 
-  private knowsAllSlices(nowMs: number): boolean {
-    return nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs);
+  private sliceMsOf(entry: EntryUse): number {
+    return findSliceMs(this.settings, entry.limits);
+  }
+
+  private knowsAllSlices(entry: EntryUse, nowMs: number): boolean {
+    return nowMs >= this.sinceMs + this.guardedMs(this.sliceMsOf(entry));
   }
 
   private knowsAllRequests(entry: EntryUse, nowMs: number): boolean {
-    return nowMs >= this.sinceMs + this.guardedMs(this.settings.sliceMs + entry.limits.maxDeadlineMs);
+    return nowMs >= this.sinceMs + this.guardedMs(this.sliceMsOf(entry) + entry.limits.maxDeadlineMs);
   }
 
   private distributable(limits: RateLimits): RateLimits {
@@ -168,7 +173,7 @@
   }
 
   private record(entry: EntryUse, client: ClientUse, part: RateLimits, nowMs: number): void {
-    const endMs = nowMs + this.guardedMs(this.settings.sliceMs);
+    const endMs = nowMs + this.guardedMs(this.sliceMsOf(entry));
     const idleMs = endMs + this.guardedMs(entry.limits.maxDeadlineMs);
     client.number += 1;
     client.given = [...client.given, { ...part, number: client.number, endMs, idleMs }];
