--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -12,7 +12,6 @@
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
-import { findOutcome } from '#delivery/FindOutcome.js';
 import type { ArrivedRequest } from '#proxy/ArrivedRequest.js';
 import { checkRequest } from '#proxy/CheckRequest.js';
 import { EntryAdmission } from '#proxy/EntryAdmission.js';
@@ -376,7 +375,8 @@
     const { owner, service, class: requestClass } = open.exchange.checked.entry;
     const key = entryKey(owner, service, requestClass);
     this.admission.release(key);
-    if (findOutcome(open.delivery) === 'refused') this.admission.refund(key);
+    // The caller repeats such a request at once with the epoch that it was told.
+    if (open.code === 'epochRequired') this.admission.refund(key);
     this.outcomes.countEnd(open);
     this.finishClose();
   }
