--- a/packages/daemon/test/StartFleet.ts
+++ b/packages/daemon/test/StartFleet.ts
@@ -1,11 +1,11 @@
 import { Fleet } from '#load/Fleet.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import type { Timings } from '#settings/Timings.js';
 import { createCatalogue } from './CreateCatalogue.js';
 
 /** Starts daemons `d1`, `d2`, ... of one region, in turn in the failure domains `a`, `b` and `c`. */
 export async function startFleet(count: number, timings: Partial<Timings> = {}): Promise<Fleet> {
-  const instances = Array.from({ length: count }, (_, index): FleetInstance => {
+  const instances = Array.from({ length: count }, (_, index): Instance => {
     const failureDomain = ['a', 'b', 'c'][index % 3] ?? 'a';
     const base = { service: 'badges', region: 'nairobi', failureDomain, slots: 6, connections: 40 };
     return { ...base, serverId: `d${index + 1}`, vm: `vm${index + 1}`, checksToken: true };
--- a/packages/load/src/CreateFaultFleetOptions.ts
+++ b/packages/load/src/CreateFaultFleetOptions.ts
@@ -1,6 +1,6 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import type { Entry } from '#catalogue/Entry.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
 
 const SERVICE = 'accounts';
@@ -31,7 +31,7 @@
   };
 }
 
-function createInstance(index: number): FleetInstance {
+function createInstance(index: number): Instance {
   return {
     serverId: `s${index}`,
     service: SERVICE,
--- a/packages/load/src/Demo.ts
+++ b/packages/load/src/Demo.ts
@@ -7,7 +7,7 @@
 import { createMix } from '#load/CreateMix.js';
 import type { DemoOptions } from '#load/DemoOptions.js';
 import { Fleet } from '#load/Fleet.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import { formatTable } from '#load/FormatTable.js';
 import type { HistoryEvent } from '#load/HistoryEvent.js';
 import { HistoryRecorder } from '#load/HistoryRecorder.js';
@@ -53,7 +53,7 @@
     }
   }
 
-  private async loadAndCheck(fleet: Fleet, instances: readonly FleetInstance[]): Promise<boolean> {
+  private async loadAndCheck(fleet: Fleet, instances: readonly Instance[]): Promise<boolean> {
     const { catalogue } = readDeployment(this.options.folder);
     const service = catalogue.services.find(({ keyed }) => keyed)?.name ?? '';
     const victim = await this.findOwner(fleet, service);
--- a/packages/load/src/FaultTarget.ts
+++ b/packages/load/src/FaultTarget.ts
@@ -1,5 +1,5 @@
 import type { Fleet } from '#load/Fleet.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 
 /** Time after which a store is taken to answer slowly, in milliseconds; well beyond the renewal interval. */
 const SLOW_STORE_MS = 400;
@@ -13,7 +13,7 @@
 
   public constructor(
     private readonly fleet: Fleet,
-    public readonly instances: readonly FleetInstance[],
+    public readonly instances: readonly Instance[],
   ) {}
 
   /** Kills the daemon or the backend server of an instance, or both. */
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -5,7 +5,7 @@
 import type { Cell } from '#assignment/Cell.js';
 import type { Intent } from '#control/Intent.js';
 import type { RunRecord } from '#standin/RunRecord.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
 import { FleetProcess } from '#load/FleetProcess.js';
 import { readRunRecords } from '#load/ReadRunRecords.js';
@@ -15,7 +15,7 @@
 const POLL_MS = 50;
 
 interface FleetMember {
-  readonly instance: FleetInstance;
+  readonly instance: Instance;
   readonly daemon: FleetProcess;
   readonly backend: FleetProcess;
 }
@@ -41,7 +41,7 @@
   }
 
   /** Starts the daemon and the backend server of an instance, also as the replacement of one that was killed. */
-  public async startInstance(instance: FleetInstance): Promise<void> {
+  public async startInstance(instance: Instance): Promise<void> {
     const daemon = await this.startDaemon(instance);
     const backend = await this.startBackend(instance, daemon);
     this.members.set(instance.serverId, { instance, daemon, backend });
@@ -73,10 +73,9 @@
   }
 
   /** Lists the instances of a service by the number of shards they own, the largest owner first. */
-  public async listByShards(service: string): Promise<readonly FleetInstance[]> {
+  public async listByShards(service: string): Promise<readonly Instance[]> {
     const owners = Object.values((await this.readCell(service))?.shards ?? {}).map(({ owner }) => owner);
-    const count = ({ serverId }: FleetInstance): number =>
-      owners.filter((owner) => owner === serverId).length;
+    const count = ({ serverId }: Instance): number => owners.filter((owner) => owner === serverId).length;
     const members = this.options.instances.filter((instance) => instance.service === service);
     return [...members].sort((left, right) => count(right) - count(left));
   }
@@ -198,7 +197,7 @@
   }
 
   /** Instances that the fleet runs. */
-  public listInstances(): readonly FleetInstance[] {
+  public listInstances(): readonly Instance[] {
     return [...this.members.values()].map(({ instance }) => instance);
   }
 
@@ -229,7 +228,7 @@
     return { ...record, endMs: ends.find((endMs) => endMs >= record.startMs) ?? 0 };
   }
 
-  private async startDaemon(instance: FleetInstance): Promise<FleetProcess> {
+  private async startDaemon(instance: Instance): Promise<FleetProcess> {
     const { serverId, vm, region, failureDomain } = instance;
     const settings = {
       serverId,
@@ -251,7 +250,7 @@
     return daemon;
   }
 
-  private startBackend(instance: FleetInstance, daemon: FleetProcess): Promise<FleetProcess> {
+  private startBackend(instance: Instance, daemon: FleetProcess): Promise<FleetProcess> {
     const { serverId, service, slots, connections, checksToken } = instance;
     const announceUrl = `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`;
     const { backendCommand } = this.options;
--- a/packages/load/src/FleetOptions.ts
+++ b/packages/load/src/FleetOptions.ts
@@ -1,12 +1,12 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import type { Timings } from '#settings/Timings.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 
 /** What a fleet of processes on loopback is started from. */
 export interface FleetOptions {
   /** Program and first arguments that run `amaranthrouter`. */
   readonly command: readonly string[];
-  readonly instances: readonly FleetInstance[];
+  readonly instances: readonly Instance[];
   readonly catalogue: Catalogue;
   /** Mean time of a request at a backend server, in milliseconds. */
   readonly serviceMs: number;
--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -4,7 +4,7 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import type { Entry } from '#catalogue/Entry.js';
 import { Fleet } from '#load/Fleet.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import { FleetProcess } from '#load/FleetProcess.js';
 import type { LoopOptions } from '#load/LoopOptions.js';
 import type { LoopResult } from '#load/LoopResult.js';
@@ -149,8 +149,8 @@
   return { ...result, cpuUs: (usedMs * MICROS_PER_MS) / Math.max(1, requests) };
 }
 
-function createInstances(): readonly FleetInstance[] {
-  const instance = (service: string, number: number): FleetInstance => ({
+function createInstances(): readonly Instance[] {
+  const instance = (service: string, number: number): Instance => ({
     serverId: `${service}-${number}`,
     service,
     region: 'region',
--- a/packages/load/src/ReadDeployment.ts
+++ b/packages/load/src/ReadDeployment.ts
@@ -4,12 +4,12 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import { formatFault } from '#catalogue/FormatFault.js';
 import { parseCatalogue } from '#catalogue/ParseCatalogue.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 
 /** Reads `catalogue.jsonc` and `deployment.jsonc` of a folder; throws with the faults of a bad catalogue. */
 export function readDeployment(folder: string): {
   readonly catalogue: Catalogue;
-  readonly instances: readonly FleetInstance[];
+  readonly instances: readonly Instance[];
 } {
   const file = join(folder, 'catalogue.jsonc');
   const parsed = parseCatalogue(readFileSync(file, 'utf8'), file);
@@ -20,6 +20,6 @@
     Right: (value) => value,
   });
   const text = readFileSync(join(folder, 'deployment.jsonc'), 'utf8');
-  const deployment = parse(text) as { readonly instances: readonly FleetInstance[] };
+  const deployment = parse(text) as { readonly instances: readonly Instance[] };
   return { catalogue, instances: deployment.instances };
 }
--- a/packages/load/src/UnavailableMeasurement.ts
+++ b/packages/load/src/UnavailableMeasurement.ts
@@ -6,7 +6,7 @@
 import { createFaultFleetOptions } from '#load/CreateFaultFleetOptions.js';
 import { createMix } from '#load/CreateMix.js';
 import { Fleet } from '#load/Fleet.js';
-import type { FleetInstance } from '#load/FleetInstance.js';
+import type { Instance } from '#settings/Instance.js';
 import { HistoryRecorder } from '#load/HistoryRecorder.js';
 import { listUnavailable } from '#load/ListUnavailable.js';
 import { LoadGenerator } from '#load/LoadGenerator.js';
@@ -122,7 +122,7 @@
   }
 }
 
-function listDomain(instances: readonly FleetInstance[], serverId: string): readonly string[] {
+function listDomain(instances: readonly Instance[], serverId: string): readonly string[] {
   const domain = instances.find((each) => each.serverId === serverId)?.failureDomain;
   return instances.filter((each) => each.failureDomain === domain).map((each) => each.serverId);
 }
