--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['node_modules', 'build', 'dist', '.tap', 'scripts', 'eslint.config.mjs'] },
+  { ignores: ['node_modules', 'build', 'dist', 'target', '.tap', 'scripts', 'eslint.config.mjs'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
@@ -48,7 +48,7 @@
     },
   },
   {
-    files: ['packages/*/test/**'],
+    files: ['packages/*/test/**', 'platform/test/**'],
     rules: {
       'no-restricted-syntax': 'off',
       '@typescript-eslint/no-floating-promises': 'off',
--- a/packages/daemon/test/StartFleet.ts
+++ b/packages/daemon/test/StartFleet.ts
@@ -11,7 +11,7 @@
     return { ...base, serverId: `d${index + 1}`, vm: `vm${index + 1}`, checksToken: true };
   });
   const fleet = new Fleet({
-    command: [process.execPath, '--disable-warning=ExperimentalWarning', 'build/cli/src/Main.js'],
+    command: [process.execPath, '--disable-warning=ExperimentalWarning', 'build/packages/cli/src/Main.js'],
     instances,
     catalogue: createCatalogue(),
     serviceMs: 6,
--- a/packages/load/src/ControlCostMeasurement.ts
+++ b/packages/load/src/ControlCostMeasurement.ts
@@ -26,7 +26,7 @@
 const COMMAND: readonly string[] = [
   process.execPath,
   '--disable-warning=ExperimentalWarning',
-  'build/cli/src/Main.js',
+  'build/packages/cli/src/Main.js',
 ];
 
 /**
--- a/packages/load/src/FaultRun.ts
+++ b/packages/load/src/FaultRun.ts
@@ -8,7 +8,7 @@
 const COMMAND: readonly string[] = [
   process.execPath,
   '--disable-warning=ExperimentalWarning',
-  'build/cli/src/Main.js',
+  'build/packages/cli/src/Main.js',
 ];
 
 async function runSeed(seed: number, logs: string): Promise<boolean> {
--- a/packages/load/src/OnceMeasurement.ts
+++ b/packages/load/src/OnceMeasurement.ts
@@ -8,7 +8,7 @@
 const COMMAND: readonly string[] = [
   process.execPath,
   '--disable-warning=ExperimentalWarning',
-  'build/cli/src/Main.js',
+  'build/packages/cli/src/Main.js',
 ];
 const BASELINE = 'slow store';
 const AT_MS = 1500;
--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -59,7 +59,7 @@
 
   public override async run(seed: number): Promise<MeasurementResult> {
     const fleet = new Fleet({
-      command: [...NODE, 'build/cli/src/Main.js'],
+      command: [...NODE, 'build/packages/cli/src/Main.js'],
       instances: createInstances(),
       catalogue: createCatalogue(),
       serviceMs: 0,
@@ -68,7 +68,7 @@
       logs: '',
       backendCommand: (announceUrl, service) => [
         ...NODE,
-        'build/load/src/PlainBackendMain.js',
+        'build/packages/load/src/PlainBackendMain.js',
         announceUrl,
         service,
       ],
@@ -86,9 +86,9 @@
   }
 
   private async createPipe(): Promise<Variant> {
-    const backend = await FleetProcess.start([...NODE, 'build/load/src/PlainBackendMain.js'], '/dev/null');
+    const backend = await FleetProcess.start([...NODE, 'build/packages/load/src/PlainBackendMain.js'], '/dev/null');
     const backendUrl = `http://127.0.0.1:${backend.values.get('port') ?? 0}`;
-    const pipe = await FleetProcess.start([...NODE, 'build/load/src/PipeMain.js', backendUrl], '/dev/null');
+    const pipe = await FleetProcess.start([...NODE, 'build/packages/load/src/PipeMain.js', backendUrl], '/dev/null');
     this.pipes = [backend, pipe];
     const url = `http://127.0.0.1:${pipe.values.get('caller') ?? 0}`;
     return { name: 'pipe', url, service: 'open', keys: ['key'], process: pipe };
@@ -140,7 +140,7 @@
     connections: CONNECTIONS,
     durationMs,
   };
-  const args = [...NODE.slice(1), 'build/load/src/LoopMain.js', JSON.stringify(options)];
+  const args = [...NODE.slice(1), 'build/packages/load/src/LoopMain.js', JSON.stringify(options)];
   const beforeMs = variant.process.readCpuMs();
   const { stdout } = await promisify(execFile)(process.execPath, args);
   const usedMs = variant.process.readCpuMs() - beforeMs;
--- a/packages/load/src/UnavailableMeasurement.ts
+++ b/packages/load/src/UnavailableMeasurement.ts
@@ -17,7 +17,7 @@
 const COMMAND: readonly string[] = [
   process.execPath,
   '--disable-warning=ExperimentalWarning',
-  'build/cli/src/Main.js',
+  'build/packages/cli/src/Main.js',
 ];
 const READY_MS = 30_000;
 const LOAD_MS = 14_000;
--- a/packages/load/test/faults.test.ts
+++ b/packages/load/test/faults.test.ts
@@ -2,7 +2,7 @@
 import { createFaultPlan } from '#load/CreateFaultPlan.js';
 import { runFaultPlan } from '#load/RunFaultPlan.js';
 
-const COMMAND = [process.execPath, '--disable-warning=ExperimentalWarning', 'build/cli/src/Main.js'];
+const COMMAND = [process.execPath, '--disable-warning=ExperimentalWarning', 'build/packages/cli/src/Main.js'];
 
 async function findViolations(seed: number): Promise<readonly string[]> {
   const plan = createFaultPlan(seed, 6);
--- /dev/null
+++ b/packages/mesh/src/BackendAnswer.ts
@@ -0,0 +1,9 @@
+import type { HeaderPair } from '#mesh/HeaderPair.js';
+
+/** A complete answer of a backend server. */
+export interface BackendAnswer {
+  readonly status: number;
+  /** End-to-end headers. */
+  readonly headers: readonly HeaderPair[];
+  readonly body: Buffer;
+}
--- /dev/null
+++ b/packages/mesh/src/CallerMessage.ts
@@ -0,0 +1,13 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { CallerLimits } from '#routes/CallerLimits.js';
+import type { CallerReply } from '#mesh/CallerReply.js';
+
+/** Messages of `CallerTask`. */
+export type CallerMessage =
+  | { readonly type: 'request'; readonly req: IncomingMessage; readonly res: ServerResponse }
+  | { readonly type: 'read'; readonly exchange: number; readonly body: Buffer }
+  | { readonly type: 'replied'; readonly exchange: number; readonly reply: CallerReply }
+  | { readonly type: 'closed'; readonly socket: Socket }
+  | { readonly type: 'limits'; readonly limits: CallerLimits }
+  | { readonly type: 'stopping' };
--- /dev/null
+++ b/packages/mesh/src/CallerOptions.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { CallerReply } from '#mesh/CallerReply.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
+import type { HeaderNames } from '#mesh/HeaderNames.js';
+
+/** What `CallerTask` is created with. */
+export interface CallerOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Host of the backend server on this VM, whose requests are calls between services. */
+  readonly backendHost: string;
+  readonly headers: HeaderNames;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly onRequest: (
+    exchange: number,
+    request: CallerRequest,
+    isCall: boolean,
+    reply: (reply: CallerReply) => void,
+  ) => void;
+  readonly onLeft: (exchange: number) => void;
+}
--- /dev/null
+++ b/packages/mesh/src/CallerTask.ts
@@ -0,0 +1,162 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { Task } from '#core/Task.js';
+import type { CallerLimits } from '#routes/CallerLimits.js';
+import type { CallerMessage } from '#mesh/CallerMessage.js';
+import type { CallerOptions } from '#mesh/CallerOptions.js';
+import type { CallerReply } from '#mesh/CallerReply.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
+import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
+import { writeCallerReply } from '#mesh/WriteCallerReply.js';
+
+/** Bytes of a request's head that are read at most until the configuration is known. */
+const MAX_HEADER_BYTES = 256 * 1024;
+
+/** Time beyond the idle time of the configuration for which a connection is kept, in milliseconds. */
+const IDLE_MARGIN_MS = 1_000;
+
+const PAYLOAD_TOO_LARGE = 413;
+
+interface OpenExchange {
+  readonly socket: Socket;
+  readonly res: ServerResponse;
+  readonly request: CallerRequest;
+}
+
+/** Serves callers over HTTP/1.1. Owns the listening socket and the connections; answers leave in order of requests. */
+export class CallerTask extends Task<CallerMessage> {
+  private readonly options: CallerOptions;
+  private readonly server: Server;
+  private readonly open = new Map<number, OpenExchange>();
+  private readonly bySocket = new Map<Socket, ReadonlySet<number>>();
+  /** Connections whose last answer is on its way; requests behind it are not read. */
+  private readonly closing = new WeakSet<Socket>();
+  private maxBodyBytes = Infinity;
+  private nextExchange = 1;
+  private stopping = false;
+
+  public constructor(options: CallerOptions) {
+    super();
+    this.options = options;
+    this.server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: 60_000,
+      requestTimeout: 0,
+      noDelay: true,
+    });
+    this.server.on('request', (req, res) => this.post({ type: 'request', req, res }));
+    this.server.on('connection', (socket: Socket) =>
+      socket.on('close', () => this.post({ type: 'closed', socket })),
+    );
+  }
+
+  /** Begins to listen; rejects if the address is in use. */
+  public listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, 1_024, () => resolve());
+    });
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  protected override receive(message: CallerMessage): void {
+    switch (message.type) {
+      case 'request':
+        this.begin(message.req, message.res);
+        return;
+      case 'read':
+        this.pass(message.exchange, message.body);
+        return;
+      case 'replied':
+        this.reply(message.exchange, message.reply);
+        return;
+      case 'closed':
+        this.noteClosed(message.socket);
+        return;
+      case 'limits':
+        this.applyLimits(message.limits);
+        return;
+      case 'stopping':
+        this.stopping = true;
+        this.server.closeIdleConnections();
+    }
+  }
+
+  private begin(req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req;
+    if (this.closing.has(socket) || socket.destroyed) return;
+    const exchange = this.nextExchange;
+    this.nextExchange += 1;
+    const arrivedMs = this.options.clock.monotonicMs();
+    const request = readCallerRequest(req, Buffer.alloc(0), this.options.headers, arrivedMs);
+    this.open.set(exchange, { socket, res, request });
+    this.bySocket.set(socket, new Set([...(this.bySocket.get(socket) ?? []), exchange]));
+    let chunks: readonly Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= this.maxBodyBytes) chunks = [...chunks, chunk];
+    });
+    req.on('end', () => {
+      if (bytes > this.maxBodyBytes) this.refuseLarge(exchange);
+      else this.post({ type: 'read', exchange, body: Buffer.concat([...chunks]) });
+    });
+    // The connection's close event follows.
+    req.on('error', () => undefined);
+  }
+
+  private refuseLarge(exchange: number): void {
+    const reply: CallerReply = {
+      type: 'refusal',
+      status: PAYLOAD_TOO_LARGE,
+      code: 'bodyTooLarge',
+      retryAfterMs: 0,
+    };
+    this.post({ type: 'replied', exchange, reply });
+  }
+
+  private pass(exchange: number, body: Buffer): void {
+    const found = this.open.get(exchange);
+    if (found === undefined) return;
+    const request = { ...found.request, body };
+    const isCall = found.socket.remoteAddress === this.options.backendHost;
+    this.options.onRequest(exchange, request, isCall, (reply) =>
+      this.post({ type: 'replied', exchange, reply }),
+    );
+  }
+
+  private reply(exchange: number, reply: CallerReply): void {
+    const found = this.open.get(exchange);
+    if (found === undefined) return;
+    this.open.delete(exchange);
+    const { socket, res, request } = found;
+    const left = new Set(this.bySocket.get(socket));
+    left.delete(exchange);
+    this.bySocket.set(socket, left);
+    // A later request on this connection is still open, and its answer has to follow.
+    const isLast = [...left].every((other) => other < exchange);
+    const closes = this.stopping && isLast;
+    if (closes) this.closing.add(socket);
+    writeCallerReply(res, reply, request.id, this.options.headers, closes);
+  }
+
+  private noteClosed(socket: Socket): void {
+    const exchanges = this.bySocket.get(socket) ?? [];
+    this.bySocket.delete(socket);
+    for (const exchange of exchanges) {
+      this.open.delete(exchange);
+      this.options.onLeft(exchange);
+    }
+  }
+
+  private applyLimits(limits: CallerLimits): void {
+    this.maxBodyBytes = limits.maxBodyBytes;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ChangeApplier.ts
@@ -0,0 +1,96 @@
+import type { Logger } from '#core/Logger.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import { RouteIndex } from '#routes/RouteIndex.js';
+import type { CollectionChange } from '#store/CollectionChange.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
+import type { RouteDecoder } from '#mesh/RouteDecoder.js';
+import { serverEntryCodec } from '#mesh/ServerEntryCodec.js';
+import type { View } from '#mesh/View.js';
+import type { WatchedCollection } from '#mesh/WatchedCollection.js';
+
+type Apply = (view: View, change: CollectionChange) => View;
+
+/** Applies changes of the store to a view. Objects that cannot be decoded are logged and leave the view unchanged. */
+export class ChangeApplier {
+  private readonly decoder: RouteDecoder;
+  private readonly logger: Logger;
+  private readonly appliers: Readonly<Record<WatchedCollection, Apply>>;
+
+  public constructor(decoder: RouteDecoder, logger: Logger) {
+    this.decoder = decoder;
+    this.logger = logger;
+    this.appliers = {
+      routes: (view, change) => this.applyRoutes(view, change),
+      evacuations: (view, change) => applyEvacuation(view, change),
+      servers: (view, change) => this.applyServer(view, change),
+      ranges: (view, change) => this.applyTable(view, change),
+    };
+  }
+
+  public apply(view: View, collection: WatchedCollection, changes: readonly CollectionChange[]): View {
+    return changes.reduce(this.appliers[collection], view);
+  }
+
+  private applyRoutes(view: View, { item, deleted }: CollectionChange): View {
+    if (deleted) return view;
+    return this.decoder.decode(item.name, item.value).caseOf({
+      Left: (err) => this.ignore(view, item.name, err.message),
+      Right: (table) => {
+        const current = view.routes?.table.version ?? -1;
+        if (table.version <= current) return view;
+        this.logger.log('routesApplied', {
+          version: table.version,
+          before: current,
+          revision: item.revision,
+        });
+        return { ...view, routes: new RouteIndex(table) };
+      },
+    });
+  }
+
+  private applyServer(view: View, { item, deleted }: CollectionChange): View {
+    const servers = new Map(view.servers);
+    if (deleted) {
+      servers.delete(item.name);
+      return { ...view, servers };
+    }
+    return serverEntryCodec.decode(item.value).caseOf({
+      Left: (message) => this.ignore(view, item.name, message),
+      Right: (entry) => {
+        servers.set(item.name, entry);
+        this.logger.log('serverChanged', {
+          server: entry.serverId,
+          state: entry.state,
+          incarnation: entry.incarnation,
+          revision: item.revision,
+        });
+        return { ...view, servers };
+      },
+    });
+  }
+
+  private applyTable(view: View, { item, deleted }: CollectionChange): View {
+    if (deleted) return this.ignore(view, item.name, 'a table of key ranges was deleted');
+    return rangeTableCodec.decode(item.value).caseOf({
+      Left: (message) => this.ignore(view, item.name, message),
+      Right: (table: RangeTable) => {
+        const known = view.tables.get(item.name);
+        if (known !== undefined && known.revision >= item.revision) return view;
+        const tables = new Map(view.tables).set(item.name, { table, revision: item.revision });
+        return { ...view, tables };
+      },
+    });
+  }
+
+  private ignore(view: View, name: string, message: string): View {
+    this.logger.log('objectIgnored', { step: 'store', name, message });
+    return view;
+  }
+}
+
+function applyEvacuation(view: View, { item, deleted }: CollectionChange): View {
+  const evacuated = new Set(view.evacuated);
+  if (deleted) evacuated.delete(item.name);
+  else evacuated.add(item.name);
+  return { ...view, evacuated };
+}
--- /dev/null
+++ b/packages/mesh/src/CheckAdmission.ts
@@ -0,0 +1,27 @@
+import { findRow } from '#ranges/FindRow.js';
+import type { LeaveTimes } from '#mesh/LeaveTimes.js';
+import type { Order } from '#mesh/Order.js';
+import type { RefusalCode } from '#mesh/RefusalCode.js';
+import type { ServerState } from '#mesh/ServerState.js';
+
+/**
+ * Decides whether the state of the backend server admits an order, apart from its room. Orders with a key stay with the
+ * owner for a while when it leaves, until their keys have moved.
+ */
+export function checkAdmission(
+  order: Order,
+  state: ServerState,
+  leave: LeaveTimes,
+  nowMs: number,
+): RefusalCode | undefined {
+  const { presence, keyed, evacuatedMs, expected } = state;
+  if (presence.state === 'absent') return 'noServer';
+  if (presence.leavingMs !== undefined && (!keyed || nowMs - presence.leavingMs > leave.keyedLeaveMs))
+    return 'draining';
+  if (evacuatedMs !== undefined && (!keyed || nowMs - evacuatedMs > leave.keyedEvacuationMs))
+    return 'evacuated';
+  if (!keyed) return undefined;
+  const { key } = order.request;
+  if (key === undefined) return 'notOwner';
+  return findRow(expected, key) === undefined ? 'notOwner' : undefined;
+}
--- /dev/null
+++ b/packages/mesh/src/DaemonLifeChart.ts
@@ -0,0 +1,12 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
+import file from '../charts/daemonLife.json' with { type: 'json' };
+
+/** Chart of the life of a daemon process. */
+export const daemonLifeChart: CompiledChart<undefined, DaemonLifeEvent, never> = compileChart(
+  'daemonLife.json',
+  file as ChartFile,
+  { guards: {}, actions: {} },
+);
--- /dev/null
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -0,0 +1,13 @@
+import type { RouterError } from '#core/RouterError.js';
+import type { CollectionChanges } from '#store/CollectionChanges.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
+import type { ViewListener } from '#mesh/ViewListener.js';
+import type { WatchedCollection } from '#mesh/WatchedCollection.js';
+
+/** Messages of `DirectoryTask`. */
+export type DirectoryMessage =
+  | { readonly type: 'subscribe'; readonly listener: ViewListener }
+  | { readonly type: 'listed'; readonly collection: WatchedCollection; readonly listing: CollectionListing }
+  | { readonly type: 'changed'; readonly collection: WatchedCollection; readonly changes: CollectionChanges }
+  | { readonly type: 'failed'; readonly collection: WatchedCollection; readonly err: RouterError }
+  | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- /dev/null
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -0,0 +1,194 @@
+import { ChartCursor } from '#chart/ChartCursor.js';
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { RouterError } from '#core/RouterError.js';
+import { Task } from '#core/Task.js';
+import type { CollectionChange } from '#store/CollectionChange.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionStore } from '#store/CollectionStore.js';
+import { ChangeApplier } from '#mesh/ChangeApplier.js';
+import type { DirectoryMessage } from '#mesh/DirectoryMessage.js';
+import { emptyView } from '#mesh/EmptyView.js';
+import type { RouteDecoder } from '#mesh/RouteDecoder.js';
+import type { View } from '#mesh/View.js';
+import type { ViewListener } from '#mesh/ViewListener.js';
+import { watchChart } from '#mesh/WatchChart.js';
+import type { WatchedCollection } from '#mesh/WatchedCollection.js';
+import type { WatchEvent } from '#mesh/WatchEvent.js';
+
+const COLLECTIONS: readonly WatchedCollection[] = ['routes', 'servers', 'ranges', 'evacuations'];
+
+/** Longest wait of one watch, in milliseconds. */
+const WATCH_MS = 20_000;
+
+/** Pause between two watches, so that changes in quick succession come in one answer, in milliseconds. */
+const REST_MS: Readonly<Record<WatchedCollection, number>> = {
+  routes: 100,
+  servers: 300,
+  ranges: 20,
+  evacuations: 100,
+};
+
+/** Pauses before a failed call is repeated, in milliseconds. */
+const FIRST_RETRY_MS = 150;
+const MAX_RETRY_MS = 800;
+
+interface Follower {
+  readonly cursor: ChartCursor<WatchEvent>;
+  readonly revision: number;
+  readonly failures: number;
+  /** Names listed at last; those missing from the next listing were deleted. */
+  readonly names: ReadonlySet<string>;
+  readonly listed: boolean;
+}
+
+/** Follows the collections of the store and tells its listeners each new view. Owns the view. */
+export class DirectoryTask extends Task<DirectoryMessage> {
+  private readonly store: CollectionStore;
+  private readonly clock: Clock;
+  private readonly logger: Logger;
+  private readonly applier: ChangeApplier;
+  private readonly followers = new Map<WatchedCollection, Follower>();
+  private listeners: readonly ViewListener[] = [];
+  private view: View = emptyView;
+  private reachable = true;
+
+  public constructor(store: CollectionStore, decoder: RouteDecoder, clock: Clock, logger: Logger) {
+    super();
+    this.store = store;
+    this.clock = clock;
+    this.logger = logger;
+    this.applier = new ChangeApplier(decoder, logger);
+  }
+
+  /** Begins to read the store. */
+  public start(): void {
+    for (const collection of COLLECTIONS) {
+      this.followers.set(collection, {
+        cursor: new ChartCursor(watchChart),
+        revision: 0,
+        failures: 0,
+        names: new Set(),
+        listed: false,
+      });
+      this.list(collection);
+    }
+  }
+
+  protected override receive(message: DirectoryMessage): void {
+    switch (message.type) {
+      case 'subscribe':
+        this.listeners = [...this.listeners, message.listener];
+        message.listener(this.view);
+        return;
+      case 'listed':
+        this.noteListing(message.collection, message.listing);
+        return;
+      case 'changed':
+        this.noteReachable();
+        this.update(message.collection, { revision: message.changes.revision, failures: 0 });
+        this.apply(message.collection, message.changes.changes);
+        this.advance(message.collection, { type: 'changed' }, REST_MS[message.collection]);
+        return;
+      case 'failed':
+        this.noteFailure(message.collection, message.err);
+        return;
+      case 'proceed':
+        this.proceed(message.collection);
+    }
+  }
+
+  private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
+    this.noteReachable();
+    const before = this.find(collection).names;
+    const names = new Set(listing.items.map(({ name }) => name));
+    const deleted = [...before]
+      .filter((name) => !names.has(name))
+      .map((name) => ({
+        item: { name, revision: listing.revision, value: undefined },
+        deleted: true,
+      }));
+    const present = listing.items.map((item) => ({ item, deleted: false }));
+    this.update(collection, { revision: listing.revision, failures: 0, names, listed: true });
+    this.apply(collection, [...deleted, ...present]);
+    this.advance(collection, { type: 'listed' }, REST_MS[collection]);
+  }
+
+  private noteFailure(collection: WatchedCollection, err: RouterError): void {
+    const { failures } = this.find(collection);
+    const lost = err.fields.code === 'storeHistoryLost';
+    if (!lost && this.reachable) {
+      this.reachable = false;
+      this.logger.log('storeLost', {
+        step: 'store',
+        collection,
+        code: err.fields.code,
+        message: err.message,
+      });
+    }
+    this.update(collection, { failures: failures + 1 });
+    const delayMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures);
+    this.advance(collection, { type: lost ? 'historyLost' : 'failed' }, lost ? 0 : delayMs);
+  }
+
+  private noteReachable(): void {
+    if (this.reachable) return;
+    this.reachable = true;
+    this.logger.log('storeRegained', { step: 'store' });
+  }
+
+  private apply(collection: WatchedCollection, changes: readonly CollectionChange[]): void {
+    const { names } = this.find(collection);
+    const next = new Set(names);
+    for (const { item, deleted } of changes) {
+      if (deleted) next.delete(item.name);
+      else next.add(item.name);
+    }
+    this.update(collection, { names: next });
+    const complete = [...this.followers.values()].every(({ listed }) => listed);
+    const view = { ...this.applier.apply(this.view, collection, changes), complete };
+    if (changes.length === 0 && view.complete === this.view.complete) return;
+    this.view = view;
+    for (const listener of this.listeners) listener(view);
+  }
+
+  private advance(collection: WatchedCollection, event: WatchEvent, delayMs: number): void {
+    this.find(collection).cursor.send(event);
+    this.clock.schedule(delayMs, () => this.post({ type: 'proceed', collection }));
+  }
+
+  private proceed(collection: WatchedCollection): void {
+    const { cursor } = this.find(collection);
+    if (!cursor.send({ type: 'proceed' })) return;
+    if (cursor.state === 'listing') this.list(collection);
+    else this.watch(collection);
+  }
+
+  private list(collection: WatchedCollection): void {
+    void this.store.list(collection).then((result) => {
+      result.caseOf({
+        Left: (err) => this.post({ type: 'failed', collection, err }),
+        Right: (listing) => this.post({ type: 'listed', collection, listing }),
+      });
+    });
+  }
+
+  private watch(collection: WatchedCollection): void {
+    void this.store.watch(collection, this.find(collection).revision, WATCH_MS).then((result) => {
+      result.caseOf({
+        Left: (err) => this.post({ type: 'failed', collection, err }),
+        Right: (changes) => this.post({ type: 'changed', collection, changes }),
+      });
+    });
+  }
+
+  private find(collection: WatchedCollection): Follower {
+    const follower = this.followers.get(collection);
+    if (follower === undefined) throw new Error(`the collection ${collection} is not followed`);
+    return follower;
+  }
+
+  private update(collection: WatchedCollection, change: Partial<Follower>): void {
+    this.followers.set(collection, { ...this.find(collection), ...change });
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/EncodeAscii.ts
@@ -0,0 +1,8 @@
+/** Encodes a value as JSON of printable ASCII, so that it can stand in a header. */
+export function encodeAscii(value: unknown): string {
+  return JSON.stringify(value).replace(/[^\x20-\x7e]/g, escapeUnit);
+}
+
+function escapeUnit(unit: string): string {
+  return `\\u${unit.charCodeAt(0).toString(16).padStart(4, '0')}`;
+}
--- /dev/null
+++ b/packages/mesh/src/EntryMessage.ts
@@ -0,0 +1,33 @@
+import type { CallerReply } from '#mesh/CallerReply.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import type { View } from '#mesh/View.js';
+
+/** Messages of `EntryTask`. */
+export type EntryMessage =
+  | {
+      readonly type: 'arrived';
+      /** Number of the exchange, unique in this process. */
+      readonly exchange: number;
+      readonly request: CallerRequest;
+      /** Whether the backend server on this VM sent it. */
+      readonly isCall: boolean;
+      readonly reply: (reply: CallerReply) => void;
+    }
+  /** The caller closed its connection. */
+  | { readonly type: 'left'; readonly exchange: number }
+  | {
+      readonly type: 'result';
+      readonly exchange: number;
+      readonly offer: number;
+      readonly result: OrderResult;
+    }
+  | { readonly type: 'due'; readonly exchange: number }
+  | { readonly type: 'waited'; readonly exchange: number }
+  | { readonly type: 'view'; readonly view: View }
+  | {
+      readonly type: 'reach';
+      readonly address: string;
+      readonly reachable: boolean;
+      readonly untilMs: number;
+    };
--- /dev/null
+++ b/packages/mesh/src/EntryOptions.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { Place } from '#mesh/Place.js';
+import type { ServerChooser } from '#mesh/ServerChooser.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+
+/** What `EntryTask` is created with. */
+export interface EntryOptions {
+  readonly place: Place;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: MetricsRecorder;
+  readonly chooser: ServerChooser;
+  /** Part of the requests for a service that may be sent again, and the number that may be in any case. */
+  readonly retryFraction: number;
+  readonly retryMinimum: number;
+  /** Sends an order to the daemon beside a backend server. */
+  readonly send: (order: Order, server: ServerEntry, reply: OrderReply) => void;
+  readonly cancel: (id: string, server: ServerEntry) => void;
+}
--- /dev/null
+++ b/packages/mesh/src/EntryTask.ts
@@ -0,0 +1,432 @@
+import { RetryBudget } from '#balance/RetryBudget.js';
+import { ChartCursor } from '#chart/ChartCursor.js';
+import { Task } from '#core/Task.js';
+import { SplitChooser } from '#routes/SplitChooser.js';
+import type { CallerReply } from '#mesh/CallerReply.js';
+import { emptyView } from '#mesh/EmptyView.js';
+import type { EntryMessage } from '#mesh/EntryMessage.js';
+import type { EntryOptions } from '#mesh/EntryOptions.js';
+import { exchangeChart } from '#mesh/ExchangeChart.js';
+import { findKeyOwner } from '#mesh/FindKeyOwner.js';
+import { listCandidates } from '#mesh/ListCandidates.js';
+import type { MeshExchange } from '#mesh/MeshExchange.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { View } from '#mesh/View.js';
+
+/** Time of a caller's deadline that is kept for the way to it, in milliseconds. */
+const RETURN_MS = 20;
+
+/** Time of a route's timeout that is kept so that the answer is not late, in milliseconds. */
+const TIMEOUT_MARGIN_MS = 5;
+
+/** Deadline of requests that name none, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 30_000;
+
+/** Time after which a caller without any configuration may come back, in milliseconds. */
+const NO_ROUTES_RETRY_MS = 300;
+
+/** Servers that may refuse a request before its caller is refused. */
+const MAX_OFFERS = 4;
+
+/** Times that an offer whose session was lost is continued at the same daemon. */
+const MAX_RESUMES = 3;
+
+/** Part of the target latency that a request waits for the owner of its key. */
+const OWNER_WAIT_PART = 0.5;
+
+/** Pause between two looks for the owner of a key, in milliseconds. */
+const OWNER_RETRY_MS = 40;
+
+/** Part of the time left after which a refused caller may come back at the latest. */
+const RETRY_PART = 0.3;
+const LEAST_RETRY_MS = 60;
+
+const NOT_FOUND = 404;
+const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
+
+/** Decides what happens to each caller's request at the daemon that it reached. Owns the exchanges. */
+export class EntryTask extends Task<EntryMessage> {
+  private readonly options: EntryOptions;
+  private readonly exchanges = new Map<number, MeshExchange>();
+  private readonly splits = new SplitChooser();
+  private readonly retries: RetryBudget;
+  private readonly unreachable = new Map<string, number>();
+  private view: View = emptyView;
+
+  public constructor(options: EntryOptions) {
+    super();
+    this.options = options;
+    this.retries = new RetryBudget(options.retryFraction, options.retryMinimum);
+  }
+
+  /** Number of requests without a final answer. */
+  public get load(): number {
+    return this.exchanges.size;
+  }
+
+  protected override receive(message: EntryMessage): void {
+    switch (message.type) {
+      case 'arrived':
+        this.open(message);
+        return;
+      case 'left':
+        this.noteLeft(message.exchange);
+        return;
+      case 'result':
+        this.noteResult(message.exchange, message.offer, message.result);
+        return;
+      case 'due':
+        this.noteDue(message.exchange);
+        return;
+      case 'waited':
+        this.resumeWaiting(message.exchange, 'retried');
+        return;
+      case 'view':
+        this.noteView(message.view);
+        return;
+      case 'reach':
+        if (message.reachable) this.unreachable.delete(message.address);
+        else this.unreachable.set(message.address, message.untilMs);
+    }
+  }
+
+  private open({ exchange, request, isCall, reply }: EntryMessage & { readonly type: 'arrived' }): void {
+    const { routes } = this.view;
+    if (routes === undefined || !this.view.complete) {
+      reply({
+        type: 'refusal',
+        status: UNAVAILABLE,
+        code: 'noConfiguration',
+        retryAfterMs: NO_ROUTES_RETRY_MS,
+      });
+      return;
+    }
+    const route = routes.find(request.host, request.target);
+    const service = route === undefined ? undefined : this.splits.choose(route);
+    if (route === undefined || service === undefined) {
+      this.options.logger.log('noRoute', {
+        step: 'route',
+        id: request.id,
+        host: request.host,
+        version: routes.table.version,
+      });
+      reply({ type: 'refusal', status: NOT_FOUND, code: 'noRoute', retryAfterMs: 0 });
+      return;
+    }
+    const nowMs = this.now();
+    this.retries.noteRequest(service, '', nowMs);
+    const deadlineMs = request.arrivedMs + (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - RETURN_MS;
+    const dueMs = Math.min(deadlineMs, request.arrivedMs + route.timeoutMs - TIMEOUT_MARGIN_MS);
+    const cancelDue = this.options.clock.schedule(dueMs - nowMs, () => this.post({ type: 'due', exchange }));
+    this.exchanges.set(exchange, {
+      number: exchange,
+      request,
+      isCall,
+      route,
+      service,
+      dueMs,
+      cursor: new ChartCursor(exchangeChart),
+      reply,
+      cancelDue,
+      cancelWait: () => undefined,
+      offer: undefined,
+      offers: 0,
+      arrivals: 0,
+      tried: new Set(),
+      mayHaveRun: false,
+      failure: undefined,
+      lastRefusal: undefined,
+      retryAfterMs: 0,
+      waitingMs: undefined,
+      tableRevision: 0,
+    });
+    this.choose(exchange);
+  }
+
+  private choose(number: number): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange === undefined) return;
+    if (this.isKeyed(exchange.service)) this.chooseOwner(exchange);
+    else this.chooseServer(exchange);
+  }
+
+  private chooseServer(exchange: MeshExchange): void {
+    const { route, service, tried } = exchange;
+    const candidates = listCandidates(
+      this.view,
+      route,
+      service,
+      (server) => !tried.has(server.serverId) && this.isReachable(server),
+    );
+    const server =
+      exchange.offers < MAX_OFFERS ? this.options.chooser.choose(candidates, this.now()) : undefined;
+    if (server === undefined) this.refuse(exchange);
+    else this.offer(exchange, server, 0);
+  }
+
+  private chooseOwner(exchange: MeshExchange): void {
+    const { request, route, service } = exchange;
+    const server =
+      request.key === undefined ? undefined : findKeyOwner(this.view, route, service, request.key);
+    const revision = this.view.tables.get(service)?.revision ?? 0;
+    const mayAsk =
+      server !== undefined &&
+      this.isReachable(server) &&
+      (server.state === 'ready' || server.state === 'draining' || server.state === 'gone') &&
+      (!exchange.tried.has(server.serverId) || revision > exchange.tableRevision);
+    if (mayAsk && exchange.offers < MAX_OFFERS)
+      this.offer({ ...exchange, tableRevision: revision }, server, 0);
+    else this.waitForOwner(exchange);
+  }
+
+  /** Waits a while for the keys to reach their next owner. */
+  private waitForOwner(exchange: MeshExchange): void {
+    const nowMs = this.now();
+    const waitingMs = exchange.waitingMs ?? nowMs;
+    const limitMs = waitingMs + exchange.route.targetLatencyMs * OWNER_WAIT_PART;
+    if (exchange.offers >= MAX_OFFERS || nowMs >= limitMs || exchange.request.key === undefined) {
+      this.refuse(exchange);
+      return;
+    }
+    exchange.cursor.send({ type: 'waited' });
+    const cancelWait = this.options.clock.schedule(OWNER_RETRY_MS, () =>
+      this.post({ type: 'waited', exchange: exchange.number }),
+    );
+    this.exchanges.set(exchange.number, { ...exchange, waitingMs, cancelWait });
+  }
+
+  private resumeWaiting(number: number, type: 'viewChanged' | 'retried'): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange?.cursor.send({ type }) !== true) return;
+    exchange.cancelWait();
+    // The owner may have received its keys meanwhile, so it is asked again.
+    this.exchanges.set(number, { ...exchange, tried: new Set(), offers: Math.min(exchange.offers, 1) });
+    this.choose(number);
+  }
+
+  private offer(exchange: MeshExchange, server: ServerEntry, resumed: number): void {
+    const offer = { number: exchange.offers + 1, server, sentMs: this.now(), resumed };
+    exchange.cursor.send({ type: 'offered' });
+    this.exchanges.set(exchange.number, { ...exchange, offer, offers: offer.number });
+    const order = this.createOrder(exchange, resumed > 0 ? server.processId : '');
+    this.options.chooser.noteSent(server.serverId);
+    this.options.send(order, server, (result) =>
+      this.post({ type: 'result', exchange: exchange.number, offer: offer.number, result }),
+    );
+  }
+
+  private createOrder({ request, route, service, dueMs, isCall }: MeshExchange, resumes: string): Order {
+    return {
+      request,
+      service,
+      callerService: this.options.place.service,
+      idempotent: route.idempotent,
+      priority: route.priority,
+      targetLatencyMs: route.targetLatencyMs,
+      dueMs,
+      isCall,
+      resumes,
+    };
+  }
+
+  private noteResult(number: number, offerNumber: number, result: OrderResult): void {
+    const exchange = this.exchanges.get(number);
+    const offer = exchange?.offer;
+    if (exchange === undefined || offer?.number !== offerNumber) return;
+    this.options.chooser.noteResult(offer.server.serverId, result, this.now());
+    const arrived = result.type !== 'refused' || result.arrived;
+    const next = {
+      ...exchange,
+      offer: undefined,
+      arrivals: exchange.arrivals + (arrived ? 1 : 0),
+      tried: new Set([...exchange.tried, offer.server.serverId]),
+    };
+    this.exchanges.set(number, next);
+    if (result.type === 'answered') this.noteAnswer(next, result);
+    else if (result.type === 'refused') this.noteRefused(next, result);
+    else this.noteLost(next, result, offer.server, offer.resumed);
+  }
+
+  private noteAnswer(exchange: MeshExchange, result: OrderResult & { readonly type: 'answered' }): void {
+    const { answer } = result;
+    if (answer.status >= 500 && answer.status !== GATEWAY_TIMEOUT && this.mayRunAgain(exchange)) {
+      exchange.cursor.send({ type: 'lost' });
+      this.exchanges.set(exchange.number, { ...exchange, mayHaveRun: true, failure: answer });
+      this.choose(exchange.number);
+      return;
+    }
+    this.finish(exchange, { type: 'answer', answer }, 'delivered');
+  }
+
+  private noteRefused(exchange: MeshExchange, result: OrderResult & { readonly type: 'refused' }): void {
+    exchange.cursor.send({ type: 'refused' });
+    const retryAfterMs = Math.max(exchange.retryAfterMs, result.retryAfterMs);
+    const next = { ...exchange, lastRefusal: result.code, retryAfterMs };
+    this.exchanges.set(exchange.number, next);
+    if (result.code === 'quarantined' || result.code === 'tooLate') this.refuse(next);
+    else if (result.arrived && !this.spendRetry(next)) this.refuse(next);
+    else this.choose(exchange.number);
+  }
+
+  private noteLost(
+    exchange: MeshExchange,
+    result: OrderResult & { readonly type: 'lost' },
+    server: ServerEntry,
+    resumed: number,
+  ): void {
+    exchange.cursor.send({ type: 'lost' });
+    if (result.code === 'peerLost' && resumed < MAX_RESUMES) {
+      this.offer({ ...exchange, arrivals: exchange.arrivals - 1 }, server, resumed + 1);
+      return;
+    }
+    if (this.mayRunAgain(exchange)) {
+      this.exchanges.set(exchange.number, { ...exchange, mayHaveRun: true });
+      this.choose(exchange.number);
+      return;
+    }
+    const status = result.code === 'timeout' ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    this.finish(exchange, { type: 'refusal', status, code: result.code, retryAfterMs: 0 }, 'unknown');
+  }
+
+  /** Whether a request that may have run can be sent to another server; takes it from the budget. */
+  private mayRunAgain(exchange: MeshExchange): boolean {
+    if (!exchange.route.idempotent || exchange.arrivals >= exchange.route.maxAttempts) return false;
+    if (exchange.dueMs - this.now() < LEAST_RETRY_MS) return false;
+    if (!this.isKeyed(exchange.service) && !this.hasOther(exchange)) return false;
+    return this.spendRetry(exchange);
+  }
+
+  private spendRetry({ service, arrivals, route }: MeshExchange): boolean {
+    return arrivals < route.maxAttempts && this.retries.spend(service, '', this.now());
+  }
+
+  private hasOther({ route, service, tried }: MeshExchange): boolean {
+    const others = listCandidates(
+      this.view,
+      route,
+      service,
+      (server) => !tried.has(server.serverId) && this.isReachable(server),
+    );
+    return others.length > 0;
+  }
+
+  /** Ends a request whose last offer was refused, or that was never offered. */
+  private refuse(exchange: MeshExchange): void {
+    if (exchange.failure !== undefined) {
+      this.finish(exchange, { type: 'answer', answer: exchange.failure }, 'failed');
+      return;
+    }
+    if (exchange.mayHaveRun) {
+      this.finish(
+        exchange,
+        { type: 'refusal', status: BAD_GATEWAY, code: 'lost', retryAfterMs: 0 },
+        'failed',
+      );
+      return;
+    }
+    const leftMs = exchange.dueMs - this.now();
+    const retryAfterMs = Math.min(
+      Math.max(LEAST_RETRY_MS, exchange.retryAfterMs),
+      Math.max(0, leftMs * RETRY_PART),
+    );
+    const code = exchange.lastRefusal ?? 'noServer';
+    this.finish(exchange, { type: 'refusal', status: UNAVAILABLE, code, retryAfterMs }, 'refused');
+  }
+
+  private noteDue(number: number): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange === undefined) return;
+    if (exchange.offer === undefined) {
+      this.refuse(exchange);
+      return;
+    }
+    this.options.cancel(exchange.request.id, exchange.offer.server);
+    this.finish(
+      exchange,
+      { type: 'refusal', status: GATEWAY_TIMEOUT, code: 'timeout', retryAfterMs: 0 },
+      'unknown',
+    );
+  }
+
+  private noteLeft(number: number): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange === undefined) return;
+    exchange.cursor.send({ type: 'left' });
+    if (exchange.offer !== undefined) this.options.cancel(exchange.request.id, exchange.offer.server);
+    this.close(exchange, 'abandoned', 'left');
+  }
+
+  private finish(
+    exchange: MeshExchange,
+    reply: CallerReply,
+    outcome: 'delivered' | 'refused' | 'failed' | 'unknown',
+  ): void {
+    exchange.cursor.send({ type: 'ended' });
+    exchange.reply(reply);
+    const late =
+      outcome === 'delivered' && this.now() - exchange.request.arrivedMs > exchange.route.targetLatencyMs;
+    this.close(
+      exchange,
+      late ? 'late' : outcome,
+      reply.type === 'answer' ? String(reply.answer.status) : reply.code,
+    );
+  }
+
+  private close(
+    exchange: MeshExchange,
+    outcome: 'delivered' | 'late' | 'refused' | 'failed' | 'unknown' | 'abandoned',
+    detail: string,
+  ): void {
+    exchange.cancelDue();
+    exchange.cancelWait();
+    this.exchanges.delete(exchange.number);
+    const tookMs = this.now() - exchange.request.arrivedMs;
+    this.options.metrics.countOutcome(exchange.service, exchange.route.name, outcome);
+    this.options.metrics.recordPhase(
+      exchange.service,
+      exchange.route.name,
+      'whole',
+      Math.round(tookMs * 1_000),
+    );
+    this.options.logger.log('requestEnded', {
+      id: exchange.request.id,
+      route: exchange.route.name,
+      service: exchange.service,
+      outcome,
+      detail,
+      key: exchange.request.key,
+      servers: [...exchange.tried].join(','),
+      offers: exchange.offers,
+      arrivals: exchange.arrivals,
+      tookMs: Math.round(tookMs),
+      version: this.view.routes?.table.version,
+    });
+  }
+
+  private noteView(view: View): void {
+    const before = this.view;
+    this.view = view;
+    this.options.chooser.retain(new Set(view.servers.keys()));
+    if (view.routes !== undefined && view.routes !== before.routes)
+      this.splits.retain(view.routes.table.routes);
+    if (view.tables === before.tables && view.servers === before.servers) return;
+    for (const exchange of this.exchanges.values()) this.resumeWaiting(exchange.number, 'viewChanged');
+  }
+
+  private isKeyed(service: string): boolean {
+    return this.view.routes?.table.services.get(service)?.keyed === true;
+  }
+
+  private isReachable({ address, serverId }: ServerEntry): boolean {
+    if (serverId === this.options.place.serverId) return true;
+    return (this.unreachable.get(address) ?? 0) <= this.now();
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ExchangeChart.ts
@@ -0,0 +1,12 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import type { ExchangeEvent } from '#mesh/ExchangeEvent.js';
+import file from '../charts/exchange.json' with { type: 'json' };
+
+/** Chart of a caller's request at the daemon that it reached. */
+export const exchangeChart: CompiledChart<undefined, ExchangeEvent, never> = compileChart(
+  'exchange.json',
+  file as ChartFile,
+  { guards: {}, actions: {} },
+);
--- /dev/null
+++ b/packages/mesh/src/ExchangeEvent.ts
@@ -0,0 +1,4 @@
+/** Events of the chart of a caller's request. */
+export interface ExchangeEvent {
+  readonly type: 'offered' | 'waited' | 'refused' | 'lost' | 'viewChanged' | 'retried' | 'ended' | 'left';
+}
--- /dev/null
+++ b/packages/mesh/src/FindKeyOwner.ts
@@ -0,0 +1,19 @@
+import { findRow } from '#ranges/FindRow.js';
+import type { Route } from '#routes/Route.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { View } from '#mesh/View.js';
+
+/** The backend server that owns a key; undefined if none does, or if the request may not be served in its region. */
+export function findKeyOwner(
+  view: View,
+  route: Route,
+  service: string,
+  key: number,
+): ServerEntry | undefined {
+  const table = view.tables.get(service);
+  const row = table === undefined ? undefined : findRow(table.table.rows, key);
+  const server = row === undefined ? undefined : view.servers.get(row.serverId);
+  if (server === undefined) return undefined;
+  const { homeRegions } = route;
+  return homeRegions.length === 0 || homeRegions.includes(server.region) ? server : undefined;
+}
--- /dev/null
+++ b/packages/mesh/src/Grant.ts
@@ -0,0 +1,7 @@
+import type { RangeRow } from '#ranges/RangeRow.js';
+
+/** All keys that a backend server may hold, for `holdMs` from the moment at which it sent its announcement. */
+export interface Grant {
+  readonly rows: readonly RangeRow[];
+  readonly holdMs: number;
+}
--- /dev/null
+++ b/packages/mesh/src/IsConnectionHeader.ts
@@ -0,0 +1,16 @@
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'content-length',
+  'te',
+  'trailer',
+  'upgrade',
+  'expect',
+]);
+
+/** Whether a header describes one connection or the framing on it, and is therefore not forwarded. */
+export function isConnectionHeader(name: string): boolean {
+  return CONNECTION_HEADERS.has(name.toLowerCase());
+}
--- /dev/null
+++ b/packages/mesh/src/KindTimes.ts
@@ -0,0 +1,34 @@
+import type { Order } from '#mesh/Order.js';
+
+/** Weight of a new measurement. */
+const WEIGHT = 0.08;
+
+/** Assumed time of the first orders of a kind, in milliseconds. */
+const FIRST_MS = 40;
+
+/** Average time that the backend server takes, for each kind of order. */
+export class KindTimes {
+  private readonly averages = new Map<string, number>();
+  private all = FIRST_MS;
+
+  public add(order: Order, serviceMs: number): void {
+    const kind = kindOf(order);
+    const before = this.averages.get(kind);
+    this.averages.set(kind, before === undefined ? serviceMs : before + WEIGHT * (serviceMs - before));
+    this.all += WEIGHT * (serviceMs - this.all);
+  }
+
+  /** Expected time of an order, in milliseconds. */
+  public expect(order: Order): number {
+    return this.averages.get(kindOf(order)) ?? this.all;
+  }
+
+  /** Average over all orders, in milliseconds. */
+  public get meanMs(): number {
+    return this.all;
+  }
+}
+
+function kindOf(order: Order): string {
+  return `${order.priority} ${order.targetLatencyMs} ${order.isCall}`;
+}
--- /dev/null
+++ b/packages/mesh/src/LeaseRecord.ts
@@ -0,0 +1,19 @@
+/** What a daemon writes with each renewal of its lease. */
+export interface LeaseRecord {
+  readonly serverId: string;
+  readonly service: string;
+  readonly processId: string;
+  /** Term of the lease; a new one begins after a revocation. */
+  readonly term: number;
+  /** Run of the backend server that holds the keys. */
+  readonly incarnation: string;
+  /** Set by the daemon that takes the keys over: the holder may not renew any more. */
+  readonly revoked: boolean;
+  /** Work of the last seconds on the keys of this daemon, in milliseconds a second. */
+  readonly workMsPerSecond: number;
+  readonly slots: number;
+  /** Average wait of orders, in milliseconds. */
+  readonly waitMs: number;
+  /** Whether the backend server takes keys at present. */
+  readonly accepts: boolean;
+}
--- /dev/null
+++ b/packages/mesh/src/LeaseRecordCodec.ts
@@ -0,0 +1,15 @@
+import { boolean, Codec, number, string } from 'purify-ts';
+
+/** Decodes a stored `LeaseRecord`. */
+export const leaseRecordCodec = Codec.interface({
+  serverId: string,
+  service: string,
+  processId: string,
+  term: number,
+  incarnation: string,
+  revoked: boolean,
+  workMsPerSecond: number,
+  slots: number,
+  waitMs: number,
+  accepts: boolean,
+});
--- /dev/null
+++ b/packages/mesh/src/ListCandidates.ts
@@ -0,0 +1,24 @@
+import type { Route } from '#routes/Route.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { View } from '#mesh/View.js';
+
+/** Backend servers that may run a request without a key now. */
+export function listCandidates(
+  view: View,
+  route: Route,
+  service: string,
+  isUsable: (server: ServerEntry) => boolean,
+): readonly ServerEntry[] {
+  return [...view.servers.values()].filter(
+    (server) =>
+      server.service === service &&
+      server.state === 'ready' &&
+      !view.evacuated.has(server.failureDomain) &&
+      isInHome(route, server.region) &&
+      isUsable(server),
+  );
+}
+
+function isInHome({ homeRegions }: Route, region: string): boolean {
+  return homeRegions.length === 0 || homeRegions.includes(region);
+}
--- /dev/null
+++ b/packages/mesh/src/MeshNode.ts
@@ -0,0 +1,300 @@
+import { ChartCursor } from '#chart/ChartCursor.js';
+import { Logger } from '#core/Logger.js';
+import { RandomSource } from '#core/RandomSource.js';
+import type { CrashMark } from '#admission/CrashMark.js';
+import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { ElapsedClock } from '#ranges/ElapsedClock.js';
+import type { Announcement } from '#mesh/Announcement.js';
+import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import { CallerTask } from '#mesh/CallerTask.js';
+import { daemonLifeChart } from '#mesh/DaemonLifeChart.js';
+import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
+import { DirectoryTask } from '#mesh/DirectoryTask.js';
+import { EntryTask } from '#mesh/EntryTask.js';
+import { MetricsTask } from '#mesh/MetricsTask.js';
+import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import type { NodeOptions } from '#mesh/NodeOptions.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import { PlannerTask } from '#mesh/PlannerTask.js';
+import { PresenceTask } from '#mesh/PresenceTask.js';
+import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
+import { RangeTask } from '#mesh/RangeTask.js';
+import { ReadinessTask } from '#mesh/ReadinessTask.js';
+import { ReceiverTask } from '#mesh/ReceiverTask.js';
+import { RelayTask } from '#mesh/RelayTask.js';
+import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
+import { rpcMethods } from '#mesh/RpcMethods.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import { ServerTask } from '#mesh/ServerTask.js';
+import type { View } from '#mesh/View.js';
+
+/** Time after the request to stop in which callers learn that this daemon leaves, in milliseconds. */
+const LEAVE_MS = 2_300;
+
+/** Time before the end of the grace time at which the daemon ends in any case, in milliseconds. */
+const LAST_MS = 400;
+
+const STOP_CHECK_MS = 50;
+
+/** Part of the allowed repeats that this daemon uses, as others count by themselves. */
+const BUDGET_PART = 0.7;
+
+/** Daemons among which the repeats that are allowed in any case are divided at least. */
+const LEAST_DAEMONS = 12;
+
+/** Time before a bound in which keyed orders to a leaving backend server end, in milliseconds. */
+const LEAVE_MARGIN_MS = 700;
+
+/** One daemon: creates the tasks, connects them, and ends them in order. */
+export class MeshNode {
+  private readonly options: NodeOptions;
+  private readonly logger = new Logger('mesh');
+  private readonly life = new ChartCursor<DaemonLifeEvent>(daemonLifeChart);
+  private readonly metrics = new MetricsRecorder();
+  private readonly directory: DirectoryTask;
+  private readonly entry: EntryTask;
+  private readonly server: ServerTask;
+  private readonly presence: PresenceTask;
+  private readonly ranges: RangeTask;
+  private readonly lease: RangeLeaseTask;
+  private readonly planner: PlannerTask;
+  private readonly relay: RelayTask;
+  private readonly receiver: ReceiverTask;
+  private readonly callers: CallerTask;
+  private readonly readiness: ReadinessTask;
+  private readonly metricsPort: MetricsTask;
+  private view: View | undefined;
+
+  public constructor(options: NodeOptions) {
+    this.options = options;
+    const { place, processId, clock, store, terms } = options;
+    const elapsed = new ElapsedClock(clock);
+    const random = new RandomSource(options.seed);
+    this.directory = new DirectoryTask(store, options.decoder, clock, new Logger('directory'));
+    this.relay = new RelayTask({
+      clock,
+      logger: new Logger('relay'),
+      onReach: (address, reachable, untilMs) =>
+        this.entry.post({ type: 'reach', address, reachable, untilMs }),
+    });
+    this.entry = new EntryTask({
+      place,
+      clock,
+      logger: new Logger('entry'),
+      metrics: this.metrics,
+      chooser: new NearestLeastWait(place, random),
+      retryFraction: options.retryFraction * BUDGET_PART,
+      retryMinimum: (options.retrySlack * BUDGET_PART) / LEAST_DAEMONS / 2,
+      send: (order, server, reply) => this.send(order, server, reply),
+      cancel: (id, server) => this.cancel(id, server),
+    });
+    this.server = new ServerTask({
+      place,
+      processId,
+      headers: options.headers,
+      clock,
+      elapsed,
+      logger: new Logger('server'),
+      keyedLeaveMs: options.drainMs - LEAVE_MARGIN_MS,
+      keyedEvacuationMs: options.evacuateMs - 2 * LEAVE_MARGIN_MS,
+      onEvidence: (evidence) => this.presence.post({ type: 'evidence', evidence }),
+      onWork: (key, workMs) => this.ranges.post({ type: 'worked', key, workMs }),
+      onMarks: (marks) => this.spreadMarks(marks),
+    });
+    this.ranges = new RangeTask({
+      place,
+      terms,
+      store,
+      clock,
+      elapsed,
+      logger: new Logger('ranges'),
+      onGranted: (rows, untilMs, expected) => this.server.post({ type: 'granted', rows, untilMs, expected }),
+      onKeyed: () => this.lease.post({ type: 'hold' }),
+      onFacts: (facts) => this.lease.post({ type: 'facts', facts }),
+    });
+    this.lease = new RangeLeaseTask({
+      place,
+      processId,
+      terms,
+      store,
+      clock,
+      elapsed,
+      logger: new Logger('lease'),
+      onLease: (lease) => {
+        this.ranges.post({ type: 'lease', lease });
+        this.presence.post({ type: 'term', term: lease.term });
+      },
+    });
+    this.planner = new PlannerTask({
+      place,
+      terms,
+      store,
+      clock,
+      elapsed,
+      logger: new Logger('planner'),
+      call: (address, method, params, reply) =>
+        this.relay.post({ type: 'call', address, method, params, reply }),
+    });
+    this.presence = new PresenceTask({
+      place,
+      processId,
+      address: `${options.orders.host}:${options.orders.port}`,
+      announceEveryMs: options.announceEveryMs,
+      store,
+      clock,
+      logger: new Logger('presence'),
+      onPresence: (presence) => this.server.post({ type: 'presence', presence }),
+      onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
+      onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
+    });
+    this.receiver = new ReceiverTask({
+      ...options.orders,
+      clock,
+      logger: new Logger('receiver'),
+      onOrder: (order, reply) => this.server.post({ type: 'order', order, reply }),
+      calls: {
+        [rpcMethods.ping]: () => ({ processId }),
+        [rpcMethods.cancel]: (params) => this.acceptCancel(params as { readonly id: string }),
+        [rpcMethods.release]: (params) => this.acceptRelease(params as ReleaseRequest),
+        [rpcMethods.marks]: (params) => this.acceptMarks(params as { readonly marks: readonly CrashMark[] }),
+      },
+    });
+    this.callers = new CallerTask({
+      ...options.callers,
+      backendHost: options.backendHost,
+      headers: options.headers,
+      clock,
+      logger: new Logger('callers'),
+      onRequest: (exchange, request, isCall, reply) =>
+        this.entry.post({ type: 'arrived', exchange, request, isCall, reply }),
+      onLeft: (exchange) => this.entry.post({ type: 'left', exchange }),
+    });
+    this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
+    this.metricsPort = new MetricsTask(this.metrics);
+  }
+
+  /** Listens and begins to read the store; rejects if an address is in use. */
+  public async start(): Promise<void> {
+    const { metrics } = this.options;
+    await Promise.all([
+      this.readiness.listen(),
+      this.receiver.listen(),
+      this.callers.listen(),
+      ...(metrics === undefined ? [] : [this.metricsPort.listen(metrics.host, metrics.port)]),
+    ]);
+    this.directory.post({ type: 'subscribe', listener: (view) => this.noteView(view) });
+    this.directory.start();
+    this.logger.log('started', { server: this.options.place.serverId, process: this.options.processId });
+  }
+
+  /** Takes an announcement of the backend server. */
+  public announce(announcement: Announcement): Promise<AnnouncementReply> {
+    return this.presence.ask((reply) => ({ type: 'announced', announcement, reply }));
+  }
+
+  /** Takes the farewell of the backend server. */
+  public withdraw(instanceId: string): Promise<void> {
+    return this.presence.ask((reply) => ({ type: 'withdrawn', instanceId, reply: () => reply() }));
+  }
+
+  /** Stops taking callers, waits for requests in flight within the grace time, and ends the tasks. */
+  public async stop(): Promise<void> {
+    if (!this.life.send({ type: 'stop' })) return;
+    const { clock, graceMs } = this.options;
+    const startMs = clock.monotonicMs();
+    this.logger.log('stopping', { requests: this.entry.load, orders: this.server.load });
+    this.readiness.post({ type: 'ready', ready: false });
+    this.callers.post({ type: 'stopping' });
+    await this.waitUntilEmpty(startMs + LEAVE_MS, startMs + graceMs - LAST_MS);
+    this.life.send({ type: 'emptied' });
+    this.logger.log('stopped', { requests: this.entry.load, orders: this.server.load });
+    for (const task of this.listTasks()) task.stop();
+    await this.options.store.close();
+  }
+
+  private waitUntilEmpty(earliestMs: number, latestMs: number): Promise<void> {
+    const { clock } = this.options;
+    return new Promise((resolve) => {
+      const check = (): void => {
+        const nowMs = clock.monotonicMs();
+        const isEmpty = this.entry.load === 0 && this.server.load === 0;
+        if (nowMs >= latestMs || (isEmpty && nowMs >= earliestMs)) resolve();
+        else clock.schedule(STOP_CHECK_MS, check);
+      };
+      check();
+    });
+  }
+
+  private listTasks(): readonly { readonly stop: () => void }[] {
+    return [
+      this.callers,
+      this.readiness,
+      this.metricsPort,
+      this.directory,
+      this.entry,
+      this.server,
+      this.presence,
+      this.ranges,
+      this.lease,
+      this.planner,
+      this.relay,
+      this.receiver,
+    ];
+  }
+
+  private noteView(view: View): void {
+    const before = this.view;
+    this.view = view;
+    this.entry.post({ type: 'view', view });
+    this.server.post({ type: 'view', view });
+    this.ranges.post({ type: 'view', view });
+    this.planner.post({ type: 'view', view });
+    const { routes } = view;
+    if (routes !== undefined && routes !== before?.routes)
+      this.callers.post({ type: 'limits', limits: routes.table.limits });
+    if (!view.complete || routes === undefined || !this.life.send({ type: 'informed' })) return;
+    this.readiness.post({ type: 'ready', ready: true });
+    this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
+  }
+
+  private send(order: Order, server: ServerEntry, reply: OrderReply): void {
+    if (server.serverId === this.options.place.serverId) this.server.post({ type: 'order', order, reply });
+    else this.relay.post({ type: 'order', order, address: server.address, reply });
+  }
+
+  private cancel(id: string, server: ServerEntry): void {
+    if (server.serverId === this.options.place.serverId) this.server.post({ type: 'cancel', id });
+    else this.relay.post({ type: 'cancel', id, address: server.address });
+  }
+
+  private acceptCancel({ id }: { readonly id: string }): boolean {
+    this.server.post({ type: 'cancel', id });
+    return true;
+  }
+
+  private acceptRelease(request: ReleaseRequest): boolean {
+    this.ranges.post({ type: 'release', request });
+    return true;
+  }
+
+  private acceptMarks({ marks }: { readonly marks: readonly CrashMark[] }): boolean {
+    this.server.post({ type: 'marks', marks });
+    return true;
+  }
+
+  /** Tells the daemons of the same service which requests may have crashed a backend server. */
+  private spreadMarks(marks: readonly CrashMark[]): void {
+    const { place } = this.options;
+    for (const server of this.view?.servers.values() ?? []) {
+      if (server.serverId === place.serverId || server.service !== place.service) continue;
+      this.relay.post({
+        type: 'call',
+        address: server.address,
+        method: rpcMethods.marks,
+        params: { marks },
+        reply: () => undefined,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/MetricsTask.ts
@@ -0,0 +1,40 @@
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { Task } from '#core/Task.js';
+import { formatPrometheus } from '#metrics/FormatPrometheus.js';
+import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+
+/** A request for the metrics. */
+interface MetricsMessage {
+  readonly res: ServerResponse;
+}
+
+/** Serves counters and histograms as text. Owns its port. */
+export class MetricsTask extends Task<MetricsMessage> {
+  private readonly metrics: MetricsRecorder;
+  private readonly server: Server;
+
+  public constructor(metrics: MetricsRecorder) {
+    super();
+    this.metrics = metrics;
+    this.server = createServer((_req, res) => this.post({ res }));
+  }
+
+  /** Begins to listen; rejects if the address is in use. */
+  public listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  protected override receive({ res }: MetricsMessage): void {
+    res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' });
+    res.end(formatPrometheus(this.metrics.snapshotBuckets()));
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/OrderLedger.ts
@@ -0,0 +1,56 @@
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+
+/** Results are kept this long for a sender that lost its session, in milliseconds. */
+const KEEP_MS = 8_000;
+
+/** Results that are kept at most. */
+const MAX_KEPT = 20_000;
+
+interface Account {
+  readonly replies: readonly OrderReply[];
+  readonly result: OrderResult | undefined;
+  readonly changedMs: number;
+}
+
+/** Orders that this run of the daemon received, by request id, so that none runs twice for being sent again. */
+export class OrderLedger {
+  private readonly accounts = new Map<string, Account>();
+
+  /** Whether an order was received and its result is still kept or awaited. */
+  public has(id: string): boolean {
+    return this.accounts.has(id);
+  }
+
+  /** Opens the account of an order that begins now. */
+  public open(id: string, reply: OrderReply, nowMs: number): void {
+    this.accounts.delete(id);
+    this.accounts.set(id, { replies: [reply], result: undefined, changedMs: nowMs });
+  }
+
+  /** Adds a receiver to an order that was received before; a result that is known is given at once. */
+  public join(id: string, reply: OrderReply): void {
+    const account = this.accounts.get(id);
+    if (account === undefined) return;
+    if (account.result !== undefined) reply(account.result);
+    else this.accounts.set(id, { ...account, replies: [...account.replies, reply] });
+  }
+
+  /** Gives the result of an order to those that wait for it. */
+  public close(id: string, result: OrderResult, nowMs: number): void {
+    const account = this.accounts.get(id);
+    if (account === undefined || account.result !== undefined) return;
+    this.accounts.delete(id);
+    this.accounts.set(id, { replies: [], result, changedMs: nowMs });
+    for (const reply of account.replies) reply(result);
+  }
+
+  /** Forgets results that are old or too many. */
+  public expire(nowMs: number): void {
+    for (const [id, { result, changedMs }] of this.accounts) {
+      const excess = this.accounts.size > MAX_KEPT;
+      if (!excess && nowMs - changedMs < KEEP_MS) return;
+      if (result !== undefined) this.accounts.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/OrderQueue.ts
@@ -0,0 +1,66 @@
+import type { Order } from '#mesh/Order.js';
+import type { QueuedOrder } from '#mesh/QueuedOrder.js';
+
+/** Orders that wait for a slot: calls between services first, then by priority, then by due time. */
+export class OrderQueue {
+  private orders: readonly QueuedOrder[] = [];
+
+  public get size(): number {
+    return this.orders.length;
+  }
+
+  public add(queued: QueuedOrder): void {
+    const position = this.positionOf(queued.order);
+    this.orders = this.orders.toSpliced(position, 0, queued);
+  }
+
+  /** Removes and returns the first order that `mayStart` admits. */
+  public take(mayStart: (queued: QueuedOrder) => boolean): QueuedOrder | undefined {
+    const index = this.orders.findIndex(mayStart);
+    if (index < 0) return undefined;
+    const found = this.orders[index];
+    this.orders = this.orders.toSpliced(index, 1);
+    return found;
+  }
+
+  /** Removes and returns the order with this id. */
+  public remove(id: string): QueuedOrder | undefined {
+    return this.take(({ order }) => order.request.id === id);
+  }
+
+  /** Removes and returns all orders that `isHopeless` selects, given the work that waits before each. */
+  public removeHopeless(
+    isHopeless: (queued: QueuedOrder, workAheadMs: number) => boolean,
+  ): readonly QueuedOrder[] {
+    let workMs = 0;
+    const hopeless = new Set<QueuedOrder>();
+    for (const queued of this.orders) {
+      if (isHopeless(queued, workMs)) hopeless.add(queued);
+      else workMs += queued.serviceMs;
+    }
+    if (hopeless.size > 0) this.orders = this.orders.filter((queued) => !hopeless.has(queued));
+    return [...hopeless];
+  }
+
+  /** Work that waits before an order that arrives now, in milliseconds. */
+  public workAheadMs(order: Order): number {
+    const ahead = this.orders.slice(0, this.positionOf(order));
+    return ahead.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
+  }
+
+  /** Work of all waiting orders, in milliseconds. */
+  public workMs(): number {
+    return this.orders.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
+  }
+
+  private positionOf(order: Order): number {
+    const index = this.orders.findIndex((queued) => precedes(order, queued.order));
+    return index < 0 ? this.orders.length : index;
+  }
+}
+
+function precedes(left: Order, right: Order): boolean {
+  if (left.isCall !== right.isCall) return left.isCall;
+  if (left.priority !== right.priority) return left.priority < right.priority;
+  return left.dueMs < right.dueMs;
+}
--- /dev/null
+++ b/packages/mesh/src/OrderResult.ts
@@ -0,0 +1,23 @@
+import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import type { LoadReport } from '#mesh/LoadReport.js';
+import type { RefusalCode } from '#mesh/RefusalCode.js';
+import type { LossCode } from '#mesh/LossCode.js';
+
+/**
+ * How an order ended.
+ * - `answered`: the backend server's complete answer.
+ * - `refused`: it has not run and never will.
+ * - `lost`: it may have run, and no complete answer came.
+ */
+export type OrderResult =
+  | { readonly type: 'answered'; readonly answer: BackendAnswer; readonly load: LoadReport | undefined }
+  | {
+      readonly type: 'refused';
+      readonly code: RefusalCode;
+      /** Time after which there may be room, in milliseconds; 0 if it is not known. */
+      readonly retryAfterMs: number;
+      readonly load: LoadReport | undefined;
+      /** Whether the backend server itself refused it, which counts as an arrival there. */
+      readonly arrived: boolean;
+    }
+  | { readonly type: 'lost'; readonly code: LossCode; readonly load: LoadReport | undefined };
--- /dev/null
+++ b/packages/mesh/src/PairHeaders.ts
@@ -0,0 +1,9 @@
+import type { HeaderPair } from '#mesh/HeaderPair.js';
+
+/** Pairs a flat list of names and values. */
+export function pairHeaders(raw: readonly string[]): readonly HeaderPair[] {
+  return Array.from({ length: raw.length >> 1 }, (_, index): HeaderPair => [
+    raw[2 * index] ?? '',
+    raw[2 * index + 1] ?? '',
+  ]);
+}
--- /dev/null
+++ b/packages/mesh/src/PeerReply.ts
@@ -0,0 +1,4 @@
+/** How a call over a session ended. `sent` tells whether the peer may have received it. */
+export type PeerReply =
+  | { readonly ok: true; readonly head: string; readonly body: Buffer }
+  | { readonly ok: false; readonly sent: boolean };
--- /dev/null
+++ b/packages/mesh/src/PlannerMessage.ts
@@ -0,0 +1,21 @@
+import type { Either } from 'purify-ts';
+import type { RouterError } from '#core/RouterError.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { TableView } from '#mesh/TableView.js';
+import type { View } from '#mesh/View.js';
+
+/** Messages of `PlannerTask`. */
+export type PlannerMessage =
+  | { readonly type: 'view'; readonly view: View }
+  | { readonly type: 'tick' }
+  /** Whether a daemon before this one in rank answered. */
+  | { readonly type: 'pinged'; readonly rank: number; readonly answered: boolean }
+  | {
+      readonly type: 'listed';
+      /** Table as it was before the leases were read. */
+      readonly table: TableView;
+      readonly result: Either<RouterError, CollectionListing>;
+    }
+  | { readonly type: 'revoked'; readonly result: Either<RouterError, CollectionPutResult> }
+  | { readonly type: 'written'; readonly result: Either<RouterError, CollectionPutResult> };
--- /dev/null
+++ b/packages/mesh/src/PlannerTask.ts
@@ -0,0 +1,267 @@
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import { isTermEnded } from '#ranges/IsTermEnded.js';
+import { LeaseWatch } from '#ranges/LeaseWatch.js';
+import type { OwnerLoad } from '#ranges/OwnerLoad.js';
+import { planReleases } from '#ranges/PlanReleases.js';
+import type { RangeRow } from '#ranges/RangeRow.js';
+import { splitAmong } from '#ranges/SplitAmong.js';
+import { transferRanges } from '#ranges/TransferRanges.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import { collections } from '#mesh/Collections.js';
+import { emptyView } from '#mesh/EmptyView.js';
+import type { LeaseEntry } from '#mesh/LeaseEntry.js';
+import { leaseRecordCodec } from '#mesh/LeaseRecordCodec.js';
+import { listReceivers } from '#mesh/ListReceivers.js';
+import type { PlannerMessage } from '#mesh/PlannerMessage.js';
+import type { PlannerOptions } from '#mesh/PlannerOptions.js';
+import { rpcMethods } from '#mesh/RpcMethods.js';
+import type { TableView } from '#mesh/TableView.js';
+import type { View } from '#mesh/View.js';
+
+/** Time between two plans, in milliseconds. */
+const PLAN_MS = 3_000;
+
+/** A backend server that joins without keys is planned for after this time, in milliseconds. */
+const JOIN_MS = 300;
+
+/** A lease record that is older says nothing about the load, in milliseconds. */
+const STALE_MS = 8_000;
+
+/** Time to the next step of a takeover, in milliseconds. */
+const STEP_MS = 50;
+
+/**
+ * Plans the keys of this daemon's service: takes over those of lost daemons, and asks busy owners to give keys away.
+ * One daemon does so at a time, the first in rank that can be reached; two at once do no harm, as each change is a
+ * conditional write.
+ */
+export class PlannerTask extends Task<PlannerMessage> {
+  private readonly options: PlannerOptions;
+  private readonly watch: LeaseWatch;
+  private view: View = emptyView;
+  private busy = false;
+  private joining = false;
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(options: PlannerOptions) {
+    super();
+    this.options = options;
+    this.watch = new LeaseWatch(options.terms);
+    this.schedule(PLAN_MS);
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: PlannerMessage): void {
+    switch (message.type) {
+      case 'view':
+        this.view = message.view;
+        this.noteJoining();
+        return;
+      case 'tick':
+        this.schedule(PLAN_MS);
+        if (!this.busy) this.elect(0);
+        return;
+      case 'pinged':
+        if (message.answered) this.busy = false;
+        else this.elect(message.rank + 1);
+        return;
+      case 'listed':
+        message.result.caseOf({
+          Left: () => this.finish(),
+          Right: ({ items }) => this.plan(message.table, items),
+        });
+        return;
+      case 'revoked':
+      case 'written':
+        this.finish();
+        if (message.result.isRight()) this.schedule(STEP_MS);
+    }
+  }
+
+  private get service(): string {
+    return this.options.place.service;
+  }
+
+  private noteJoining(): void {
+    const table = this.view.tables.get(this.service);
+    if (table === undefined) return;
+    const owners = new Set(table.table.rows.map(({ serverId }) => serverId));
+    const joining = listReceivers(this.view, this.service).some(({ serverId }) => !owners.has(serverId));
+    if (joining && !this.joining) this.schedule(JOIN_MS);
+    this.joining = joining;
+  }
+
+  /** Asks the daemons before this one whether they are there; plans if none is. */
+  private elect(rank: number): void {
+    const table = this.view.tables.get(this.service);
+    const receivers = listReceivers(this.view, this.service);
+    const own = receivers.findIndex(({ serverId }) => serverId === this.options.place.serverId);
+    if (table === undefined || own < 0) {
+      this.busy = false;
+      return;
+    }
+    this.busy = true;
+    const before = receivers[rank];
+    if (rank >= own || before === undefined) {
+      this.list(table);
+      return;
+    }
+    const address = this.view.servers.get(before.serverId)?.address ?? '';
+    this.options.call(address, rpcMethods.ping, {}, (result) =>
+      this.post({ type: 'pinged', rank, answered: result !== undefined }),
+    );
+  }
+
+  private list(table: TableView): void {
+    void this.options.store
+      .list(collections.leases)
+      .then((result) => this.post({ type: 'listed', table, result }));
+  }
+
+  private plan(table: TableView, items: readonly CollectionItem[]): void {
+    const leases = this.readLeases(items);
+    const owners = new Set(table.table.rows.map(({ serverId }) => serverId));
+    const nowMs = this.options.elapsed.nowMs();
+    this.watch.retain(new Set([...owners, ...leases.keys()]));
+    for (const id of new Set([...owners, ...leases.keys()]))
+      this.watch.note(id, leases.get(id)?.revision ?? 0, nowMs);
+    if (this.takeOver(table, leases) || this.revoke(owners, leases, nowMs)) return;
+    this.finish();
+    this.balance(owners, leases, nowMs);
+  }
+
+  private readLeases(items: readonly CollectionItem[]): ReadonlyMap<string, LeaseEntry> {
+    const entries = items.flatMap((item): readonly (readonly [string, LeaseEntry])[] => {
+      const decoded = leaseRecordCodec.decode(item.value);
+      if (decoded.isLeft()) {
+        this.options.logger.log('leaseMalformed', {
+          step: 'lease',
+          name: item.name,
+          message: decoded.extract(),
+        });
+        return [];
+      }
+      const record = decoded.unsafeCoerce();
+      return record.service === this.service ? [[item.name, { record, revision: item.revision }]] : [];
+    });
+    return new Map(entries);
+  }
+
+  /** Gives the keys of ended terms to the others. */
+  private takeOver(table: TableView, leases: ReadonlyMap<string, LeaseEntry>): boolean {
+    const lost = table.table.rows.filter((row) => isTermEnded(row.term, leases.get(row.serverId)?.record));
+    const receivers = this.listLive(lost, leases);
+    if (lost.length === 0 || receivers.length === 0) return false;
+    const next = transferRanges(table.table, splitAmong(lost, receivers));
+    this.options.logger.log('takeover', {
+      step: 'takeover',
+      rows: lost.length,
+      from: [...new Set(lost.map(({ serverId }) => serverId))].join(','),
+      receivers: receivers.length,
+      revision: table.revision,
+    });
+    void this.options.store
+      .put(collections.ranges, this.service, next, table.revision)
+      .then((result) => this.post({ type: 'written', result }));
+    return true;
+  }
+
+  private listLive(
+    lost: readonly RangeRow[],
+    leases: ReadonlyMap<string, LeaseEntry>,
+  ): ReturnType<typeof listReceivers> {
+    const gone = new Set(lost.map(({ serverId }) => serverId));
+    const nowMs = this.options.elapsed.nowMs();
+    return listReceivers(this.view, this.service).filter(
+      ({ serverId, term }) =>
+        !gone.has(serverId) &&
+        leases.get(serverId)?.record.term === term &&
+        this.watch.ageMs(serverId, nowMs) < STALE_MS,
+    );
+  }
+
+  /** Revokes the lease of one owner that has surely ended; its keys are taken over next. */
+  private revoke(
+    owners: ReadonlySet<string>,
+    leases: ReadonlyMap<string, LeaseEntry>,
+    nowMs: number,
+  ): boolean {
+    const ended = [...owners].find(
+      (id) => this.watch.hasEnded(id, nowMs) && leases.get(id)?.record.revoked !== true,
+    );
+    if (ended === undefined) return false;
+    const lease = leases.get(ended);
+    const term = this.termInTable(ended);
+    const record = lease?.record ?? { ...EMPTY_RECORD, serverId: ended, service: this.service };
+    this.options.logger.log('leaseRevoke', {
+      step: 'takeover',
+      peer: ended,
+      term,
+      revision: lease?.revision ?? 0,
+    });
+    void this.options.store
+      .put(
+        collections.leases,
+        ended,
+        { ...record, term: Math.max(record.term, term), revoked: true },
+        lease?.revision ?? 0,
+      )
+      .then((result) => this.post({ type: 'revoked', result }));
+    return true;
+  }
+
+  private termInTable(serverId: string): number {
+    const rows = this.view.tables.get(this.service)?.table.rows ?? [];
+    return Math.max(0, ...rows.filter((row) => row.serverId === serverId).map(({ term }) => term));
+  }
+
+  private balance(owners: ReadonlySet<string>, leases: ReadonlyMap<string, LeaseEntry>, nowMs: number): void {
+    const loads = listReceivers(this.view, this.service).flatMap((owner): readonly OwnerLoad[] => {
+      const lease = leases.get(owner.serverId);
+      if (lease?.record.accepts !== true || this.watch.ageMs(owner.serverId, nowMs) > STALE_MS) return [];
+      const { workMsPerSecond, slots } = lease.record;
+      return [{ owner, workMsPerSecond, slots, hasKeys: owners.has(owner.serverId) }];
+    });
+    for (const release of planReleases(loads)) {
+      const address = this.view.servers.get(release.from.serverId)?.address;
+      if (address === undefined) continue;
+      const { workMsPerSecond, share } = release;
+      this.options.logger.log('releaseAsked', {
+        step: 'move',
+        peer: release.from.serverId,
+        receiver: release.to.serverId,
+        workMsPerSecond: Math.round(workMsPerSecond),
+      });
+      this.options.call(
+        address,
+        rpcMethods.release,
+        { to: release.to.serverId, workMsPerSecond, share },
+        () => undefined,
+      );
+    }
+  }
+
+  private finish(): void {
+    this.busy = false;
+  }
+
+  private schedule(delayMs: number): void {
+    this.cancelTick();
+    this.cancelTick = this.options.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  }
+}
+
+const EMPTY_RECORD = {
+  processId: '',
+  term: 0,
+  incarnation: '',
+  workMsPerSecond: 0,
+  slots: 1,
+  waitMs: 0,
+  accepts: false,
+};
--- /dev/null
+++ b/packages/mesh/src/PresenceChart.ts
@@ -0,0 +1,12 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import type { PresenceEvent } from '#mesh/PresenceEvent.js';
+import file from '../charts/presence.json' with { type: 'json' };
+
+/** Chart of the backend server beside a daemon, from its announcements and from evidence of its death. */
+export const presenceChart: CompiledChart<undefined, PresenceEvent, never> = compileChart(
+  'presence.json',
+  file as ChartFile,
+  { guards: {}, actions: {} },
+);
--- /dev/null
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -0,0 +1,20 @@
+import type { RouterError } from '#core/RouterError.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { Either } from 'purify-ts';
+import type { Announcement } from '#mesh/Announcement.js';
+import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
+
+/** Messages of `PresenceTask`. */
+export type PresenceMessage =
+  | {
+      readonly type: 'announced';
+      readonly announcement: Announcement;
+      readonly reply: (reply: AnnouncementReply) => void;
+    }
+  | { readonly type: 'withdrawn'; readonly instanceId: string; readonly reply: () => void }
+  | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
+  /** Term of the lease under which this daemon grants keys. */
+  | { readonly type: 'term'; readonly term: number }
+  | { readonly type: 'publish' }
+  | { readonly type: 'published'; readonly result: Either<RouterError, CollectionPutResult> };
--- /dev/null
+++ b/packages/mesh/src/PresenceOptions.ts
@@ -0,0 +1,24 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { CollectionStore } from '#store/CollectionStore.js';
+import type { CheckIn } from '#mesh/CheckIn.js';
+import type { Place } from '#mesh/Place.js';
+import type { Presence } from '#mesh/Presence.js';
+
+/** What `PresenceTask` is created with. */
+export interface PresenceOptions {
+  readonly place: Place;
+  readonly processId: string;
+  /** `host:port` at which this daemon takes orders. */
+  readonly address: string;
+  /** Usual time between two announcements, in milliseconds. */
+  readonly announceEveryMs: number;
+  readonly store: CollectionStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly onPresence: (presence: Presence) => void;
+  /** Asks for the keys that an announcing backend server may hold. */
+  readonly onCheckIn: (checkIn: CheckIn) => void;
+  /** Told that a run of the backend server ended; `proven` if its process is known to be gone. */
+  readonly onEnded: (incarnation: string, proven: boolean) => void;
+}
--- /dev/null
+++ b/packages/mesh/src/PresenceTask.ts
@@ -0,0 +1,234 @@
+import type { Either } from 'purify-ts';
+import { ChartCursor } from '#chart/ChartCursor.js';
+import type { Cancel } from '#core/Cancel.js';
+import type { RouterError } from '#core/RouterError.js';
+import { Task } from '#core/Task.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { Announcement } from '#mesh/Announcement.js';
+import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import { collections } from '#mesh/Collections.js';
+import type { Presence } from '#mesh/Presence.js';
+import { presenceChart } from '#mesh/PresenceChart.js';
+import type { PresenceEvent } from '#mesh/PresenceEvent.js';
+import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
+import type { PresenceMessage } from '#mesh/PresenceMessage.js';
+import type { PresenceOptions } from '#mesh/PresenceOptions.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+
+/** Changes within this time are published together, in milliseconds. */
+const GATHER_MS = 60;
+
+const RETRY_MS = 400;
+
+/** A silent backend server counts as absent once it has missed this many announcements. */
+const MISSED_ANNOUNCEMENTS = 2;
+
+interface Run {
+  readonly announcement: Announcement;
+  readonly incarnation: string;
+  readonly heardMs: number;
+  readonly coldUntilMs: number;
+  readonly leavingMs: number | undefined;
+}
+
+/**
+ * Follows the backend server beside this daemon through its announcements, and publishes it in the store. Owns its
+ * presence and the published entry.
+ */
+export class PresenceTask extends Task<PresenceMessage> {
+  private readonly options: PresenceOptions;
+  private readonly cursor = new ChartCursor<PresenceEvent>(presenceChart);
+  private run: Run | undefined;
+  private term = 0;
+  private published: ServerEntry | undefined;
+  private pending: ServerEntry | undefined;
+  private revision = 0;
+  private cancelPublish: Cancel | undefined;
+
+  public constructor(options: PresenceOptions) {
+    super();
+    this.options = options;
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelPublish?.();
+  }
+
+  protected override receive(message: PresenceMessage): void {
+    switch (message.type) {
+      case 'announced':
+        this.noteAnnouncement(message.announcement, message.reply);
+        return;
+      case 'withdrawn':
+        this.noteWithdrawal(message.instanceId);
+        message.reply();
+        return;
+      case 'evidence':
+        this.noteEvidence(message.evidence);
+        return;
+      case 'term':
+        this.term = message.term;
+        this.schedulePublish(GATHER_MS);
+        return;
+      case 'publish':
+        this.cancelPublish = undefined;
+        this.publish();
+        return;
+      case 'published':
+        this.notePublished(message.result);
+    }
+  }
+
+  private noteAnnouncement(announcement: Announcement, reply: (reply: AnnouncementReply) => void): void {
+    const incarnation = `${announcement.instanceId}/${announcement.bornMs}`;
+    if (this.isOutdated(announcement, incarnation)) {
+      this.options.logger.log('announcementOutdated', {
+        incarnation,
+        sequence: announcement.sequence,
+        current: this.run?.incarnation,
+      });
+      reply({ accepted: incarnation === this.run?.incarnation, grant: undefined });
+      return;
+    }
+    if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplaced(this.run);
+    const before = this.run;
+    const nowMs = this.options.clock.monotonicMs();
+    const leaves = announcement.draining || this.cursor.state === 'gone';
+    this.run = {
+      announcement,
+      incarnation,
+      heardMs: nowMs,
+      coldUntilMs: nowMs + announcement.coldLeftMs,
+      leavingMs: leaves ? (before?.leavingMs ?? nowMs) : undefined,
+    };
+    if (this.cursor.state !== 'gone')
+      this.cursor.send({ type: announcement.draining ? 'draining' : 'ready' });
+    this.tell(before);
+    this.options.onCheckIn({
+      incarnation,
+      holds: announcement.holds,
+      released: announcement.released,
+      leaving: leaves,
+      slots: announcement.slots,
+      reply: (grant) => reply({ accepted: true, grant }),
+    });
+  }
+
+  private isOutdated(announcement: Announcement, incarnation: string): boolean {
+    if (this.run === undefined) return false;
+    const current = this.run.announcement;
+    if (incarnation === this.run.incarnation) return announcement.sequence <= current.sequence;
+    return announcement.bornMs < current.bornMs;
+  }
+
+  private noteReplaced(run: Run): void {
+    this.options.logger.log('serverReplaced', { incarnation: run.incarnation });
+    this.cursor.send({ type: 'died' });
+    this.run = undefined;
+    this.options.onEnded(run.incarnation, true);
+  }
+
+  private noteWithdrawal(instanceId: string): void {
+    const { run } = this;
+    if (run?.announcement.instanceId !== instanceId) return;
+    if (!this.cursor.send({ type: 'withdrawn' })) return;
+    const before = run;
+    this.run = { ...run, leavingMs: run.leavingMs ?? this.options.clock.monotonicMs() };
+    this.tell(before);
+    this.options.onEnded(run.incarnation, false);
+  }
+
+  private noteEvidence({ kind, incarnation }: PresenceEvidence): void {
+    const { run } = this;
+    if (run?.incarnation !== incarnation || kind === 'answers') return;
+    const silentMs = this.options.clock.monotonicMs() - run.heardMs;
+    const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
+    if (kind === 'silent' && !missed) return;
+    if (kind === 'refused') this.options.onEnded(incarnation, true);
+    if (!this.cursor.send({ type: 'died' })) return;
+    this.options.logger.log('serverDied', { incarnation, evidence: kind, silentMs: Math.round(silentMs) });
+    this.tell(run);
+  }
+
+  private tell(before: Run | undefined): void {
+    const presence = this.describe();
+    this.options.onPresence(presence);
+    if (before?.leavingMs === undefined && presence.leavingMs !== undefined)
+      this.options.logger.log('serverLeaves', { incarnation: presence.incarnation, state: presence.state });
+    this.schedulePublish(GATHER_MS);
+  }
+
+  private describe(): Presence {
+    const { run } = this;
+    return {
+      state: this.cursor.state as Presence['state'],
+      address: run?.announcement.address ?? '',
+      instanceId: run?.announcement.instanceId ?? '',
+      incarnation: run?.incarnation ?? '',
+      slots: run?.announcement.slots ?? 1,
+      coldUntilMs: run?.coldUntilMs ?? 0,
+      heardMs: run?.heardMs ?? 0,
+      leavingMs: run?.leavingMs,
+    };
+  }
+
+  private schedulePublish(delayMs: number): void {
+    if (this.cancelPublish !== undefined || this.pending !== undefined) return;
+    if (sameEntry(this.published, this.createEntry())) return;
+    this.cancelPublish = this.options.clock.schedule(delayMs, () => this.post({ type: 'publish' }));
+  }
+
+  private publish(): void {
+    const entry = this.createEntry();
+    if (this.pending !== undefined || sameEntry(this.published, entry)) return;
+    this.pending = entry;
+    const { store, place } = this.options;
+    void store
+      .put(collections.servers, place.serverId, entry, this.revision)
+      .then((result) => this.post({ type: 'published', result }));
+  }
+
+  private notePublished(result: Either<RouterError, CollectionPutResult>): void {
+    const entry = this.pending;
+    this.pending = undefined;
+    result.caseOf({
+      Left: (err) => {
+        this.options.logger.log('publishFailed', { step: 'store', code: err.fields.code });
+        this.schedulePublish(RETRY_MS);
+      },
+      Right: (put) => {
+        if (put.type === 'accepted') {
+          this.published = entry;
+          this.revision = put.item.revision;
+          this.schedulePublish(GATHER_MS);
+          return;
+        }
+        this.revision = put.current?.revision ?? 0;
+        this.schedulePublish(0);
+      },
+    });
+  }
+
+  private createEntry(): ServerEntry {
+    const { place, address, processId } = this.options;
+    const presence = this.describe();
+    return {
+      serverId: place.serverId,
+      address,
+      failureDomain: place.failureDomain,
+      region: place.region,
+      service: this.run?.announcement.service ?? place.service,
+      instanceId: presence.instanceId,
+      incarnation: presence.incarnation,
+      state: presence.state,
+      slots: presence.slots,
+      term: this.term,
+      processId,
+    };
+  }
+}
+
+function sameEntry(left: ServerEntry | undefined, right: ServerEntry): boolean {
+  return left !== undefined && JSON.stringify(left) === JSON.stringify(right);
+}
--- /dev/null
+++ b/packages/mesh/src/QueuedOrder.ts
@@ -0,0 +1,10 @@
+import type { Order } from '#mesh/Order.js';
+
+/** An order that waits for a slot. */
+export interface QueuedOrder {
+  readonly order: Order;
+  /** Monotonic time of its arrival, in milliseconds. */
+  readonly queuedMs: number;
+  /** Time that the backend server is expected to need for it, in milliseconds. */
+  readonly serviceMs: number;
+}
--- /dev/null
+++ b/packages/mesh/src/RangeLeaseTask.ts
@@ -0,0 +1,138 @@
+import type { Either } from 'purify-ts';
+import { ChartCursor } from '#chart/ChartCursor.js';
+import type { Cancel } from '#core/Cancel.js';
+import type { RouterError } from '#core/RouterError.js';
+import { Task } from '#core/Task.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import { collections } from '#mesh/Collections.js';
+import { leaseChart } from '#mesh/LeaseChart.js';
+import type { LeaseEvent } from '#mesh/LeaseEvent.js';
+import type { LeaseFacts } from '#mesh/LeaseFacts.js';
+import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+import { leaseRecordCodec } from '#mesh/LeaseRecordCodec.js';
+import type { RangeLeaseMessage } from '#mesh/RangeLeaseMessage.js';
+import type { RangeLeaseOptions } from '#mesh/RangeLeaseOptions.js';
+
+const RETRY_MS = 500;
+
+const FIRST_TERM = 1;
+
+/**
+ * Holds this daemon's lease on keys by renewing its record in the store. A renewal counts from the moment at which it
+ * was sent. A record that another daemon revoked ends its term for good; the next renewal begins a new term.
+ */
+export class RangeLeaseTask extends Task<RangeLeaseMessage> {
+  private readonly options: RangeLeaseOptions;
+  private readonly cursor = new ChartCursor<LeaseEvent>(leaseChart);
+  private wanted = false;
+  private inCall = false;
+  private revision = 0;
+  private term = FIRST_TERM;
+  private untilMs = 0;
+  private cancelRenew: Cancel = () => undefined;
+  private facts: LeaseFacts = { incarnation: '', workMsPerSecond: 0, slots: 1, waitMs: 0, accepts: false };
+
+  public constructor(options: RangeLeaseOptions) {
+    super();
+    this.options = options;
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelRenew();
+  }
+
+  protected override receive(message: RangeLeaseMessage): void {
+    switch (message.type) {
+      case 'hold':
+        if (this.wanted) return;
+        this.wanted = true;
+        this.renew();
+        return;
+      case 'facts':
+        this.facts = message.facts;
+        return;
+      case 'renew':
+        this.renew();
+        return;
+      case 'renewed':
+        this.inCall = false;
+        this.noteRenewed(message.sentMs, message.term, message.result);
+    }
+  }
+
+  private renew(): void {
+    if (this.inCall) return;
+    this.inCall = true;
+    const { place, processId, store, elapsed } = this.options;
+    const sentMs = elapsed.nowMs();
+    if (this.cursor.state === 'held' && sentMs > this.untilMs) {
+      this.cursor.send({ type: 'lapsed' });
+      this.options.logger.log('leaseLapsed', { step: 'lease', term: this.term });
+    }
+    const { term } = this;
+    const record: LeaseRecord = {
+      serverId: place.serverId,
+      service: place.service,
+      processId,
+      term,
+      revoked: false,
+      ...this.facts,
+      workMsPerSecond: Math.round(this.facts.workMsPerSecond),
+      waitMs: Math.round(this.facts.waitMs),
+    };
+    void store
+      .put(collections.leases, place.serverId, record, this.revision)
+      .then((result) => this.post({ type: 'renewed', sentMs, term, result }));
+  }
+
+  private noteRenewed(sentMs: number, term: number, result: Either<RouterError, CollectionPutResult>): void {
+    result.caseOf({
+      Left: (err) => {
+        this.options.logger.log('leaseNotRenewed', {
+          step: 'lease',
+          code: err.fields.code,
+          leftMs: Math.round(this.untilMs - this.options.elapsed.nowMs()),
+        });
+        this.scheduleRenew(RETRY_MS);
+      },
+      Right: (put) => {
+        if (put.type === 'conflict') {
+          this.adopt(put.current);
+          this.renew();
+          return;
+        }
+        this.revision = put.item.revision;
+        this.untilMs = sentMs + this.options.terms.leaseMs;
+        if (this.cursor.state !== 'held') this.options.logger.log('leaseHeld', { step: 'lease', term });
+        this.cursor.send({ type: 'acquired' });
+        this.options.onLease({ term, untilMs: this.untilMs });
+        this.scheduleRenew(this.options.terms.renewEveryMs);
+      },
+    });
+  }
+
+  /** Takes the record as it is: an earlier renewal whose reply was lost, an earlier run's, or a revocation. */
+  private adopt(current: CollectionItem | undefined): void {
+    this.revision = current?.revision ?? 0;
+    if (current === undefined) return;
+    leaseRecordCodec.decode(current.value).caseOf({
+      Left: (message) => this.options.logger.log('leaseMalformed', { step: 'lease', message }),
+      Right: (record) => {
+        const ended = record.revoked || record.term > this.term;
+        this.term = Math.max(this.term, record.revoked ? record.term + 1 : record.term);
+        if (!ended || this.cursor.state === 'none') return;
+        this.cursor.send({ type: 'revoked' });
+        this.untilMs = 0;
+        this.options.logger.log('leaseRevoked', { step: 'lease', term: record.term });
+        this.options.onLease({ term: this.term, untilMs: 0 });
+      },
+    });
+  }
+
+  private scheduleRenew(delayMs: number): void {
+    this.cancelRenew();
+    this.cancelRenew = this.options.clock.schedule(delayMs, () => this.post({ type: 'renew' }));
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/RangeTask.ts
@@ -0,0 +1,382 @@
+import type { Either } from 'purify-ts';
+import type { Cancel } from '#core/Cancel.js';
+import type { RouterError } from '#core/RouterError.js';
+import { Task } from '#core/Task.js';
+import { createRangeTable } from '#ranges/CreateRangeTable.js';
+import { grantMs } from '#ranges/GrantMs.js';
+import { isSameOwner } from '#ranges/IsSameOwner.js';
+import { KeyLoads } from '#ranges/KeyLoads.js';
+import { listRowsOf } from '#ranges/ListRowsOf.js';
+import { overlaps } from '#ranges/Overlaps.js';
+import type { Owner } from '#ranges/Owner.js';
+import type { RangeRow } from '#ranges/RangeRow.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import { renewOwner } from '#ranges/RenewOwner.js';
+import { splitAmong } from '#ranges/SplitAmong.js';
+import { subtractRanges } from '#ranges/SubtractRanges.js';
+import { transferRanges } from '#ranges/TransferRanges.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import { advanceReleases } from '#mesh/AdvanceReleases.js';
+import type { CheckIn } from '#mesh/CheckIn.js';
+import { chooseRelease } from '#mesh/ChooseRelease.js';
+import { collections } from '#mesh/Collections.js';
+import { emptyView } from '#mesh/EmptyView.js';
+import type { HeldLease } from '#mesh/HeldLease.js';
+import { listReceivers } from '#mesh/ListReceivers.js';
+import type { PendingRelease } from '#mesh/PendingRelease.js';
+import type { RangeMessage } from '#mesh/RangeMessage.js';
+import type { RangeOptions } from '#mesh/RangeOptions.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
+import type { ReleasedRow } from '#mesh/ReleasedRow.js';
+import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
+import { settleReleases } from '#mesh/SettleReleases.js';
+import type { TableView } from '#mesh/TableView.js';
+import type { View } from '#mesh/View.js';
+
+const TICK_MS = 250;
+
+/** Time for the first backend servers of a service to announce themselves before its keys are divided, in milliseconds. */
+const GATHER_MS = 1_500;
+
+/** Each daemon after the first waits this much longer before it divides the keys, in milliseconds. */
+const RANK_WAIT_MS = 1_000;
+
+/** Time that a grant may be under way to the backend server, in milliseconds. */
+const DELIVERY_MS = 200;
+
+/** Rows that one answer to an announcement can carry. */
+const MAX_ROWS = 60;
+
+/** An answer to an announcement waits this long for a write, in milliseconds. */
+const MAX_REPLY_WAIT_MS = 300;
+
+interface WaitingReply {
+  readonly reply: CheckIn['reply'];
+  readonly sinceMs: number;
+}
+
+/**
+ * Grants keys to the backend server beside this daemon, and changes the table of owners by conditional writes. Owns the
+ * grants, the releases that are under way, and the measured load of the keys.
+ */
+export class RangeTask extends Task<RangeMessage> {
+  private readonly options: RangeOptions;
+  private readonly loads: KeyLoads;
+  private view: View = emptyView;
+  private table: TableView | undefined;
+  private lease: HeldLease = { term: 0, untilMs: 0 };
+  private incarnation = '';
+  private slots = 1;
+  private isAlive = false;
+  private leaving = false;
+  /** Rows of the last answer to an announcement. */
+  private given: readonly RangeRow[] = [];
+  private waiting: WaitingReply | undefined;
+  private released: readonly ReleasedRow[] = [];
+  private releases: readonly PendingRelease[] = [];
+  /** Elapsed time at which the grants given so far have surely ended. */
+  private grantsEndMs: number;
+  private heldUntilMs = 0;
+  private completeMs: number | undefined;
+  private writing = false;
+  private cancelTick: Cancel = () => undefined;
+
+  public constructor(options: RangeOptions) {
+    super();
+    this.options = options;
+    this.loads = new KeyLoads(options.elapsed.nowMs());
+    // An earlier run of this daemon may have given grants just before.
+    this.grantsEndMs = this.endOfGrant(options.terms.maxGrantMs);
+    this.scheduleTick();
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  protected override receive(message: RangeMessage): void {
+    switch (message.type) {
+      case 'view':
+        this.noteView(message.view);
+        break;
+      case 'checkIn':
+        this.noteCheckIn(message.checkIn);
+        break;
+      case 'ended':
+        this.noteEnded(message.incarnation, message.proven);
+        break;
+      case 'lease':
+        this.lease = message.lease;
+        break;
+      case 'worked':
+        this.loads.add(message.key, message.workMs);
+        return;
+      case 'release':
+        this.release(message.request);
+        break;
+      case 'written':
+        this.noteWritten(message.result);
+        break;
+      case 'read':
+        this.noteRead(message.result);
+        break;
+      case 'tick':
+        this.tick();
+    }
+    this.work();
+    this.answerWaiting();
+    this.tellGranted();
+  }
+
+  private get service(): string {
+    return this.options.place.service;
+  }
+
+  private get owner(): Owner {
+    const { serverId } = this.options.place;
+    return { serverId, term: this.lease.term, incarnation: this.incarnation };
+  }
+
+  private isKeyed(): boolean {
+    return this.view.routes?.table.services.get(this.service)?.keyed === true;
+  }
+
+  private noteView(view: View): void {
+    this.view = view;
+    if (view.complete) this.completeMs ??= this.now();
+    const table = view.tables.get(this.service);
+    if (table !== undefined) this.adopt(table);
+    if (this.isKeyed() && this.incarnation !== '') this.options.onKeyed();
+  }
+
+  private noteCheckIn({ incarnation, holds, released, leaving, slots, reply }: CheckIn): void {
+    if (incarnation !== this.incarnation) {
+      this.incarnation = incarnation;
+      this.released = [];
+      this.releases = [];
+      this.given = [];
+    }
+    this.isAlive = true;
+    this.leaving = leaving;
+    this.slots = slots;
+    this.released = [...this.released, ...released];
+    this.releases = advanceReleases(this.releases, holds);
+    if (this.isKeyed()) this.options.onKeyed();
+    this.work();
+    if (this.writing && this.waiting === undefined) {
+      this.waiting = { reply, sinceMs: this.now() };
+      return;
+    }
+    this.answer(reply);
+  }
+
+  /** Answers an announcement that waits for a write, so that keys which it brings are granted at once. */
+  private answerWaiting(): void {
+    const { waiting } = this;
+    if (waiting === undefined) return;
+    if (this.writing && this.now() - waiting.sinceMs < MAX_REPLY_WAIT_MS) return;
+    this.waiting = undefined;
+    this.answer(waiting.reply);
+  }
+
+  private answer(reply: CheckIn['reply']): void {
+    const rows = this.listGrantable();
+    const holdMs = grantMs(this.lease.untilMs - this.now(), this.options.terms);
+    if (!this.isKeyed() || this.table === undefined || holdMs === 0) {
+      reply(undefined);
+      return;
+    }
+    this.grantsEndMs = this.endOfGrant(holdMs);
+    this.heldUntilMs = this.now() + holdMs;
+    this.given = rows;
+    this.releases = this.releases.map((release) =>
+      release.step === 'planned' ? { ...release, step: 'told' } : release,
+    );
+    reply({ rows, holdMs });
+  }
+
+  private noteEnded(incarnation: string, proven: boolean): void {
+    if (incarnation !== this.incarnation) return;
+    this.leaving = true;
+    if (!proven) return;
+    this.isAlive = false;
+    this.heldUntilMs = 0;
+    this.given = [];
+    this.grantsEndMs = this.now();
+  }
+
+  private tick(): void {
+    this.scheduleTick();
+    if (!this.isKeyed()) return;
+    const rows = this.listOwnRows();
+    const work = rows.reduce((sum, row) => sum + this.loads.sum(row, this.now()), 0);
+    this.options.onFacts({
+      incarnation: this.incarnation,
+      workMsPerSecond: work,
+      slots: this.slots,
+      waitMs: 0,
+      accepts: this.isAlive && !this.hasToLeave(),
+    });
+    if (this.table === undefined) this.divideKeys();
+  }
+
+  /** Gives all keys to the servers that are there, if this daemon is the first of them. */
+  private divideKeys(): void {
+    if (this.completeMs === undefined || this.lease.term === 0 || this.writing) return;
+    const receivers = listReceivers(this.view, this.service);
+    const rank = receivers.findIndex(({ serverId }) => serverId === this.options.place.serverId);
+    if (rank < 0 || this.now() - this.completeMs < GATHER_MS + rank * RANK_WAIT_MS) return;
+    this.write(createRangeTable(this.service, receivers), 0, 'keysDivided');
+  }
+
+  private hasToLeave(): boolean {
+    return this.leaving || this.view.evacuated.has(this.options.place.failureDomain);
+  }
+
+  /** Makes the changes of the table that are due. At most one write is under way. */
+  private work(): void {
+    const { table } = this;
+    if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
+    if (this.hasToLeave()) this.releaseAll(table.table);
+    if (this.now() > this.grantsEndMs)
+      this.releases = this.releases.map((release) => ({ ...release, step: 'free' }));
+    const stale = this.isAlive && !this.leaving ? renewOwner(table.table, this.owner) : table.table;
+    if (stale !== table.table) {
+      this.write(stale, table.revision, 'ownerRenewed');
+      return;
+    }
+    const settled = settleReleases(this.releases, this.released);
+    if (settled.length > 0)
+      this.write(transferRanges(table.table, settled), table.revision, 'keysTransferred');
+  }
+
+  private releaseAll(table: RangeTable): void {
+    const open = subtractRanges(listRowsOf(table, this.options.place.serverId), this.releases);
+    if (open.length === 0) return;
+    const others = listReceivers(this.view, this.service).filter(
+      ({ serverId }) => serverId !== this.options.place.serverId,
+    );
+    const transfers = splitAmong(open, others);
+    if (transfers.length === 0) return;
+    this.options.logger.log('releaseAll', { step: 'move', rows: open.length, receivers: others.length });
+    this.releases = [
+      ...this.releases,
+      ...transfers.map(({ from, to, owner }) => ({ from, to, owner, step: 'planned' as const })),
+    ];
+  }
+
+  private release(request: ReleaseRequest): void {
+    const receiver = listReceivers(this.view, this.service).find(({ serverId }) => serverId === request.to);
+    const rows = this.listGrantable();
+    if (receiver === undefined || this.releases.length > 0 || rows.length === 0) return;
+    const range = chooseRelease(rows, this.loads, request, this.now());
+    if (range === undefined) return;
+    this.options.logger.log('release', {
+      step: 'move',
+      from: range.from,
+      to: range.to,
+      peer: receiver.serverId,
+    });
+    this.releases = [{ ...range, owner: receiver, step: 'planned' }];
+  }
+
+  private write(next: RangeTable, ifRevision: number, event: string): void {
+    this.writing = true;
+    this.options.logger.log(event, {
+      step: 'move',
+      epoch: next.lastEpoch,
+      rows: next.rows.length,
+      ifRevision,
+    });
+    void this.options.store
+      .put(collections.ranges, this.service, next, ifRevision)
+      .then((result) => this.post({ type: 'written', result }));
+  }
+
+  private noteWritten(result: Either<RouterError, CollectionPutResult>): void {
+    result.caseOf({
+      Left: (err) => {
+        this.options.logger.log('tableNotWritten', { step: 'store', code: err.fields.code });
+        this.readTable();
+      },
+      Right: (put) => {
+        this.writing = false;
+        const item = put.type === 'accepted' ? put.item : put.current;
+        if (item !== undefined) this.adoptItem(item);
+      },
+    });
+  }
+
+  /** Reads the table after a write without a reply, which may have been carried out. */
+  private readTable(): void {
+    this.options.clock.schedule(TICK_MS, () => {
+      void this.options.store
+        .get(collections.ranges, this.service)
+        .then((result) => this.post({ type: 'read', result }));
+    });
+  }
+
+  private noteRead(result: Either<RouterError, CollectionItem | undefined>): void {
+    result.caseOf({
+      Left: () => this.readTable(),
+      Right: (item) => {
+        this.writing = false;
+        if (item !== undefined) this.adoptItem(item);
+      },
+    });
+  }
+
+  private adoptItem(item: CollectionItem): void {
+    rangeTableCodec.decode(item.value).caseOf({
+      Left: (message) => this.options.logger.log('tableMalformed', { step: 'store', message }),
+      Right: (table) => this.adopt({ table, revision: item.revision }),
+    });
+  }
+
+  private adopt(table: TableView): void {
+    if (this.table !== undefined && this.table.revision >= table.revision) return;
+    this.table = table;
+    const mine = listRowsOf(table.table, this.options.place.serverId);
+    this.releases = this.releases.filter((release) => mine.some((row) => overlaps(row, release)));
+    if (this.releases.length === 0) this.released = [];
+  }
+
+  private listOwnRows(): readonly RangeRow[] {
+    if (this.table === undefined) return [];
+    return listRowsOf(this.table.table, this.options.place.serverId).filter((row) =>
+      isSameOwner(row, this.owner),
+    );
+  }
+
+  private listGrantable(): readonly RangeRow[] {
+    const rows = subtractRanges(this.listOwnRows(), this.releases);
+    if (rows.length > MAX_ROWS)
+      this.options.logger.log('rowsOmitted', { step: 'move', rows: rows.length, limit: MAX_ROWS });
+    return rows.slice(0, MAX_ROWS);
+  }
+
+  private tellGranted(): void {
+    const served = this.releases.filter(({ step }) => step !== 'planned');
+    const expected = subtractRanges(this.listOwnRows(), served);
+    const held = expected.filter((row) => this.given.some((each) => covers(each, row)));
+    this.options.onGranted(held, this.heldUntilMs, expected);
+  }
+
+  private endOfGrant(holdMs: number): number {
+    return this.now() + holdMs * (1 + this.options.terms.clockDrift) + DELIVERY_MS;
+  }
+
+  private now(): number {
+    return this.options.elapsed.nowMs();
+  }
+
+  private scheduleTick(): void {
+    this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
+  }
+}
+
+function covers(given: RangeRow, row: RangeRow): boolean {
+  return given.epoch === row.epoch && given.from <= row.from && given.to >= row.to;
+}
--- /dev/null
+++ b/packages/mesh/src/ReadinessTask.ts
@@ -0,0 +1,42 @@
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { Task } from '#core/Task.js';
+import type { ReadinessMessage } from '#mesh/ReadinessMessage.js';
+
+/** Tells the platform whether callers should use this daemon. Owns the port that the platform asks. */
+export class ReadinessTask extends Task<ReadinessMessage> {
+  private readonly host: string;
+  private readonly port: number;
+  private readonly server: Server;
+  private ready = false;
+
+  public constructor(host: string, port: number) {
+    super();
+    this.host = host;
+    this.port = port;
+    this.server = createServer((_req, res) => this.post({ type: 'asked', res }));
+  }
+
+  /** Begins to listen; rejects if the address is in use. */
+  public listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.port, this.host, () => resolve());
+    });
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  protected override receive(message: ReadinessMessage): void {
+    if (message.type === 'ready') this.ready = message.ready;
+    else this.answer(message.res);
+  }
+
+  private answer(res: ServerResponse): void {
+    res.writeHead(this.ready ? 200 : 503, { 'Content-Length': '0' });
+    res.end();
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ReceiverMessage.ts
@@ -0,0 +1,9 @@
+import type { ServerHttp2Stream } from 'node:http2';
+
+/** Messages of `ReceiverTask`: another daemon opened a stream. */
+export interface ReceiverMessage {
+  readonly type: 'opened';
+  readonly stream: ServerHttp2Stream;
+  readonly path: string;
+  readonly head: string;
+}
--- /dev/null
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -0,0 +1,104 @@
+import { createServer, type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from 'node:http2';
+import { JSONRPCServer } from 'json-rpc-2.0';
+import { Task } from '#core/Task.js';
+import { decodeOrder } from '#mesh/DecodeOrder.js';
+import { encodeResult } from '#mesh/EncodeResult.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
+import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
+import { relayPaths } from '#mesh/RelayPaths.js';
+
+/** Flow-control window, large enough for any usual request, in bytes. */
+const WINDOW_BYTES = 4 * 1024 * 1024;
+
+const BAD_REQUEST = 400;
+
+/** Receives orders and calls from other daemons. Owns the listening socket and its sessions. */
+export class ReceiverTask extends Task<ReceiverMessage> {
+  private readonly options: ReceiverOptions;
+  private readonly server: Http2Server;
+  private readonly rpc = new JSONRPCServer();
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  public constructor(options: ReceiverOptions) {
+    super();
+    this.options = options;
+    for (const [method, handle] of Object.entries(options.calls)) this.rpc.addMethod(method, handle);
+    this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
+    this.server.on('session', (session) => {
+      this.sessions.add(session);
+      session.setLocalWindowSize(WINDOW_BYTES);
+      session.on('close', () => this.sessions.delete(session));
+      // A broken session is closed by the library; its orders go on and wait for their sender.
+      session.on('error', (err: Error) =>
+        options.logger.log('sessionBroken', { step: 'rpc', message: err.message }),
+      );
+    });
+    this.server.on('stream', (stream, headers) => {
+      const path = headers[':path'] ?? '';
+      const head = headers['amr-head'];
+      this.post({ type: 'opened', stream, path, head: typeof head === 'string' ? head : '' });
+    });
+  }
+
+  /** Begins to listen; rejects if the address is in use. */
+  public listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => resolve());
+    });
+  }
+
+  /** Tells the other daemons to send nothing more over their sessions. */
+  public announceEnd(): void {
+    for (const session of this.sessions) session.goaway();
+  }
+
+  public override stop(): void {
+    super.stop();
+    for (const session of this.sessions) session.destroy();
+    this.server.close();
+  }
+
+  protected override receive(message: ReceiverMessage): void {
+    const { stream, path, head } = message;
+    // The close event follows; an order goes on without its stream.
+    stream.on('error', () => undefined);
+    collectBody(stream, (body) => {
+      if (path === relayPaths.orders) this.receiveOrder(stream, head, body);
+      else this.receiveCall(stream, body);
+    });
+  }
+
+  private receiveOrder(stream: ServerHttp2Stream, head: string, body: Buffer): void {
+    decodeOrder(head, body, this.options.clock.monotonicMs()).caseOf({
+      Left: (message) => {
+        this.options.logger.log('orderMalformed', { step: 'parse', message });
+        if (!stream.destroyed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
+      },
+      Right: (order) => this.options.onOrder(order, (result) => answerOrder(stream, result)),
+    });
+  }
+
+  private receiveCall(stream: ServerHttp2Stream, body: Buffer): void {
+    void this.rpc.receiveJSON(body.toString()).then((answer) => {
+      if (stream.destroyed) return;
+      stream.respond({ ':status': 200, 'amr-head': 'call' });
+      stream.end(JSON.stringify(answer));
+    });
+  }
+}
+
+function collectBody(stream: ServerHttp2Stream, done: (body: Buffer) => void): void {
+  let chunks: readonly Buffer[] = [];
+  stream.on('data', (chunk: Buffer) => {
+    chunks = [...chunks, chunk];
+  });
+  stream.on('end', () => done(Buffer.concat([...chunks])));
+}
+
+function answerOrder(stream: ServerHttp2Stream, result: OrderResult): void {
+  if (stream.destroyed || stream.closed) return;
+  stream.respond({ ':status': 200, 'amr-head': encodeResult(result) });
+  stream.end(result.type === 'answered' ? result.answer.body : undefined);
+}
--- /dev/null
+++ b/packages/mesh/src/RefusalCode.ts
@@ -0,0 +1,14 @@
+/** Why an order did not run. */
+export type RefusalCode =
+  | 'unreachable'
+  | 'noServer'
+  | 'draining'
+  | 'evacuated'
+  | 'notOwner'
+  | 'cold'
+  | 'full'
+  | 'tooLate'
+  | 'quarantined'
+  | 'shed'
+  | 'misdirected'
+  | 'stopping';
--- /dev/null
+++ b/packages/mesh/src/RelayMessage.ts
@@ -0,0 +1,29 @@
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { PeerSession } from '#mesh/PeerSession.js';
+
+/** Messages of `RelayTask`. */
+export type RelayMessage =
+  | {
+      readonly type: 'order';
+      readonly order: Order;
+      readonly address: string;
+      readonly reply: OrderReply;
+    }
+  /** Tells a daemon that the caller of an order has left. */
+  | { readonly type: 'cancel'; readonly id: string; readonly address: string }
+  | {
+      readonly type: 'call';
+      readonly address: string;
+      readonly method: string;
+      readonly params: unknown;
+      /** Receives the result, or undefined if the call failed. */
+      readonly reply: (result: unknown) => void;
+    }
+  | {
+      readonly type: 'closed';
+      readonly address: string;
+      readonly session: PeerSession;
+      readonly failed: boolean;
+    }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/packages/mesh/src/RelayOptions.ts
@@ -0,0 +1,10 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+
+/** What `RelayTask` is created with. */
+export interface RelayOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Told when a daemon can or cannot be reached; `untilMs` is the monotonic time until which it is not tried. */
+  readonly onReach: (address: string, reachable: boolean, untilMs: number) => void;
+}
--- /dev/null
+++ b/packages/mesh/src/RelayTask.ts
@@ -0,0 +1,142 @@
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import { decodeResult } from '#mesh/DecodeResult.js';
+import { encodeOrder } from '#mesh/EncodeOrder.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import type { PeerReply } from '#mesh/PeerReply.js';
+import { PeerSession } from '#mesh/PeerSession.js';
+import type { RelayMessage } from '#mesh/RelayMessage.js';
+import type { RelayOptions } from '#mesh/RelayOptions.js';
+import { relayPaths } from '#mesh/RelayPaths.js';
+
+const TICK_MS = 50;
+
+/** Pauses before a daemon that could not be reached is tried again, in milliseconds. */
+const FIRST_PAUSE_MS = 250;
+const MAX_PAUSE_MS = 1_000;
+
+const LOST: OrderResult = { type: 'lost', code: 'peerLost', load: undefined };
+
+interface Pause {
+  readonly untilMs: number;
+  readonly lengthMs: number;
+}
+
+/** Sends orders and calls to other daemons. Owns one session with each daemon in use. */
+export class RelayTask extends Task<RelayMessage> {
+  private readonly options: RelayOptions;
+  private readonly sessions = new Map<string, PeerSession>();
+  private readonly pauses = new Map<string, Pause>();
+  private nextCall = 1;
+  private cancelTick: Cancel | undefined;
+
+  public constructor(options: RelayOptions) {
+    super();
+    this.options = options;
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick?.();
+    for (const session of this.sessions.values()) session.destroy();
+  }
+
+  protected override receive(message: RelayMessage): void {
+    switch (message.type) {
+      case 'order':
+        this.sendOrder(message.order, message.address, message.reply);
+        break;
+      case 'cancel':
+        this.call(message.address, 'cancel', { id: message.id }, () => undefined);
+        break;
+      case 'call':
+        this.call(message.address, message.method, message.params, message.reply);
+        break;
+      case 'closed':
+        this.noteClosed(message.address, message.session, message.failed);
+        break;
+      case 'tick':
+        this.cancelTick = undefined;
+        for (const session of this.sessions.values()) session.check();
+    }
+    this.scheduleTick();
+  }
+
+  private sendOrder(order: Order, address: string, reply: OrderReply): void {
+    const session = this.findSession(address);
+    if (session === undefined) {
+      reply({ type: 'refused', code: 'unreachable', retryAfterMs: 0, load: undefined, arrived: false });
+      return;
+    }
+    const head = encodeOrder(order, this.now());
+    session.send(relayPaths.orders, head, order.request.body, (result) => reply(readResult(result)));
+  }
+
+  private call(address: string, method: string, params: unknown, reply: (result: unknown) => void): void {
+    const session = this.findSession(address);
+    if (session === undefined) {
+      reply(undefined);
+      return;
+    }
+    const body = Buffer.from(JSON.stringify({ jsonrpc: '2.0', id: this.nextCall, method, params }));
+    this.nextCall += 1;
+    session.send(relayPaths.calls, '', body, (result) => reply(readCallResult(result)));
+  }
+
+  private findSession(address: string): PeerSession | undefined {
+    const known = this.sessions.get(address);
+    if (known?.isOpen === true && !known.isSuspect) return known;
+    const pause = this.pauses.get(address);
+    if (pause !== undefined && this.now() < pause.untilMs) return undefined;
+    const session: PeerSession = new PeerSession(
+      address,
+      () => this.now(),
+      (failed) => this.post({ type: 'closed', address, session, failed }),
+    );
+    this.sessions.set(address, session);
+    return session;
+  }
+
+  private noteClosed(address: string, session: PeerSession, failed: boolean): void {
+    if (this.sessions.get(address) === session) this.sessions.delete(address);
+    if (!failed) {
+      this.pauses.delete(address);
+      return;
+    }
+    const last = this.pauses.get(address)?.lengthMs ?? 0;
+    const lengthMs = Math.min(MAX_PAUSE_MS, Math.max(FIRST_PAUSE_MS, last * 2));
+    const untilMs = this.now() + lengthMs;
+    this.pauses.set(address, { untilMs, lengthMs });
+    this.options.logger.log('peerUnreachable', { step: 'rpc', peer: address, pauseMs: lengthMs });
+    this.options.onReach(address, false, untilMs);
+  }
+
+  private scheduleTick(): void {
+    const busy = [...this.sessions.values()].some((session) => session.isBusy);
+    if (!busy || this.cancelTick !== undefined) return;
+    this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
+
+function readResult(result: PeerReply): OrderResult {
+  if (result.ok) return decodeResult(result.head, result.body).orDefault(LOST);
+  return result.sent
+    ? LOST
+    : { type: 'refused', code: 'unreachable', retryAfterMs: 0, load: undefined, arrived: false };
+}
+
+function readCallResult(result: PeerReply): unknown {
+  if (!result.ok) return undefined;
+  try {
+    const answer = JSON.parse(result.body.toString()) as { readonly result?: unknown };
+    return answer.result;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ReleaseRequest.ts
@@ -0,0 +1,9 @@
+/** Asks the daemon that grants keys to give some of them to another daemon. */
+export interface ReleaseRequest {
+  /** Server id of the receiver. */
+  readonly to: string;
+  /** Work that should move, in milliseconds a second. */
+  readonly workMsPerSecond: number;
+  /** Part of the keys to move if no work was measured on them. */
+  readonly share: number;
+}
--- /dev/null
+++ b/packages/mesh/src/RpcMethods.ts
@@ -0,0 +1,7 @@
+/** Methods of the calls between daemons. */
+export const rpcMethods = Object.freeze({
+  ping: 'ping',
+  release: 'release',
+  cancel: 'cancel',
+  marks: 'marks',
+});
--- /dev/null
+++ b/packages/mesh/src/ServerLink.ts
@@ -0,0 +1,194 @@
+import { connect, type Socket } from 'node:net';
+import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
+import { ChartCursor } from '#chart/ChartCursor.js';
+import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { findHeader } from '#mesh/FindHeader.js';
+import type { HeaderPair } from '#mesh/HeaderPair.js';
+import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
+import { pairHeaders } from '#mesh/PairHeaders.js';
+import { serverLinkChart } from '#mesh/ServerLinkChart.js';
+import type { ServerLinkEvent } from '#mesh/ServerLinkEvent.js';
+import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
+
+/** A connection that is not established within this time is given up, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Part of the server's idle time after which a connection is closed here, so that no order meets its closing. */
+const IDLE_PART = 0.7;
+const DEFAULT_IDLE_MS = 5_000;
+
+/** Bytes of one answer that are kept at most. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+const FIRST_FINAL_STATUS = 200;
+
+/**
+ * One HTTP/1.1 connection to the backend server, which carries one order at a time. Answers that carry another request
+ * id than the current order's are skipped, and bytes that no order waits for close the connection.
+ */
+export class ServerLink {
+  private readonly socket: Socket;
+  private readonly cursor = new ChartCursor<ServerLinkEvent>(serverLinkChart);
+  private readonly parser: HTTPParserJS = new HTTPParser('RESPONSE');
+  private readonly idHeader: string;
+  private readonly signal: (signal: ServerLinkSignal) => void;
+  private requestId = '';
+  private isHead = false;
+  private status = 0;
+  private headers: readonly HeaderPair[] = [];
+  private chunks: readonly Buffer[] = [];
+  private bodyBytes = 0;
+  private keepsAlive = true;
+  private idleMs = DEFAULT_IDLE_MS;
+  private readonly connectTimer: NodeJS.Timeout;
+  private refused = false;
+
+  public constructor(address: string, idHeader: string, signal: (signal: ServerLinkSignal) => void) {
+    this.idHeader = idHeader;
+    this.signal = signal;
+    this.listenToParser();
+    const colon = address.lastIndexOf(':');
+    this.socket = connect({
+      host: address.slice(0, colon),
+      port: Number(address.slice(colon + 1)),
+      noDelay: true,
+    });
+    this.connectTimer = setTimeout(() => this.socket.destroy(), CONNECT_TIMEOUT_MS);
+    this.socket.on('connect', () => this.noteConnected());
+    this.socket.on('data', (chunk) => this.readBytes(chunk));
+    this.socket.on('end', () => this.readEnd());
+    this.socket.on('error', (err: NodeJS.ErrnoException) => {
+      this.refused = err.code === 'ECONNREFUSED';
+    });
+    this.socket.on('timeout', () => {
+      if (this.cursor.state === 'idle') this.socket.destroy();
+    });
+    this.socket.on('close', () => this.noteClosed());
+  }
+
+  /** `connecting`, `idle`, `busy` or `closed`. */
+  public get state(): string {
+    return this.cursor.state;
+  }
+
+  /** Sends the bytes of an order. The connection must be idle. */
+  public send(requestId: string, isHead: boolean, head: string, body: Buffer): void {
+    this.cursor.send({ type: 'sent' });
+    this.requestId = requestId;
+    this.isHead = isHead;
+    this.socket.setTimeout(0);
+    this.socket.cork();
+    this.socket.write(head, 'latin1');
+    if (body.length > 0) this.socket.write(body);
+    this.socket.uncork();
+  }
+
+  /** Closes the connection; the backend server drops what it runs for it. */
+  public destroy(): void {
+    this.socket.destroy();
+  }
+
+  private listenToParser(): void {
+    this.parser[HTTPParser.kOnHeadersComplete] = (info) => this.noteHead(info.statusCode, info.headers);
+    this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      const part = Buffer.from(chunk.subarray(offset, offset + length));
+      this.chunks = [...this.chunks, part];
+      this.bodyBytes += part.length;
+      if (this.bodyBytes > MAX_ANSWER_BYTES) this.socket.destroy();
+    };
+    this.parser[HTTPParser.kOnMessageComplete] = () => this.noteComplete();
+  }
+
+  private noteConnected(): void {
+    clearTimeout(this.connectTimer);
+    this.cursor.send({ type: 'connected' });
+    this.restIdle();
+    this.signal({ type: 'connected' });
+  }
+
+  private readBytes(chunk: Buffer): void {
+    if (this.cursor.state === 'closed') return;
+    if (this.cursor.state !== 'busy') {
+      this.cursor.send({ type: 'surplus' });
+      this.socket.destroy();
+      this.signal({ type: 'closed', refused: false, neverOpened: false });
+      return;
+    }
+    const result = this.parser.execute(chunk);
+    if (typeof result !== 'number') this.breakOff('malformed answer', true);
+  }
+
+  private readEnd(): void {
+    if (this.cursor.state !== 'busy') return;
+    const result = this.parser.finish();
+    if (result instanceof Error) this.breakOff('answer ended early', true);
+  }
+
+  private noteHead(status: number, rawHeaders: readonly string[]): 0 | 1 {
+    this.status = status;
+    const pairs = pairHeaders(rawHeaders);
+    const length = findHeader(pairs, 'content-length');
+    if (length !== undefined && !/^\d+$/.test(length)) this.breakOff('malformed length', true);
+    this.keepsAlive = findHeader(pairs, 'connection')?.toLowerCase() !== 'close';
+    const isFramed = length !== undefined || findHeader(pairs, 'transfer-encoding') !== undefined;
+    const hasNoBody = this.isHead || status === 204 || status === 304 || status < FIRST_FINAL_STATUS;
+    if (!isFramed && !hasNoBody) this.keepsAlive = false;
+    this.noteIdleTime(findHeader(pairs, 'keep-alive'));
+    this.headers = pairs.filter(([name]) => !isConnectionHeader(name));
+    return hasNoBody ? 1 : 0;
+  }
+
+  private noteIdleTime(keepAlive: string | undefined): void {
+    const seconds = /timeout=(\d+)/.exec(keepAlive ?? '')?.[1];
+    if (seconds !== undefined) this.idleMs = Number(seconds) * 1_000;
+  }
+
+  private noteComplete(): void {
+    const answer: BackendAnswer = {
+      status: this.status,
+      headers: this.headers,
+      body: Buffer.concat([...this.chunks]),
+    };
+    this.chunks = [];
+    this.bodyBytes = 0;
+    if (this.cursor.state !== 'busy' || answer.status < FIRST_FINAL_STATUS) return;
+    const id = findHeader(answer.headers, this.idHeader);
+    if (id !== undefined && id !== this.requestId) {
+      this.signal({ type: 'skipped', headers: answer.headers });
+      if (!this.keepsAlive) this.breakOff('connection closed after an answer to another request', true);
+      return;
+    }
+    this.finishOrder(answer);
+  }
+
+  private finishOrder(answer: BackendAnswer): void {
+    // The rest of a body that is still unsent would be read as the next request.
+    const reusable = this.keepsAlive && this.socket.writableLength === 0 && !this.socket.readableEnded;
+    this.cursor.send({ type: reusable ? 'answered' : 'answeredLast' });
+    this.requestId = '';
+    if (reusable) this.restIdle();
+    else this.socket.destroy();
+    this.signal({ type: 'answered', answer, reusable });
+  }
+
+  private breakOff(reason: string, malformed: boolean): void {
+    if (!this.cursor.send({ type: 'malformed' })) return;
+    this.socket.destroy();
+    this.signal({ type: 'broken', reason, malformed });
+  }
+
+  private noteClosed(): void {
+    clearTimeout(this.connectTimer);
+    const before = this.cursor.state;
+    if (!this.cursor.send({ type: 'closed' })) return;
+    if (before === 'busy') {
+      this.signal({ type: 'broken', reason: 'connection closed', malformed: false });
+      return;
+    }
+    this.signal({ type: 'closed', refused: this.refused, neverOpened: before === 'connecting' });
+  }
+
+  private restIdle(): void {
+    this.socket.setTimeout(this.idleMs * IDLE_PART);
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ServerLinkChart.ts
@@ -0,0 +1,12 @@
+import type { ChartFile } from '#chart/ChartFile.js';
+import { compileChart } from '#chart/CompileChart.js';
+import type { CompiledChart } from '#chart/CompiledChart.js';
+import type { ServerLinkEvent } from '#mesh/ServerLinkEvent.js';
+import file from '../charts/serverLink.json' with { type: 'json' };
+
+/** Chart of one connection to the backend server; it carries one order at a time. */
+export const serverLinkChart: CompiledChart<undefined, ServerLinkEvent, never> = compileChart(
+  'serverLink.json',
+  file as ChartFile,
+  { guards: {}, actions: {} },
+);
--- /dev/null
+++ b/packages/mesh/src/ServerLinks.ts
@@ -0,0 +1,48 @@
+import { ServerLink } from '#mesh/ServerLink.js';
+import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
+
+/** The connections of `ServerTask` to the backend server beside it. */
+export class ServerLinks {
+  private readonly idHeader: string;
+  private readonly signal: (link: ServerLink, signal: ServerLinkSignal) => void;
+  private readonly links = new Set<ServerLink>();
+
+  public constructor(idHeader: string, signal: (link: ServerLink, signal: ServerLinkSignal) => void) {
+    this.idHeader = idHeader;
+    this.signal = signal;
+  }
+
+  /** A connection that can take an order now: the one used last, so that others can close for being idle. */
+  public findIdle(): ServerLink | undefined {
+    return [...this.links].findLast(({ state }) => state === 'idle');
+  }
+
+  /** Number of connections that are being opened. */
+  public get connecting(): number {
+    return [...this.links].filter(({ state }) => state === 'connecting').length;
+  }
+
+  public get size(): number {
+    return this.links.size;
+  }
+
+  /** Opens a connection. Its signals begin later. */
+  public open(address: string): void {
+    const link: ServerLink = new ServerLink(address, this.idHeader, (signal) => this.signal(link, signal));
+    this.links.add(link);
+  }
+
+  /** Makes a connection the one used last. */
+  public touch(link: ServerLink): void {
+    if (this.links.delete(link)) this.links.add(link);
+  }
+
+  public remove(link: ServerLink): void {
+    this.links.delete(link);
+  }
+
+  /** Closes all connections; orders on them end as broken. */
+  public closeAll(): void {
+    for (const link of this.links) link.destroy();
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/ServerTask.ts
@@ -0,0 +1,470 @@
+import { Quarantine } from '#admission/Quarantine.js';
+import type { Cancel } from '#core/Cancel.js';
+import { Task } from '#core/Task.js';
+import { findRow } from '#ranges/FindRow.js';
+import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { checkAdmission } from '#mesh/CheckAdmission.js';
+import { classifyAnswer } from '#mesh/ClassifyAnswer.js';
+import { ColdLimit } from '#mesh/ColdLimit.js';
+import { createFingerprint } from '#mesh/CreateFingerprint.js';
+import { estimateWait } from '#mesh/EstimateWait.js';
+import { findHeader } from '#mesh/FindHeader.js';
+import { formatOrder } from '#mesh/FormatOrder.js';
+import { KindTimes } from '#mesh/KindTimes.js';
+import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LossCode } from '#mesh/LossCode.js';
+import type { Order } from '#mesh/Order.js';
+import { OrderLedger } from '#mesh/OrderLedger.js';
+import { OrderQueue } from '#mesh/OrderQueue.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import { parseLoad } from '#mesh/ParseLoad.js';
+import type { Presence } from '#mesh/Presence.js';
+import type { QueuedOrder } from '#mesh/QueuedOrder.js';
+import type { RefusalCode } from '#mesh/RefusalCode.js';
+import type { RunningOrder } from '#mesh/RunningOrder.js';
+import type { ServerLink } from '#mesh/ServerLink.js';
+import { ServerLinks } from '#mesh/ServerLinks.js';
+import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
+import type { ServerMessage } from '#mesh/ServerMessage.js';
+import type { ServerOptions } from '#mesh/ServerOptions.js';
+import type { ServerState } from '#mesh/ServerState.js';
+import type { View } from '#mesh/View.js';
+
+const TICK_MS = 20;
+
+/** Time of an order's due time that is left for the way back to its caller, in milliseconds. */
+const RETURN_MS = 5;
+
+/** An order with less time than this part of its expected time is not started. */
+const LEAST_PART = 0.5;
+
+/** Orders that may wait, in multiples of the slots. */
+const QUEUE_FACTOR = 12;
+
+/** Time for which a call between services keeps one slot free for others of its kind, in milliseconds. */
+const CALLS_KEEP_MS = 5_000;
+
+/** A lost order counts against a crash that is noticed within this time, in milliseconds. */
+const CRASH_WINDOW_MS = 600;
+
+/** Requests that may have crashed a backend server. */
+const MAX_MARKED = 5_000;
+const MARK_KEEP_MS = 60_000;
+
+/** Connections that failed to open in a row before waiting orders are refused. */
+const FAILED_OPENINGS = 2;
+
+/** A reported slowdown says something for this long, in milliseconds. */
+const SLOWDOWN_KEEP_MS = 400;
+
+const ABSENT: Presence = {
+  state: 'absent',
+  address: '',
+  instanceId: '',
+  incarnation: '',
+  slots: 1,
+  coldUntilMs: 0,
+  heardMs: 0,
+  leavingMs: undefined,
+};
+
+interface Loss {
+  readonly order: Order;
+  readonly atMs: number;
+}
+
+/** Runs orders at the backend server beside this daemon. Owns its connections, the queue before it and its slots. */
+export class ServerTask extends Task<ServerMessage> {
+  private readonly options: ServerOptions;
+  private readonly links: ServerLinks;
+  private readonly queue = new OrderQueue();
+  private readonly ledger = new OrderLedger();
+  private readonly times = new KindTimes();
+  private readonly cold = new ColdLimit();
+  private readonly quarantine = new Quarantine(MAX_MARKED, MARK_KEEP_MS);
+  private readonly running = new Map<string, RunningOrder>();
+  private losses: readonly Loss[] = [];
+  private failedOpenings = 0;
+  private callsUntilMs = 0;
+  private slowdown = { factor: 1, atMs: -Infinity };
+  private cancelTick: Cancel | undefined;
+  private state: ServerState = {
+    presence: ABSENT,
+    keyed: false,
+    coldPerSecond: Infinity,
+    maxConnections: 1,
+    evacuatedMs: undefined,
+    returnedMs: 0,
+    held: [],
+    heldUntilMs: 0,
+    expected: [],
+  };
+
+  public constructor(options: ServerOptions) {
+    super();
+    this.options = options;
+    this.links = new ServerLinks(options.headers.requestId, (link, signal) =>
+      this.post({ type: 'signal', link, signal }),
+    );
+  }
+
+  public override stop(): void {
+    super.stop();
+    this.cancelTick?.();
+    this.links.closeAll();
+  }
+
+  /** Number of orders that wait or run. */
+  public get load(): number {
+    return this.queue.size + this.running.size;
+  }
+
+  protected override receive(message: ServerMessage): void {
+    switch (message.type) {
+      case 'order':
+        this.accept(message.order, message.reply);
+        break;
+      case 'cancel':
+        this.cancel(message.id);
+        break;
+      case 'presence':
+        this.notePresence(message.presence);
+        break;
+      case 'granted':
+        this.state = {
+          ...this.state,
+          held: message.rows,
+          heldUntilMs: message.untilMs,
+          expected: message.expected,
+        };
+        break;
+      case 'view':
+        this.noteView(message.view);
+        break;
+      case 'marks':
+        this.quarantine.merge(message.marks, this.now());
+        break;
+      case 'signal':
+        this.noteSignal(message.link, message.signal);
+        break;
+      case 'tick':
+        this.tick();
+    }
+    this.dispatch();
+    this.scheduleTick();
+  }
+
+  private accept(order: Order, reply: OrderReply): void {
+    const { id } = order.request;
+    if (this.ledger.has(id) && (order.resumes !== '' || !order.idempotent)) {
+      this.ledger.join(id, reply);
+      return;
+    }
+    if (order.resumes !== '' && order.resumes !== this.options.processId) {
+      reply({ type: 'lost', code: 'peerRestarted', load: undefined });
+      return;
+    }
+    const nowMs = this.now();
+    if (order.isCall) this.callsUntilMs = nowMs + CALLS_KEEP_MS;
+    const serviceMs = this.times.expect(order);
+    const code =
+      checkAdmission(order, this.state, this.options, nowMs) ?? this.checkRoom(order, serviceMs, nowMs);
+    if (code !== undefined) {
+      reply(this.refuse(order, code, false));
+      return;
+    }
+    this.ledger.open(id, reply, nowMs);
+    this.queue.add({ order, queuedMs: nowMs, serviceMs });
+  }
+
+  private checkRoom(order: Order, serviceMs: number, nowMs: number): RefusalCode | undefined {
+    if (this.isHeld(order, nowMs)) return 'quarantined';
+    if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
+    const waitMs = this.waitFor(this.queue.workAheadMs(order), nowMs);
+    return nowMs + waitMs + serviceMs > order.dueMs - RETURN_MS ? 'full' : undefined;
+  }
+
+  private isHeld(order: Order, nowMs: number): boolean {
+    if (this.quarantine.size === 0) return false;
+    return this.quarantine.check(createFingerprint(order), nowMs).kind === 'hold';
+  }
+
+  private cancel(id: string): void {
+    const nowMs = this.now();
+    if (this.queue.remove(id) !== undefined)
+      this.ledger.close(
+        id,
+        { type: 'refused', code: 'tooLate', retryAfterMs: 0, load: undefined, arrived: false },
+        nowMs,
+      );
+    const running = this.running.get(id);
+    if (running?.order.idempotent !== true) return;
+    this.running.delete(id);
+    running.link.destroy();
+    this.ledger.close(id, { type: 'lost', code: 'cancelled', load: undefined }, nowMs);
+  }
+
+  private notePresence(presence: Presence): void {
+    const before = this.state.presence;
+    this.state = { ...this.state, presence };
+    if (before.incarnation === presence.incarnation && presence.state !== 'absent') return;
+    this.failedOpenings = 0;
+    if (before.incarnation !== presence.incarnation) this.links.closeAll();
+    if (presence.state === 'absent') this.refuseQueue('noServer');
+  }
+
+  private noteView(view: View): void {
+    const { failureDomain, service } = this.options.place;
+    const facts = view.routes?.table.services.get(service);
+    const isOut = view.evacuated.has(failureDomain);
+    const wasOut = this.state.evacuatedMs !== undefined;
+    const nowMs = this.now();
+    this.state = {
+      ...this.state,
+      keyed: facts?.keyed ?? this.state.keyed,
+      coldPerSecond: facts?.coldPerSecond ?? this.state.coldPerSecond,
+      maxConnections: facts?.maxConnections ?? this.state.maxConnections,
+      evacuatedMs: isOut ? (this.state.evacuatedMs ?? nowMs) : undefined,
+      returnedMs: wasOut && !isOut ? nowMs : this.state.returnedMs,
+    };
+  }
+
+  private noteSignal(link: ServerLink, signal: ServerLinkSignal): void {
+    switch (signal.type) {
+      case 'connected':
+        this.failedOpenings = 0;
+        return;
+      case 'answered': {
+        if (!signal.reusable) this.links.remove(link);
+        const running = this.takeRunning(link);
+        if (running !== undefined) this.finish(running, signal.answer);
+        return;
+      }
+      case 'broken': {
+        this.links.remove(link);
+        const running = this.takeRunning(link);
+        if (running !== undefined)
+          this.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
+        return;
+      }
+      case 'closed':
+        this.links.remove(link);
+        if (signal.neverOpened) this.noteFailedOpening(signal.refused);
+        return;
+      case 'skipped':
+        this.options.logger.log('answerSkipped', { step: 'backend', peer: this.state.presence.address });
+    }
+  }
+
+  private takeRunning(link: ServerLink): RunningOrder | undefined {
+    const found = [...this.running.values()].find((each) => each.link === link);
+    if (found !== undefined) this.running.delete(found.order.request.id);
+    return found;
+  }
+
+  private finish(running: RunningOrder, answer: BackendAnswer): void {
+    const { order, sentMs } = running;
+    const nowMs = this.now();
+    const kind = classifyAnswer(answer, this.options.headers);
+    const reported = parseLoad(findHeader(answer.headers, this.options.headers.load));
+    if (reported !== undefined) this.slowdown = { factor: reported.slowdown, atMs: nowMs };
+    if (kind === 'shed' || kind === 'misdirected') {
+      this.end(order, this.refuse(order, kind, true));
+      return;
+    }
+    const tookMs = nowMs - sentMs;
+    this.times.add(order, tookMs);
+    if (order.request.key !== undefined) this.options.onWork(order.request.key, tookMs);
+    if (kind === 'invalid') {
+      this.lose(running, 'badAnswer', `status ${answer.status} is not a valid answer`);
+      return;
+    }
+    if (this.quarantine.size > 0) this.clearMarks(order, nowMs);
+    this.end(order, { type: 'answered', answer, load: this.report() });
+  }
+
+  private clearMarks(order: Order, nowMs: number): void {
+    const marks = this.quarantine.clear(createFingerprint(order), nowMs);
+    if (marks.length > 0) this.options.onMarks(marks);
+  }
+
+  private lose({ order, sentMs }: RunningOrder, code: LossCode, reason: string): void {
+    const nowMs = this.now();
+    this.options.logger.log('orderLost', {
+      step: 'backend',
+      peer: this.state.presence.address,
+      id: order.request.id,
+      code,
+      reason,
+      ranMs: Math.round(nowMs - sentMs),
+      incarnation: this.state.presence.incarnation,
+    });
+    if (code === 'connectionLost') {
+      this.losses = [
+        ...this.losses.filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS),
+        { order, atMs: nowMs },
+      ];
+      // Tells a crash from the loss of one connection.
+      if (this.links.connecting === 0) this.links.open(this.state.presence.address);
+    }
+    this.end(order, { type: 'lost', code, load: this.report() });
+  }
+
+  private noteFailedOpening(refused: boolean): void {
+    const { incarnation } = this.state.presence;
+    this.failedOpenings += 1;
+    this.options.onEvidence({ kind: refused ? 'refused' : 'silent', incarnation });
+    if (refused) this.markCrash(incarnation);
+    if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseQueue('noServer');
+  }
+
+  private markCrash(incarnation: string): void {
+    const nowMs = this.now();
+    const recent = this.losses.filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS);
+    this.losses = [];
+    if (recent.length === 0) return;
+    const prints = recent.map(({ order }) => createFingerprint(order));
+    this.options.logger.log('serverCrashed', { step: 'backend', incarnation, orders: prints.length });
+    this.options.onMarks(this.quarantine.mark(prints, incarnation, nowMs));
+  }
+
+  private refuseQueue(code: RefusalCode): void {
+    for (const { order } of this.queue.removeHopeless(() => true))
+      this.end(order, this.refuse(order, code, false));
+  }
+
+  private tick(): void {
+    this.cancelTick = undefined;
+    const nowMs = this.now();
+    this.ledger.expire(nowMs);
+    const slots = this.state.presence.slots;
+    const hopeless = this.queue.removeHopeless(
+      ({ order, serviceMs }, aheadMs) =>
+        nowMs + aheadMs / Math.max(1, slots) + serviceMs * LEAST_PART > order.dueMs - RETURN_MS,
+    );
+    for (const { order } of hopeless) this.end(order, this.refuse(order, 'tooLate', false));
+    for (const running of this.running.values()) {
+      if (nowMs > running.order.dueMs) this.giveUp(running, nowMs);
+    }
+  }
+
+  private giveUp(running: RunningOrder, nowMs: number): void {
+    const { id } = running.order.request;
+    this.running.delete(id);
+    running.link.destroy();
+    this.ledger.close(id, { type: 'lost', code: 'timeout', load: this.report() }, nowMs);
+  }
+
+  private dispatch(): void {
+    for (;;) {
+      if (this.queue.size === 0) return;
+      const nowMs = this.now();
+      const mayStart = (queued: QueuedOrder): boolean => this.mayStart(queued, nowMs);
+      const link = this.links.findIdle();
+      if (link === undefined) {
+        this.openLinks();
+        return;
+      }
+      const queued = this.queue.take(mayStart);
+      if (queued === undefined) return;
+      this.start(queued, link, nowMs);
+    }
+  }
+
+  private mayStart({ order }: QueuedOrder, nowMs: number): boolean {
+    const { presence, keyed, coldPerSecond } = this.state;
+    const keepsSlot = !order.isCall && nowMs < this.callsUntilMs && presence.slots > 2;
+    if (this.running.size >= presence.slots - (keepsSlot ? 1 : 0)) return false;
+    if (keyed && !this.holds(order)) return false;
+    return !this.isCold(nowMs) || this.cold.allows(coldPerSecond, nowMs);
+  }
+
+  private holds({ request }: Order): boolean {
+    const { held, heldUntilMs } = this.state;
+    if (request.key === undefined || this.options.elapsed.nowMs() >= heldUntilMs) return false;
+    return findRow(held, request.key) !== undefined;
+  }
+
+  private isCold(nowMs: number): boolean {
+    const { presence, returnedMs } = this.state;
+    return nowMs < presence.coldUntilMs || presence.heardMs <= returnedMs;
+  }
+
+  private openLinks(): void {
+    const { presence, maxConnections } = this.state;
+    if (presence.state === 'absent' || presence.address === '') return;
+    const wanted = Math.min(this.queue.size, presence.slots - this.running.size);
+    const limit = Math.min(maxConnections, presence.slots + 2);
+    while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence.address);
+  }
+
+  private start({ order, serviceMs, queuedMs }: QueuedOrder, link: ServerLink, nowMs: number): void {
+    const { request } = order;
+    const leftMs = order.dueMs - RETURN_MS - nowMs;
+    if (leftMs < serviceMs * LEAST_PART) {
+      this.end(order, this.refuse(order, 'tooLate', false));
+      return;
+    }
+    this.cold.note(nowMs);
+    this.links.touch(link);
+    this.running.set(request.id, { order, link, sentMs: nowMs, expectedMs: serviceMs });
+    const { instanceId } = this.state.presence;
+    const head = formatOrder(order, instanceId, leftMs, this.options.headers);
+    link.send(request.id, request.method === 'HEAD', head, request.body);
+    if (nowMs - queuedMs > order.targetLatencyMs) {
+      this.options.logger.log('orderWaited', {
+        step: 'queue',
+        id: request.id,
+        waitedMs: Math.round(nowMs - queuedMs),
+      });
+    }
+  }
+
+  private end(order: Order, result: OrderResult): void {
+    this.ledger.close(order.request.id, result, this.now());
+  }
+
+  private refuse(order: Order, code: RefusalCode, arrived: boolean): OrderResult {
+    const load = this.report();
+    const retryAfterMs =
+      code === 'full' || code === 'shed' || code === 'tooLate' ? Math.ceil(load.waitMs) : 0;
+    this.options.logger.log('orderRefused', {
+      step: 'queue',
+      id: order.request.id,
+      code,
+      running: load.running,
+      queued: load.queued,
+      waitMs: Math.round(load.waitMs),
+      leftMs: Math.round(order.dueMs - this.now()),
+    });
+    return { type: 'refused', code, retryAfterMs, load, arrived };
+  }
+
+  private report(): LoadReport {
+    const nowMs = this.now();
+    const { slots } = this.state.presence;
+    const fresh = nowMs - this.slowdown.atMs < SLOWDOWN_KEEP_MS;
+    return {
+      running: this.running.size,
+      queued: this.queue.size,
+      slots,
+      waitMs: this.waitFor(this.queue.workMs(), nowMs),
+      serviceMs: this.times.meanMs,
+      slowdown: fresh ? this.slowdown.factor : 1,
+    };
+  }
+
+  private waitFor(workAheadMs: number, nowMs: number): number {
+    return estimateWait([...this.running.values()], workAheadMs, this.state.presence.slots, nowMs);
+  }
+
+  private scheduleTick(): void {
+    if (this.cancelTick !== undefined || this.load === 0) return;
+    this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/View.ts
@@ -0,0 +1,16 @@
+import type { RouteIndex } from '#routes/RouteIndex.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { TableView } from '#mesh/TableView.js';
+
+/** What a daemon knows of the store's content. Replaced as a whole with each change. */
+export interface View {
+  /** Undefined until the configuration was read. */
+  readonly routes: RouteIndex | undefined;
+  /** Failure domains that operators took out. */
+  readonly evacuated: ReadonlySet<string>;
+  readonly servers: ReadonlyMap<string, ServerEntry>;
+  /** Ownership by service. */
+  readonly tables: ReadonlyMap<string, TableView>;
+  /** Whether each collection was read at least once. */
+  readonly complete: boolean;
+}
--- /dev/null
+++ b/packages/mesh/src/WatchedCollection.ts
@@ -0,0 +1,2 @@
+/** Collections that each daemon follows. */
+export type WatchedCollection = 'routes' | 'evacuations' | 'servers' | 'ranges';
--- /dev/null
+++ b/packages/ranges/src/DefaultLeaseTerms.ts
@@ -0,0 +1,10 @@
+import type { LeaseTerms } from '#ranges/LeaseTerms.js';
+
+/** A lease outlasts a store outage of 9 s that begins just before a renewal is due. */
+export const defaultLeaseTerms: LeaseTerms = Object.freeze({
+  leaseMs: 12_500,
+  renewEveryMs: 3_000,
+  maxGrantMs: 10_000,
+  clockDrift: 0.02,
+  marginMs: 200,
+});
--- /dev/null
+++ b/packages/ranges/src/KeyRange.ts
@@ -0,0 +1,5 @@
+/** Keys `from` to `to`, both included. */
+export interface KeyRange {
+  readonly from: number;
+  readonly to: number;
+}
--- /dev/null
+++ b/packages/ranges/src/RangeRow.ts
@@ -0,0 +1,10 @@
+import type { KeyRange } from '#ranges/KeyRange.js';
+import type { Owner } from '#ranges/Owner.js';
+
+/** Keys that one backend server owns. */
+export interface RangeRow extends KeyRange, Owner {
+  /** Fencing token; higher than that of each earlier owner of any of the keys. */
+  readonly epoch: number;
+  /** Token of the state that the last owner left, or empty if there is none. */
+  readonly handover: string;
+}
--- /dev/null
+++ b/packages/ranges/src/RangeTable.ts
@@ -0,0 +1,9 @@
+import type { RangeRow } from '#ranges/RangeRow.js';
+
+/** Ownership of all keys of one service. Rows are sorted, do not overlap and leave no key out. */
+export interface RangeTable {
+  readonly service: string;
+  /** Highest epoch that any row has or had. */
+  readonly lastEpoch: number;
+  readonly rows: readonly RangeRow[];
+}
--- /dev/null
+++ b/packages/ranges/src/RenewOwner.ts
@@ -0,0 +1,17 @@
+import { isSameOwner } from '#ranges/IsSameOwner.js';
+import type { Owner } from '#ranges/Owner.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import { transferRanges } from '#ranges/TransferRanges.js';
+
+/**
+ * Gives the keys of a VM that stand under an earlier run of its backend server, or an earlier term of its lease, to the
+ * present ones. Returns the table itself if there are none.
+ */
+export function renewOwner(table: RangeTable, owner: Owner): RangeTable {
+  const stale = table.rows.filter((row) => row.serverId === owner.serverId && !isSameOwner(row, owner));
+  if (stale.length === 0) return table;
+  return transferRanges(
+    table,
+    stale.map(({ from, to }) => ({ from, to, owner, handover: '' })),
+  );
+}
--- /dev/null
+++ b/packages/ranges/src/SplitAmong.ts
@@ -0,0 +1,26 @@
+import type { KeyRange } from '#ranges/KeyRange.js';
+import type { Owner } from '#ranges/Owner.js';
+import type { RangeTransfer } from '#ranges/RangeTransfer.js';
+
+/** Divides ranges among owners so that each receives a nearly equal part of the keys, in few rows. */
+export function splitAmong(ranges: readonly KeyRange[], owners: readonly Owner[]): readonly RangeTransfer[] {
+  if (owners.length === 0) return [];
+  const total = ranges.reduce((sum, { from, to }) => sum + to - from + 1, 0);
+  const quota = Math.ceil(total / owners.length);
+  const transfers: RangeTransfer[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
+  let given = 0;
+  for (const range of ranges) {
+    let from = range.from;
+    while (from <= range.to) {
+      const index = Math.min(owners.length - 1, Math.floor(given / quota));
+      const owner = owners[index];
+      if (owner === undefined) break;
+      const room = index === owners.length - 1 ? range.to - from + 1 : quota * (index + 1) - given;
+      const to = Math.min(range.to, from + room - 1);
+      transfers.push({ from, to, owner, handover: '' });
+      given += to - from + 1;
+      from = to + 1;
+    }
+  }
+  return transfers;
+}
--- /dev/null
+++ b/packages/store/src/CollectionStore.ts
@@ -0,0 +1,40 @@
+import type { Either } from 'purify-ts';
+import type { RouterError } from '#core/RouterError.js';
+import type { CollectionChanges } from '#store/CollectionChanges.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+
+/**
+ * A store of JSON objects in collections, with one revision counter, conditional writes and watches.
+ * Errors have the step `store`. Their code is `storeUnreachable` or `storeRefused` if a call had no effect,
+ * `storeReplyLost` if a write may have one, and `storeHistoryLost` if a watch has to start from a listing again.
+ */
+export abstract class CollectionStore {
+  /** Lists all objects of a collection. */
+  public abstract list(collection: string): Promise<Either<RouterError, CollectionListing>>;
+
+  /** Reads one object; undefined if it does not exist. */
+  public abstract get(
+    collection: string,
+    name: string,
+  ): Promise<Either<RouterError, CollectionItem | undefined>>;
+
+  /** Waits up to `waitMs` for changes after `revision`. */
+  public abstract watch(
+    collection: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<Either<RouterError, CollectionChanges>>;
+
+  /** Writes an object if it still has `ifRevision`; 0 if it must not exist. */
+  public abstract put(
+    collection: string,
+    name: string,
+    value: unknown,
+    ifRevision: number,
+  ): Promise<Either<RouterError, CollectionPutResult>>;
+
+  /** Closes connections; waiting calls end with an error. */
+  public abstract close(): Promise<void>;
+}
--- a/scripts/buildBinary.mjs
+++ b/scripts/buildBinary.mjs
@@ -9,7 +9,7 @@
 
 mkdirSync('dist', { recursive: true });
 await build({
-  entryPoints: ['build/cli/src/Main.js'],
+  entryPoints: ['build/packages/cli/src/Main.js'],
   outfile: 'dist/amaranthrouter.cjs',
   bundle: true,
   platform: 'node',
--- /dev/null
+++ b/scripts/buildPlatform.mjs
@@ -0,0 +1,19 @@
+// Builds target/amaranthrouter-platform.cjs: the program that runs beside each backend server on the users' platform.
+import { mkdirSync } from 'node:fs';
+import { build } from 'esbuild';
+
+mkdirSync('target', { recursive: true });
+await build({
+  entryPoints: ['platform/src/Main.ts'],
+  outfile: 'target/amaranthrouter-platform.cjs',
+  bundle: true,
+  platform: 'node',
+  // The import map of package.json names the sources under this condition.
+  conditions: ['source'],
+  mainFields: ['module', 'main'],
+  target: 'node20',
+  format: 'cjs',
+  minify: true,
+  keepNames: true,
+  logLevel: 'warning',
+});
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -20,6 +20,10 @@
   'proxy',
   'admin',
   'daemon',
+  'routes',
+  'ranges',
+  'mesh',
+  'platform',
   'standin',
   'load',
   'model',
@@ -35,12 +39,14 @@
   'delivery',
   'catalogue',
   'settings',
+  'routes',
+  'ranges',
 ];
 const NETWORK = /from '(node:(http|net|dgram|https|tls)|undici|json-rpc-2\.0)'/;
 
 const faults = [];
 for (const [rank, name] of ORDER.entries()) {
-  const dir = `packages/${name}/src`;
+  const dir = name === 'platform' ? 'platform/src' : `packages/${name}/src`;
   if (!existsSync(dir)) continue;
   for (const file of readdirSync(dir)) {
     const text = readFileSync(`${dir}/${file}`, 'utf8');
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -4,17 +4,18 @@
 import { existsSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
 
 const filters = process.argv.slice(2);
-const files = readdirSync('packages').flatMap((name) => {
-  const dir = `packages/${name}/test`;
+const roots = [...readdirSync('packages').map((name) => `packages/${name}`), 'platform'];
+const files = roots.flatMap((root) => {
+  const dir = `${root}/test`;
   if (!existsSync(dir)) return [];
   return readdirSync(dir)
     .filter((file) => file.endsWith('.test.ts'))
-    .map((file) => `build/${name}/test/${file.replace(/\.ts$/, '.js')}`);
+    .map((file) => `build/${dir}/${file.replace(/\.ts$/, '.js')}`);
 });
 const knownRed = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : '';
 if (knownRed.trim()) console.log(`Known failures that are not run:\n${knownRed}`);
 const selected = files
-  .filter((file) => !knownRed.includes(file.replace(/^build/, 'packages').replace(/\.js$/, '.ts')))
+  .filter((file) => !knownRed.includes(file.replace(/^build\//, '').replace(/\.js$/, '.ts')))
   .filter((file) => filters.length === 0 || filters.some((text) => file.includes(text)));
 const args = [
   'run',
