Move fewer keys, and from either end of a hot range

Change: buckets of 4 keys, cut at the end that comes closest; averaged waits; receivers take one move at a time; orders wait a bounded time for a key and for room.

--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -7,15 +7,20 @@
 import { emptyView } from '#mesh/EmptyView.js';
 import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { View } from '#mesh/View.js';
 
 /** An owner of keys whose orders wait longer looks for another owner to give some to, in milliseconds. */
-const LONG_WAIT_MS = 60;
+const LONG_WAIT_MS = 80;
 
 /** Least time between two such looks, in milliseconds. */
-const PAUSE_MS = 700;
+const PAUSE_MS = 1_000;
+
+/** Time over which waits are averaged, so that short slowdowns move no keys, in milliseconds. */
+const WAIT_AVERAGE_MS = 1_000;
+
+/** Time in which an owner that received keys takes no more, until its load shows them, in milliseconds. */
+const DIGEST_MS = 1_500;
 
 interface Survey {
   readonly open: number;
@@ -27,7 +32,10 @@
   private readonly options: BalanceOptions;
   private view: View = emptyView;
   private facts: LeaseFacts | undefined;
-  private load: LoadReport | undefined;
+  private waitMs = 0;
+  private heardMs = 0;
+  private ownKeys = 0;
+  private receivedMs = -Infinity;
   private survey: Survey | undefined;
   private surveyedMs = -Infinity;
 
@@ -39,14 +47,14 @@
   protected override receive(message: BalanceMessage): void {
     switch (message.type) {
       case 'view':
-        this.view = message.view;
+        this.noteView(message.view);
         return;
       case 'facts':
         this.facts = message.facts;
         this.look();
         return;
       case 'load':
-        this.load = message.load;
+        this.noteLoad(message.load.waitMs);
         return;
       case 'asked':
         message.reply(this.describe());
@@ -56,10 +64,32 @@
     }
   }
 
+  private noteView(view: View): void {
+    this.view = view;
+    const { service, serverId } = this.options.place;
+    const rows = view.tables.get(service)?.table.rows ?? [];
+    const own = rows.filter((row) => row.serverId === serverId);
+    const keys = own.reduce((sum, { from, to }) => sum + to - from + 1, 0);
+    if (keys > this.ownKeys) this.receivedMs = this.options.clock.monotonicMs();
+    this.ownKeys = keys;
+  }
+
+  private noteLoad(waitMs: number): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const weight = 1 - Math.exp(-(nowMs - this.heardMs) / WAIT_AVERAGE_MS);
+    this.waitMs += weight * (waitMs - this.waitMs);
+    this.heardMs = nowMs;
+  }
+
+  /** Average wait, which fades while no load is reported. */
+  private averageWaitMs(nowMs: number): number {
+    return this.waitMs * Math.exp(-(nowMs - this.heardMs) / WAIT_AVERAGE_MS);
+  }
+
   private look(): void {
     const nowMs = this.options.clock.monotonicMs();
     if (this.facts?.mayRelease !== true || this.survey !== undefined) return;
-    if ((this.load?.waitMs ?? 0) < LONG_WAIT_MS || nowMs - this.surveyedMs < PAUSE_MS) return;
+    if (this.averageWaitMs(nowMs) < LONG_WAIT_MS || nowMs - this.surveyedMs < PAUSE_MS) return;
     const { serverId, service } = this.options.place;
     const others = listReceivers(this.view, service).filter((owner) => owner.serverId !== serverId);
     if (others.length === 0) return;
@@ -94,12 +124,13 @@
   }
 
   private describe(): BalanceFacts {
+    const nowMs = this.options.clock.monotonicMs();
     return {
       serverId: this.options.place.serverId,
       workMsPerSecond: this.facts?.workMsPerSecond ?? 0,
       slots: this.facts?.slots ?? 1,
-      waitMs: this.load?.waitMs ?? 0,
-      accepts: this.facts?.accepts === true,
+      waitMs: this.averageWaitMs(nowMs),
+      accepts: this.facts?.accepts === true && nowMs - this.receivedMs > DIGEST_MS,
     };
   }
 }
--- a/packages/mesh/src/ChooseRelease.ts
+++ b/packages/mesh/src/ChooseRelease.ts
@@ -3,7 +3,7 @@
 import type { RangeRow } from '#ranges/RangeRow.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
 
-/** Chooses the keys to give away: from the end of the row with the most work, or of the longest one without work. */
+/** Chooses the keys to give away: at an end of the row with the most work, or of the longest one without work. */
 export function chooseRelease(
   rows: readonly RangeRow[],
   loads: KeyLoads,
@@ -15,7 +15,7 @@
   if (busiest === undefined) return undefined;
   if (request.workMsPerSecond > 0 && busiest.work > 0) {
     const wanted = Math.min(request.workMsPerSecond, busiest.work);
-    return loads.cutTail(busiest.row, wanted, nowMs);
+    return loads.cutEnd(busiest.row, wanted, nowMs);
   }
   const count = Math.floor(size(busiest.row) * request.share);
   return count < 1 ? undefined : { from: busiest.row.to - count + 1, to: busiest.row.to };
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -13,6 +13,7 @@
 import type { MeshExchange } from '#mesh/MeshExchange.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
+import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { View } from '#mesh/View.js';
 
@@ -38,7 +39,7 @@
 const OWNER_WAIT_PART = 0.5;
 
 /** Pause between two looks for the owner of a key, in milliseconds. */
-const OWNER_RETRY_MS = 40;
+const OWNER_RETRY_MS = 100;
 
 /** Part of the time left after which a refused caller may come back at the latest. */
 const RETRY_PART = 0.3;
@@ -47,6 +48,9 @@
 /** Lines a second about requests that were delivered in time. */
 const DELIVERED_LINES = 10;
 
+/** Refusals after which no other server is asked. */
+const ENDING: ReadonlySet<RefusalCode> = new Set(['quarantined', 'tooLate', 'notGranted']);
+
 const NOT_FOUND = 404;
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
@@ -272,7 +276,7 @@
     const retryAfterMs = Math.max(exchange.retryAfterMs, result.retryAfterMs);
     const next = { ...exchange, lastRefusal: result.code, retryAfterMs };
     this.exchanges.set(exchange.number, next);
-    if (result.code === 'quarantined' || result.code === 'tooLate') this.refuse(next);
+    if (ENDING.has(result.code)) this.refuse(next);
     else if (result.arrived && !this.spendRetry(next)) this.refuse(next);
     else this.choose(exchange.number);
   }
@@ -405,6 +409,7 @@
       service: exchange.service,
       outcome,
       detail,
+      call: exchange.isCall,
       key: exchange.request.key,
       servers: [...exchange.tried].join(','),
       offers: exchange.offers,
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -49,7 +49,7 @@
 const MAX_ROWS = 60;
 
 /** An answer to an announcement is held back this long for a change; it counts only within a second, in milliseconds. */
-const REPLY_HOLD_MS = 450;
+const REPLY_HOLD_MS = 600;
 
 interface WaitingReply {
   readonly reply: CheckIn['reply'];
--- a/packages/mesh/src/RefusalCode.ts
+++ b/packages/mesh/src/RefusalCode.ts
@@ -5,6 +5,7 @@
   | 'draining'
   | 'evacuated'
   | 'notOwner'
+  | 'notGranted'
   | 'cold'
   | 'full'
   | 'tooLate'
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -39,6 +39,15 @@
 /** An order with less time than this part of its expected time is not started. */
 const LEAST_PART = 0.5;
 
+/**
+ * Orders that would end later than this multiple of their target latency are refused: a longer queue would make all of
+ * them late and serve no more.
+ */
+const ADMIT_FACTOR = 1.25;
+
+/** Part of the target latency that an order waits for its key to be granted to the server. */
+const GRANT_WAIT_PART = 0.6;
+
 /** Orders that may wait, in multiples of the slots. */
 const QUEUE_FACTOR = 12;
 
@@ -182,7 +191,9 @@
     if (this.isHeld(order, nowMs)) return 'quarantined';
     if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
     const waitMs = this.waitFor(this.queue.workAheadMs(order), nowMs);
-    return nowMs + waitMs + serviceMs > order.dueMs - RETURN_MS ? 'full' : undefined;
+    const dueMs = order.dueMs - RETURN_MS;
+    const limitMs = order.isCall ? dueMs : Math.min(dueMs, nowMs + order.targetLatencyMs * ADMIT_FACTOR);
+    return nowMs + waitMs + serviceMs > limitMs ? 'full' : undefined;
   }
 
   private isHeld(order: Order, nowMs: number): boolean {
@@ -344,6 +355,11 @@
         nowMs + aheadMs / Math.max(1, slots) + serviceMs * LEAST_PART > order.dueMs - RETURN_MS,
     );
     for (const { order } of hopeless) this.end(order, this.refuse(order, 'tooLate', false));
+    const unheld = this.queue.removeHopeless(
+      ({ order, queuedMs }) =>
+        this.state.keyed && nowMs - queuedMs > order.targetLatencyMs * GRANT_WAIT_PART && !this.holds(order),
+    );
+    for (const { order } of unheld) this.end(order, this.refuse(order, 'notGranted', false));
     this.options.onLoad(this.report());
     for (const running of this.running.values()) {
       if (nowMs > running.order.dueMs) this.giveUp(running, nowMs);
--- a/packages/ranges/src/KeyLoads.ts
+++ b/packages/ranges/src/KeyLoads.ts
@@ -2,7 +2,13 @@
 import type { KeyRange } from '#ranges/KeyRange.js';
 
 /** Keys counted together. */
-const KEYS_PER_BUCKET = 16;
+const KEYS_PER_BUCKET = 4;
+
+/** A range may carry this much more than the load that is wanted. */
+const MOST_OF_WANTED = 1.2;
+
+/** Loads are faded once they would shrink to this part, as it costs a pass over all of them. */
+const FADE_STEP = 0.95;
 
 /** Time in which a measured load falls to 1/e, in milliseconds. */
 const FADE_MS = 2_000;
@@ -32,24 +38,45 @@
     return (total * 1_000) / FADE_MS;
   }
 
-  /** Keys from the end of a range whose load is close to `wanted` and not more; undefined if there are none. */
-  public cutTail(range: KeyRange, wanted: number, nowMs: number): KeyRange | undefined {
+  /**
+   * Keys at one end of a range whose load is close to `wanted`, from the end where it comes closest; undefined if the
+   * keys at either end are too hot or the whole range is colder.
+   */
+  public cutEnd(range: KeyRange, wanted: number, nowMs: number): KeyRange | undefined {
     this.fade(nowMs);
-    const limit = (wanted * FADE_MS) / 1_000;
+    const limit = ((wanted * FADE_MS) / 1_000) * MOST_OF_WANTED;
     const first = Math.ceil(range.from / KEYS_PER_BUCKET);
-    let total = 0;
-    let from = range.to + 1;
-    for (let bucket = Math.floor(range.to / KEYS_PER_BUCKET); bucket >= first; bucket -= 1) {
-      total += this.buckets[bucket] ?? 0;
-      if (total > limit) break;
-      from = bucket * KEYS_PER_BUCKET;
+    const last = Math.floor((range.to + 1) / KEYS_PER_BUCKET) - 1;
+    const tail = this.countBuckets(last, first, -1, limit);
+    const head = this.countBuckets(first, last, 1, limit);
+    const useTail = tail.load >= head.load;
+    if ((useTail ? tail : head).count === 0) return undefined;
+    return useTail
+      ? { from: (last - tail.count + 1) * KEYS_PER_BUCKET, to: range.to }
+      : { from: range.from, to: (first + head.count) * KEYS_PER_BUCKET - 1 };
+  }
+
+  /** Counts buckets from `start` towards `end` whose load together is within the limit; at least one stays. */
+  private countBuckets(
+    start: number,
+    end: number,
+    step: 1 | -1,
+    limit: number,
+  ): { readonly count: number; readonly load: number } {
+    let count = 0;
+    let load = 0;
+    for (let bucket = start; bucket !== end; bucket += step) {
+      const next = load + (this.buckets[bucket] ?? 0);
+      if (next > limit) break;
+      load = next;
+      count += 1;
     }
-    return from > range.to ? undefined : { from, to: range.to };
+    return { count, load };
   }
 
   private fade(nowMs: number): void {
     const factor = Math.exp(-(nowMs - this.fadedAtMs) / FADE_MS);
-    if (factor > 0.99) return;
+    if (factor > FADE_STEP) return;
     this.fadedAtMs = nowMs;
     for (let index = 0; index < this.buckets.length; index += 1)
       this.buckets[index] = (this.buckets[index] ?? 0) * factor;
