--- a/packages/mesh/src/CallerOptions.ts
+++ b/packages/mesh/src/CallerOptions.ts
@@ -8,16 +8,9 @@
 export interface CallerOptions {
   readonly host: string;
   readonly port: number;
-  /** Host of the backend server on this VM, whose requests are calls between services. */
-  readonly backendHost: string;
   readonly headers: HeaderNames;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly onRequest: (
-    exchange: number,
-    request: CallerRequest,
-    isCall: boolean,
-    reply: (reply: CallerReply) => void,
-  ) => void;
+  readonly onRequest: (exchange: number, request: CallerRequest, reply: (reply: CallerReply) => void) => void;
   readonly onLeft: (exchange: number) => void;
 }
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -124,10 +124,7 @@
     const found = this.open.get(exchange);
     if (found === undefined) return;
     const request = { ...found.request, body };
-    const isCall = found.socket.remoteAddress === this.options.backendHost;
-    this.options.onRequest(exchange, request, isCall, (reply) =>
-      this.post({ type: 'replied', exchange, reply }),
-    );
+    this.options.onRequest(exchange, request, (reply) => this.post({ type: 'replied', exchange, reply }));
   }
 
   private reply(exchange: number, reply: CallerReply): void {
--- a/packages/mesh/src/DecodeOrder.ts
+++ b/packages/mesh/src/DecodeOrder.ts
@@ -15,7 +15,6 @@
   idempotent: number,
   priority: number,
   targetLatencyMs: number,
-  isCall: number,
 ];
 
 const kindDecoders = [
@@ -29,7 +28,6 @@
   number,
   number,
   number,
-  number,
 ] as const;
 
 type Detail = readonly [
@@ -53,7 +51,7 @@
 
 function build(kind: Kind, detail: Detail, body: Buffer, nowMs: number): Either<string, Order> {
   const [method, host, names, idIndex, hasBody, service, callerService] = kind;
-  const [, , , , , , , idempotent, priority, targetLatencyMs, isCall] = kind;
+  const [, , , , , , , idempotent, priority, targetLatencyMs] = kind;
   const [target, key, leftMs, resumes, values] = detail;
   if (names.length !== values.length) return Left('names and values of headers differ in number');
   const headers = names.map((name, index): HeaderPair => [name, textOf(values[index], host)]);
@@ -76,7 +74,6 @@
     priority,
     targetLatencyMs,
     dueMs: nowMs + leftMs,
-    isCall: isCall === 1,
     resumes,
   });
 }
--- a/packages/mesh/src/EncodeOrder.ts
+++ b/packages/mesh/src/EncodeOrder.ts
@@ -16,7 +16,6 @@
     order.idempotent ? 1 : 0,
     order.priority,
     order.targetLatencyMs,
-    order.isCall ? 1 : 0,
   ];
   const detail = [
     request.target,
--- a/packages/mesh/src/EntryMessage.ts
+++ b/packages/mesh/src/EntryMessage.ts
@@ -10,8 +10,6 @@
       /** Number of the exchange, unique in this process. */
       readonly exchange: number;
       readonly request: CallerRequest;
-      /** Whether the backend server on this VM sent it. */
-      readonly isCall: boolean;
       readonly reply: (reply: CallerReply) => void;
     }
   /** The caller closed its connection. */
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -103,7 +103,7 @@
     }
   }
 
-  private open({ exchange, request, isCall, reply }: EntryMessage & { readonly type: 'arrived' }): void {
+  private open({ exchange, request, reply }: EntryMessage & { readonly type: 'arrived' }): void {
     const { routes } = this.view;
     if (routes === undefined || !this.view.complete) {
       reply({
@@ -134,7 +134,6 @@
     this.exchanges.set(exchange, {
       number: exchange,
       request,
-      isCall,
       route,
       service,
       dueMs,
@@ -228,7 +227,7 @@
     );
   }
 
-  private createOrder({ request, route, service, dueMs, isCall }: MeshExchange, resumes: string): Order {
+  private createOrder({ request, route, service, dueMs }: MeshExchange, resumes: string): Order {
     return {
       request,
       service,
@@ -237,7 +236,6 @@
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
       dueMs,
-      isCall,
       resumes,
     };
   }
@@ -409,7 +407,6 @@
       service: exchange.service,
       outcome,
       detail,
-      call: exchange.isCall,
       key: exchange.request.key,
       servers: [...exchange.tried].join(','),
       offers: exchange.offers,
--- a/packages/mesh/src/KindTimes.ts
+++ b/packages/mesh/src/KindTimes.ts
@@ -30,5 +30,5 @@
 }
 
 function kindOf(order: Order): string {
-  return `${order.priority} ${order.targetLatencyMs} ${order.isCall}`;
+  return `${order.priority} ${order.targetLatencyMs}`;
 }
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -12,7 +12,6 @@
 export interface MeshExchange {
   readonly number: number;
   readonly request: CallerRequest;
-  readonly isCall: boolean;
   readonly route: Route;
   readonly service: string;
   /** Monotonic time at which the caller has its final answer at the latest, in milliseconds. */
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -177,12 +177,10 @@
     });
     this.callers = new CallerTask({
       ...options.callers,
-      backendHost: options.backendHost,
       headers: options.headers,
       clock,
       logger: new Logger('callers'),
-      onRequest: (exchange, request, isCall, reply) =>
-        this.entry.post({ type: 'arrived', exchange, request, isCall, reply }),
+      onRequest: (exchange, request, reply) => this.entry.post({ type: 'arrived', exchange, request, reply }),
       onLeft: (exchange) => this.entry.post({ type: 'left', exchange }),
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
--- a/packages/mesh/src/NodeOptions.ts
+++ b/packages/mesh/src/NodeOptions.ts
@@ -19,8 +19,6 @@
   readonly readiness: Address;
   /** Where metrics are read; undefined for nowhere. */
   readonly metrics: Address | undefined;
-  /** Host of the backend server on this VM. */
-  readonly backendHost: string;
   readonly headers: HeaderNames;
   readonly store: CollectionStore;
   readonly decoder: RouteDecoder;
--- a/packages/mesh/src/Order.ts
+++ b/packages/mesh/src/Order.ts
@@ -12,8 +12,6 @@
   readonly targetLatencyMs: number;
   /** Monotonic time of this process at which the answer is due, in milliseconds. */
   readonly dueMs: number;
-  /** Whether the order may take the slot that is kept for calls between services. */
-  readonly isCall: boolean;
   /** Run of the daemon that already received this order; only that run may continue it. Empty for a new order. */
   readonly resumes: string;
 }
--- a/packages/mesh/src/OrderQueue.ts
+++ b/packages/mesh/src/OrderQueue.ts
@@ -1,7 +1,9 @@
 import type { Order } from '#mesh/Order.js';
 import type { QueuedOrder } from '#mesh/QueuedOrder.js';
 
-/** Orders that wait for a slot: calls between services first, then by priority, then by due time. */
+type Ranked = Pick<QueuedOrder, 'order' | 'isShort'>;
+
+/** Orders that wait for a slot: short ones first, then by priority, then by due time. */
 export class OrderQueue {
   private orders: readonly QueuedOrder[] = [];
 
@@ -10,7 +12,7 @@
   }
 
   public add(queued: QueuedOrder): void {
-    const position = this.positionOf(queued.order);
+    const position = this.positionOf(queued);
     this.orders = this.orders.toSpliced(position, 0, queued);
   }
 
@@ -43,8 +45,8 @@
   }
 
   /** Work that waits before an order that arrives now, in milliseconds. */
-  public workAheadMs(order: Order): number {
-    const ahead = this.orders.slice(0, this.positionOf(order));
+  public workAheadMs(order: Order, isShort: boolean): number {
+    const ahead = this.orders.slice(0, this.positionOf({ order, isShort }));
     return ahead.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
   }
 
@@ -53,14 +55,14 @@
     return this.orders.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
   }
 
-  private positionOf(order: Order): number {
-    const index = this.orders.findIndex((queued) => precedes(order, queued.order));
+  private positionOf(added: Ranked): number {
+    const index = this.orders.findIndex((queued) => precedes(added, queued));
     return index < 0 ? this.orders.length : index;
   }
 }
 
-function precedes(left: Order, right: Order): boolean {
-  if (left.isCall !== right.isCall) return left.isCall;
-  if (left.priority !== right.priority) return left.priority < right.priority;
-  return left.dueMs < right.dueMs;
+function precedes(left: Ranked, right: Ranked): boolean {
+  if (left.isShort !== right.isShort) return left.isShort;
+  if (left.order.priority !== right.order.priority) return left.order.priority < right.order.priority;
+  return left.order.dueMs < right.order.dueMs;
 }
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -6,10 +6,12 @@
   type ClientHttp2Stream,
 } from 'node:http2';
 import { ChartCursor } from '#chart/ChartCursor.js';
+import { packBody } from '#mesh/PackBody.js';
 import { peerLinkChart } from '#mesh/PeerLinkChart.js';
 import type { PeerLinkEvent } from '#mesh/PeerLinkEvent.js';
 import type { PeerReply } from '#mesh/PeerReply.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
+import { unpackBody } from '#mesh/UnpackBody.js';
 
 /** A session that is not established within this time is given up, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 450;
@@ -76,17 +78,19 @@
   public send(path: string, head: RelayHead, body: Buffer, reply: (result: PeerReply) => void): void {
     if (this.calls === 0) this.heardMs = this.now();
     this.calls += 1;
+    const packed = packBody(body);
     const stream = this.session.request(
       {
         ':method': 'POST',
         ':path': path,
         'amr-kind': head.kind,
         'amr-detail': head.detail,
+        ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
         [sensitiveHeaders]: ['amr-detail'],
       },
       { endStream: body.length === 0 },
     );
-    if (body.length > 0) stream.end(body);
+    if (body.length > 0) stream.end(packed.bytes);
     this.collect(stream, reply);
   }
 
@@ -118,10 +122,12 @@
     let head: RelayHead | undefined;
     let chunks: readonly Buffer[] = [];
     let ended = false;
+    let encoding: string | undefined;
     stream.on('response', (headers) => {
       this.hear();
       const kind = headers['amr-kind'];
       const detail = headers['amr-detail'];
+      encoding = headers['amr-encoding']?.toString();
       if (typeof kind === 'string' && typeof detail === 'string') head = { kind, detail };
     });
     stream.on('data', (chunk: Buffer) => {
@@ -136,7 +142,9 @@
     stream.on('close', () => {
       this.calls -= 1;
       if (head !== undefined && ended && stream.rstCode === constants.NGHTTP2_NO_ERROR) {
-        reply({ ok: true, head, body: Buffer.concat([...chunks]) });
+        const body = unpackBody(Buffer.concat([...chunks]), encoding);
+        // A body that cannot be restored is as good as none.
+        reply(body.isRight() ? { ok: true, head, body: body.unsafeCoerce() } : { ok: false, sent: true });
         return;
       }
       const unseen = stream.rstCode === constants.NGHTTP2_REFUSED_STREAM;
--- a/packages/mesh/src/QueuedOrder.ts
+++ b/packages/mesh/src/QueuedOrder.ts
@@ -7,4 +7,6 @@
   readonly queuedMs: number;
   /** Time that the backend server is expected to need for it, in milliseconds. */
   readonly serviceMs: number;
+  /** Whether it goes before others and may take the last slot. */
+  readonly isShort: boolean;
 }
--- a/packages/mesh/src/ReceiverMessage.ts
+++ b/packages/mesh/src/ReceiverMessage.ts
@@ -7,4 +7,5 @@
   readonly stream: ServerHttp2Stream;
   readonly path: string;
   readonly head: RelayHead;
+  readonly encoding: string | undefined;
 }
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -12,8 +12,10 @@
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
+import { packBody } from '#mesh/PackBody.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
+import { unpackBody } from '#mesh/UnpackBody.js';
 
 /** Flow-control window, large enough for any usual request, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
@@ -44,7 +46,8 @@
     this.server.on('stream', (stream, headers) => {
       const path = headers[':path'] ?? '';
       const head = { kind: textOf(headers['amr-kind']), detail: textOf(headers['amr-detail']) };
-      this.post({ type: 'opened', stream, path, head });
+      const encoding = headers['amr-encoding']?.toString();
+      this.post({ type: 'opened', stream, path, head, encoding });
     });
   }
 
@@ -68,25 +71,32 @@
   }
 
   protected override receive(message: ReceiverMessage): void {
-    const { stream, path, head } = message;
+    const { stream, path, head, encoding } = message;
     // The close event follows; an order goes on without its stream.
     stream.on('error', () => undefined);
-    collectBody(stream, (body) => {
-      if (path === relayPaths.orders) this.receiveOrder(stream, head, body);
-      else this.receiveCall(stream, body);
+    collectBody(stream, (bytes) => {
+      unpackBody(bytes, encoding).caseOf({
+        Left: (reason) => this.refuseMalformed(stream, reason),
+        Right: (body) => {
+          if (path === relayPaths.orders) this.receiveOrder(stream, head, body);
+          else this.receiveCall(stream, body);
+        },
+      });
     });
   }
 
   private receiveOrder(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
     decodeOrder(head, body, this.options.clock.monotonicMs()).caseOf({
-      Left: (message) => {
-        this.options.logger.log('orderMalformed', { step: 'parse', message });
-        if (!stream.destroyed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
-      },
+      Left: (message) => this.refuseMalformed(stream, message),
       Right: (order) => this.options.onOrder(order, (result) => answerOrder(stream, result)),
     });
   }
 
+  private refuseMalformed(stream: ServerHttp2Stream, message: string): void {
+    this.options.logger.log('messageMalformed', { step: 'parse', message });
+    if (!stream.destroyed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
+  }
+
   private receiveCall(stream: ServerHttp2Stream, body: Buffer): void {
     void this.rpc.receiveJSON(body.toString()).then((answer) => {
       if (stream.destroyed) return;
@@ -107,13 +117,15 @@
 function answerOrder(stream: ServerHttp2Stream, result: OrderResult): void {
   if (stream.destroyed || stream.closed) return;
   const { kind, detail } = encodeResult(result);
+  const body = result.type === 'answered' ? packBody(result.answer.body) : undefined;
   stream.respond({
     ':status': 200,
     'amr-kind': kind,
     'amr-detail': detail,
+    ...(body === undefined || body.encoding === 'plain' ? {} : { 'amr-encoding': body.encoding }),
     [sensitiveHeaders]: ['amr-detail'],
   });
-  stream.end(result.type === 'answered' ? result.answer.body : undefined);
+  stream.end(body?.bytes);
 }
 
 function textOf(value: string | readonly string[] | undefined): string {
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -29,6 +29,7 @@
 import type { ServerMessage } from '#mesh/ServerMessage.js';
 import type { ServerOptions } from '#mesh/ServerOptions.js';
 import type { ServerState } from '#mesh/ServerState.js';
+import { ShortKinds } from '#mesh/ShortKinds.js';
 import type { View } from '#mesh/View.js';
 
 const TICK_MS = 20;
@@ -51,8 +52,8 @@
 /** Orders that may wait, in multiples of the slots. */
 const QUEUE_FACTOR = 12;
 
-/** Time for which a call between services keeps one slot free for others of its kind, in milliseconds. */
-const CALLS_KEEP_MS = 5_000;
+/** Time for which a short order keeps one slot free for others of its kind, in milliseconds. */
+const SHORT_KEEP_MS = 5_000;
 
 /** A lost order counts against a crash that is noticed within this time, in milliseconds. */
 const CRASH_WINDOW_MS = 600;
@@ -95,7 +96,8 @@
   private readonly running = new Map<string, RunningOrder>();
   private losses: readonly Loss[] = [];
   private failedOpenings = 0;
-  private callsUntilMs = 0;
+  private readonly kinds = new ShortKinds();
+  private shortUntilMs = 0;
   private slowdown = { factor: 1, atMs: -Infinity };
   private cancelTick: Cancel | undefined;
   private state: ServerState = {
@@ -175,24 +177,24 @@
       return;
     }
     const nowMs = this.now();
-    if (order.isCall) this.callsUntilMs = nowMs + CALLS_KEEP_MS;
-    const serviceMs = this.times.expect(order);
-    const code =
-      checkAdmission(order, this.state, this.options, nowMs) ?? this.checkRoom(order, serviceMs, nowMs);
+    const isShort = this.kinds.note(order.targetLatencyMs);
+    if (isShort) this.shortUntilMs = nowMs + SHORT_KEEP_MS;
+    const queued = { order, queuedMs: nowMs, serviceMs: this.times.expect(order), isShort };
+    const code = checkAdmission(order, this.state, this.options, nowMs) ?? this.checkRoom(queued, nowMs);
     if (code !== undefined) {
       reply(this.refuse(order, code, false));
       return;
     }
     this.ledger.open(id, reply, nowMs);
-    this.queue.add({ order, queuedMs: nowMs, serviceMs });
+    this.queue.add(queued);
   }
 
-  private checkRoom(order: Order, serviceMs: number, nowMs: number): RefusalCode | undefined {
+  private checkRoom({ order, serviceMs, isShort }: QueuedOrder, nowMs: number): RefusalCode | undefined {
     if (this.isHeld(order, nowMs)) return 'quarantined';
     if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
-    const waitMs = this.waitFor(this.queue.workAheadMs(order), nowMs);
+    const waitMs = this.waitFor(this.queue.workAheadMs(order, isShort), nowMs);
     const dueMs = order.dueMs - RETURN_MS;
-    const limitMs = order.isCall ? dueMs : Math.min(dueMs, nowMs + order.targetLatencyMs * ADMIT_FACTOR);
+    const limitMs = isShort ? dueMs : Math.min(dueMs, nowMs + order.targetLatencyMs * ADMIT_FACTOR);
     return nowMs + waitMs + serviceMs > limitMs ? 'full' : undefined;
   }
 
@@ -389,9 +391,9 @@
     }
   }
 
-  private mayStart({ order }: QueuedOrder, nowMs: number): boolean {
+  private mayStart({ order, isShort }: QueuedOrder, nowMs: number): boolean {
     const { presence, keyed, coldPerSecond } = this.state;
-    const keepsSlot = !order.isCall && nowMs < this.callsUntilMs && presence.slots > 2;
+    const keepsSlot = !isShort && nowMs < this.shortUntilMs && presence.slots > 2;
     if (this.running.size >= presence.slots - (keepsSlot ? 1 : 0)) return false;
     if (keyed && !this.holds(order)) return false;
     return !this.isCold(nowMs) || this.cold.allows(coldPerSecond, nowMs);
--- a/packages/mesh/test/CreateOrder.ts
+++ b/packages/mesh/test/CreateOrder.ts
@@ -24,7 +24,6 @@
     priority: 0,
     targetLatencyMs: 300,
     dueMs: performance.now() + 2_000,
-    isCall: false,
     resumes: '',
     ...change,
   };
--- a/packages/mesh/test/EntryRun.ts
+++ b/packages/mesh/test/EntryRun.ts
@@ -50,7 +50,6 @@
       type: 'arrived',
       exchange: this.exchanges,
       request,
-      isCall: false,
       reply: (reply) => this.replies.push(reply),
     });
     await this.settle();
--- /dev/null
+++ b/packages/mesh/test/relay.test.ts
@@ -0,0 +1,127 @@
+import t from 'tap';
+import { Logger } from '#core/Logger.js';
+import { SystemClock } from '#core/SystemClock.js';
+import { decodeOrder } from '#mesh/DecodeOrder.js';
+import { decodeResult } from '#mesh/DecodeResult.js';
+import { encodeOrder } from '#mesh/EncodeOrder.js';
+import { encodeResult } from '#mesh/EncodeResult.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import { packBody } from '#mesh/PackBody.js';
+import { ReceiverTask } from '#mesh/ReceiverTask.js';
+import { RelayTask } from '#mesh/RelayTask.js';
+import { unpackBody } from '#mesh/UnpackBody.js';
+import { createOrder } from './CreateOrder.js';
+import { findFreePort } from './FindFreePort.js';
+
+interface Teardown {
+  readonly teardown: (close: () => unknown) => void;
+}
+
+const clock = new SystemClock();
+const logger = new Logger('test');
+
+async function startPair(
+  t: Teardown,
+  onOrder: (order: Order, reply: OrderReply) => void,
+): Promise<{ readonly send: (order: Order) => Promise<OrderResult>; readonly receiver: ReceiverTask }> {
+  const port = await findFreePort();
+  const receiver = new ReceiverTask({
+    host: '127.0.0.1',
+    port,
+    clock,
+    logger,
+    onOrder,
+    calls: {},
+  });
+  const relay = new RelayTask({ clock, logger, onReach: () => undefined });
+  await receiver.listen();
+  t.teardown(() => {
+    relay.stop();
+    receiver.stop();
+  });
+  const send = (order: Order): Promise<OrderResult> =>
+    relay.ask((reply) => ({ type: 'order', order, address: `127.0.0.1:${port}`, reply }));
+  return { send, receiver };
+}
+
+t.test('order survives its encoding', (t) => {
+  const order = createOrder('ä1', { idempotent: false, resumes: 'p' }, 77);
+  const nowMs = clock.monotonicMs();
+  const read = decodeOrder(encodeOrder(order, nowMs), order.request.body, nowMs).unsafeCoerce();
+  t.same(read.request.headers, order.request.headers);
+  t.equal(read.request.id, 'ä1');
+  t.equal(read.request.key, 77);
+  t.equal(read.idempotent, false);
+  t.equal(read.resumes, 'p');
+  t.ok(Math.abs(read.dueMs - order.dueMs) <= 1);
+  t.end();
+});
+
+t.test('malformed order is named', (t) => {
+  t.match(decodeOrder({ kind: 'x', detail: '[]' }, Buffer.alloc(0), 0).extract(), /JSON/);
+  t.match(decodeOrder({ kind: '[1]', detail: '[]' }, Buffer.alloc(0), 0).extract(), /item 0/);
+  t.end();
+});
+
+t.test('results survive their encoding', (t) => {
+  const load = { running: 1, queued: 2, slots: 3, waitMs: 4, serviceMs: 5, slowdown: 1.5 };
+  const results: readonly OrderResult[] = [
+    {
+      type: 'answered',
+      answer: { status: 200, headers: [['X-A', 'ü']], body: Buffer.from('b') },
+      load,
+    },
+    { type: 'refused', code: 'full', retryAfterMs: 30, load, arrived: false },
+    { type: 'lost', code: 'badAnswer', load: undefined },
+  ];
+  for (const result of results) {
+    const body = result.type === 'answered' ? result.answer.body : Buffer.alloc(0);
+    t.same(decodeResult(encodeResult(result), body).unsafeCoerce(), result);
+  }
+  t.equal(decodeResult({ kind: '["odd"]', detail: '[]' }, Buffer.alloc(0)).isLeft(), true);
+  t.end();
+});
+
+t.test('body is the same after compression', (t) => {
+  for (const text of ['', 'short', 'long '.repeat(500)]) {
+    const packed = packBody(Buffer.from(text));
+    t.equal(unpackBody(packed.bytes, packed.encoding).unsafeCoerce().toString(), text);
+  }
+  t.equal(unpackBody(Buffer.from('rubbish'), 'deflate').isLeft(), true);
+  t.end();
+});
+
+t.test('order and answer cross a session', async (t) => {
+  const { send } = await startPair(t, (order, reply) =>
+    reply({
+      type: 'answered',
+      answer: { status: 200, headers: [], body: Buffer.from(`${order.request.id} `.repeat(200)) },
+      load: undefined,
+    }),
+  );
+  const results = await Promise.all(['1', '2', '3'].map((id) => send(createOrder(id))));
+  t.same(
+    results.map((result) => result.type === 'answered' && result.answer.body.toString().slice(0, 2)),
+    ['1 ', '2 ', '3 '],
+  );
+});
+
+t.test('daemon that is not there got nothing', async (t) => {
+  const relay = new RelayTask({ clock, logger, onReach: () => undefined });
+  t.teardown(() => relay.stop());
+  const address = `127.0.0.1:${await findFreePort()}`;
+  const result = await relay.ask<OrderResult>((reply) => ({
+    type: 'order',
+    order: createOrder('1'),
+    address,
+    reply,
+  }));
+  t.match(result, { type: 'refused', code: 'unreachable', arrived: false });
+});
+
+t.test('session that breaks leaves the outcome open', async (t) => {
+  const { send, receiver } = await startPair(t, () => receiver.stop());
+  t.match(await send(createOrder('1')), { type: 'lost', code: 'peerLost' });
+});
