Tell other daemons which revisions of the store are known

Cause: a watch on a connection that goes silent without a reset is noticed after 20 s, while configuration has to be in force within 2.5 s. Change: messages between daemons carry the revisions of the last changes; a daemon that sees a later one lists that collection at once. Waiting orders of a leaving backend server no longer start after its bound.

--- a/packages/mesh/src/DecodeOrder.ts
+++ b/packages/mesh/src/DecodeOrder.ts
@@ -43,7 +43,11 @@
 const detailDecoders = [string, nullable(number), number, string, array(value)] as const;
 
 /** Decodes an order that another daemon encoded. The error says which field is wrong. */
-export function decodeOrder(head: RelayHead, body: Buffer, nowMs: number): Either<string, Order> {
+export function decodeOrder(
+  head: Pick<RelayHead, 'kind' | 'detail'>,
+  body: Buffer,
+  nowMs: number,
+): Either<string, Order> {
   return decodeTuple<Kind>(head.kind, kindDecoders).chain((kind) =>
     decodeTuple<Detail>(head.detail, detailDecoders).chain((detail) => build(kind, detail, body, nowMs)),
   );
--- a/packages/mesh/src/DecodeResult.ts
+++ b/packages/mesh/src/DecodeResult.ts
@@ -10,7 +10,10 @@
 type Load = readonly number[];
 
 /** Decodes the result of an order that another daemon encoded. */
-export function decodeResult({ kind, detail }: RelayHead, body: Buffer): Either<string, OrderResult> {
+export function decodeResult(
+  { kind, detail }: Pick<RelayHead, 'kind' | 'detail'>,
+  body: Buffer,
+): Either<string, OrderResult> {
   return decodeTuple<readonly [type: string]>(kind, [string]).chain(([type]) => {
     switch (type) {
       case 'answered':
--- a/packages/mesh/src/DirectoryMessage.ts
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -7,7 +7,24 @@
 /** Messages of `DirectoryTask`. */
 export type DirectoryMessage =
   | { readonly type: 'subscribe'; readonly listener: ViewListener }
-  | { readonly type: 'listed'; readonly collection: WatchedCollection; readonly listing: CollectionListing }
-  | { readonly type: 'changed'; readonly collection: WatchedCollection; readonly changes: CollectionChanges }
-  | { readonly type: 'failed'; readonly collection: WatchedCollection; readonly err: RouterError }
+  | {
+      readonly type: 'listed';
+      readonly collection: WatchedCollection;
+      readonly call: number;
+      readonly listing: CollectionListing;
+    }
+  | {
+      readonly type: 'changed';
+      readonly collection: WatchedCollection;
+      readonly call: number;
+      readonly changes: CollectionChanges;
+    }
+  | {
+      readonly type: 'failed';
+      readonly collection: WatchedCollection;
+      readonly call: number;
+      readonly err: RouterError;
+    }
+  /** Another daemon knows changes up to these revisions, in the order of `watchedCollections`. */
+  | { readonly type: 'hint'; readonly revisions: readonly number[] }
   | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -14,10 +14,9 @@
 import type { ViewListener } from '#mesh/ViewListener.js';
 import { watchChart } from '#mesh/WatchChart.js';
 import type { WatchedCollection } from '#mesh/WatchedCollection.js';
+import { watchedCollections } from '#mesh/WatchedCollections.js';
 import type { WatchEvent } from '#mesh/WatchEvent.js';
 
-const COLLECTIONS: readonly WatchedCollection[] = ['routes', 'servers', 'ranges', 'evacuations'];
-
 /** Longest wait of one watch, in milliseconds. */
 const WATCH_MS = 20_000;
 
@@ -29,6 +28,9 @@
   evacuations: 100,
 };
 
+/** Least time between two listings of a collection for hints, in milliseconds. */
+const HINT_PAUSE_MS = 500;
+
 /** Pauses before a failed call is repeated, in milliseconds. */
 const FIRST_RETRY_MS = 150;
 const MAX_RETRY_MS = 800;
@@ -40,6 +42,12 @@
   /** Names listed at last; those missing from the next listing were deleted. */
   readonly names: ReadonlySet<string>;
   readonly listed: boolean;
+  /** Number of the call that is waited for; answers to earlier ones are ignored. */
+  readonly call: number;
+  /** Revision of the last change. */
+  readonly changedRevision: number;
+  /** Monotonic time of the last listing for a hint, in milliseconds. */
+  readonly hintedMs: number;
 }
 
 /** Follows the collections of the store and tells its listeners each new view. Owns the view. */
@@ -63,19 +71,23 @@
 
   /** Begins to read the store. */
   public start(): void {
-    for (const collection of COLLECTIONS) {
+    for (const collection of watchedCollections) {
       this.followers.set(collection, {
         cursor: new ChartCursor(watchChart),
         revision: 0,
         failures: 0,
         names: new Set(),
         listed: false,
+        call: 0,
+        changedRevision: 0,
+        hintedMs: -Infinity,
       });
       this.list(collection);
     }
   }
 
   protected override receive(message: DirectoryMessage): void {
+    if ('call' in message && message.call !== this.find(message.collection).call) return;
     switch (message.type) {
       case 'subscribe':
         this.listeners = [...this.listeners, message.listener];
@@ -93,11 +105,27 @@
       case 'failed':
         this.noteFailure(message.collection, message.err);
         return;
+      case 'hint':
+        this.noteHint(message.revisions);
+        return;
       case 'proceed':
         this.proceed(message.collection);
     }
   }
 
+  /** Lists the collections in which another daemon knows a later change: a watch may have gone silent. */
+  private noteHint(revisions: readonly number[]): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const [index, collection] of watchedCollections.entries()) {
+      const { revision, hintedMs, cursor } = this.find(collection);
+      if ((revisions[index] ?? 0) <= revision || nowMs - hintedMs < HINT_PAUSE_MS) continue;
+      if (!cursor.send({ type: 'hinted' })) continue;
+      this.update(collection, { hintedMs: nowMs });
+      this.logger.log('hinted', { step: 'spread', collection, revision, hint: revisions[index] });
+      this.list(collection);
+    }
+  }
+
   private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
     this.noteReachable();
     const before = this.find(collection).names;
@@ -144,9 +172,14 @@
       if (deleted) next.delete(item.name);
       else next.add(item.name);
     }
-    this.update(collection, { names: next });
+    const changedRevision = Math.max(
+      this.find(collection).changedRevision,
+      ...changes.map(({ item }) => item.revision),
+    );
+    this.update(collection, { names: next, changedRevision });
     const complete = [...this.followers.values()].every(({ listed }) => listed);
-    const view = { ...this.applier.apply(this.view, collection, changes), complete };
+    const revisions = watchedCollections.map((each) => this.find(each).changedRevision);
+    const view = { ...this.applier.apply(this.view, collection, changes), revisions, complete };
     if (changes.length === 0 && view.complete === this.view.complete) return;
     this.view = view;
     for (const listener of this.listeners) listener(view);
@@ -165,23 +198,31 @@
   }
 
   private list(collection: WatchedCollection): void {
+    const call = this.beginCall(collection);
     void this.store.list(collection).then((result) => {
       result.caseOf({
-        Left: (err) => this.post({ type: 'failed', collection, err }),
-        Right: (listing) => this.post({ type: 'listed', collection, listing }),
+        Left: (err) => this.post({ type: 'failed', collection, call, err }),
+        Right: (listing) => this.post({ type: 'listed', collection, call, listing }),
       });
     });
   }
 
   private watch(collection: WatchedCollection): void {
+    const call = this.beginCall(collection);
     void this.store.watch(collection, this.find(collection).revision, WATCH_MS).then((result) => {
       result.caseOf({
-        Left: (err) => this.post({ type: 'failed', collection, err }),
-        Right: (changes) => this.post({ type: 'changed', collection, changes }),
+        Left: (err) => this.post({ type: 'failed', collection, call, err }),
+        Right: (changes) => this.post({ type: 'changed', collection, call, changes }),
       });
     });
   }
 
+  private beginCall(collection: WatchedCollection): number {
+    const call = this.find(collection).call + 1;
+    this.update(collection, { call });
+    return call;
+  }
+
   private find(collection: WatchedCollection): Follower {
     const follower = this.followers.get(collection);
     if (follower === undefined) throw new Error(`the collection ${collection} is not followed`);
--- a/packages/mesh/src/EmptyView.ts
+++ b/packages/mesh/src/EmptyView.ts
@@ -6,5 +6,6 @@
   evacuated: new Set<string>(),
   servers: new Map(),
   tables: new Map(),
+  revisions: [],
   complete: false,
 });
--- a/packages/mesh/src/EncodeOrder.ts
+++ b/packages/mesh/src/EncodeOrder.ts
@@ -3,7 +3,7 @@
 import type { RelayHead } from '#mesh/RelayHead.js';
 
 /** Encodes an order's head for another daemon, as JSON of printable ASCII. Its body travels beside it. */
-export function encodeOrder(order: Order, nowMs: number): RelayHead {
+export function encodeOrder(order: Order, nowMs: number): Omit<RelayHead, 'revisions'> {
   const { request } = order;
   const kind = [
     request.method,
--- a/packages/mesh/src/EncodeResult.ts
+++ b/packages/mesh/src/EncodeResult.ts
@@ -4,7 +4,7 @@
 import type { RelayHead } from '#mesh/RelayHead.js';
 
 /** Encodes an order's result as JSON of printable ASCII. The body of an answer travels beside it. */
-export function encodeResult(result: OrderResult): RelayHead {
+export function encodeResult(result: OrderResult): Omit<RelayHead, 'revisions'> {
   const load = result.load === undefined ? [] : encodeLoad(result.load);
   switch (result.type) {
     case 'answered': {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -77,6 +77,8 @@
     this.relay = new RelayTask({
       clock,
       logger: new Logger('relay'),
+      revisions: () => this.view?.revisions ?? [],
+      onHint: (revisions) => this.noteHint(revisions),
       onReach: (address, reachable, untilMs) =>
         this.entry.post({ type: 'reach', address, reachable, untilMs }),
     });
@@ -166,6 +168,8 @@
       ...options.orders,
       clock,
       logger: new Logger('receiver'),
+      revisions: () => this.view?.revisions ?? [],
+      onHint: (revisions) => this.noteHint(revisions),
       onOrder: (order, reply) => this.server.post({ type: 'order', order, reply }),
       calls: {
         [rpcMethods.ping]: () => ({ processId }),
@@ -273,6 +277,12 @@
     this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
   }
 
+  private noteHint(revisions: readonly number[]): void {
+    const own = this.view?.revisions ?? [];
+    if (revisions.some((revision, index) => revision > (own[index] ?? 0)))
+      this.directory.post({ type: 'hint', revisions });
+  }
+
   private send(order: Order, server: ServerEntry, reply: OrderReply): void {
     if (server.serverId === this.options.place.serverId) this.server.post({ type: 'order', order, reply });
     else this.relay.post({ type: 'order', order, address: server.address, reply });
--- /dev/null
+++ b/packages/mesh/src/ParseRevisions.ts
@@ -0,0 +1,6 @@
+/** Parses the revisions of a message between daemons; none if there are none or they are malformed. */
+export function parseRevisions(text: string | readonly string[] | undefined): readonly number[] {
+  if (typeof text !== 'string' || text === '') return [];
+  const revisions = text.split('.').map(Number);
+  return revisions.every((each) => Number.isSafeInteger(each)) ? revisions : [];
+}
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -7,6 +7,7 @@
 } from 'node:http2';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { packBody } from '#mesh/PackBody.js';
+import { parseRevisions } from '#mesh/ParseRevisions.js';
 import { peerLinkChart } from '#mesh/PeerLinkChart.js';
 import type { PeerLinkEvent } from '#mesh/PeerLinkEvent.js';
 import type { PeerReply } from '#mesh/PeerReply.js';
@@ -85,6 +86,7 @@
         ':path': path,
         'amr-kind': head.kind,
         'amr-detail': head.detail,
+        'amr-revisions': head.revisions.join('.'),
         ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
         [sensitiveHeaders]: ['amr-detail'],
       },
@@ -128,7 +130,8 @@
       const kind = headers['amr-kind'];
       const detail = headers['amr-detail'];
       encoding = headers['amr-encoding']?.toString();
-      if (typeof kind === 'string' && typeof detail === 'string') head = { kind, detail };
+      if (typeof kind === 'string' && typeof detail === 'string')
+        head = { kind, detail, revisions: parseRevisions(headers['amr-revisions']) };
     });
     stream.on('data', (chunk: Buffer) => {
       this.hear();
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -13,6 +13,7 @@
 import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
 import { packBody } from '#mesh/PackBody.js';
+import { parseRevisions } from '#mesh/ParseRevisions.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
@@ -45,7 +46,11 @@
     });
     this.server.on('stream', (stream, headers) => {
       const path = headers[':path'] ?? '';
-      const head = { kind: textOf(headers['amr-kind']), detail: textOf(headers['amr-detail']) };
+      const head = {
+        kind: textOf(headers['amr-kind']),
+        detail: textOf(headers['amr-detail']),
+        revisions: parseRevisions(headers['amr-revisions']),
+      };
       const encoding = headers['amr-encoding']?.toString();
       this.post({ type: 'opened', stream, path, head, encoding });
     });
@@ -72,6 +77,7 @@
 
   protected override receive(message: ReceiverMessage): void {
     const { stream, path, head, encoding } = message;
+    this.options.onHint(head.revisions);
     // The close event follows; an order goes on without its stream.
     stream.on('error', () => undefined);
     collectBody(stream, (bytes) => {
@@ -88,7 +94,8 @@
   private receiveOrder(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
     decodeOrder(head, body, this.options.clock.monotonicMs()).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
-      Right: (order) => this.options.onOrder(order, (result) => answerOrder(stream, result)),
+      Right: (order) =>
+        this.options.onOrder(order, (result) => answerOrder(stream, result, this.options.revisions())),
     });
   }
 
@@ -114,7 +121,7 @@
   stream.on('end', () => done(Buffer.concat([...chunks])));
 }
 
-function answerOrder(stream: ServerHttp2Stream, result: OrderResult): void {
+function answerOrder(stream: ServerHttp2Stream, result: OrderResult, revisions: readonly number[]): void {
   if (stream.destroyed || stream.closed) return;
   const { kind, detail } = encodeResult(result);
   const body = result.type === 'answered' ? packBody(result.answer.body) : undefined;
@@ -122,6 +129,7 @@
     ':status': 200,
     'amr-kind': kind,
     'amr-detail': detail,
+    'amr-revisions': revisions.join('.'),
     ...(body === undefined || body.encoding === 'plain' ? {} : { 'amr-encoding': body.encoding }),
     [sensitiveHeaders]: ['amr-detail'],
   });
--- a/packages/mesh/src/RelayHead.ts
+++ b/packages/mesh/src/RelayHead.ts
@@ -4,4 +4,6 @@
   readonly kind: string;
   /** What differs; it is kept out of the compression table. */
   readonly detail: string;
+  /** Revisions of the store up to which the sender knows changes. */
+  readonly revisions: readonly number[];
 }
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -7,7 +7,6 @@
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { PeerReply } from '#mesh/PeerReply.js';
 import { PeerSession } from '#mesh/PeerSession.js';
-import type { RelayHead } from '#mesh/RelayHead.js';
 import type { RelayMessage } from '#mesh/RelayMessage.js';
 import type { RelayOptions } from '#mesh/RelayOptions.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
@@ -18,8 +17,6 @@
 const FIRST_PAUSE_MS = 250;
 const MAX_PAUSE_MS = 1_000;
 
-const CALL_HEAD: RelayHead = { kind: 'call', detail: '' };
-
 const LOST: OrderResult = { type: 'lost', code: 'peerLost', load: undefined };
 
 interface Pause {
@@ -73,8 +70,11 @@
       reply({ type: 'refused', code: 'unreachable', retryAfterMs: 0, load: undefined, arrived: false });
       return;
     }
-    const head = encodeOrder(order, this.now());
-    session.send(relayPaths.orders, head, order.request.body, (result) => reply(readResult(result)));
+    const head = { ...encodeOrder(order, this.now()), revisions: this.options.revisions() };
+    session.send(relayPaths.orders, head, order.request.body, (result) => {
+      if (result.ok) this.options.onHint(result.head.revisions);
+      reply(readResult(result));
+    });
   }
 
   private call(address: string, method: string, params: unknown, reply: (result: unknown) => void): void {
@@ -85,7 +85,8 @@
     }
     const body = Buffer.from(JSON.stringify({ jsonrpc: '2.0', id: this.nextCall, method, params }));
     this.nextCall += 1;
-    session.send(relayPaths.calls, CALL_HEAD, body, (result) => reply(readCallResult(result)));
+    const head = { kind: 'call', detail: '', revisions: this.options.revisions() };
+    session.send(relayPaths.calls, head, body, (result) => reply(readCallResult(result)));
   }
 
   private findSession(address: string): PeerSession | undefined {
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -46,6 +46,9 @@
  */
 const ADMIT_FACTOR = 1.25;
 
+/** Time after the last admission to a leaving backend server in which waiting orders still start, in milliseconds. */
+const LAST_START_MS = 400;
+
 /** Part of the target latency that an order waits for its key to be granted to the server. */
 const GRANT_WAIT_PART = 0.6;
 
@@ -396,9 +399,19 @@
     const keepsSlot = !isShort && nowMs < this.shortUntilMs && presence.slots > 2;
     if (this.running.size >= presence.slots - (keepsSlot ? 1 : 0)) return false;
     if (keyed && !this.holds(order)) return false;
+    if (this.hasToEnd(nowMs)) return false;
     return !this.isCold(nowMs) || this.cold.allows(coldPerSecond, nowMs);
   }
 
+  /** Whether the time in which a leaving backend server may still receive orders is over. */
+  private hasToEnd(nowMs: number): boolean {
+    const { presence, evacuatedMs } = this.state;
+    const { keyedLeaveMs, keyedEvacuationMs } = this.options;
+    const leftMs = presence.leavingMs === undefined ? 0 : nowMs - presence.leavingMs;
+    const outMs = evacuatedMs === undefined ? 0 : nowMs - evacuatedMs;
+    return leftMs > keyedLeaveMs + LAST_START_MS || outMs > keyedEvacuationMs + LAST_START_MS;
+  }
+
   private holds({ request }: Order): boolean {
     const { held, heldUntilMs } = this.state;
     if (request.key === undefined || this.options.elapsed.nowMs() >= heldUntilMs) return false;
--- a/packages/mesh/src/View.ts
+++ b/packages/mesh/src/View.ts
@@ -11,6 +11,8 @@
   readonly servers: ReadonlyMap<string, ServerEntry>;
   /** Ownership by service. */
   readonly tables: ReadonlyMap<string, TableView>;
+  /** Revision of the last change of each watched collection, in the order of `watchedCollections`. */
+  readonly revisions: readonly number[];
   /** Whether each collection was read at least once. */
   readonly complete: boolean;
 }
--- a/packages/mesh/test/CreateView.ts
+++ b/packages/mesh/test/CreateView.ts
@@ -34,6 +34,7 @@
     evacuated: new Set(),
     servers: new Map(servers.map((entry) => [entry.serverId, entry])),
     tables: new Map(table === undefined ? [] : [['s', { table, revision: 1 }]]),
+    revisions: [],
     complete: true,
   };
 }
--- /dev/null
+++ b/packages/mesh/test/directory.test.ts
@@ -0,0 +1,99 @@
+import { Right } from 'purify-ts';
+import t from 'tap';
+import { Logger } from '#core/Logger.js';
+import { ManualClock } from '#core/ManualClock.js';
+import { DirectoryTask } from '#mesh/DirectoryTask.js';
+import { RouteDecoder } from '#mesh/RouteDecoder.js';
+import type { View } from '#mesh/View.js';
+import type { RouteTable } from '#routes/RouteTable.js';
+import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+import { createEntry } from './CreateEntry.js';
+
+class VersionDecoder extends RouteDecoder {
+  public override decode(_name: string, value: unknown): ReturnType<RouteDecoder['decode']> {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const table: RouteTable = { version: value as number, limits, routes: [], services: new Map() };
+    return Right(table);
+  }
+}
+
+class DirectoryRun {
+  public readonly store = new MemoryCollectionStore();
+  public readonly clock = new ManualClock();
+  public readonly task = new DirectoryTask(this.store, new VersionDecoder(), this.clock, new Logger('test'));
+  public views: View[] = [];
+
+  public get view(): View {
+    const view = this.views.at(-1);
+    if (view === undefined) throw new Error('no view yet');
+    return view;
+  }
+
+  public async start(): Promise<void> {
+    this.task.post({ type: 'subscribe', listener: (view) => this.views.push(view) });
+    this.task.start();
+    await this.advance(0);
+  }
+
+  public async advance(ms: number): Promise<void> {
+    for (let index = 0; index < 10; index += 1) await new Promise((resolve) => setImmediate(resolve));
+    this.clock.advance(ms);
+    for (let index = 0; index < 10; index += 1) await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+t.test('changes reach the view', async (t) => {
+  const run = new DirectoryRun();
+  run.store.set('routes', 'main', 4);
+  await run.start();
+  t.equal(run.view.routes?.table.version, 4);
+  t.equal(run.view.complete, true);
+  await run.advance(400);
+  run.store.set('servers', 'a', createEntry('a'));
+  await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'ready');
+});
+
+t.test('configuration never reverts', async (t) => {
+  const run = new DirectoryRun();
+  run.store.set('routes', 'main', 4);
+  await run.start();
+  await run.advance(400);
+  run.store.set('routes', 'main', 3);
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 4);
+});
+
+t.test('malformed entry leaves the others', async (t) => {
+  const run = new DirectoryRun();
+  run.store.set('servers', 'a', createEntry('a'));
+  run.store.set('servers', 'b', { state: 5 });
+  await run.start();
+  t.same([...run.view.servers.keys()], ['a']);
+});
+
+t.test('store that comes back is read again', async (t) => {
+  const run = new DirectoryRun();
+  run.store.trouble = 'down';
+  await run.start();
+  t.equal(run.view.complete, false);
+  run.store.trouble = 'none';
+  run.store.set('routes', 'main', 4);
+  await run.advance(1_000);
+  t.equal(run.view.complete, true);
+});
+
+t.test('hint replaces a silent watch', async (t) => {
+  const run = new DirectoryRun();
+  run.store.set('routes', 'main', 4);
+  await run.start();
+  await run.advance(400);
+  // The watch hears nothing of this change, as if its connection had gone silent.
+  run.store.isSilent = true;
+  const { revision } = run.store.set('routes', 'main', 5);
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 4);
+  run.task.post({ type: 'hint', revisions: [revision] });
+  await run.advance(0);
+  t.equal(run.view.routes?.table.version, 5);
+});
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -21,6 +21,7 @@
 
 const clock = new SystemClock();
 const logger = new Logger('test');
+const hints: (readonly number[])[] = [];
 
 async function startPair(
   t: Teardown,
@@ -34,8 +35,16 @@
     logger,
     onOrder,
     calls: {},
+    revisions: () => [7],
+    onHint: (revisions) => hints.push(revisions),
+  });
+  const relay = new RelayTask({
+    clock,
+    logger,
+    revisions: () => [3],
+    onHint: (revisions) => hints.push(revisions),
+    onReach: () => undefined,
   });
-  const relay = new RelayTask({ clock, logger, onReach: () => undefined });
   await receiver.listen();
   t.teardown(() => {
     relay.stop();
@@ -106,10 +115,18 @@
     results.map((result) => result.type === 'answered' && result.answer.body.toString().slice(0, 2)),
     ['1 ', '2 ', '3 '],
   );
+  t.same(hints.slice(0, 2), [[3], [3]], 'the receiver learns what the sender knows');
+  t.same(hints.at(-1), [7], 'and the sender what the receiver knows');
 });
 
 t.test('daemon that is not there got nothing', async (t) => {
-  const relay = new RelayTask({ clock, logger, onReach: () => undefined });
+  const relay = new RelayTask({
+    clock,
+    logger,
+    revisions: () => [3],
+    onHint: (revisions) => hints.push(revisions),
+    onReach: () => undefined,
+  });
   t.teardown(() => relay.stop());
   const address = `127.0.0.1:${await findFreePort()}`;
   const result = await relay.ask<OrderResult>((reply) => ({
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -128,7 +128,14 @@
   });
   task.post({
     type: 'view',
-    view: { routes, evacuated: new Set(), servers: new Map(), tables: new Map(), complete: true },
+    view: {
+      routes,
+      evacuated: new Set(),
+      servers: new Map(),
+      tables: new Map(),
+      revisions: [],
+      complete: true,
+    },
   });
   announce({ coldUntilMs: performance.now() + 10_000 });
   const orders = Array.from({ length: 20 }, (_, index) =>
--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -12,6 +12,8 @@
 /** A collection store in memory, for tests. Its trouble is set from outside and holds for all callers. */
 export class MemoryCollectionStore extends CollectionStore {
   public trouble: StoreTrouble = 'none';
+  /** Whether waiting watches hear nothing of changes. */
+  public isSilent = false;
   /** Number of accepted writes. */
   public writes = 0;
   private readonly collections = new Map<string, Map<string, CollectionItem>>();
@@ -68,7 +70,7 @@
       value: JSON.parse(JSON.stringify(value)) as unknown,
     };
     this.find(collection).set(name, item);
-    this.wake();
+    if (!this.isSilent) this.wake();
     return item;
   }
 
