--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -16,18 +16,24 @@
 /** Least time between two such looks, in milliseconds. */
 const PAUSE_MS = 1_000;
 
+/** An owner whose slots are busy for this part of the time looks too, though less often. */
+const BUSY_PART = 0.35;
+const BUSY_PAUSE_MS = 2_500;
+
 /** Time over which waits are averaged, so that short slowdowns move no keys, in milliseconds. */
 const WAIT_AVERAGE_MS = 1_000;
 
 /** Time in which an owner that received keys takes no more, until its load shows them, in milliseconds. */
 const DIGEST_MS = 1_500;
 
+const MS_PER_SECOND = 1_000;
+
 interface Survey {
   readonly open: number;
   readonly answers: readonly BalanceFacts[];
 }
 
-/** Gives keys away while orders for them wait, to the owner that the others' own answers show to be least loaded. */
+/** Gives keys away while orders for them wait or slots are busy, to the owner that the others' own answers show to be least loaded. */
 export class BalanceTask extends Task<BalanceMessage> {
   private readonly options: BalanceOptions;
   private view: View = emptyView;
@@ -89,7 +95,8 @@
   private look(): void {
     const nowMs = this.options.clock.monotonicMs();
     if (this.facts?.mayRelease !== true || this.survey !== undefined) return;
-    if (this.averageWaitMs(nowMs) < LONG_WAIT_MS || nowMs - this.surveyedMs < PAUSE_MS) return;
+    const pauseMs = this.pauseMs(this.facts, nowMs);
+    if (pauseMs === undefined || nowMs - this.surveyedMs < pauseMs) return;
     const { serverId, service } = this.options.place;
     const others = listReceivers(this.view, service).filter((owner) => owner.serverId !== serverId);
     if (others.length === 0) return;
@@ -101,6 +108,12 @@
     }
   }
 
+  /** Least time since the last survey; undefined if there is no need for one. */
+  private pauseMs({ workMsPerSecond, slots }: LeaseFacts, nowMs: number): number | undefined {
+    if (this.averageWaitMs(nowMs) >= LONG_WAIT_MS) return PAUSE_MS;
+    return workMsPerSecond / (slots * MS_PER_SECOND) >= BUSY_PART ? BUSY_PAUSE_MS : undefined;
+  }
+
   private noteAnswer(value: unknown): void {
     if (this.survey === undefined) return;
     const decoded = balanceFactsCodec.decode(value);
--- a/packages/mesh/src/ChooseReceiver.ts
+++ b/packages/mesh/src/ChooseReceiver.ts
@@ -5,7 +5,7 @@
 const FULL_WAIT_MS = 400;
 
 /** Least difference of load for which keys are moved. */
-const LEAST_DIFFERENCE = 0.35;
+const LEAST_DIFFERENCE = 0.25;
 
 /** Part of an owner's work that is given away at once at most. */
 const MAX_PART = 0.5;
