--- a/packages/mesh/src/CheckAdmission.ts
+++ b/packages/mesh/src/CheckAdmission.ts
@@ -16,6 +16,8 @@
 ): RefusalCode | undefined {
   const { presence, keyed, evacuatedMs, expected } = state;
   if (presence.state === 'absent') return 'noServer';
+  // The address of a backend server may have passed to one of another service.
+  if (order.service !== presence.service) return 'otherService';
   if (presence.leavingMs !== undefined && (!keyed || nowMs - presence.leavingMs > leave.keyedLeaveMs))
     return 'draining';
   if (evacuatedMs !== undefined && (!keyed || nowMs - evacuatedMs > leave.keyedEvacuationMs))
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -11,6 +11,7 @@
 import { findKeyOwner } from '#mesh/FindKeyOwner.js';
 import { listCandidates } from '#mesh/ListCandidates.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
+import type { Offer } from '#mesh/Offer.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
@@ -56,6 +57,8 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+type Loss = OrderResult & { readonly type: 'lost' };
+
 /** Decides what happens to each caller's request at the daemon that it reached. Owns the exchanges. */
 export class EntryTask extends Task<EntryMessage> {
   private readonly options: EntryOptions;
@@ -254,8 +257,8 @@
     };
     this.exchanges.set(number, next);
     if (result.type === 'answered') this.noteAnswer(next, result);
-    else if (result.type === 'refused') this.noteRefused(next, result);
-    else this.noteLost(next, result, offer.server, offer.resumed);
+    else if (result.type === 'refused' && !leavesOpen(result, offer)) this.noteRefused(next, result);
+    else this.noteLost(next, asLoss(result), offer.server, offer.resumed);
   }
 
   private noteAnswer(exchange: MeshExchange, result: OrderResult & { readonly type: 'answered' }): void {
@@ -279,12 +282,7 @@
     else this.choose(exchange.number);
   }
 
-  private noteLost(
-    exchange: MeshExchange,
-    result: OrderResult & { readonly type: 'lost' },
-    server: ServerEntry,
-    resumed: number,
-  ): void {
+  private noteLost(exchange: MeshExchange, result: Loss, server: ServerEntry, resumed: number): void {
     exchange.cursor.send({ type: 'lost' });
     if (result.code === 'peerLost' && resumed < MAX_RESUMES) {
       this.offer({ ...exchange, arrivals: exchange.arrivals - 1 }, server, resumed + 1);
@@ -440,3 +438,12 @@
     return this.options.clock.monotonicMs();
   }
 }
+
+/** Whether a refusal says nothing of an earlier send: the daemon that received the order could not be asked. */
+function leavesOpen({ code }: OrderResult & { readonly type: 'refused' }, { resumed }: Offer): boolean {
+  return resumed > 0 && code === 'unreachable';
+}
+
+function asLoss(result: OrderResult & { readonly type: 'refused' | 'lost' }): Loss {
+  return result.type === 'lost' ? result : { type: 'lost', code: 'peerLost', load: undefined };
+}
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -39,7 +39,7 @@
 const STOP_CHECK_MS = 50;
 
 /** Part of the allowed repeats that this daemon uses, as others count by themselves. */
-const BUDGET_PART = 0.7;
+const BUDGET_PART = 0.45;
 
 /** Daemons among which the repeats that are allowed in any case are divided at least. */
 const LEAST_DAEMONS = 12;
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -45,7 +45,7 @@
       settings: { enablePush: false, initialWindowSize: WINDOW_BYTES },
     });
     this.session.on('connect', () => {
-      this.session.setLocalWindowSize(WINDOW_BYTES);
+      if (!this.session.destroyed) this.session.setLocalWindowSize(WINDOW_BYTES);
       this.connected = true;
       this.cursor.send({ type: 'connected' });
       this.hear();
@@ -107,7 +107,13 @@
       this.session.destroy();
       return;
     }
-    if (this.cursor.state !== 'up' || !this.isBusy || nowMs - this.heardMs < SILENCE_MS) return;
+    if (
+      this.cursor.state !== 'up' ||
+      !this.isBusy ||
+      this.session.destroyed ||
+      nowMs - this.heardMs < SILENCE_MS
+    )
+      return;
     this.cursor.send({ type: 'silent' });
     this.probedMs = nowMs;
     this.session.ping((err) => {
--- a/packages/mesh/src/Presence.ts
+++ b/packages/mesh/src/Presence.ts
@@ -1,6 +1,7 @@
 /** The backend server beside a daemon, as it announced itself last. */
 export interface Presence {
   readonly state: 'absent' | 'ready' | 'draining' | 'gone';
+  readonly service: string;
   /** `host:port` of the backend server. */
   readonly address: string;
   readonly instanceId: string;
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -163,6 +163,7 @@
     const { run } = this;
     return {
       state: this.cursor.state as Presence['state'],
+      service: run?.announcement.service ?? this.options.place.service,
       address: run?.announcement.address ?? '',
       instanceId: run?.announcement.instanceId ?? '',
       incarnation: run?.incarnation ?? '',
@@ -218,7 +219,7 @@
       address,
       failureDomain: place.failureDomain,
       region: place.region,
-      service: this.run?.announcement.service ?? place.service,
+      service: presence.service,
       instanceId: presence.instanceId,
       incarnation: presence.incarnation,
       state: presence.state,
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -37,7 +37,7 @@
     this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
     this.server.on('session', (session) => {
       this.sessions.add(session);
-      session.setLocalWindowSize(WINDOW_BYTES);
+      if (!session.destroyed) session.setLocalWindowSize(WINDOW_BYTES);
       session.on('close', () => this.sessions.delete(session));
       // A broken session is closed by the library; its orders go on and wait for their sender.
       session.on('error', (err: Error) =>
@@ -66,7 +66,7 @@
 
   /** Tells the other daemons to send nothing more over their sessions. */
   public announceEnd(): void {
-    for (const session of this.sessions) session.goaway();
+    for (const session of this.sessions) if (!session.destroyed) session.goaway();
   }
 
   public override stop(): void {
--- a/packages/mesh/src/RefusalCode.ts
+++ b/packages/mesh/src/RefusalCode.ts
@@ -2,6 +2,7 @@
 export type RefusalCode =
   | 'unreachable'
   | 'noServer'
+  | 'otherService'
   | 'draining'
   | 'evacuated'
   | 'notOwner'
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -38,6 +38,7 @@
   private headers: readonly HeaderPair[] = [];
   private chunks: readonly Buffer[] = [];
   private bodyBytes = 0;
+  private isUnframed = false;
   private keepsAlive = true;
   private idleMs = DEFAULT_IDLE_MS;
   private readonly connectTimer: NodeJS.Timeout;
@@ -52,6 +53,7 @@
       host: address.slice(0, colon),
       port: Number(address.slice(colon + 1)),
       noDelay: true,
+      allowHalfOpen: true,
     });
     this.connectTimer = setTimeout(() => this.socket.destroy(), CONNECT_TIMEOUT_MS);
     this.socket.on('connect', () => this.noteConnected());
@@ -119,9 +121,24 @@
   }
 
   private readEnd(): void {
-    if (this.cursor.state !== 'busy') return;
-    const result = this.parser.finish();
-    if (result instanceof Error) this.breakOff('answer ended early', true);
+    if (this.cursor.state === 'busy' && this.isUnframed) {
+      this.confirmEnd();
+      return;
+    }
+    if (this.cursor.state === 'busy') this.breakOff('answer ended early', true);
+    this.socket.destroy();
+  }
+
+  /**
+   * Tells the end of an answer without a length from a reset: the event loop reports a reset that arrives together with
+   * bytes as an end, but a write on a connection that was reset fails. An empty line before a request has no meaning.
+   */
+  private confirmEnd(): void {
+    this.socket.write('\r\n', (err) => {
+      if (err instanceof Error) this.breakOff('answer was reset', true);
+      else this.parser.finish();
+      this.socket.destroy();
+    });
   }
 
   private noteHead(status: number, rawHeaders: readonly string[]): 0 | 1 {
@@ -132,7 +149,8 @@
     this.keepsAlive = findHeader(pairs, 'connection')?.toLowerCase() !== 'close';
     const isFramed = length !== undefined || findHeader(pairs, 'transfer-encoding') !== undefined;
     const hasNoBody = this.isHead || status === 204 || status === 304 || status < FIRST_FINAL_STATUS;
-    if (!isFramed && !hasNoBody) this.keepsAlive = false;
+    this.isUnframed = !isFramed && !hasNoBody;
+    if (this.isUnframed) this.keepsAlive = false;
     this.noteIdleTime(findHeader(pairs, 'keep-alive'));
     this.headers = pairs.filter(([name]) => !isConnectionHeader(name));
     return hasNoBody ? 1 : 0;
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -73,6 +73,7 @@
 
 const ABSENT: Presence = {
   state: 'absent',
+  service: '',
   address: '',
   instanceId: '',
   incarnation: '',
--- a/packages/mesh/test/StartServerTask.ts
+++ b/packages/mesh/test/StartServerTask.ts
@@ -48,6 +48,7 @@
   const announce = (change: Partial<Presence>): void => {
     const presence: Presence = {
       state: 'ready',
+      service: 's',
       address,
       instanceId: 'i',
       incarnation: 'i/1',
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -141,3 +141,13 @@
   for (let index = 0; index < 10; index += 1) await run.advance(40);
   t.match(run.replies, [{ status: 503 }]);
 });
+
+t.test('daemon that cannot be asked again proves nothing', async (t) => {
+  // The order may have run in the send before; offering it to another server ran it twice.
+  const run = new EntryRun(createView(two, { idempotent: false }));
+  await run.arrive('1');
+  await run.answer({ type: 'lost', code: 'peerLost', load: undefined });
+  for (let index = 0; index < 3; index += 1) await run.answer({ ...refused, code: 'unreachable' });
+  t.ok(run.sent.every(({ server }) => server.serverId === run.sent[0]?.server.serverId));
+  t.match(run.replies, [{ status: 502 }]);
+});
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -1,3 +1,4 @@
+import { createServer, type Socket } from 'node:net';
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
@@ -9,6 +10,7 @@
 import type { OrderReply } from '#mesh/OrderReply.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import { packBody } from '#mesh/PackBody.js';
+import { PeerSession } from '#mesh/PeerSession.js';
 import { ReceiverTask } from '#mesh/ReceiverTask.js';
 import { RelayTask } from '#mesh/RelayTask.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
@@ -142,3 +144,27 @@
   const { send, receiver } = await startPair(t, () => receiver.stop());
   t.match(await send(createOrder('1')), { type: 'lost', code: 'peerLost' });
 });
+
+t.test('session that ends while it opens ends no process', async (t) => {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.resetAndDestroy();
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as { readonly port: number };
+  let closed = 0;
+  for (let index = 0; index < 20; index += 1) {
+    const session = new PeerSession(
+      `127.0.0.1:${port}`,
+      () => clock.monotonicMs(),
+      () => {
+        closed += 1;
+      },
+    );
+    if (index % 2 === 0) session.destroy();
+  }
+  while (closed < 20) await new Promise((resolve) => setTimeout(resolve, 5));
+  t.equal(closed, 20);
+});
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -184,3 +184,10 @@
   task.post({ type: 'cancel', id: '1' });
   t.equal((await pending).type, 'answered', 'an order that may not be repeated goes on');
 });
+
+t.test('order for another service does not run', async (t) => {
+  // The address of a backend server that is gone may be used by one of another service.
+  const { run, server } = await startServerTask(t, ({ id, socket }) => socket.write(formatAnswer(id)));
+  t.match(await run(createOrder('1', { service: 'other' })), { type: 'refused', code: 'otherService' });
+  t.equal(server.requests.length, 0);
+});
