Tell a connection closed without an answer from a malformed answer

Cause: with half-open connections, an end without any byte counted as a malformed answer, which starts no check for a crash; the tests 'dead server is noticed by its port' and 'cancelled order leaves the server' failed and timed out. Change: an end before the head of an answer is a closed connection.

--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -38,6 +38,8 @@
   private headers: readonly HeaderPair[] = [];
   private chunks: readonly Buffer[] = [];
   private bodyBytes = 0;
+  /** Whether the head of an answer to the current order was read. */
+  private hasHead = false;
   private isUnframed = false;
   private keepsAlive = true;
   private idleMs = DEFAULT_IDLE_MS;
@@ -77,6 +79,7 @@
   public send(requestId: string, isHead: boolean, head: string, body: Buffer): void {
     this.cursor.send({ type: 'sent' });
     this.requestId = requestId;
+    this.hasHead = false;
     this.isHead = isHead;
     this.socket.setTimeout(0);
     this.socket.cork();
@@ -125,7 +128,7 @@
       this.confirmEnd();
       return;
     }
-    if (this.cursor.state === 'busy') this.breakOff('answer ended early', true);
+    if (this.cursor.state === 'busy' && this.hasHead) this.breakOff('answer ended early', true);
     this.socket.destroy();
   }
 
@@ -143,6 +146,7 @@
 
   private noteHead(status: number, rawHeaders: readonly string[]): 0 | 1 {
     this.status = status;
+    this.hasHead = true;
     const pairs = pairHeaders(rawHeaders);
     const length = findHeader(pairs, 'content-length');
     if (length !== undefined && !/^\d+$/.test(length)) this.breakOff('malformed length', true);
