--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -145,7 +145,7 @@
     const silentMs = this.options.clock.monotonicMs() - run.heardMs;
     const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
     if (kind === 'silent' && !missed) return;
-    if (kind === 'refused') this.options.onEnded(incarnation, true);
+    this.options.onEnded(incarnation, kind === 'refused');
     if (!this.cursor.send({ type: 'died' })) return;
     this.options.logger.log('serverDied', { incarnation, evidence: kind, silentMs: Math.round(silentMs) });
     this.tell(run);
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -163,6 +163,8 @@
       this.given = [];
     }
     this.isAlive = true;
+    // A server that was taken for gone and is back keeps what it was not yet told to release.
+    if (this.leaving && !leaving) this.releases = this.releases.filter(({ step }) => step !== 'planned');
     this.leaving = leaving;
     this.slots = slots;
     this.released = [...this.released, ...released];
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -68,6 +68,9 @@
 /** Connections that failed to open in a row before waiting orders are refused. */
 const FAILED_OPENINGS = 2;
 
+/** A backend server that answers no order for this time may be gone, in milliseconds. */
+const SILENCE_MS = 700;
+
 /** A reported slowdown says something for this long, in milliseconds. */
 const SLOWDOWN_KEEP_MS = 400;
 
@@ -99,6 +102,7 @@
   private readonly quarantine = new Quarantine(MAX_MARKED, MARK_KEEP_MS);
   private readonly running = new Map<string, RunningOrder>();
   private losses: readonly Loss[] = [];
+  private answeredMs = -Infinity;
   private failedOpenings = 0;
   private readonly kinds = new ShortKinds();
   private shortUntilMs = 0;
@@ -283,6 +287,7 @@
   private finish(running: RunningOrder, answer: BackendAnswer): void {
     const { order, sentMs } = running;
     const nowMs = this.now();
+    this.answeredMs = nowMs;
     const kind = classifyAnswer(answer, this.options.headers);
     const reported = parseLoad(findHeader(answer.headers, this.options.headers.load));
     if (reported !== undefined) this.slowdown = { factor: reported.slowdown, atMs: nowMs };
@@ -367,11 +372,19 @@
     );
     for (const { order } of unheld) this.end(order, this.refuse(order, 'notGranted', false));
     this.options.onLoad(this.report());
+    this.checkSilence(nowMs);
     for (const running of this.running.values()) {
       if (nowMs > running.order.dueMs) this.giveUp(running, nowMs);
     }
   }
 
+  /** Reports a backend server that answers none of its orders; its announcements decide whether it is gone. */
+  private checkSilence(nowMs: number): void {
+    const oldestMs = Math.min(...[...this.running.values()].map(({ sentMs }) => sentMs));
+    if (nowMs - Math.max(oldestMs, this.answeredMs) < SILENCE_MS || !Number.isFinite(oldestMs)) return;
+    this.options.onEvidence({ kind: 'silent', incarnation: this.state.presence.incarnation });
+  }
+
   private giveUp(running: RunningOrder, nowMs: number): void {
     const { id } = running.order.request;
     this.running.delete(id);
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -159,3 +159,15 @@
   await run.settle();
   t.equal(answers, 1, 'the release reaches the server at once');
 });
+
+t.test('server that is back keeps its keys', async (t) => {
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  run.task.post({ type: 'ended', incarnation: 'a/1', proven: false });
+  await run.settle();
+  t.match(await run.checkIn([whole]), { rows: [whole] });
+  await run.advance(20_000);
+  t.equal(run.table().lastEpoch, 1);
+});
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -191,3 +191,10 @@
   t.match(await run(createOrder('1', { service: 'other' })), { type: 'refused', code: 'otherService' });
   t.equal(server.requests.length, 0);
 });
+
+t.test('silent server is reported', async (t) => {
+  const { run, evidence } = await startServerTask(t, () => undefined);
+  const pending = run(createOrder('1', { dueMs: performance.now() + 1_500 }));
+  t.match(await pending, { type: 'lost', code: 'timeout' });
+  t.same(evidence[0], { kind: 'silent', incarnation: 'i/1' });
+});
--- a/packages/ranges/src/DefaultLeaseTerms.ts
+++ b/packages/ranges/src/DefaultLeaseTerms.ts
@@ -4,7 +4,7 @@
 export const defaultLeaseTerms: LeaseTerms = Object.freeze({
   leaseMs: 12_500,
   renewEveryMs: 3_000,
-  maxGrantMs: 10_000,
+  maxGrantMs: 7_000,
   clockDrift: 0.02,
   marginMs: 200,
 });
