Hold answers to announcements in proportion to their interval

Change: held for 0.7 of the interval, 800 ms at most. Ruled out: longer holds, as an answer counts only within a second.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -110,6 +110,7 @@
     this.ranges = new RangeTask({
       place,
       terms,
+      announceEveryMs: options.announceEveryMs,
       store,
       clock,
       elapsed,
--- a/packages/mesh/src/RangeOptions.ts
+++ b/packages/mesh/src/RangeOptions.ts
@@ -11,6 +11,8 @@
 export interface RangeOptions {
   readonly place: Place;
   readonly terms: LeaseTerms;
+  /** Usual time between two announcements, in milliseconds. */
+  readonly announceEveryMs: number;
   readonly store: CollectionStore;
   readonly clock: Clock;
   readonly elapsed: ElapsedClock;
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -48,8 +48,12 @@
 /** Rows that one answer to an announcement can carry. */
 const MAX_ROWS = 60;
 
-/** An answer to an announcement is held back this long for a change; it counts only within a second, in milliseconds. */
-const REPLY_HOLD_MS = 600;
+/**
+ * An answer to an announcement is held back for this part of the time to the next one, so that most changes of keys find
+ * one waiting, and for at most the given time, in milliseconds: it counts only within a second.
+ */
+const REPLY_HOLD_PART = 0.7;
+const MAX_REPLY_HOLD_MS = 800;
 
 interface WaitingReply {
   readonly reply: CheckIn['reply'];
@@ -63,6 +67,7 @@
 export class RangeTask extends Task<RangeMessage> {
   private readonly options: RangeOptions;
   private readonly loads: KeyLoads;
+  private readonly replyHoldMs: number;
   private view: View = emptyView;
   private table: TableView | undefined;
   private lease: HeldLease = { term: 0, untilMs: 0 };
@@ -88,6 +93,7 @@
     super();
     this.options = options;
     this.loads = new KeyLoads(options.elapsed.nowMs());
+    this.replyHoldMs = Math.min(MAX_REPLY_HOLD_MS, options.announceEveryMs * REPLY_HOLD_PART);
     // An earlier run of this daemon may have given grants just before.
     this.grantsEndMs = this.endOfGrant(options.terms.maxGrantMs);
     this.scheduleTick();
@@ -172,7 +178,7 @@
     if (this.isKeyed()) this.options.onKeyed();
     if (this.waiting !== undefined) this.answer(this.waiting.reply);
     this.waiting = { reply, sinceMs: this.now() };
-    this.options.clock.schedule(REPLY_HOLD_MS, () => this.post({ type: 'due' }));
+    this.options.clock.schedule(this.replyHoldMs, () => this.post({ type: 'due' }));
   }
 
   /**
@@ -182,7 +188,7 @@
   private answerWaiting(): void {
     const { waiting } = this;
     if (waiting === undefined) return;
-    const isDue = this.now() - waiting.sinceMs >= REPLY_HOLD_MS;
+    const isDue = this.now() - waiting.sinceMs >= this.replyHoldMs;
     if (!isDue && (this.writing || !this.hasNews())) return;
     this.waiting = undefined;
     this.answer(waiting.reply);
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -24,6 +24,7 @@
     this.task = new RangeTask({
       place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
       terms: defaultLeaseTerms,
+      announceEveryMs: 900,
       store: this.store,
       clock: this.clock,
       elapsed: this.elapsed,
