Give up the term of keys when a daemon ends; split the large tasks

Change: a daemon that ends while its server holds nothing any more resigns: it revokes its own record if the store answers and tells the daemons of the service, which revoke exactly that run's record and take the keys over at once. ServerTask, EntryTask and RangeTask are split (CrashRecord, LoadMeter, ServerDirectory, RequestRecorder, settleTable and others). Ruled out: a shorter lease (outages of the store of 9 s would take all keys).

--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -86,9 +86,15 @@
   }
 
   private async createPipe(): Promise<Variant> {
-    const backend = await FleetProcess.start([...NODE, 'build/packages/load/src/PlainBackendMain.js'], '/dev/null');
+    const backend = await FleetProcess.start(
+      [...NODE, 'build/packages/load/src/PlainBackendMain.js'],
+      '/dev/null',
+    );
     const backendUrl = `http://127.0.0.1:${backend.values.get('port') ?? 0}`;
-    const pipe = await FleetProcess.start([...NODE, 'build/packages/load/src/PipeMain.js', backendUrl], '/dev/null');
+    const pipe = await FleetProcess.start(
+      [...NODE, 'build/packages/load/src/PipeMain.js', backendUrl],
+      '/dev/null',
+    );
     this.pipes = [backend, pipe];
     const url = `http://127.0.0.1:${pipe.values.get('caller') ?? 0}`;
     return { name: 'pipe', url, service: 'open', keys: ['key'], process: pipe };
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -1,20 +1,20 @@
 import { RetryBudget } from '#balance/RetryBudget.js';
 import { ChartCursor } from '#chart/ChartCursor.js';
-import { LogSampler } from '#core/LogSampler.js';
 import { Task } from '#core/Task.js';
+import type { Outcome } from '#delivery/Outcome.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
-import { emptyView } from '#mesh/EmptyView.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
 import { exchangeChart } from '#mesh/ExchangeChart.js';
 import { findKeyOwner } from '#mesh/FindKeyOwner.js';
-import { listCandidates } from '#mesh/ListCandidates.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
 import type { Offer } from '#mesh/Offer.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
+import { RequestRecorder } from '#mesh/RequestRecorder.js';
+import { ServerDirectory } from '#mesh/ServerDirectory.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { View } from '#mesh/View.js';
 
@@ -46,9 +46,6 @@
 const RETRY_PART = 0.3;
 const LEAST_RETRY_MS = 60;
 
-/** Lines a second about requests that were delivered in time. */
-const DELIVERED_LINES = 10;
-
 /** Refusals after which no other server is asked. */
 const ENDING: ReadonlySet<RefusalCode> = new Set(['quarantined', 'tooLate', 'notGranted']);
 
@@ -65,13 +62,14 @@
   private readonly exchanges = new Map<number, MeshExchange>();
   private readonly splits = new SplitChooser();
   private readonly retries: RetryBudget;
-  private readonly sampler = new LogSampler(DELIVERED_LINES);
-  private readonly unreachable = new Map<string, number>();
-  private view: View = emptyView;
+  private readonly recorder: RequestRecorder;
+  private readonly directory: ServerDirectory;
 
   public constructor(options: EntryOptions) {
     super();
     this.options = options;
+    this.directory = new ServerDirectory(options.place.serverId);
+    this.recorder = new RequestRecorder(options.logger, options.metrics);
     this.retries = new RetryBudget(options.retryFraction, options.retryMinimum);
   }
 
@@ -101,14 +99,13 @@
         this.noteView(message.view);
         return;
       case 'reach':
-        if (message.reachable) this.unreachable.delete(message.address);
-        else this.unreachable.set(message.address, message.untilMs);
+        this.directory.noteReach(message.address, message.reachable, message.untilMs);
     }
   }
 
   private open({ exchange, request, reply }: EntryMessage & { readonly type: 'arrived' }): void {
-    const { routes } = this.view;
-    if (routes === undefined || !this.view.complete) {
+    const { routes, complete } = this.directory.view;
+    if (routes === undefined || !complete) {
       reply({
         type: 'refusal',
         status: UNAVAILABLE,
@@ -161,18 +158,13 @@
   private choose(number: number): void {
     const exchange = this.exchanges.get(number);
     if (exchange === undefined) return;
-    if (this.isKeyed(exchange.service)) this.chooseOwner(exchange);
+    if (this.directory.isKeyed(exchange.service)) this.chooseOwner(exchange);
     else this.chooseServer(exchange);
   }
 
   private chooseServer(exchange: MeshExchange): void {
     const { route, service, tried } = exchange;
-    const candidates = listCandidates(
-      this.view,
-      route,
-      service,
-      (server) => !tried.has(server.serverId) && this.isReachable(server),
-    );
+    const candidates = this.directory.listOpen(route, service, tried, this.now());
     const server =
       exchange.offers < MAX_OFFERS ? this.options.chooser.choose(candidates, this.now()) : undefined;
     if (server === undefined) this.refuse(exchange);
@@ -182,11 +174,11 @@
   private chooseOwner(exchange: MeshExchange): void {
     const { request, route, service } = exchange;
     const server =
-      request.key === undefined ? undefined : findKeyOwner(this.view, route, service, request.key);
-    const revision = this.view.tables.get(service)?.revision ?? 0;
+      request.key === undefined ? undefined : findKeyOwner(this.directory.view, route, service, request.key);
+    const revision = this.directory.view.tables.get(service)?.revision ?? 0;
     const mayAsk =
       server !== undefined &&
-      this.isReachable(server) &&
+      this.directory.isReachable(server, this.now()) &&
       (server.state === 'ready' || server.state === 'draining' || server.state === 'gone') &&
       (!exchange.tried.has(server.serverId) || revision > exchange.tableRevision);
     if (mayAsk && exchange.offers < MAX_OFFERS)
@@ -301,7 +293,7 @@
   private mayRunAgain(exchange: MeshExchange): boolean {
     if (!exchange.route.idempotent || exchange.arrivals >= exchange.route.maxAttempts) return false;
     if (exchange.dueMs - this.now() < LEAST_RETRY_MS) return false;
-    if (!this.isKeyed(exchange.service) && !this.hasOther(exchange)) return false;
+    if (!this.directory.isKeyed(exchange.service) && !this.hasOther(exchange)) return false;
     return this.spendRetry(exchange);
   }
 
@@ -310,13 +302,7 @@
   }
 
   private hasOther({ route, service, tried }: MeshExchange): boolean {
-    const others = listCandidates(
-      this.view,
-      route,
-      service,
-      (server) => !tried.has(server.serverId) && this.isReachable(server),
-    );
-    return others.length > 0;
+    return this.directory.listOpen(route, service, tried, this.now()).length > 0;
   }
 
   /** Ends a request whose last offer was refused, or that was never offered. */
@@ -381,43 +367,17 @@
     );
   }
 
-  private close(
-    exchange: MeshExchange,
-    outcome: 'delivered' | 'late' | 'refused' | 'failed' | 'unknown' | 'abandoned',
-    detail: string,
-  ): void {
+  private close(exchange: MeshExchange, outcome: Outcome, detail: string): void {
     exchange.cancelDue();
     exchange.cancelWait();
     this.exchanges.delete(exchange.number);
-    const tookMs = this.now() - exchange.request.arrivedMs;
-    this.options.metrics.countOutcome(exchange.service, exchange.route.name, outcome);
-    this.options.metrics.recordPhase(
-      exchange.service,
-      exchange.route.name,
-      'whole',
-      Math.round(tookMs * 1_000),
-    );
-    const omitted = outcome === 'delivered' ? this.sampler.admit(this.now()) : 0;
-    if (omitted === undefined) return;
-    this.options.logger.log('requestEnded', {
-      id: exchange.request.id,
-      route: exchange.route.name,
-      service: exchange.service,
-      outcome,
-      detail,
-      key: exchange.request.key,
-      servers: [...exchange.tried].join(','),
-      offers: exchange.offers,
-      arrivals: exchange.arrivals,
-      tookMs: Math.round(tookMs),
-      version: this.view.routes?.table.version,
-      omitted,
-    });
+    const version = this.directory.view.routes?.table.version;
+    this.recorder.record(exchange, outcome, detail, version, this.now());
   }
 
   private noteView(view: View): void {
-    const before = this.view;
-    this.view = view;
+    const before = this.directory.view;
+    this.directory.update(view);
     this.options.chooser.retain(new Set(view.servers.keys()));
     if (view.routes !== undefined && view.routes !== before.routes)
       this.splits.retain(view.routes.table.routes);
@@ -425,15 +385,6 @@
     for (const exchange of this.exchanges.values()) this.resumeWaiting(exchange.number, 'viewChanged');
   }
 
-  private isKeyed(service: string): boolean {
-    return this.view.routes?.table.services.get(service)?.keyed === true;
-  }
-
-  private isReachable({ address, serverId }: ServerEntry): boolean {
-    if (serverId === this.options.place.serverId) return true;
-    return (this.unreachable.get(address) ?? 0) <= this.now();
-  }
-
   private now(): number {
     return this.options.clock.monotonicMs();
   }
--- /dev/null
+++ b/packages/mesh/src/HoldsKey.ts
@@ -0,0 +1,11 @@
+import { findRow } from '#ranges/FindRow.js';
+import type { ServerState } from '#mesh/ServerState.js';
+
+/** Whether the backend server holds a key now. `elapsedMs` is elapsed time. */
+export function holdsKey(
+  { held, heldUntilMs }: ServerState,
+  key: number | undefined,
+  elapsedMs: number,
+): boolean {
+  return key !== undefined && elapsedMs < heldUntilMs && findRow(held, key) !== undefined;
+}
--- /dev/null
+++ b/packages/mesh/src/InitialServerState.ts
@@ -0,0 +1,24 @@
+import type { ServerState } from '#mesh/ServerState.js';
+
+/** State before the backend server has announced itself and the configuration was read. */
+export const initialServerState: ServerState = Object.freeze<ServerState>({
+  presence: {
+    state: 'absent',
+    service: '',
+    address: '',
+    instanceId: '',
+    incarnation: '',
+    slots: 1,
+    coldUntilMs: 0,
+    heardMs: 0,
+    leavingMs: undefined,
+  },
+  keyed: false,
+  coldPerSecond: Infinity,
+  maxConnections: Infinity,
+  evacuatedMs: undefined,
+  returnedMs: 0,
+  held: [],
+  heldUntilMs: 0,
+  expected: [],
+});
--- /dev/null
+++ b/packages/mesh/src/IsCold.ts
@@ -0,0 +1,6 @@
+import type { ServerState } from '#mesh/ServerState.js';
+
+/** Whether the backend server is cold, or may be since its failure domain came back. */
+export function isCold({ presence, returnedMs }: ServerState, nowMs: number): boolean {
+  return nowMs < presence.coldUntilMs || presence.heardMs <= returnedMs;
+}
--- /dev/null
+++ b/packages/mesh/src/LoadMeter.ts
@@ -0,0 +1,38 @@
+import { estimateWait } from '#mesh/EstimateWait.js';
+import type { LoadReport } from '#mesh/LoadReport.js';
+import type { OrderQueue } from '#mesh/OrderQueue.js';
+import type { ReportedLoad } from '#mesh/ReportedLoad.js';
+import type { RunningOrder } from '#mesh/RunningOrder.js';
+
+/** A reported slowdown says something for this long, in milliseconds. */
+const SLOWDOWN_KEEP_MS = 400;
+
+/** Describes the load of a backend server from its orders and its own reports. Times are monotonic. */
+export class LoadMeter {
+  private slowdown = 1;
+  private slowdownMs = -Infinity;
+
+  /** Notes what the backend server reported with an answer. */
+  public note({ slowdown }: ReportedLoad, nowMs: number): void {
+    this.slowdown = slowdown;
+    this.slowdownMs = nowMs;
+  }
+
+  /** `serviceMs` is the average time of an order. */
+  public report(
+    running: readonly RunningOrder[],
+    queue: OrderQueue,
+    slots: number,
+    serviceMs: number,
+    nowMs: number,
+  ): LoadReport {
+    return {
+      running: running.length,
+      queued: queue.size,
+      slots,
+      waitMs: estimateWait(running, queue.workMs(), slots, nowMs),
+      serviceMs,
+      slowdown: nowMs - this.slowdownMs < SLOWDOWN_KEEP_MS ? this.slowdown : 1,
+    };
+  }
+}
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -25,6 +25,7 @@
 import { ReceiverTask } from '#mesh/ReceiverTask.js';
 import { RelayTask } from '#mesh/RelayTask.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
+import type { Resignation } from '#mesh/Resignation.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { ServerTask } from '#mesh/ServerTask.js';
@@ -36,6 +37,9 @@
 /** Time before the end of the grace time at which the daemon ends in any case, in milliseconds. */
 const LAST_MS = 400;
 
+/** Time for other daemons to receive a resignation, in milliseconds. */
+const RESIGN_MS = 150;
+
 const STOP_CHECK_MS = 50;
 
 /** Part of the allowed repeats that this daemon uses, as others count by themselves. */
@@ -175,6 +179,7 @@
       calls: {
         [rpcMethods.ping]: () => ({ processId }),
         [rpcMethods.load]: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
+        [rpcMethods.resigned]: (params) => this.acceptResignation(params),
         [rpcMethods.cancel]: (params) => this.acceptCancel(params as { readonly id: string }),
         [rpcMethods.release]: (params) => this.acceptRelease(params as ReleaseRequest),
         [rpcMethods.marks]: (params) => this.acceptMarks(params as { readonly marks: readonly CrashMark[] }),
@@ -224,13 +229,38 @@
     this.logger.log('stopping', { requests: this.entry.load, orders: this.server.load });
     this.readiness.post({ type: 'ready', ready: false });
     this.callers.post({ type: 'stopping' });
+    this.server.post({ type: 'probe' });
     await this.waitUntilEmpty(startMs + LEAVE_MS, startMs + graceMs - LAST_MS);
+    await this.resign();
     this.life.send({ type: 'emptied' });
     this.logger.log('stopped', { requests: this.entry.load, orders: this.server.load });
     for (const task of this.listTasks()) task.stop();
     await this.options.store.close();
   }
 
+  /** Gives up the term of keys that the backend server holds no longer, so that others need not wait for its end. */
+  private async resign(): Promise<void> {
+    const isFree = await this.ranges.ask<boolean>((reply) => ({ type: 'stopping', reply }));
+    if (!isFree) return;
+    const resignation = await this.lease.ask<Resignation>((reply) => ({ type: 'resign', reply }));
+    for (const server of this.listColleagues())
+      this.relay.post({
+        type: 'call',
+        address: server.address,
+        method: rpcMethods.resigned,
+        params: resignation,
+        reply: () => undefined,
+      });
+    await new Promise<void>((resolve) => this.options.clock.schedule(RESIGN_MS, resolve));
+  }
+
+  private listColleagues(): readonly ServerEntry[] {
+    const { serverId, service } = this.options.place;
+    return [...(this.view?.servers.values() ?? [])].filter(
+      (server) => server.serverId !== serverId && server.service === service,
+    );
+  }
+
   private waitUntilEmpty(earliestMs: number, latestMs: number): Promise<void> {
     const { clock } = this.options;
     return new Promise((resolve) => {
@@ -299,6 +329,11 @@
     return true;
   }
 
+  private acceptResignation(value: unknown): boolean {
+    this.planner.post({ type: 'resigned', value });
+    return true;
+  }
+
   private acceptRelease(request: ReleaseRequest): boolean {
     this.ranges.post({ type: 'release', request });
     return true;
@@ -311,9 +346,7 @@
 
   /** Tells the daemons of the same service which requests may have crashed a backend server. */
   private spreadMarks(marks: readonly CrashMark[]): void {
-    const { place } = this.options;
-    for (const server of this.view?.servers.values() ?? []) {
-      if (server.serverId === place.serverId || server.service !== place.service) continue;
+    for (const server of this.listColleagues())
       this.relay.post({
         type: 'call',
         address: server.address,
@@ -321,6 +354,5 @@
         params: { marks },
         reply: () => undefined,
       });
-    }
   }
 }
--- a/packages/mesh/src/PlannerMessage.ts
+++ b/packages/mesh/src/PlannerMessage.ts
@@ -9,6 +9,8 @@
 export type PlannerMessage =
   | { readonly type: 'view'; readonly view: View }
   | { readonly type: 'tick' }
+  /** Another daemon ended and gave up its term. */
+  | { readonly type: 'resigned'; readonly value: unknown }
   /** Whether a daemon before this one in rank answered. */
   | { readonly type: 'pinged'; readonly rank: number; readonly answered: boolean }
   | {
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -15,6 +15,8 @@
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { PlannerMessage } from '#mesh/PlannerMessage.js';
 import type { PlannerOptions } from '#mesh/PlannerOptions.js';
+import type { Resignation } from '#mesh/Resignation.js';
+import { resignationCodec } from '#mesh/ResignationCodec.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { TableView } from '#mesh/TableView.js';
 import type { View } from '#mesh/View.js';
@@ -42,6 +44,7 @@
   private view: View = emptyView;
   private busy = false;
   private joining = false;
+  private readonly resignations = new Map<string, Resignation>();
   private cancelTick: Cancel = () => undefined;
 
   public constructor(options: PlannerOptions) {
@@ -70,6 +73,9 @@
         if (message.answered) this.busy = false;
         else this.elect(message.rank + 1);
         return;
+      case 'resigned':
+        this.noteResignation(message.value);
+        return;
       case 'listed':
         message.result.caseOf({
           Left: () => this.finish(),
@@ -96,6 +102,24 @@
     this.joining = joining;
   }
 
+  private noteResignation(value: unknown): void {
+    resignationCodec.decode(value).caseOf({
+      Left: (message) => this.options.logger.log('resignationMalformed', { step: 'takeover', message }),
+      Right: (resignation) => {
+        this.resignations.set(resignation.serverId, resignation);
+        this.schedule(JOIN_MS);
+      },
+    });
+  }
+
+  /** Whether the record still is that of the run that gave up its term. */
+  private hasResigned(serverId: string, lease: LeaseEntry | undefined): boolean {
+    const resignation = this.resignations.get(serverId);
+    if (resignation === undefined || lease === undefined) return false;
+    const { term, processId } = lease.record;
+    return resignation.term === term && resignation.processId === processId;
+  }
+
   /** Asks the daemons before this one whether they are there; plans if none is. */
   private elect(rank: number): void {
     const table = this.view.tables.get(this.service);
@@ -192,7 +216,9 @@
     nowMs: number,
   ): boolean {
     const ended = [...owners].find(
-      (id) => this.watch.hasEnded(id, nowMs) && leases.get(id)?.record.revoked !== true,
+      (id) =>
+        leases.get(id)?.record.revoked !== true &&
+        (this.watch.hasEnded(id, nowMs) || this.hasResigned(id, leases.get(id))),
     );
     if (ended === undefined) return false;
     const lease = leases.get(ended);
--- a/packages/mesh/src/RangeLeaseTask.ts
+++ b/packages/mesh/src/RangeLeaseTask.ts
@@ -13,6 +13,7 @@
 import { leaseRecordCodec } from '#mesh/LeaseRecordCodec.js';
 import type { RangeLeaseMessage } from '#mesh/RangeLeaseMessage.js';
 import type { RangeLeaseOptions } from '#mesh/RangeLeaseOptions.js';
+import type { Resignation } from '#mesh/Resignation.js';
 
 const RETRY_MS = 500;
 
@@ -27,6 +28,7 @@
   private readonly cursor = new ChartCursor<LeaseEvent>(leaseChart);
   private wanted = false;
   private inCall = false;
+  private resigned = false;
   private revision = 0;
   private term = FIRST_TERM;
   private untilMs = 0;
@@ -62,6 +64,9 @@
       case 'renew':
         this.renew();
         return;
+      case 'resign':
+        this.resign(message.reply);
+        return;
       case 'renewed':
         this.inCall = false;
         this.noteRenewed(message.sentMs, message.term, message.result);
@@ -69,29 +74,47 @@
   }
 
   private renew(): void {
-    if (this.inCall) return;
+    if (this.inCall || this.resigned) return;
     this.inCall = true;
-    const { place, processId, store, elapsed } = this.options;
+    const { place, store, elapsed } = this.options;
     const sentMs = elapsed.nowMs();
     if (this.cursor.state === 'held' && sentMs > this.untilMs) {
       this.cursor.send({ type: 'lapsed' });
       this.options.logger.log('leaseLapsed', { step: 'lease', term: this.term });
     }
     const { term } = this;
-    const record: LeaseRecord = {
+    const record = this.createRecord(this.facts, false);
+    void store
+      .put(collections.leases, place.serverId, record, this.revision)
+      .then((result) => this.post({ type: 'renewed', sentMs, term, result }));
+  }
+
+  private resign(reply: (resignation: Resignation) => void): void {
+    const { place, processId, store, logger } = this.options;
+    const { term, revision, facts } = this;
+    this.resigned = true;
+    this.cancelRenew();
+    logger.log('leaseResigned', { step: 'lease', term });
+    reply({ serverId: place.serverId, term, processId });
+    const record = this.createRecord(facts, true);
+    void store.put(collections.leases, place.serverId, record, revision).then((result) => {
+      if (result.isLeft()) logger.log('resignationNotWritten', { step: 'lease', term });
+    });
+  }
+
+  private createRecord(facts: LeaseFacts, revoked: boolean): LeaseRecord {
+    const { place, processId } = this.options;
+    return {
       serverId: place.serverId,
       service: place.service,
       processId,
-      term,
-      revoked: false,
-      incarnation: this.facts.incarnation,
-      workMsPerSecond: Math.round(this.facts.workMsPerSecond),
-      slots: this.facts.slots,
-      accepts: this.facts.accepts,
+      term: this.term,
+      revoked,
+      incarnation: facts.incarnation,
+      workMsPerSecond: Math.round(facts.workMsPerSecond),
+      slots: facts.slots,
+      accepts: facts.accepts,
     };
-    void store
-      .put(collections.leases, place.serverId, record, this.revision)
-      .then((result) => this.post({ type: 'renewed', sentMs, term, result }));
   }
 
   private noteRenewed(sentMs: number, term: number, result: Either<RouterError, CollectionPutResult>): void {
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -1,7 +1,4 @@
-import type { Either } from 'purify-ts';
-import type { RouterError } from '#core/RouterError.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
-import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
@@ -15,8 +12,10 @@
   | { readonly type: 'lease'; readonly lease: HeldLease }
   | { readonly type: 'worked'; readonly key: number; readonly workMs: number }
   | { readonly type: 'release'; readonly request: ReleaseRequest }
-  | { readonly type: 'written'; readonly result: Either<RouterError, CollectionPutResult> }
-  | { readonly type: 'read'; readonly result: Either<RouterError, CollectionItem | undefined> }
+  /** The table as it stands after a write of this daemon. */
+  | { readonly type: 'settled'; readonly item: CollectionItem | undefined }
+  /** The daemon ends. The reply tells whether keys stand under its term that its backend server holds no longer. */
+  | { readonly type: 'stopping'; readonly reply: (isFree: boolean) => void }
   | { readonly type: 'tick' }
   /** A held answer is due. */
   | { readonly type: 'due' };
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -1,6 +1,4 @@
-import type { Either } from 'purify-ts';
 import type { Cancel } from '#core/Cancel.js';
-import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { grantMs } from '#ranges/GrantMs.js';
@@ -16,11 +14,9 @@
 import { subtractRanges } from '#ranges/SubtractRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
-import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import { advanceReleases } from '#mesh/AdvanceReleases.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
-import { collections } from '#mesh/Collections.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
@@ -31,6 +27,7 @@
 import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
 import { settleReleases } from '#mesh/SettleReleases.js';
+import { settleTable } from '#mesh/SettleTable.js';
 import type { TableView } from '#mesh/TableView.js';
 import type { View } from '#mesh/View.js';
 
@@ -124,17 +121,18 @@
       case 'release':
         this.release(message.request);
         break;
-      case 'written':
-        this.noteWritten(message.result);
-        break;
-      case 'read':
-        this.noteRead(message.result);
+      case 'settled':
+        this.noteSettled(message.item);
         break;
       case 'tick':
         this.tick();
         break;
       case 'due':
         break;
+      case 'stopping':
+        message.reply(this.listOwnRows().length > 0 && this.now() >= this.grantsEndMs);
+        this.lease = { ...this.lease, untilMs: 0 };
+        break;
     }
     this.work();
     this.answerWaiting();
@@ -312,42 +310,15 @@
       rows: next.rows.length,
       ifRevision,
     });
-    void this.options.store
-      .put(collections.ranges, this.service, next, ifRevision)
-      .then((result) => this.post({ type: 'written', result }));
-  }
-
-  private noteWritten(result: Either<RouterError, CollectionPutResult>): void {
-    result.caseOf({
-      Left: (err) => {
-        this.options.logger.log('tableNotWritten', { step: 'store', code: err.fields.code });
-        this.readTable();
-      },
-      Right: (put) => {
-        this.writing = false;
-        const item = put.type === 'accepted' ? put.item : put.current;
-        if (item !== undefined) this.adoptItem(item);
-      },
-    });
-  }
-
-  /** Reads the table after a write without a reply, which may have been carried out. */
-  private readTable(): void {
-    this.options.clock.schedule(TICK_MS, () => {
-      void this.options.store
-        .get(collections.ranges, this.service)
-        .then((result) => this.post({ type: 'read', result }));
-    });
+    const { store, clock, logger } = this.options;
+    void settleTable(store, clock, logger, next, ifRevision).then((item) =>
+      this.post({ type: 'settled', item }),
+    );
   }
 
-  private noteRead(result: Either<RouterError, CollectionItem | undefined>): void {
-    result.caseOf({
-      Left: () => this.readTable(),
-      Right: (item) => {
-        this.writing = false;
-        if (item !== undefined) this.adoptItem(item);
-      },
-    });
+  private noteSettled(item: CollectionItem | undefined): void {
+    this.writing = false;
+    if (item !== undefined) this.adoptItem(item);
   }
 
   private adoptItem(item: CollectionItem): void {
--- a/packages/mesh/src/RpcMethods.ts
+++ b/packages/mesh/src/RpcMethods.ts
@@ -5,4 +5,5 @@
   cancel: 'cancel',
   marks: 'marks',
   load: 'load',
+  resigned: 'resigned',
 });
--- /dev/null
+++ b/packages/mesh/src/ServerDirectory.ts
@@ -0,0 +1,55 @@
+import type { Route } from '#routes/Route.js';
+import { emptyView } from '#mesh/EmptyView.js';
+import { listCandidates } from '#mesh/ListCandidates.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { View } from '#mesh/View.js';
+
+/** The backend servers that a daemon knows of, and which of their daemons it could not reach lately. */
+export class ServerDirectory {
+  private readonly ownId: string;
+  private readonly unreachable = new Map<string, number>();
+  private current: View = emptyView;
+
+  public constructor(ownId: string) {
+    this.ownId = ownId;
+  }
+
+  public get view(): View {
+    return this.current;
+  }
+
+  /** Takes a new view over. */
+  public update(view: View): void {
+    this.current = view;
+  }
+
+  /** Notes that an address cannot be reached and is not tried until `untilMs` of monotonic time. */
+  public noteReach(address: string, reachable: boolean, untilMs: number): void {
+    if (reachable) this.unreachable.delete(address);
+    else this.unreachable.set(address, untilMs);
+  }
+
+  public isReachable({ address, serverId }: ServerEntry, nowMs: number): boolean {
+    return serverId === this.ownId || (this.unreachable.get(address) ?? 0) <= nowMs;
+  }
+
+  /** Whether the keys of a service are owned. */
+  public isKeyed(service: string): boolean {
+    return this.current.routes?.table.services.get(service)?.keyed === true;
+  }
+
+  /** Servers that may run a request without a key, apart from those already tried. */
+  public listOpen(
+    route: Route,
+    service: string,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): readonly ServerEntry[] {
+    return listCandidates(
+      this.current,
+      route,
+      service,
+      (server) => !tried.has(server.serverId) && this.isReachable(server, nowMs),
+    );
+  }
+}
--- a/packages/mesh/src/ServerMessage.ts
+++ b/packages/mesh/src/ServerMessage.ts
@@ -22,4 +22,6 @@
   | { readonly type: 'view'; readonly view: View }
   | { readonly type: 'marks'; readonly marks: readonly CrashMark[] }
   | { readonly type: 'signal'; readonly link: ServerLink; readonly signal: ServerLinkSignal }
+  /** Finds out whether the backend server's process is still there. */
+  | { readonly type: 'probe' }
   | { readonly type: 'tick' };
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -1,16 +1,21 @@
-import { Quarantine } from '#admission/Quarantine.js';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
-import { findRow } from '#ranges/FindRow.js';
+import { applyViewToServer } from '#mesh/ApplyViewToServer.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
 import { checkAdmission } from '#mesh/CheckAdmission.js';
 import { classifyAnswer } from '#mesh/ClassifyAnswer.js';
 import { ColdLimit } from '#mesh/ColdLimit.js';
-import { createFingerprint } from '#mesh/CreateFingerprint.js';
+import { CrashRecord } from '#mesh/CrashRecord.js';
 import { estimateWait } from '#mesh/EstimateWait.js';
 import { findHeader } from '#mesh/FindHeader.js';
+import { createRefusal } from '#mesh/CreateRefusal.js';
 import { formatOrder } from '#mesh/FormatOrder.js';
+import { hasToEnd } from '#mesh/HasToEnd.js';
+import { holdsKey } from '#mesh/HoldsKey.js';
+import { initialServerState } from '#mesh/InitialServerState.js';
+import { isCold } from '#mesh/IsCold.js';
 import { KindTimes } from '#mesh/KindTimes.js';
+import { LoadMeter } from '#mesh/LoadMeter.js';
 import type { LoadReport } from '#mesh/LoadReport.js';
 import type { LossCode } from '#mesh/LossCode.js';
 import type { Order } from '#mesh/Order.js';
@@ -28,9 +33,7 @@
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
 import type { ServerMessage } from '#mesh/ServerMessage.js';
 import type { ServerOptions } from '#mesh/ServerOptions.js';
-import type { ServerState } from '#mesh/ServerState.js';
 import { ShortKinds } from '#mesh/ShortKinds.js';
-import type { View } from '#mesh/View.js';
 
 const TICK_MS = 20;
 
@@ -46,9 +49,6 @@
  */
 const ADMIT_FACTOR = 1.25;
 
-/** Time after the last admission to a leaving backend server in which waiting orders still start, in milliseconds. */
-const LAST_START_MS = 400;
-
 /** Part of the target latency that an order waits for its key to be granted to the server. */
 const GRANT_WAIT_PART = 0.6;
 
@@ -58,39 +58,12 @@
 /** Time for which a short order keeps one slot free for others of its kind, in milliseconds. */
 const SHORT_KEEP_MS = 5_000;
 
-/** A lost order counts against a crash that is noticed within this time, in milliseconds. */
-const CRASH_WINDOW_MS = 600;
-
-/** Requests that may have crashed a backend server. */
-const MAX_MARKED = 5_000;
-const MARK_KEEP_MS = 60_000;
-
 /** Connections that failed to open in a row before waiting orders are refused. */
 const FAILED_OPENINGS = 2;
 
 /** A backend server that answers no order for this time may be gone, in milliseconds. */
 const SILENCE_MS = 700;
 
-/** A reported slowdown says something for this long, in milliseconds. */
-const SLOWDOWN_KEEP_MS = 400;
-
-const ABSENT: Presence = {
-  state: 'absent',
-  service: '',
-  address: '',
-  instanceId: '',
-  incarnation: '',
-  slots: 1,
-  coldUntilMs: 0,
-  heardMs: 0,
-  leavingMs: undefined,
-};
-
-interface Loss {
-  readonly order: Order;
-  readonly atMs: number;
-}
-
 /** Runs orders at the backend server beside this daemon. Owns its connections, the queue before it and its slots. */
 export class ServerTask extends Task<ServerMessage> {
   private readonly options: ServerOptions;
@@ -98,31 +71,21 @@
   private readonly queue = new OrderQueue();
   private readonly ledger = new OrderLedger();
   private readonly times = new KindTimes();
+  private readonly meter = new LoadMeter();
   private readonly cold = new ColdLimit();
-  private readonly quarantine = new Quarantine(MAX_MARKED, MARK_KEEP_MS);
+  private readonly crashes: CrashRecord;
   private readonly running = new Map<string, RunningOrder>();
-  private losses: readonly Loss[] = [];
   private answeredMs = -Infinity;
   private failedOpenings = 0;
   private readonly kinds = new ShortKinds();
   private shortUntilMs = 0;
-  private slowdown = { factor: 1, atMs: -Infinity };
   private cancelTick: Cancel | undefined;
-  private state: ServerState = {
-    presence: ABSENT,
-    keyed: false,
-    coldPerSecond: Infinity,
-    maxConnections: Infinity,
-    evacuatedMs: undefined,
-    returnedMs: 0,
-    held: [],
-    heldUntilMs: 0,
-    expected: [],
-  };
+  private state = initialServerState;
 
   public constructor(options: ServerOptions) {
     super();
     this.options = options;
+    this.crashes = new CrashRecord(options.logger, options.onMarks);
     this.links = new ServerLinks(options.headers.requestId, (link, signal) =>
       this.post({ type: 'signal', link, signal }),
     );
@@ -159,14 +122,17 @@
         };
         break;
       case 'view':
-        this.noteView(message.view);
+        this.state = applyViewToServer(this.state, message.view, this.options.place, this.now());
         break;
       case 'marks':
-        this.quarantine.merge(message.marks, this.now());
+        this.crashes.merge(message.marks, this.now());
         break;
       case 'signal':
         this.noteSignal(message.link, message.signal);
         break;
+      case 'probe':
+        if (this.state.presence.address !== '') this.links.open(this.state.presence.address);
+        break;
       case 'tick':
         this.tick();
     }
@@ -198,7 +164,7 @@
   }
 
   private checkRoom({ order, serviceMs, isShort }: QueuedOrder, nowMs: number): RefusalCode | undefined {
-    if (this.isHeld(order, nowMs)) return 'quarantined';
+    if (this.crashes.isHeld(order, nowMs)) return 'quarantined';
     if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
     const waitMs = this.waitFor(this.queue.workAheadMs(order, isShort), nowMs);
     const dueMs = order.dueMs - RETURN_MS;
@@ -206,11 +172,6 @@
     return nowMs + waitMs + serviceMs > limitMs ? 'full' : undefined;
   }
 
-  private isHeld(order: Order, nowMs: number): boolean {
-    if (this.quarantine.size === 0) return false;
-    return this.quarantine.check(createFingerprint(order), nowMs).kind === 'hold';
-  }
-
   private cancel(id: string): void {
     const nowMs = this.now();
     if (this.queue.remove(id) !== undefined)
@@ -235,22 +196,6 @@
     if (presence.state === 'absent') this.refuseQueue('noServer');
   }
 
-  private noteView(view: View): void {
-    const { failureDomain, service } = this.options.place;
-    const facts = view.routes?.table.services.get(service);
-    const isOut = view.evacuated.has(failureDomain);
-    const wasOut = this.state.evacuatedMs !== undefined;
-    const nowMs = this.now();
-    this.state = {
-      ...this.state,
-      keyed: facts?.keyed ?? this.state.keyed,
-      coldPerSecond: facts?.coldPerSecond ?? this.state.coldPerSecond,
-      maxConnections: facts?.maxConnections ?? this.state.maxConnections,
-      evacuatedMs: isOut ? (this.state.evacuatedMs ?? nowMs) : undefined,
-      returnedMs: wasOut && !isOut ? nowMs : this.state.returnedMs,
-    };
-  }
-
   private noteSignal(link: ServerLink, signal: ServerLinkSignal): void {
     switch (signal.type) {
       case 'connected':
@@ -290,7 +235,7 @@
     this.answeredMs = nowMs;
     const kind = classifyAnswer(answer, this.options.headers);
     const reported = parseLoad(findHeader(answer.headers, this.options.headers.load));
-    if (reported !== undefined) this.slowdown = { factor: reported.slowdown, atMs: nowMs };
+    if (reported !== undefined) this.meter.note(reported, nowMs);
     if (kind === 'shed' || kind === 'misdirected') {
       this.end(order, this.refuse(order, kind, true));
       return;
@@ -302,15 +247,10 @@
       this.lose(running, 'badAnswer', `status ${answer.status} is not a valid answer`);
       return;
     }
-    if (this.quarantine.size > 0) this.clearMarks(order, nowMs);
+    this.crashes.noteRun(order, nowMs);
     this.end(order, { type: 'answered', answer, load: this.report() });
   }
 
-  private clearMarks(order: Order, nowMs: number): void {
-    const marks = this.quarantine.clear(createFingerprint(order), nowMs);
-    if (marks.length > 0) this.options.onMarks(marks);
-  }
-
   private lose({ order, sentMs }: RunningOrder, code: LossCode, reason: string): void {
     const nowMs = this.now();
     this.options.logger.log('orderLost', {
@@ -323,10 +263,7 @@
       incarnation: this.state.presence.incarnation,
     });
     if (code === 'connectionLost') {
-      this.losses = [
-        ...this.losses.filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS),
-        { order, atMs: nowMs },
-      ];
+      this.crashes.noteLoss(order, nowMs);
       // Tells a crash from the loss of one connection.
       if (this.links.connecting === 0) this.links.open(this.state.presence.address);
     }
@@ -337,20 +274,10 @@
     const { incarnation } = this.state.presence;
     this.failedOpenings += 1;
     this.options.onEvidence({ kind: refused ? 'refused' : 'silent', incarnation });
-    if (refused) this.markCrash(incarnation);
+    if (refused) this.crashes.noteCrash(incarnation, this.now());
     if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseQueue('noServer');
   }
 
-  private markCrash(incarnation: string): void {
-    const nowMs = this.now();
-    const recent = this.losses.filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS);
-    this.losses = [];
-    if (recent.length === 0) return;
-    const prints = recent.map(({ order }) => createFingerprint(order));
-    this.options.logger.log('serverCrashed', { step: 'backend', incarnation, orders: prints.length });
-    this.options.onMarks(this.quarantine.mark(prints, incarnation, nowMs));
-  }
-
   private refuseQueue(code: RefusalCode): void {
     for (const { order } of this.queue.removeHopeless(() => true))
       this.end(order, this.refuse(order, code, false));
@@ -413,28 +340,12 @@
     const keepsSlot = !isShort && nowMs < this.shortUntilMs && presence.slots > 2;
     if (this.running.size >= presence.slots - (keepsSlot ? 1 : 0)) return false;
     if (keyed && !this.holds(order)) return false;
-    if (this.hasToEnd(nowMs)) return false;
-    return !this.isCold(nowMs) || this.cold.allows(coldPerSecond, nowMs);
-  }
-
-  /** Whether the time in which a leaving backend server may still receive orders is over. */
-  private hasToEnd(nowMs: number): boolean {
-    const { presence, evacuatedMs } = this.state;
-    const { keyedLeaveMs, keyedEvacuationMs } = this.options;
-    const leftMs = presence.leavingMs === undefined ? 0 : nowMs - presence.leavingMs;
-    const outMs = evacuatedMs === undefined ? 0 : nowMs - evacuatedMs;
-    return leftMs > keyedLeaveMs + LAST_START_MS || outMs > keyedEvacuationMs + LAST_START_MS;
+    if (hasToEnd(this.state, this.options, nowMs)) return false;
+    return !isCold(this.state, nowMs) || this.cold.allows(coldPerSecond, nowMs);
   }
 
   private holds({ request }: Order): boolean {
-    const { held, heldUntilMs } = this.state;
-    if (request.key === undefined || this.options.elapsed.nowMs() >= heldUntilMs) return false;
-    return findRow(held, request.key) !== undefined;
-  }
-
-  private isCold(nowMs: number): boolean {
-    const { presence, returnedMs } = this.state;
-    return nowMs < presence.coldUntilMs || presence.heardMs <= returnedMs;
+    return holdsKey(this.state, request.key, this.options.elapsed.nowMs());
   }
 
   private openLinks(): void {
@@ -473,8 +384,6 @@
 
   private refuse(order: Order, code: RefusalCode, arrived: boolean): OrderResult {
     const load = this.report();
-    const retryAfterMs =
-      code === 'full' || code === 'shed' || code === 'tooLate' ? Math.ceil(load.waitMs) : 0;
     this.options.logger.log('orderRefused', {
       step: 'queue',
       id: order.request.id,
@@ -484,21 +393,13 @@
       waitMs: Math.round(load.waitMs),
       leftMs: Math.round(order.dueMs - this.now()),
     });
-    return { type: 'refused', code, retryAfterMs, load, arrived };
+    return createRefusal(code, load, arrived);
   }
 
   private report(): LoadReport {
-    const nowMs = this.now();
+    const running = [...this.running.values()];
     const { slots } = this.state.presence;
-    const fresh = nowMs - this.slowdown.atMs < SLOWDOWN_KEEP_MS;
-    return {
-      running: this.running.size,
-      queued: this.queue.size,
-      slots,
-      waitMs: this.waitFor(this.queue.workMs(), nowMs),
-      serviceMs: this.times.meanMs,
-      slowdown: fresh ? this.slowdown.factor : 1,
-    };
+    return this.meter.report(running, this.queue, slots, this.times.meanMs, this.now());
   }
 
   private waitFor(workAheadMs: number, nowMs: number): number {
--- /dev/null
+++ b/packages/mesh/src/SettleTable.ts
@@ -0,0 +1,32 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionStore } from '#store/CollectionStore.js';
+import { collections } from '#mesh/Collections.js';
+
+const RETRY_MS = 250;
+
+/**
+ * Writes a table under a condition and returns the table that stands then: the written one, or another writer's. A write
+ * without a reply, which may have been carried out, is settled by reading until the store answers.
+ */
+export async function settleTable(
+  store: CollectionStore,
+  clock: Clock,
+  logger: Logger,
+  next: RangeTable,
+  ifRevision: number,
+): Promise<CollectionItem | undefined> {
+  const put = await store.put(collections.ranges, next.service, next, ifRevision);
+  if (put.isRight()) {
+    const result = put.unsafeCoerce();
+    return result.type === 'accepted' ? result.item : result.current;
+  }
+  put.ifLeft((err) => logger.log('tableNotWritten', { step: 'store', code: err.fields.code }));
+  for (;;) {
+    await new Promise<void>((resolve) => clock.schedule(RETRY_MS, resolve));
+    const read = await store.get(collections.ranges, next.service);
+    if (read.isRight()) return read.unsafeCoerce();
+  }
+}
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -65,23 +65,14 @@
     incarnation = 'a/1',
     leaving = false,
   ): Promise<Grant | undefined | 'held'> {
-    let answer: Grant | undefined | 'held' = 'held';
+    const answers: (Grant | undefined)[] = [];
     this.task.post({
       type: 'checkIn',
-      checkIn: {
-        incarnation,
-        holds,
-        released,
-        leaving,
-        slots: 4,
-        reply: (grant) => {
-          answer = grant;
-        },
-      },
+      checkIn: { incarnation, holds, released, leaving, slots: 4, reply: (grant) => answers.push(grant) },
     });
     await this.settle();
-    if (answer === 'held') await this.advance(700);
-    return answer;
+    if (answers.length === 0) await this.advance(700);
+    return answers.length === 0 ? 'held' : answers[0];
   }
 
   public async advance(ms: number): Promise<void> {
--- /dev/null
+++ b/packages/mesh/test/crash.test.ts
@@ -0,0 +1,54 @@
+import t from 'tap';
+import type { CrashMark } from '#admission/CrashMark.js';
+import { Logger } from '#core/Logger.js';
+import { CrashRecord } from '#mesh/CrashRecord.js';
+import { createOrder } from './CreateOrder.js';
+
+function start(): { readonly record: CrashRecord; readonly marks: CrashMark[] } {
+  const marks: CrashMark[] = [];
+  const record = new CrashRecord(new Logger('test'), (each) => marks.push(...each));
+  return { record, marks };
+}
+
+t.test('request that crashed two servers is held', (t) => {
+  const { record, marks } = start();
+  record.noteLoss(createOrder('1'), 0);
+  record.noteCrash('a/1', 10);
+  t.equal(record.isHeld(createOrder('2'), 20), false, 'one crash may have another cause');
+  record.noteLoss(createOrder('2'), 1_000);
+  record.noteCrash('a/2', 1_010);
+  t.equal(record.isHeld(createOrder('3'), 1_020), true, 'recognised under another id');
+  t.equal(marks.length, 2);
+  t.end();
+});
+
+t.test('marks of other daemons count', (t) => {
+  const first = start();
+  const second = start();
+  first.record.noteLoss(createOrder('1'), 0);
+  first.record.noteCrash('a/1', 10);
+  second.record.noteLoss(createOrder('2'), 0);
+  second.record.noteCrash('b/1', 10);
+  second.record.merge(first.marks, 20);
+  t.equal(second.record.isHeld(createOrder('3'), 30), true);
+  t.end();
+});
+
+t.test('request that runs well is cleared', (t) => {
+  const { record } = start();
+  record.noteLoss(createOrder('1'), 0);
+  record.noteCrash('a/1', 10);
+  record.noteRun(createOrder('2'), 500);
+  record.noteLoss(createOrder('3'), 1_000);
+  record.noteCrash('a/2', 1_010);
+  t.equal(record.isHeld(createOrder('4'), 1_020), false);
+  t.end();
+});
+
+t.test('loss long before a crash is not blamed', (t) => {
+  const { record, marks } = start();
+  record.noteLoss(createOrder('1'), 0);
+  record.noteCrash('a/1', 5_000);
+  t.equal(marks.length, 0);
+  t.end();
+});
--- /dev/null
+++ b/packages/mesh/test/planner.test.ts
@@ -0,0 +1,104 @@
+import t from 'tap';
+import { Logger } from '#core/Logger.js';
+import { ManualClock } from '#core/ManualClock.js';
+import { createRangeTable } from '#ranges/CreateRangeTable.js';
+import { defaultLeaseTerms } from '#ranges/DefaultLeaseTerms.js';
+import { ElapsedClock } from '#ranges/ElapsedClock.js';
+import { listRowsOf } from '#ranges/ListRowsOf.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+import { PlannerTask } from '#mesh/PlannerTask.js';
+import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+import { createEntry } from './CreateEntry.js';
+import { createView } from './CreateView.js';
+
+const servers = [createEntry('a'), createEntry('b')];
+const table = createRangeTable(
+  's',
+  servers.map(({ serverId, term, incarnation }) => ({ serverId, term, incarnation })),
+);
+
+function lease(serverId: string, change: Partial<LeaseRecord> = {}): LeaseRecord {
+  return {
+    serverId,
+    service: 's',
+    processId: `p-${serverId}`,
+    term: 1,
+    revoked: false,
+    incarnation: `${serverId}/1`,
+    workMsPerSecond: 0,
+    slots: 4,
+    accepts: true,
+    ...change,
+  };
+}
+
+/** A `PlannerTask` of server `a`, with leases of `a` and `b` in the store. */
+class PlannerRun {
+  public readonly store = new MemoryCollectionStore();
+  public readonly clock = new ManualClock();
+  public readonly task: PlannerTask;
+
+  public constructor() {
+    this.task = new PlannerTask({
+      place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
+      terms: defaultLeaseTerms,
+      store: this.store,
+      clock: this.clock,
+      elapsed: new ElapsedClock(this.clock),
+      logger: new Logger('test'),
+      call: (_address, _method, _params, reply) => reply(undefined),
+    });
+    const { revision } = this.store.set('ranges', 's', table);
+    const view = createView(servers, {}, undefined, true);
+    this.task.post({ type: 'view', view: { ...view, tables: new Map([['s', { table, revision }]]) } });
+    for (const id of ['a', 'b']) this.store.set('leases', id, lease(id));
+  }
+
+  /** Lets time pass while the servers named renew their leases. */
+  public async pass(ms: number, renewing: readonly string[]): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 500) {
+      if (passed % 3_000 === 0) for (const id of renewing) this.store.set('leases', id, lease(id));
+      this.clock.advance(500);
+      for (let index = 0; index < 20; index += 1) await Promise.resolve();
+    }
+  }
+
+  public rowsOf(serverId: string): number {
+    return listRowsOf(this.store.read('ranges', 's')?.value as RangeTable, serverId).length;
+  }
+}
+
+t.test('holder that renews keeps its keys', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.pass(40_000, ['a', 'b']);
+  t.equal(run.rowsOf('b'), 1);
+});
+
+t.test('keys of a lost holder are taken over after its lease', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.pass(12_000, ['a']);
+  t.equal(run.rowsOf('b'), 1, 'the lease may still last');
+  await run.pass(9_000, ['a']);
+  t.equal(run.rowsOf('b'), 0);
+  t.match(run.store.read('leases', 'b')?.value, { revoked: true }, 'its renewals fail from now on');
+});
+
+t.test('resigned term is taken over at once', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.task.post({ type: 'resigned', value: { serverId: 'b', term: 1, processId: 'p-b' } });
+  await run.pass(2_000, ['a']);
+  t.equal(run.rowsOf('b'), 0);
+});
+
+t.test('later run of a daemon has not resigned', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.set('leases', 'b', lease('b', { processId: 'p-new' }));
+  run.task.post({ type: 'resigned', value: { serverId: 'b', term: 1, processId: 'p-b' } });
+  await run.pass(4_000, ['a']);
+  t.equal(run.rowsOf('b'), 1);
+});
