--- a/packages/mesh/src/CheckAdmission.ts
+++ b/packages/mesh/src/CheckAdmission.ts
@@ -15,6 +15,7 @@
   nowMs: number,
 ): RefusalCode | undefined {
   const { presence, keyed, evacuatedMs, expected } = state;
+  if (state.stopping) return 'stopping';
   if (presence.state === 'absent') return 'noServer';
   // The address of a backend server may have passed to one of another service.
   if (order.service !== presence.service) return 'otherService';
--- a/packages/mesh/src/InitialServerState.ts
+++ b/packages/mesh/src/InitialServerState.ts
@@ -13,6 +13,7 @@
     heardMs: 0,
     leavingMs: undefined,
   },
+  stopping: false,
   keyed: false,
   coldPerSecond: Infinity,
   maxConnections: Infinity,
--- a/packages/mesh/src/NearestLeastWait.ts
+++ b/packages/mesh/src/NearestLeastWait.ts
@@ -114,6 +114,11 @@
 function isFailure(result: OrderResult): boolean {
   if (result.type === 'lost') return result.code !== 'cancelled';
   if (result.type === 'refused')
-    return result.arrived || result.code === 'unreachable' || result.code === 'noServer';
+    return (
+      result.arrived ||
+      result.code === 'unreachable' ||
+      result.code === 'noServer' ||
+      result.code === 'stopping'
+    );
   return result.answer.status >= 500;
 }
--- a/packages/mesh/src/ServerMessage.ts
+++ b/packages/mesh/src/ServerMessage.ts
@@ -22,6 +22,8 @@
   | { readonly type: 'view'; readonly view: View }
   | { readonly type: 'marks'; readonly marks: readonly CrashMark[] }
   | { readonly type: 'signal'; readonly link: ServerLink; readonly signal: ServerLinkSignal }
+  /** The daemon ends: no new order is taken. */
+  | { readonly type: 'stopping' }
   /** Finds out whether the backend server's process is still there. */
   | { readonly type: 'probe' }
   | { readonly type: 'tick' };
--- a/packages/mesh/src/ServerState.ts
+++ b/packages/mesh/src/ServerState.ts
@@ -4,6 +4,8 @@
 /** What decides whether the backend server beside a daemon may receive an order. */
 export interface ServerState {
   readonly presence: Presence;
+  /** Whether the daemon ends and takes no new order. */
+  readonly stopping: boolean;
   /** Whether its service's keys are owned. */
   readonly keyed: boolean;
   /** Requests a second that it tolerates while it is cold. */
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -130,6 +130,9 @@
       case 'signal':
         this.noteSignal(message.link, message.signal);
         break;
+      case 'stopping':
+        this.state = { ...this.state, stopping: true };
+        break;
       case 'probe':
         if (this.state.presence.address !== '') this.links.open(this.state.presence.address);
         break;
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -198,3 +198,16 @@
   t.match(await pending, { type: 'lost', code: 'timeout' });
   t.same(evidence[0], { kind: 'silent', incarnation: 'i/1' });
 });
+
+t.test('daemon that ends takes no new orders', async (t) => {
+  // Orders of other daemons kept it busy until it was killed with some of them at work.
+  const { run, task } = await startServerTask(t, ({ id, socket }) =>
+    setTimeout(() => socket.write(formatAnswer(id)), 40),
+  );
+  const first = run(createOrder('1'));
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  task.post({ type: 'stopping' });
+  t.match(await run(createOrder('2')), { type: 'refused', code: 'stopping', arrived: false });
+  t.equal((await first).type, 'answered', 'what runs is finished');
+  t.equal(task.load, 0);
+});
