Decode the calls of other daemons

Cause: parameters of calls between daemons were taken as they came. Change: createPeerCalls checks them; malformed ones are answered with an error.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -1,6 +1,7 @@
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
+import type { Task } from '#core/Task.js';
 import type { CrashMark } from '#admission/CrashMark.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
@@ -8,6 +9,7 @@
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import { BalanceTask } from '#mesh/BalanceTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
+import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
 import { daemonLifeChart } from '#mesh/DaemonLifeChart.js';
 import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
@@ -24,7 +26,6 @@
 import { ReadinessTask } from '#mesh/ReadinessTask.js';
 import { ReceiverTask } from '#mesh/ReceiverTask.js';
 import { RelayTask } from '#mesh/RelayTask.js';
-import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
 import type { Resignation } from '#mesh/Resignation.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
@@ -175,14 +176,13 @@
       revisions: () => this.view?.revisions ?? [],
       onHint: (revisions) => this.noteHint(revisions),
       onOrder: (order, reply) => this.server.post({ type: 'order', order, reply }),
-      calls: {
-        [rpcMethods.ping]: () => ({ processId }),
-        [rpcMethods.load]: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
-        [rpcMethods.resigned]: (params) => this.acceptResignation(params),
-        [rpcMethods.cancel]: (params) => this.acceptCancel(params as { readonly id: string }),
-        [rpcMethods.release]: (params) => this.acceptRelease(params as ReleaseRequest),
-        [rpcMethods.marks]: (params) => this.acceptMarks(params as { readonly marks: readonly CrashMark[] }),
-      },
+      calls: createPeerCalls(processId, {
+        describeLoad: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
+        onResigned: (value) => accept(this.planner, { type: 'resigned', value }),
+        onCancel: (id) => accept(this.server, { type: 'cancel', id }),
+        onRelease: (request) => accept(this.ranges, { type: 'release', request }),
+        onMarks: (marks) => accept(this.server, { type: 'marks', marks }),
+      }),
     });
     this.callers = new CallerTask({
       ...options.callers,
@@ -325,26 +325,6 @@
     else this.relay.post({ type: 'cancel', id, address: server.address });
   }
 
-  private acceptCancel({ id }: { readonly id: string }): boolean {
-    this.server.post({ type: 'cancel', id });
-    return true;
-  }
-
-  private acceptResignation(value: unknown): boolean {
-    this.planner.post({ type: 'resigned', value });
-    return true;
-  }
-
-  private acceptRelease(request: ReleaseRequest): boolean {
-    this.ranges.post({ type: 'release', request });
-    return true;
-  }
-
-  private acceptMarks({ marks }: { readonly marks: readonly CrashMark[] }): boolean {
-    this.server.post({ type: 'marks', marks });
-    return true;
-  }
-
   /** Tells the daemons of the same service which requests may have crashed a backend server. */
   private spreadMarks(marks: readonly CrashMark[]): void {
     for (const server of this.listColleagues())
@@ -357,3 +337,8 @@
       });
   }
 }
+
+function accept<M>(task: Task<M>, message: M): true {
+  task.post(message);
+  return true;
+}
--- /dev/null
+++ b/packages/mesh/src/PeerCallLinks.ts
@@ -0,0 +1,13 @@
+import type { CrashMark } from '#admission/CrashMark.js';
+import type { BalanceFacts } from '#mesh/BalanceFacts.js';
+import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
+
+/** Where the calls of other daemons lead. The results of the handlers are sent back. */
+export interface PeerCallLinks {
+  readonly describeLoad: () => Promise<BalanceFacts>;
+  /** Takes the statement of a daemon that ended. */
+  readonly onResigned: (value: unknown) => boolean;
+  readonly onCancel: (id: string) => boolean;
+  readonly onRelease: (request: ReleaseRequest) => boolean;
+  readonly onMarks: (marks: readonly CrashMark[]) => boolean;
+}
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
+import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
 import { decodeOrder } from '#mesh/DecodeOrder.js';
 import { decodeResult } from '#mesh/DecodeResult.js';
 import { encodeOrder } from '#mesh/EncodeOrder.js';
@@ -168,3 +169,20 @@
   while (closed < 20) await new Promise((resolve) => setTimeout(resolve, 5));
   t.equal(closed, 20);
 });
+
+t.test('malformed call changes nothing', (t) => {
+  const cancelled: string[] = [];
+  const calls = createPeerCalls('p', {
+    describeLoad: () => Promise.reject(new Error('not asked')),
+    onResigned: () => true,
+    onCancel: (id) => cancelled.push(id) > 0,
+    onRelease: () => true,
+    onMarks: () => true,
+  });
+  t.throws(() => calls.cancel?.({ id: 5 }), { message: /cancel/ });
+  t.throws(() => calls.release?.(undefined));
+  t.throws(() => calls.marks?.({ marks: [{}] }));
+  t.equal(calls.cancel?.({ id: 'a' }), true);
+  t.same(cancelled, ['a']);
+  t.end();
+});
