--- a/packages/mesh/src/EntryMessage.ts
+++ b/packages/mesh/src/EntryMessage.ts
@@ -20,6 +20,8 @@
       readonly offer: number;
       readonly result: OrderResult;
     }
+  /** The daemon ends: new requests are refused. */
+  | { readonly type: 'stopping' }
   | { readonly type: 'due'; readonly exchange: number }
   | { readonly type: 'waited'; readonly exchange: number }
   | { readonly type: 'view'; readonly view: View }
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -30,6 +30,9 @@
 /** Time after which a caller without any configuration may come back, in milliseconds. */
 const NO_ROUTES_RETRY_MS = 300;
 
+/** Time after which a caller of a daemon that ends may come back, in milliseconds. */
+const STOPPING_RETRY_MS = 400;
+
 /** Servers that may refuse a request before its caller is refused. */
 const MAX_OFFERS = 4;
 
@@ -62,6 +65,7 @@
   private readonly exchanges = new Map<number, MeshExchange>();
   private readonly splits = new SplitChooser();
   private readonly retries: RetryBudget;
+  private stopping = false;
   private readonly recorder: RequestRecorder;
   private readonly directory: ServerDirectory;
 
@@ -98,6 +102,9 @@
       case 'view':
         this.noteView(message.view);
         return;
+      case 'stopping':
+        this.stopping = true;
+        return;
       case 'reach':
         this.directory.noteReach(message.address, message.reachable, message.untilMs);
     }
@@ -105,6 +112,10 @@
 
   private open({ exchange, request, reply }: EntryMessage & { readonly type: 'arrived' }): void {
     const { routes, complete } = this.directory.view;
+    if (this.stopping) {
+      reply({ type: 'refusal', status: UNAVAILABLE, code: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
+      return;
+    }
     if (routes === undefined || !complete) {
       reply({
         type: 'refusal',
--- a/packages/mesh/src/LeaseRecord.ts
+++ b/packages/mesh/src/LeaseRecord.ts
@@ -9,6 +9,8 @@
   readonly incarnation: string;
   /** Set by the daemon that takes the keys over: the holder may not renew any more. */
   readonly revoked: boolean;
+  /** Rises with each renewal: the store gives a record that is written unchanged no new revision. */
+  readonly renewal: number;
   /** Work of the last seconds on the keys of this daemon, in milliseconds a second. */
   readonly workMsPerSecond: number;
   readonly slots: number;
--- a/packages/mesh/src/LeaseRecordCodec.ts
+++ b/packages/mesh/src/LeaseRecordCodec.ts
@@ -8,6 +8,7 @@
   term: number,
   incarnation: string,
   revoked: boolean,
+  renewal: number,
   workMsPerSecond: number,
   slots: number,
   accepts: boolean,
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -229,8 +229,11 @@
     this.readiness.post({ type: 'ready', ready: false });
     this.callers.post({ type: 'stopping' });
     this.server.post({ type: 'probe' });
-    // Other daemons go on sending orders while they are taken, so that the queue would never be empty.
-    clock.schedule(LEAVE_MS, () => this.server.post({ type: 'stopping' }));
+    // Callers and other daemons may go on sending while requests are taken, so that the work would never end.
+    clock.schedule(LEAVE_MS, () => {
+      this.server.post({ type: 'stopping' });
+      this.entry.post({ type: 'stopping' });
+    });
     await this.waitUntilEmpty(startMs + LEAVE_MS, startMs + graceMs - LAST_MS);
     await this.resign();
     this.life.send({ type: 'emptied' });
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -285,6 +285,7 @@
 const EMPTY_RECORD = {
   processId: '',
   term: 0,
+  renewal: 0,
   incarnation: '',
   workMsPerSecond: 0,
   slots: 1,
--- a/packages/mesh/src/RangeLeaseTask.ts
+++ b/packages/mesh/src/RangeLeaseTask.ts
@@ -29,6 +29,7 @@
   private wanted = false;
   private inCall = false;
   private resigned = false;
+  private renewal = 0;
   private revision = 0;
   private term = FIRST_TERM;
   private untilMs = 0;
@@ -83,6 +84,7 @@
       this.options.logger.log('leaseLapsed', { step: 'lease', term: this.term });
     }
     const { term } = this;
+    this.renewal += 1;
     const record = this.createRecord(this.facts, false);
     void store
       .put(collections.leases, place.serverId, record, this.revision)
@@ -110,6 +112,7 @@
       processId,
       term: this.term,
       revoked,
+      renewal: this.renewal,
       incarnation: facts.incarnation,
       workMsPerSecond: Math.round(facts.workMsPerSecond),
       slots: facts.slots,
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -151,3 +151,15 @@
   t.ok(run.sent.every(({ server }) => server.serverId === run.sent[0]?.server.serverId));
   t.match(run.replies, [{ status: 502 }]);
 });
+
+t.test('daemon that ends passes nothing on', async (t) => {
+  // Callers that had no other daemon kept it busy until it was killed with their requests at work.
+  const run = new EntryRun(createView(two));
+  await run.arrive('1');
+  run.task.post({ type: 'stopping' });
+  await run.arrive('2');
+  t.match(run.replies, [{ status: 503, code: 'stopping' }]);
+  t.equal(run.sent.length, 1);
+  await run.answer(answered(200));
+  t.match(run.replies[1], { type: 'answer' }, 'what was passed on is answered');
+});
--- /dev/null
+++ b/packages/mesh/test/lease.test.ts
@@ -0,0 +1,110 @@
+import t from 'tap';
+import { Logger } from '#core/Logger.js';
+import { ManualClock } from '#core/ManualClock.js';
+import { defaultLeaseTerms } from '#ranges/DefaultLeaseTerms.js';
+import { ElapsedClock } from '#ranges/ElapsedClock.js';
+import type { HeldLease } from '#mesh/HeldLease.js';
+import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
+import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+
+/** A `RangeLeaseTask` of server `a` on a store in memory. */
+class LeaseRun {
+  public readonly clock = new ManualClock();
+  public readonly store: MemoryCollectionStore;
+  public readonly task: RangeLeaseTask;
+  public readonly leases: HeldLease[] = [];
+
+  public constructor(store = new MemoryCollectionStore()) {
+    this.store = store;
+    this.task = new RangeLeaseTask({
+      place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
+      processId: 'p1',
+      terms: defaultLeaseTerms,
+      store,
+      clock: this.clock,
+      elapsed: new ElapsedClock(this.clock),
+      logger: new Logger('test'),
+      onLease: (lease) => this.leases.push(lease),
+    });
+    this.task.post({ type: 'hold' });
+  }
+
+  public async advance(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 500) {
+      await settle();
+      this.clock.advance(500);
+    }
+    await settle();
+  }
+
+  public get record(): LeaseRecord {
+    return this.store.read('leases', 'a')?.value as LeaseRecord;
+  }
+
+  public get revision(): number {
+    return this.store.read('leases', 'a')?.revision ?? 0;
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let index = 0; index < 20; index += 1) await Promise.resolve();
+}
+
+t.test('each renewal gets a revision', async (t) => {
+  // Without one, the planner took an idle holder for lost while its lease lasted.
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(500);
+  const { revision } = run;
+  await run.advance(3_500);
+  t.ok(run.revision > revision);
+  t.ok((run.leases.at(-1)?.untilMs ?? 0) > defaultLeaseTerms.leaseMs + 2_000);
+});
+
+t.test('revoked term ends and a new one begins', async (t) => {
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(500);
+  run.store.set('leases', 'a', { ...run.record, revoked: true });
+  await run.advance(3_500);
+  t.ok(
+    run.leases.some(({ untilMs }) => untilMs === 0),
+    'its holder is told',
+  );
+  t.equal(run.leases.at(-1)?.term, 2);
+  t.match(run.record, { term: 2, revoked: false });
+});
+
+t.test('restarted daemon goes on with its term', async (t) => {
+  const first = new LeaseRun();
+  await first.advance(500);
+  first.task.stop();
+  const second = new LeaseRun(first.store);
+  t.teardown(() => second.task.stop());
+  await second.advance(500);
+  t.equal(second.leases.at(-1)?.term, 1);
+});
+
+t.test('renewal without a reply does not count', async (t) => {
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(500);
+  const before = run.leases.length;
+  run.store.trouble = 'down';
+  await run.advance(6_000);
+  t.equal(run.leases.length, before);
+  run.store.trouble = 'none';
+  await run.advance(1_000);
+  t.ok(run.leases.length > before, 'it is renewed once the store answers');
+});
+
+t.test('resigned lease is not renewed', async (t) => {
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(500);
+  const resignation = await run.task.ask((reply) => ({ type: 'resign', reply }));
+  t.same(resignation, { serverId: 'a', term: 1, processId: 'p1' });
+  await run.advance(4_000);
+  t.match(run.record, { term: 1, revoked: true });
+});
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -24,6 +24,7 @@
     processId: `p-${serverId}`,
     term: 1,
     revoked: false,
+    renewal: 0,
     incarnation: `${serverId}/1`,
     workMsPerSecond: 0,
     slots: 4,
@@ -37,6 +38,7 @@
   public readonly store = new MemoryCollectionStore();
   public readonly clock = new ManualClock();
   public readonly task: PlannerTask;
+  private renewals = 0;
 
   public constructor() {
     this.task = new PlannerTask({
@@ -56,12 +58,17 @@
   /** Lets time pass while the servers named renew their leases. */
   public async pass(ms: number, renewing: readonly string[]): Promise<void> {
     for (let passed = 0; passed < ms; passed += 500) {
-      if (passed % 3_000 === 0) for (const id of renewing) this.store.set('leases', id, lease(id));
+      if (passed % 3_000 === 0) for (const id of renewing) this.renew(id);
       this.clock.advance(500);
       for (let index = 0; index < 20; index += 1) await Promise.resolve();
     }
   }
 
+  private renew(id: string): void {
+    this.renewals += 1;
+    this.store.set('leases', id, lease(id, { renewal: this.renewals }));
+  }
+
   public rowsOf(serverId: string): number {
     return listRowsOf(this.store.read('ranges', 's')?.value as RangeTable, serverId).length;
   }
--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -60,8 +60,10 @@
     return Promise.resolve();
   }
 
-  /** Writes an object without a condition, as another writer. */
+  /** Writes an object without a condition, as another writer. One that changes nothing keeps its revision. */
   public set(collection: string, name: string, value: unknown): CollectionItem {
+    const current = this.find(collection).get(name);
+    if (current !== undefined && JSON.stringify(current.value) === JSON.stringify(value)) return current;
     this.revision += 1;
     this.writes += 1;
     const item: CollectionItem = {
