--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -141,7 +141,7 @@
 
   private noteEvidence({ kind, incarnation }: PresenceEvidence): void {
     const { run } = this;
-    if (run?.incarnation !== incarnation || kind === 'answers') return;
+    if (run?.incarnation !== incarnation) return;
     const silentMs = this.options.clock.monotonicMs() - run.heardMs;
     const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
     if (kind === 'silent' && !missed) return;
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -64,11 +64,6 @@
     });
   }
 
-  /** Tells the other daemons to send nothing more over their sessions. */
-  public announceEnd(): void {
-    for (const session of this.sessions) if (!session.destroyed) session.goaway();
-  }
-
   public override stop(): void {
     super.stop();
     for (const session of this.sessions) session.destroy();
