Use one piece for listening, reading bodies and calling colleagues

Cause: the last read found five copies of the promise to listen, a body reader beside proxy's readBody, two loops over the daemons of a service, a chart event that nothing sends, and a wrong comment on Offer.resumed. Change: listenAt, readBody and callColleagues serve them; the event is removed. Behaviour is unchanged.

--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -6,6 +6,7 @@
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
+import { listenAt } from '#mesh/ListenAt.js';
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
@@ -15,6 +16,9 @@
 /** Time beyond the idle time of the configuration for which a connection is kept, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** New connections that wait for the process at most. */
+const MAX_WAITING_CONNECTIONS = 1_024;
+
 const PAYLOAD_TOO_LARGE = 413;
 
 interface OpenExchange {
@@ -52,10 +56,7 @@
 
   /** Begins to listen; rejects if the address is in use. */
   public listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.port, this.options.host, 1_024, () => resolve());
-    });
+    return listenAt(this.server, this.options, MAX_WAITING_CONNECTIONS);
   }
 
   public override stop(): void {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -247,22 +247,17 @@
     const isFree = await this.ranges.ask<boolean>((reply) => ({ type: 'stopping', reply }));
     if (!isFree) return;
     const resignation = await this.lease.ask<Resignation>((reply) => ({ type: 'resign', reply }));
-    for (const server of this.listColleagues())
-      this.relay.post({
-        type: 'call',
-        address: server.address,
-        method: rpcMethods.resigned,
-        params: resignation,
-        reply: () => undefined,
-      });
+    this.callColleagues(rpcMethods.resigned, resignation);
     await new Promise<void>((resolve) => this.options.clock.schedule(RESIGN_MS, resolve));
   }
 
-  private listColleagues(): readonly ServerEntry[] {
+  /** Calls the other daemons of this service; nothing depends on their replies. */
+  private callColleagues(method: string, params: unknown): void {
     const { serverId, service } = this.options.place;
-    return [...(this.view?.servers.values() ?? [])].filter(
-      (server) => server.serverId !== serverId && server.service === service,
-    );
+    for (const server of this.view?.servers.values() ?? []) {
+      if (server.serverId === serverId || server.service !== service) continue;
+      this.relay.post({ type: 'call', address: server.address, method, params, reply: () => undefined });
+    }
   }
 
   private waitUntilEmpty(earliestMs: number, latestMs: number): Promise<void> {
@@ -330,14 +325,7 @@
 
   /** Tells the daemons of the same service which requests may have crashed a backend server. */
   private spreadMarks(marks: readonly CrashMark[]): void {
-    for (const server of this.listColleagues())
-      this.relay.post({
-        type: 'call',
-        address: server.address,
-        method: rpcMethods.marks,
-        params: { marks },
-        reply: () => undefined,
-      });
+    this.callColleagues(rpcMethods.marks, { marks });
   }
 }
 
--- a/packages/mesh/src/MetricsTask.ts
+++ b/packages/mesh/src/MetricsTask.ts
@@ -2,6 +2,7 @@
 import { Task } from '#core/Task.js';
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { listenAt } from '#mesh/ListenAt.js';
 
 /** A request for the metrics. */
 interface MetricsMessage {
@@ -21,10 +22,7 @@
 
   /** Begins to listen; rejects if the address is in use. */
   public listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
-    });
+    return listenAt(this.server, { host, port });
   }
 
   public override stop(): void {
--- a/packages/mesh/src/Offer.ts
+++ b/packages/mesh/src/Offer.ts
@@ -5,6 +5,6 @@
   readonly number: number;
   readonly server: ServerEntry;
   readonly sentMs: number;
-  /** Whether the backend server may have run it in an earlier send of the same offer. */
+  /** Times that it was sent again to the same daemon, which may have run it before. */
   readonly resumed: number;
 }
--- a/packages/mesh/src/PresenceEvent.ts
+++ b/packages/mesh/src/PresenceEvent.ts
@@ -1,4 +1,4 @@
 /** Events of the chart of a backend server's presence. */
 export interface PresenceEvent {
-  readonly type: 'ready' | 'draining' | 'withdrawn' | 'replaced' | 'died';
+  readonly type: 'ready' | 'draining' | 'withdrawn' | 'died';
 }
--- a/packages/mesh/src/ReadinessTask.ts
+++ b/packages/mesh/src/ReadinessTask.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { Task } from '#core/Task.js';
+import { listenAt } from '#mesh/ListenAt.js';
 import type { ReadinessMessage } from '#mesh/ReadinessMessage.js';
 
 /** Tells the platform whether callers should use this daemon. Owns the port that the platform asks. */
@@ -18,10 +19,7 @@
 
   /** Begins to listen; rejects if the address is in use. */
   public listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.port, this.host, () => resolve());
-    });
+    return listenAt(this.server, { host: this.host, port: this.port });
   }
 
   public override stop(): void {
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -10,6 +10,7 @@
 import { decodeOrder } from '#mesh/DecodeOrder.js';
 import { encodeResult } from '#mesh/EncodeResult.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
+import { listenAt } from '#mesh/ListenAt.js';
 import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
 import { packBody } from '#mesh/PackBody.js';
@@ -58,10 +59,7 @@
 
   /** Begins to listen; rejects if the address is in use. */
   public listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.port, this.options.host, () => resolve());
-    });
+    return listenAt(this.server, this.options);
   }
 
   public override stop(): void {
