Place the shards of a new cell once its members have gathered

Cause: the daemon that registers first wrote the tables with itself as the only member, and balance then moves 4 shards in 10 s at most, so it kept nearly all shards for minutes and its loss hit nearly all keys. Change: a cell without shards is filled once its number of members has not changed for 1 s, or after 5 s.

--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -24,6 +24,7 @@
 import { listOwnFences } from '#control/ListOwnFences.js';
 import { listPlacements } from '#control/ListPlacements.js';
 import { listUsableShards } from '#control/ListUsableShards.js';
+import { MemberGathering } from '#control/MemberGathering.js';
 import { NO_INTENT } from '#control/NoIntent.js';
 import type { OwnedShard } from '#control/OwnedShard.js';
 import { parseCellName } from '#control/ParseCellName.js';
@@ -73,6 +74,7 @@
   private readonly writer: CellWriter;
   private readonly seeds: readonly PeerAddress[];
   private readonly backoff: Backoff;
+  private readonly gathering = new MemberGathering();
   private home: CellHome | undefined;
   private cells: ReadonlyMap<string, Cell> = new Map();
   private catalogue: Catalogue | undefined;
@@ -291,6 +293,7 @@
   private addPlacements(): void {
     const cell = this.ownCell();
     if (cell === undefined || !isListed(cell, this.home) || this.isPlacing) return;
+    if (!this.gathering.isComplete(cell, this.context.clock.monotonicMs())) return;
     const { service, index } = this.requireHome();
     const add = (current: Cell): Cell =>
       ensurePlacements(current, listPlacements(this.catalogue, service), this.assignOptions(service));
--- a/packages/control/src/PlanRegistration.ts
+++ b/packages/control/src/PlanRegistration.ts
@@ -17,7 +17,9 @@
   const isOther = member !== undefined && member.incarnation !== facts.incarnation;
   if (isOther && request.wasMember) return { type: 'replaced' };
   if (member === undefined || isOther || member.state === 'gone') {
-    const tabled = ensurePlacements(cell, request.placements, options);
+    // The shards of a new cell are placed once its members have gathered.
+    const isNew = Object.keys(cell.shards).length === 0;
+    const tabled = isNew ? cell : ensurePlacements(cell, request.placements, options);
     return { type: 'write', cell: joinCell(tabled, facts, options) };
   }
   if (request.reason === 'witnesses' || request.reason === 'witnessSilent') {
