Answer announcements during a release of keys at once

Cause: an announcement that still lists released keys as at work was held back for 0.6 s like any other; the backend server announces again only after the answer, so a planned move took 0.6 to 1.2 s, in which requests for its keys were refused. Ruled out: lost announcements, and the write of the table (one call). The log of a release shows each announcement. Change: an announcement is answered at once while the backend server was told to release keys.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -194,6 +194,8 @@
 
   private hasNews(): boolean {
     if (this.table === undefined || this.leaving || !this.isKeyed()) return true;
+    // The backend server announces within 100 ms of an answer while it still holds keys that it was told to release.
+    if (this.releases.some(({ step }) => step === 'told')) return true;
     const rows = this.listGrantable();
     return rows.length !== this.given.length || rows.some((row, index) => !isSameRow(row, this.given[index]));
   }
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -160,6 +160,24 @@
   t.equal(answers, 1, 'the release reaches the server at once');
 });
 
+t.test('announcement during a release is answered at once', async (t) => {
+  // A held answer kept the next announcement, which frees the keys, away for most of a second.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  run.task.post({ type: 'release', request: { to: 'b', workMsPerSecond: 0, share: 0.5 } });
+  await run.checkIn([whole]);
+  let answers = 0;
+  const reply = (): void => {
+    answers += 1;
+  };
+  const checkIn = { incarnation: 'a/1', holds: [whole], released: [], leaving: false, slots: 4, reply };
+  run.task.post({ type: 'checkIn', checkIn });
+  await run.settle();
+  t.equal(answers, 1);
+});
+
 t.test('server that is back keeps its keys', async (t) => {
   const run = start(t);
   await run.view(servers, table);
