Move the excess of a hot owner to all owners with room at once

Cause: an owner gave part of its keys to the least loaded one, a pair at a time; the first piece of a hot spot only moved it, and it took ten moves and ten seconds to spread. Callers were refused after 150 ms while keys were on the move, and orders that waited at the old owner were refused at the end of their wait. Change: a survey divides the excess above the mean among all owners below it, in proportion to their room, so that several hot owners do not claim the same room; orders for keys on the move go back as 'moving', and entries wait for the view to name the next owner; an answer to an announcement is held for 0.9 of the interval instead of 0.7.

--- a/packages/mesh/src/BalanceOptions.ts
+++ b/packages/mesh/src/BalanceOptions.ts
@@ -10,5 +10,5 @@
   readonly logger: Logger;
   /** Calls another daemon; the reply is undefined if it cannot be reached. */
   readonly call: (address: string, method: string, params: unknown, reply: (result: unknown) => void) => void;
-  readonly onRelease: (request: ReleaseRequest) => void;
+  readonly onRelease: (requests: readonly ReleaseRequest[]) => void;
 }
--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -3,10 +3,10 @@
 import { balanceFactsCodec } from '#mesh/BalanceFactsCodec.js';
 import type { BalanceMessage } from '#mesh/BalanceMessage.js';
 import type { BalanceOptions } from '#mesh/BalanceOptions.js';
-import { chooseReceiver } from '#mesh/ChooseReceiver.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
+import { planShares } from '#mesh/PlanShares.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { View } from '#mesh/View.js';
 
@@ -33,7 +33,7 @@
   readonly answers: readonly BalanceFacts[];
 }
 
-/** Gives keys away while orders for them wait or slots are busy, to the owner that the others' own answers show to be least loaded. */
+/** Gives keys away while orders for them wait or slots are busy, to the owners that are less loaded by their own answers. */
 export class BalanceTask extends Task<BalanceMessage> {
   private readonly options: BalanceOptions;
   private view: View = emptyView;
@@ -125,15 +125,15 @@
     this.survey = open > 0 ? { open, answers } : undefined;
     if (open > 0) return;
     const own = this.describe();
-    const request = chooseReceiver(own, answers);
+    const requests = planShares(own, answers);
     this.options.logger.log('loadSurveyed', {
       step: 'move',
       waitMs: Math.round(own.waitMs),
       workMsPerSecond: Math.round(own.workMsPerSecond),
       answers: answers.length,
-      receiver: request?.to,
+      receivers: requests.map(({ to }) => to).join(','),
     });
-    if (request !== undefined) this.options.onRelease(request);
+    if (requests.length > 0) this.options.onRelease(requests);
   }
 
   private describe(): BalanceFacts {
--- a/packages/mesh/src/CheckAdmission.ts
+++ b/packages/mesh/src/CheckAdmission.ts
@@ -14,7 +14,7 @@
   leave: LeaveTimes,
   nowMs: number,
 ): RefusalCode | undefined {
-  const { presence, keyed, evacuatedMs, expected } = state;
+  const { presence, keyed, evacuatedMs, keys } = state;
   if (state.stopping) return 'stopping';
   if (presence.state === 'absent') return 'noServer';
   // The address of a backend server may have passed to one of another service.
@@ -26,5 +26,6 @@
   if (!keyed) return undefined;
   const { key } = order.request;
   if (key === undefined) return 'notOwner';
-  return findRow(expected, key) === undefined ? 'notOwner' : undefined;
+  if (findRow(keys.expected, key) !== undefined) return undefined;
+  return findRow(keys.moving, key) === undefined ? 'notOwner' : 'moving';
 }
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -42,8 +42,12 @@
 /** Part of the target latency that a request waits for the owner of its key. */
 const OWNER_WAIT_PART = 0.5;
 
-/** Pause between two looks for the owner of a key, in milliseconds. */
+/** The same while the owner says that the key is on its way to the next one, which mostly takes less than 500 ms. */
+const MOVE_WAIT_PART = 2;
+
+/** Pause between two looks for the owner of a key, in milliseconds. A move that ends shows in the view. */
 const OWNER_RETRY_MS = 100;
+const MOVE_RETRY_MS = 300;
 
 /** Part of the time left after which a refused caller may come back at the latest. */
 const RETRY_PART = 0.3;
@@ -201,13 +205,15 @@
   private waitForOwner(exchange: MeshExchange): void {
     const nowMs = this.now();
     const waitingMs = exchange.waitingMs ?? nowMs;
-    const limitMs = waitingMs + exchange.route.targetLatencyMs * OWNER_WAIT_PART;
+    const isMoving = exchange.lastRefusal === 'moving';
+    const part = isMoving ? MOVE_WAIT_PART : OWNER_WAIT_PART;
+    const limitMs = waitingMs + exchange.route.targetLatencyMs * part;
     if (exchange.offers >= MAX_OFFERS || nowMs >= limitMs || exchange.request.key === undefined) {
       this.refuse(exchange);
       return;
     }
     exchange.cursor.send({ type: 'waited' });
-    const cancelWait = this.options.clock.schedule(OWNER_RETRY_MS, () =>
+    const cancelWait = this.options.clock.schedule(isMoving ? MOVE_RETRY_MS : OWNER_RETRY_MS, () =>
       this.post({ type: 'waited', exchange: exchange.number }),
     );
     this.exchanges.set(exchange.number, { ...exchange, waitingMs, cancelWait });
--- a/packages/mesh/src/InitialServerState.ts
+++ b/packages/mesh/src/InitialServerState.ts
@@ -19,7 +19,5 @@
   maxConnections: Infinity,
   evacuatedMs: undefined,
   returnedMs: 0,
-  held: [],
-  heldUntilMs: 0,
-  expected: [],
+  keys: { held: [], untilMs: 0, expected: [], moving: [] },
 });
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -120,7 +120,7 @@
       clock,
       elapsed,
       logger: new Logger('ranges'),
-      onGranted: (rows, untilMs, expected) => this.server.post({ type: 'granted', rows, untilMs, expected }),
+      onGranted: (keys) => this.server.post({ type: 'granted', keys }),
       onKeyed: () => this.lease.post({ type: 'hold' }),
       onFacts: (facts) => {
         this.lease.post({ type: 'facts', facts });
@@ -155,7 +155,7 @@
       logger: new Logger('balance'),
       call: (address, method, params, reply) =>
         this.relay.post({ type: 'call', address, method, params, reply }),
-      onRelease: (request) => this.ranges.post({ type: 'release', request }),
+      onRelease: (requests) => this.ranges.post({ type: 'release', requests }),
     });
     this.presence = new PresenceTask({
       place,
@@ -180,7 +180,7 @@
         describeLoad: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
         onResigned: (value) => accept(this.planner, { type: 'resigned', value }),
         onCancel: (id) => accept(this.server, { type: 'cancel', id }),
-        onRelease: (request) => accept(this.ranges, { type: 'release', request }),
+        onRelease: (request) => accept(this.ranges, { type: 'release', requests: [request] }),
         onMarks: (marks) => accept(this.server, { type: 'marks', marks }),
       }),
     });
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -11,7 +11,7 @@
   | { readonly type: 'ended'; readonly incarnation: string; readonly proven: boolean }
   | { readonly type: 'lease'; readonly lease: HeldLease }
   | { readonly type: 'worked'; readonly key: number; readonly workMs: number }
-  | { readonly type: 'release'; readonly request: ReleaseRequest }
+  | { readonly type: 'release'; readonly requests: readonly ReleaseRequest[] }
   /** The table as it stands after a write of this daemon. */
   | { readonly type: 'settled'; readonly item: CollectionItem | undefined }
   /** The daemon ends. The reply tells whether keys stand under its term that its backend server holds no longer. */
--- a/packages/mesh/src/RangeOptions.ts
+++ b/packages/mesh/src/RangeOptions.ts
@@ -2,8 +2,8 @@
 import type { Logger } from '#core/Logger.js';
 import type { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { LeaseTerms } from '#ranges/LeaseTerms.js';
-import type { RangeRow } from '#ranges/RangeRow.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
+import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import type { Place } from '#mesh/Place.js';
 
@@ -17,8 +17,8 @@
   readonly clock: Clock;
   readonly elapsed: ElapsedClock;
   readonly logger: Logger;
-  /** Told the keys that the backend server holds until `untilMs` of elapsed time, and those that it will hold next. */
-  readonly onGranted: (rows: readonly RangeRow[], untilMs: number, expected: readonly RangeRow[]) => void;
+  /** Told the keys of the backend server after each change. */
+  readonly onGranted: (keys: GrantedKeys) => void;
   /** Told that the service's keys are owned, so that a lease is needed. */
   readonly onKeyed: () => void;
   readonly onFacts: (facts: LeaseFacts) => void;
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -49,7 +49,7 @@
  * An answer to an announcement is held back for this part of the time to the next one, so that most changes of keys find
  * one waiting, and for at most the given time, in milliseconds: it counts only within a second.
  */
-const REPLY_HOLD_PART = 0.7;
+const REPLY_HOLD_PART = 0.9;
 const MAX_REPLY_HOLD_MS = 800;
 
 interface WaitingReply {
@@ -119,7 +119,7 @@
         this.loads.add(message.key, message.workMs);
         return;
       case 'release':
-        this.release(message.request);
+        this.release(message.requests);
         break;
       case 'settled':
         this.noteSettled(message.item);
@@ -289,19 +289,21 @@
     ];
   }
 
-  private release(request: ReleaseRequest): void {
-    const receiver = listReceivers(this.view, this.service).find(({ serverId }) => serverId === request.to);
-    const rows = this.listGrantable();
-    if (receiver === undefined || this.releases.length > 0 || rows.length === 0) return;
-    const range = chooseRelease(rows, this.loads, request, this.now());
-    if (range === undefined) return;
-    this.options.logger.log('release', {
-      step: 'move',
-      from: range.from,
-      to: range.to,
-      peer: receiver.serverId,
-    });
-    this.releases = [{ ...range, owner: receiver, step: 'planned' }];
+  private release(requests: readonly ReleaseRequest[]): void {
+    if (this.releases.length > 0) return;
+    const receivers = listReceivers(this.view, this.service);
+    for (const request of requests) {
+      const receiver = receivers.find(({ serverId }) => serverId === request.to);
+      const range = chooseRelease(this.listGrantable(), this.loads, request, this.now());
+      if (receiver === undefined || range === undefined) continue;
+      this.options.logger.log('release', {
+        step: 'move',
+        from: range.from,
+        to: range.to,
+        peer: receiver.serverId,
+      });
+      this.releases = [...this.releases, { ...range, owner: receiver, step: 'planned' }];
+    }
   }
 
   private write(next: RangeTable, ifRevision: number, event: string): void {
@@ -353,10 +355,12 @@
   }
 
   private tellGranted(): void {
-    const served = this.releases.filter(({ step }) => step !== 'planned');
-    const expected = subtractRanges(this.listOwnRows(), served);
+    const moving = this.releases
+      .filter(({ step }) => step !== 'planned')
+      .toSorted((left, right) => left.from - right.from);
+    const expected = subtractRanges(this.listOwnRows(), moving);
     const held = expected.filter((row) => this.given.some((each) => covers(each, row)));
-    this.options.onGranted(held, this.heldUntilMs, expected);
+    this.options.onGranted({ held, untilMs: this.heldUntilMs, expected, moving });
   }
 
   private endOfGrant(holdMs: number): number {
--- a/packages/mesh/src/RefusalCode.ts
+++ b/packages/mesh/src/RefusalCode.ts
@@ -6,6 +6,7 @@
   | 'draining'
   | 'evacuated'
   | 'notOwner'
+  | 'moving'
   | 'notGranted'
   | 'cold'
   | 'full'
--- a/packages/mesh/src/ServerMessage.ts
+++ b/packages/mesh/src/ServerMessage.ts
@@ -1,5 +1,5 @@
 import type { CrashMark } from '#admission/CrashMark.js';
-import type { RangeRow } from '#ranges/RangeRow.js';
+import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderReply } from '#mesh/OrderReply.js';
 import type { Presence } from '#mesh/Presence.js';
@@ -12,13 +12,7 @@
   | { readonly type: 'order'; readonly order: Order; readonly reply: OrderReply }
   | { readonly type: 'cancel'; readonly id: string }
   | { readonly type: 'presence'; readonly presence: Presence }
-  /** Keys that the backend server holds until `untilMs` of elapsed time, and those that it will hold soon. */
-  | {
-      readonly type: 'granted';
-      readonly rows: readonly RangeRow[];
-      readonly untilMs: number;
-      readonly expected: readonly RangeRow[];
-    }
+  | { readonly type: 'granted'; readonly keys: GrantedKeys }
   | { readonly type: 'view'; readonly view: View }
   | { readonly type: 'marks'; readonly marks: readonly CrashMark[] }
   | { readonly type: 'signal'; readonly link: ServerLink; readonly signal: ServerLinkSignal }
--- a/packages/mesh/src/ServerState.ts
+++ b/packages/mesh/src/ServerState.ts
@@ -1,4 +1,4 @@
-import type { RangeRow } from '#ranges/RangeRow.js';
+import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import type { Presence } from '#mesh/Presence.js';
 
 /** What decides whether the backend server beside a daemon may receive an order. */
@@ -15,9 +15,5 @@
   readonly evacuatedMs: number | undefined;
   /** Monotonic time at which its failure domain came back; it is cold until it announces itself after that. */
   readonly returnedMs: number;
-  /** Keys that it holds until `heldUntilMs` of elapsed time. */
-  readonly held: readonly RangeRow[];
-  readonly heldUntilMs: number;
-  /** Keys that it holds or will be granted next. */
-  readonly expected: readonly RangeRow[];
+  readonly keys: GrantedKeys;
 }
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -1,5 +1,6 @@
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
+import { findRow } from '#ranges/FindRow.js';
 import { applyViewToServer } from '#mesh/ApplyViewToServer.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
 import { checkAdmission } from '#mesh/CheckAdmission.js';
@@ -10,6 +11,7 @@
 import { findHeader } from '#mesh/FindHeader.js';
 import { createRefusal } from '#mesh/CreateRefusal.js';
 import { formatOrder } from '#mesh/FormatOrder.js';
+import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import { hasToEnd } from '#mesh/HasToEnd.js';
 import { holdsKey } from '#mesh/HoldsKey.js';
 import { initialServerState } from '#mesh/InitialServerState.js';
@@ -114,12 +116,7 @@
         this.notePresence(message.presence);
         break;
       case 'granted':
-        this.state = {
-          ...this.state,
-          held: message.rows,
-          heldUntilMs: message.untilMs,
-          expected: message.expected,
-        };
+        this.noteKeys(message.keys);
         break;
       case 'view':
         this.state = applyViewToServer(this.state, message.view, this.options.place, this.now());
@@ -199,6 +196,17 @@
     if (presence.state === 'absent') this.refuseQueue('noServer');
   }
 
+  /** Orders that wait for keys on the move go back to their entry daemons, which know the next owner first. */
+  private noteKeys(keys: GrantedKeys): void {
+    this.state = { ...this.state, keys };
+    if (keys.moving.length === 0) return;
+    const moved = this.queue.removeHopeless(
+      ({ order: { request } }) =>
+        request.key !== undefined && findRow(keys.moving, request.key) !== undefined,
+    );
+    for (const { order } of moved) this.end(order, this.refuse(order, 'moving', false));
+  }
+
   private noteSignal(link: ServerLink, signal: ServerLinkSignal): void {
     switch (signal.type) {
       case 'connected':
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -134,6 +134,24 @@
   t.equal(run.sent.at(-1)?.server.serverId, 'b');
 });
 
+t.test('key on the move is waited for longer', async (t) => {
+  // Callers were refused during each move of a hot key, though the next owner had it half a second later.
+  const table = createRangeTable('s', [{ serverId: 'a', term: 1, incarnation: 'a/1' }]);
+  const run = new EntryRun(createView(two, {}, table));
+  await run.arrive('1', 5);
+  await run.answer({ ...refused, code: 'moving', retryAfterMs: 0 });
+  await run.advance(250);
+  t.equal(run.replies.length, 0);
+  t.equal(run.sent.length, 1, 'the old owner is not asked again at once');
+  const moved = createRangeTable('s', [{ serverId: 'b', term: 1, incarnation: 'b/1' }]);
+  const view = createView(two, {}, moved);
+  run.task.post({ type: 'view', view: { ...view, tables: new Map([['s', { table: moved, revision: 2 }]]) } });
+  await run.settle();
+  t.equal(run.sent.at(-1)?.server.serverId, 'b');
+  await run.answer(answered(200));
+  t.match(run.replies, [{ type: 'answer' }]);
+});
+
 t.test('key without owner is refused in time', async (t) => {
   const table = createRangeTable('s', [{ serverId: 'gone', term: 1, incarnation: 'x' }]);
   const run = new EntryRun(createView(two, {}, table));
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -199,6 +199,25 @@
   t.same(evidence[0], { kind: 'silent', incarnation: 'i/1' });
 });
 
+t.test('waiting order leaves with its key', async (t) => {
+  // It waited for a grant that could not come, and was refused at the end of its wait.
+  const { run, task } = await startServerTask(t, () => undefined);
+  const { RouteIndex } = await import('#routes/RouteIndex.js');
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const facts = { name: 's', maxConnections: 50, coldPerSecond: 5, keyed: true };
+  const routes = new RouteIndex({ version: 1, limits, routes: [], services: new Map([['s', facts]]) });
+  const view = { routes, evacuated: new Set<string>(), servers: new Map(), tables: new Map(), revisions: [] };
+  task.post({ type: 'view', view: { ...view, complete: true } });
+  const all = { from: 0, to: 99 };
+  task.post({ type: 'granted', keys: { held: [], untilMs: 0, expected: [all], moving: [] } });
+  const pending = run(createOrder('1', { dueMs: performance.now() + 5_000 }, 7));
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  task.post({ type: 'granted', keys: { held: [], untilMs: 0, expected: [], moving: [all] } });
+  t.match(await pending, { type: 'refused', code: 'moving' });
+  t.match(await run(createOrder('2', {}, 7)), { type: 'refused', code: 'moving' });
+  t.match(await run(createOrder('3', {}, 700)), { type: 'refused', code: 'notOwner' });
+});
+
 t.test('daemon that ends takes no new orders', async (t) => {
   // Orders of other daemons kept it busy until it was killed with some of them at work.
   const { run, task } = await startServerTask(t, ({ id, socket }) =>
