Admit orders by their target as seen from the entry daemon; weigh keys by demand

Cause 2: the load of keys was the work done, which cannot exceed the slots; a hot owner looked as loaded as a busy one. Cause 3: a row whose ends were too hot to cut stopped all other rows from being given away, and a single hot key stayed on a slow server. Change: orders carry the time of their target; a waiting order has to end 0.2 of its target before it; demand counts on arrival; rows that cannot be cut are passed over; a hot key moves to a VM that is faster when nothing disturbs it.

--- a/packages/mesh/src/BalanceFactsCodec.ts
+++ b/packages/mesh/src/BalanceFactsCodec.ts
@@ -6,5 +6,6 @@
   workMsPerSecond: number,
   slots: number,
   waitMs: number,
+  baseSlowdown: number,
   accepts: boolean,
 });
--- a/packages/mesh/src/BalanceMessage.ts
+++ b/packages/mesh/src/BalanceMessage.ts
@@ -7,7 +7,7 @@
 export type BalanceMessage =
   | { readonly type: 'view'; readonly view: View }
   | { readonly type: 'facts'; readonly facts: LeaseFacts }
-  | { readonly type: 'load'; readonly load: LoadReport }
+  | { readonly type: 'load'; readonly load: LoadReport; readonly baseSlowdown: number }
   /** Another daemon asks for the load of this one. */
   | { readonly type: 'asked'; readonly reply: (facts: BalanceFacts) => void }
   /** Answer of another daemon, undefined if it cannot be reached. */
--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -14,7 +14,7 @@
 const LONG_WAIT_MS = 80;
 
 /** Least time between two such looks, in milliseconds. */
-const PAUSE_MS = 1_000;
+const PAUSE_MS = 600;
 
 /** An owner whose slots are busy for this part of the time looks too, though less often. */
 const BUSY_PART = 0.35;
@@ -24,7 +24,7 @@
 const WAIT_AVERAGE_MS = 1_000;
 
 /** Time in which an owner that received keys takes no more, until its load shows them, in milliseconds. */
-const DIGEST_MS = 1_500;
+const DIGEST_MS = 1_000;
 
 const MS_PER_SECOND = 1_000;
 
@@ -40,6 +40,7 @@
   private facts: LeaseFacts | undefined;
   private waitMs = 0;
   private heardMs = 0;
+  private baseSlowdown = 1;
   private ownKeys = 0;
   private receivedMs = -Infinity;
   private survey: Survey | undefined;
@@ -61,6 +62,7 @@
         return;
       case 'load':
         this.noteLoad(message.load.waitMs);
+        this.baseSlowdown = message.baseSlowdown;
         return;
       case 'asked':
         message.reply(this.describe());
@@ -143,6 +145,7 @@
       workMsPerSecond: this.facts?.workMsPerSecond ?? 0,
       slots: this.facts?.slots ?? 1,
       waitMs: this.averageWaitMs(nowMs),
+      baseSlowdown: this.baseSlowdown,
       accepts: this.facts?.accepts === true && nowMs - this.receivedMs > DIGEST_MS,
     };
   }
--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -6,7 +6,7 @@
 
 const cancel = Codec.interface({ id: string });
 
-const release = Codec.interface({ to: string, workMsPerSecond: number, share: number });
+const release = Codec.interface({ to: string, workMsPerSecond: number, share: number, speedup: number });
 
 const crashMark: Codec<CrashMark> = Codec.interface({ fingerprint: string, death: string, cleared: boolean });
 
--- a/packages/mesh/src/DecodeOrder.ts
+++ b/packages/mesh/src/DecodeOrder.ts
@@ -34,13 +34,15 @@
   target: string,
   key: number | null,
   leftMs: number,
+  /** Time left until the answer is late; negative if it is. */
+  targetLeftMs: number,
   resumes: string,
   /** 0 stands for the host. */
   values: readonly (string | number)[],
 ];
 
 const value: Codec<string | number> = oneOf([string, number]);
-const detailDecoders = [string, nullable(number), number, string, array(value)] as const;
+const detailDecoders = [string, nullable(number), number, number, string, array(value)] as const;
 
 /** Decodes an order that another daemon encoded. The error says which field is wrong. */
 export function decodeOrder(
@@ -56,7 +58,7 @@
 function build(kind: Kind, detail: Detail, body: Buffer, nowMs: number): Either<string, Order> {
   const [method, host, names, idIndex, hasBody, service, callerService] = kind;
   const [, , , , , , , idempotent, priority, targetLatencyMs] = kind;
-  const [target, key, leftMs, resumes, values] = detail;
+  const [target, key, leftMs, targetLeftMs, resumes, values] = detail;
   if (names.length !== values.length) return Left('names and values of headers differ in number');
   const headers = names.map((name, index): HeaderPair => [name, textOf(values[index], host)]);
   return Right({
@@ -77,6 +79,7 @@
     idempotent: idempotent === 1,
     priority,
     targetLatencyMs,
+    targetMs: nowMs + targetLeftMs,
     dueMs: nowMs + leftMs,
     resumes,
   });
--- a/packages/mesh/src/EncodeOrder.ts
+++ b/packages/mesh/src/EncodeOrder.ts
@@ -21,6 +21,7 @@
     request.target,
     request.key ?? null,
     Math.floor(order.dueMs - nowMs),
+    Math.floor(order.targetMs - nowMs),
     order.resumes,
     request.headers.map(([, value]) => (value === request.host ? 0 : value)),
   ];
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -18,7 +18,7 @@
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { View } from '#mesh/View.js';
 
-/** Time of a caller's deadline that is kept for the way to it, in milliseconds. */
+/** Time of a caller's deadline or target that is kept for the way to it, in milliseconds. */
 const RETURN_MS = 20;
 
 /** Time of a route's timeout that is kept so that the answer is not late, in milliseconds. */
@@ -247,6 +247,7 @@
       idempotent: route.idempotent,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
+      targetMs: request.arrivedMs + route.targetLatencyMs - RETURN_MS,
       dueMs,
       resumes,
     };
--- a/packages/mesh/src/LeaseFacts.ts
+++ b/packages/mesh/src/LeaseFacts.ts
@@ -1,7 +1,7 @@
 /** What a daemon reports of its keys with each renewal. */
 export interface LeaseFacts {
   readonly incarnation: string;
-  /** Work of the last seconds, in milliseconds a second. */
+  /** Work asked for in the last second, in milliseconds a second. */
   readonly workMsPerSecond: number;
   readonly slots: number;
   /** Whether the backend server takes keys at present. */
--- a/packages/mesh/src/LoadMeter.ts
+++ b/packages/mesh/src/LoadMeter.ts
@@ -2,6 +2,7 @@
 import type { LoadReport } from '#mesh/LoadReport.js';
 import type { OrderQueue } from '#mesh/OrderQueue.js';
 import type { ReportedLoad } from '#mesh/ReportedLoad.js';
+import { RecentLeast } from '#mesh/RecentLeast.js';
 import type { RunningOrder } from '#mesh/RunningOrder.js';
 
 /** A reported slowdown says something for this long, in milliseconds. */
@@ -11,11 +12,18 @@
 export class LoadMeter {
   private slowdown = 1;
   private slowdownMs = -Infinity;
+  private readonly least = new RecentLeast();
 
   /** Notes what the backend server reported with an answer. */
   public note({ slowdown }: ReportedLoad, nowMs: number): void {
     this.slowdown = slowdown;
     this.slowdownMs = nowMs;
+    this.least.note(slowdown, nowMs);
+  }
+
+  /** Factor by which work takes longer on that VM when nothing disturbs it; 1 if that is not known. */
+  public get baseSlowdown(): number {
+    return this.least.value ?? 1;
   }
 
   /** `serviceMs` is the average time of an order. */
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -108,8 +108,8 @@
       keyedLeaveMs: options.drainMs - LEAVE_MARGIN_MS,
       keyedEvacuationMs: options.evacuateMs - 2 * LEAVE_MARGIN_MS,
       onEvidence: (evidence) => this.presence.post({ type: 'evidence', evidence }),
-      onLoad: (load) => this.balance.post({ type: 'load', load }),
-      onWork: (key, workMs) => this.ranges.post({ type: 'worked', key, workMs }),
+      onLoad: (load, baseSlowdown) => this.balance.post({ type: 'load', load, baseSlowdown }),
+      onDemand: (key, workMs) => this.ranges.post({ type: 'demanded', key, workMs }),
       onMarks: (marks) => this.spreadMarks(marks),
     });
     this.ranges = new RangeTask({
--- a/packages/mesh/src/Order.ts
+++ b/packages/mesh/src/Order.ts
@@ -10,6 +10,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly targetLatencyMs: number;
+  /** Monotonic time of this process after which the answer is late, in milliseconds. */
+  readonly targetMs: number;
   /** Monotonic time of this process at which the answer is due, in milliseconds. */
   readonly dueMs: number;
   /** Run of the daemon that already received this order; only that run may continue it. Empty for a new order. */
--- a/packages/mesh/src/PlanShares.ts
+++ b/packages/mesh/src/PlanShares.ts
@@ -11,7 +11,7 @@
 const LEAST_SHARE = 0.05;
 
 interface Deficit {
-  readonly serverId: string;
+  readonly facts: BalanceFacts;
   readonly load: number;
 }
 
@@ -28,19 +28,20 @@
   if (excess <= 0 || loadOf(own) - least < LEAST_DIFFERENCE) return [];
   const totalExcess = all.reduce((sum, facts) => sum + Math.max(0, loadOf(facts) - mean), 0);
   const deficits = receivers.map((facts): Deficit => ({
-    serverId: facts.serverId,
+    facts,
     load: Math.max(0, mean - loadOf(facts)),
   }));
   const room = deficits.reduce((sum, { load }) => sum + load, 0);
   const given = Math.min(excess, (room * excess) / totalExcess);
   return deficits
-    .map(({ serverId, load }) => ({ serverId, load: (given * load) / room }))
+    .map(({ facts, load }) => ({ facts, load: (given * load) / room }))
     .filter(({ load }) => load >= LEAST_SHARE)
     .toSorted((left, right) => right.load - left.load)
-    .map(({ serverId, load }) => ({
-      to: serverId,
+    .map(({ facts, load }) => ({
+      to: facts.serverId,
       workMsPerSecond: (own.workMsPerSecond * load) / loadOf(own),
       share: 0,
+      speedup: own.baseSlowdown / facts.baseSlowdown,
     }));
 }
 
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -266,7 +266,7 @@
       this.options.call(
         address,
         rpcMethods.release,
-        { to: release.to.serverId, workMsPerSecond, share },
+        { to: release.to.serverId, workMsPerSecond, share, speedup: 1 },
         () => undefined,
       );
     }
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -10,7 +10,8 @@
   | { readonly type: 'checkIn'; readonly checkIn: CheckIn }
   | { readonly type: 'ended'; readonly incarnation: string; readonly proven: boolean }
   | { readonly type: 'lease'; readonly lease: HeldLease }
-  | { readonly type: 'worked'; readonly key: number; readonly workMs: number }
+  /** An order for a key arrived that takes about `workMs` of work. */
+  | { readonly type: 'demanded'; readonly key: number; readonly workMs: number }
   | { readonly type: 'release'; readonly requests: readonly ReleaseRequest[] }
   /** The table as it stands after a write of this daemon. */
   | { readonly type: 'settled'; readonly item: CollectionItem | undefined }
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -4,6 +4,7 @@
 import { grantMs } from '#ranges/GrantMs.js';
 import { isSameOwner } from '#ranges/IsSameOwner.js';
 import { KeyLoads } from '#ranges/KeyLoads.js';
+import type { KeyRange } from '#ranges/KeyRange.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
 import { overlaps } from '#ranges/Overlaps.js';
 import type { Owner } from '#ranges/Owner.js';
@@ -16,6 +17,7 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import { advanceReleases } from '#mesh/AdvanceReleases.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
+import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
@@ -115,7 +117,7 @@
       case 'lease':
         this.lease = message.lease;
         break;
-      case 'worked':
+      case 'demanded':
         this.loads.add(message.key, message.workMs);
         return;
       case 'release':
@@ -291,21 +293,22 @@
 
   private release(requests: readonly ReleaseRequest[]): void {
     if (this.releases.length > 0) return;
-    const receivers = listReceivers(this.view, this.service);
+    const hot = chooseHotKeys(this.listGrantable(), this.loads, requests, this.now());
+    if (hot !== undefined) this.planRelease(hot.range, hot.to);
     for (const request of requests) {
-      const receiver = receivers.find(({ serverId }) => serverId === request.to);
+      if (request.to === hot?.to) continue;
       const range = chooseRelease(this.listGrantable(), this.loads, request, this.now());
-      if (receiver === undefined || range === undefined) continue;
-      this.options.logger.log('release', {
-        step: 'move',
-        from: range.from,
-        to: range.to,
-        peer: receiver.serverId,
-      });
-      this.releases = [...this.releases, { ...range, owner: receiver, step: 'planned' }];
+      if (range !== undefined) this.planRelease(range, request.to);
     }
   }
 
+  private planRelease({ from, to }: KeyRange, serverId: string): void {
+    const owner = listReceivers(this.view, this.service).find((each) => each.serverId === serverId);
+    if (owner === undefined) return;
+    this.options.logger.log('release', { step: 'move', from, to, peer: serverId });
+    this.releases = [...this.releases, { from, to, owner, step: 'planned' }];
+  }
+
   private write(next: RangeTable, ifRevision: number, event: string): void {
     this.writing = true;
     this.options.logger.log(event, {
--- a/packages/mesh/src/ReleaseRequest.ts
+++ b/packages/mesh/src/ReleaseRequest.ts
@@ -6,4 +6,6 @@
   readonly workMsPerSecond: number;
   /** Part of the keys to move if no work was measured on them. */
   readonly share: number;
+  /** Factor by which work takes less time on the receiver's VM; 1 if that is not known. */
+  readonly speedup: number;
 }
--- a/packages/mesh/src/ServerOptions.ts
+++ b/packages/mesh/src/ServerOptions.ts
@@ -21,10 +21,10 @@
   readonly keyedEvacuationMs: number;
   /** Receives what connections tell about the backend server's life. */
   readonly onEvidence: (evidence: PresenceEvidence) => void;
-  /** Receives the load, a few times a second while there is any. */
-  readonly onLoad: (load: LoadReport) => void;
-  /** Receives the work done for a key. */
-  readonly onWork: (key: number, workMs: number) => void;
+  /** Receives the load and the factor by which an undisturbed VM is slow, many times a second while there is any load. */
+  readonly onLoad: (load: LoadReport, baseSlowdown: number) => void;
+  /** Receives the work that an order for a key asks for, also if there is no room for it. */
+  readonly onDemand: (key: number, workMs: number) => void;
   /** Receives marks of requests that may have crashed the backend server, for other daemons. */
   readonly onMarks: (marks: readonly CrashMark[]) => void;
 }
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -46,10 +46,13 @@
 const LEAST_PART = 0.5;
 
 /**
- * Orders that would end later than this multiple of their target latency are refused: a longer queue would make all of
- * them late and serve no more.
+ * Part of the target latency by which a waiting order is expected to end before its target. A longer queue would make all
+ * orders late and serve no more of them.
  */
-const ADMIT_FACTOR = 1.25;
+const RESERVE_PART = 0.2;
+
+/** An order that waits for less than this part of its target latency is taken, even if it may be late. */
+const SHORT_WAIT_PART = 0.2;
 
 /** Part of the target latency that an order waits for its key to be granted to the server. */
 const GRANT_WAIT_PART = 0.6;
@@ -154,7 +157,11 @@
     const isShort = this.kinds.note(order.targetLatencyMs);
     if (isShort) this.shortUntilMs = nowMs + SHORT_KEEP_MS;
     const queued = { order, queuedMs: nowMs, serviceMs: this.times.expect(order), isShort };
-    const code = checkAdmission(order, this.state, this.options, nowMs) ?? this.checkRoom(queued, nowMs);
+    const admission = checkAdmission(order, this.state, this.options, nowMs);
+    // Demand counts also where there is no room for it: what a full server runs hides how much its keys ask for.
+    if (admission === undefined && order.request.key !== undefined)
+      this.options.onDemand(order.request.key, queued.serviceMs);
+    const code = admission ?? this.checkRoom(queued, nowMs);
     if (code !== undefined) {
       reply(this.refuse(order, code, false));
       return;
@@ -168,7 +175,9 @@
     if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
     const waitMs = this.waitFor(this.queue.workAheadMs(order, isShort), nowMs);
     const dueMs = order.dueMs - RETURN_MS;
-    const limitMs = isShort ? dueMs : Math.min(dueMs, nowMs + order.targetLatencyMs * ADMIT_FACTOR);
+    const inTimeMs = order.targetMs - order.targetLatencyMs * RESERVE_PART;
+    const soonMs = nowMs + serviceMs + order.targetLatencyMs * SHORT_WAIT_PART;
+    const limitMs = isShort ? dueMs : Math.min(dueMs, Math.max(inTimeMs, soonMs));
     return nowMs + waitMs + serviceMs > limitMs ? 'full' : undefined;
   }
 
@@ -253,7 +262,6 @@
     }
     const tookMs = nowMs - sentMs;
     this.times.add(order, tookMs);
-    if (order.request.key !== undefined) this.options.onWork(order.request.key, tookMs);
     if (kind === 'invalid') {
       this.lose(running, 'badAnswer', `status ${answer.status} is not a valid answer`);
       return;
@@ -309,7 +317,7 @@
         this.state.keyed && nowMs - queuedMs > order.targetLatencyMs * GRANT_WAIT_PART && !this.holds(order),
     );
     for (const { order } of unheld) this.end(order, this.refuse(order, 'notGranted', false));
-    this.options.onLoad(this.report());
+    this.options.onLoad(this.report(), this.meter.baseSlowdown);
     this.checkSilence(nowMs);
     for (const running of this.running.values()) {
       if (nowMs > running.order.dueMs) this.giveUp(running, nowMs);
--- a/packages/mesh/test/CreateOrder.ts
+++ b/packages/mesh/test/CreateOrder.ts
@@ -23,6 +23,7 @@
     idempotent: true,
     priority: 0,
     targetLatencyMs: 300,
+    targetMs: performance.now() + 300,
     dueMs: performance.now() + 2_000,
     resumes: '',
     ...change,
--- a/packages/mesh/test/StartServerTask.ts
+++ b/packages/mesh/test/StartServerTask.ts
@@ -18,6 +18,8 @@
   readonly task: ServerTask;
   readonly server: RawServer;
   readonly evidence: readonly PresenceEvidence[];
+  /** Keys of the orders that count as load. */
+  readonly demands: readonly number[];
   readonly announce: (change: Partial<Presence>) => void;
   readonly run: (order: Order) => Promise<OrderResult>;
 }
@@ -31,6 +33,7 @@
   const address = await server.start();
   const clock = new SystemClock();
   const evidence: PresenceEvidence[] = [];
+  const demands: number[] = [];
   const task = new ServerTask({
     place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
     processId: 'p1',
@@ -42,7 +45,7 @@
     keyedEvacuationMs: 3_500,
     onEvidence: (each) => evidence.push(each),
     onLoad: () => undefined,
-    onWork: () => undefined,
+    onDemand: (key) => demands.push(key),
     onMarks: () => undefined,
   });
   const announce = (change: Partial<Presence>): void => {
@@ -66,5 +69,5 @@
     server.stop();
   });
   const run = (order: Order): Promise<OrderResult> => task.ask((reply) => ({ type: 'order', order, reply }));
-  return { task, server, evidence, announce, run };
+  return { task, server, evidence, demands, announce, run };
 }
--- a/packages/mesh/test/balance.test.ts
+++ b/packages/mesh/test/balance.test.ts
@@ -1,9 +1,12 @@
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { ManualClock } from '#core/ManualClock.js';
+import { KeyLoads } from '#ranges/KeyLoads.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import type { BalanceFacts } from '#mesh/BalanceFacts.js';
 import { BalanceTask } from '#mesh/BalanceTask.js';
+import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
+import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { planShares } from '#mesh/PlanShares.js';
 import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
@@ -12,7 +15,7 @@
 import { createView } from './CreateView.js';
 
 function facts(serverId: string, change: Partial<BalanceFacts> = {}): BalanceFacts {
-  return { serverId, workMsPerSecond: 0, slots: 4, waitMs: 0, accepts: true, ...change };
+  return { serverId, workMsPerSecond: 0, slots: 4, waitMs: 0, baseSlowdown: 1, accepts: true, ...change };
 }
 
 t.test('least loaded owner receives most', (t) => {
@@ -39,6 +42,34 @@
   t.end();
 });
 
+t.test('single hot key moves to a faster server', (t) => {
+  // A key that asks for more than its slow server can do kept its callers waiting as long as it was hot.
+  const loads = new KeyLoads(0);
+  loads.add(1_002, 5_000);
+  for (let key = 0; key < 1_500; key += 16) loads.add(key, 10);
+  const rows = [{ from: 0, to: 2_000, serverId: 'a', term: 1, incarnation: 'a/1', epoch: 1, handover: '' }];
+  const request = { to: 'b', workMsPerSecond: 2_000, share: 0, speedup: 2 };
+  t.match(chooseHotKeys(rows, loads, [request], 0), { range: { from: 1_000, to: 1_003 }, to: 'b' });
+  t.equal(chooseHotKeys(rows, loads, [{ ...request, speedup: 1.1 }], 0), undefined, 'not to an equal one');
+  t.end();
+});
+
+t.test('other rows leave a hot key', (t) => {
+  // The row with the hot key could not be cut, and nothing was given away at all.
+  const loads = new KeyLoads(0);
+  loads.add(1_002, 5_000);
+  for (let key = 4_000; key < 5_500; key += 16) loads.add(key, 10);
+  const owner = { serverId: 'a', term: 1, incarnation: 'a/1', epoch: 1, handover: '' };
+  const rows = [
+    { from: 1_000, to: 1_003, ...owner },
+    { from: 4_000, to: 5_500, ...owner },
+  ];
+  const request = { to: 'b', workMsPerSecond: 500, share: 0, speedup: 1 };
+  const range = chooseRelease(rows, loads, request, 0);
+  t.ok(range !== undefined && range.from >= 4_000);
+  t.end();
+});
+
 t.test('two hot owners do not claim the same room', (t) => {
   const all = [
     facts('a', { workMsPerSecond: 3_000 }),
@@ -92,16 +123,16 @@
   const load = { running: 4, queued: 4, slots: 4, waitMs: 300, serviceMs: 60, slowdown: 1 };
   task.post({ type: 'view', view: createView([createEntry('a'), createEntry('b')], {}, table) });
   clock.advance(5_000);
-  task.post({ type: 'load', load: { ...load, waitMs: 0 } });
+  task.post({ type: 'load', load: { ...load, waitMs: 0 }, baseSlowdown: 1 });
   await Promise.resolve();
   clock.advance(50);
-  task.post({ type: 'load', load });
+  task.post({ type: 'load', load, baseSlowdown: 1 });
   task.post({ type: 'facts', facts: own });
   for (let index = 0; index < 5; index += 1) await Promise.resolve();
   t.equal(released.length, 0, 'one long wait is not enough');
   for (let index = 0; index < 10; index += 1) {
     clock.advance(100);
-    task.post({ type: 'load', load });
+    task.post({ type: 'load', load, baseSlowdown: 1 });
     await Promise.resolve();
   }
   task.post({ type: 'facts', facts: own });
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -52,7 +52,7 @@
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.checkIn([]);
-  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5 }] });
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
   await run.settle();
   t.equal(run.served[0]?.to, 32_767, 'served until the server was told');
   // This announcement was sent before the server received its first grant.
@@ -155,7 +155,7 @@
   });
   await run.settle();
   t.equal(answers, 0);
-  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5 }] });
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
   await run.settle();
   t.equal(answers, 1, 'the release reaches the server at once');
 });
@@ -166,7 +166,7 @@
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.checkIn([]);
-  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5 }] });
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
   await run.checkIn([whole]);
   let answers = 0;
   const reply = (): void => {
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -1,8 +1,22 @@
 import t from 'tap';
+import { emptyView } from '#mesh/EmptyView.js';
+import type { View } from '#mesh/View.js';
+import { RouteIndex } from '#routes/RouteIndex.js';
 import { createOrder } from './CreateOrder.js';
 import { formatAnswer } from './FormatAnswer.js';
 import { startServerTask } from './StartServerTask.js';
 
+const keyedView: View = {
+  ...emptyView,
+  complete: true,
+  routes: new RouteIndex({
+    version: 1,
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    routes: [],
+    services: new Map([['s', { name: 's', maxConnections: 50, coldPerSecond: 5, keyed: true }]]),
+  }),
+};
+
 t.test('answer passes unchanged', async (t) => {
   const { run, server } = await startServerTask(t, ({ id, socket }) => socket.write(formatAnswer(id)));
   const result = await run(createOrder('1'));
@@ -199,15 +213,41 @@
   t.same(evidence[0], { kind: 'silent', incarnation: 'i/1' });
 });
 
+t.test('load counts what has no room', async (t) => {
+  // A hot owner looked as loaded as its slots, and gave away too little too late.
+  const { run, task, demands } = await startServerTask(t, () => undefined);
+  task.post({ type: 'view', view: keyedView });
+  const all = { from: 0, to: 99 };
+  task.post({ type: 'granted', keys: { held: [], untilMs: 0, expected: [all], moving: [] } });
+  const ids = Array.from({ length: 60 }, (_, index) => String(index));
+  const results = ids.map((id) => run(createOrder(id, { dueMs: performance.now() + 300 }, 7)));
+  t.ok((await Promise.all(results)).every(({ type }) => type === 'refused'));
+  t.equal(demands.length, 60);
+});
+
+t.test('queue ends before its orders would be late', async (t) => {
+  // Under overload every order waited until just after its target: as many were served, but all of them late.
+  const { run } = await startServerTask(t, ({ id, socket }) =>
+    setTimeout(() => socket.write(formatAnswer(id)), 40),
+  );
+  const nowMs = performance.now();
+  const order = { targetLatencyMs: 400, targetMs: nowMs + 400, dueMs: nowMs + 9_000 };
+  const ids = Array.from({ length: 52 }, (_, index) => String(index));
+  const results = await Promise.all(ids.map((id) => run(createOrder(id, order))));
+  const served = results.filter(({ type }) => type === 'answered').length;
+  // Four slots run 40 orders of 40 ms within the target.
+  t.ok(served >= 20 && served < 40, `${served} served`);
+});
+
+t.test('order that is late already runs if a slot is free', async (t) => {
+  const { run } = await startServerTask(t, ({ id, socket }) => socket.write(formatAnswer(id)));
+  t.match(await run(createOrder('1', { targetMs: performance.now() - 100 })), { type: 'answered' });
+});
+
 t.test('waiting order leaves with its key', async (t) => {
   // It waited for a grant that could not come, and was refused at the end of its wait.
   const { run, task } = await startServerTask(t, () => undefined);
-  const { RouteIndex } = await import('#routes/RouteIndex.js');
-  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  const facts = { name: 's', maxConnections: 50, coldPerSecond: 5, keyed: true };
-  const routes = new RouteIndex({ version: 1, limits, routes: [], services: new Map([['s', facts]]) });
-  const view = { routes, evacuated: new Set<string>(), servers: new Map(), tables: new Map(), revisions: [] };
-  task.post({ type: 'view', view: { ...view, complete: true } });
+  task.post({ type: 'view', view: keyedView });
   const all = { from: 0, to: 99 };
   task.post({ type: 'granted', keys: { held: [], untilMs: 0, expected: [all], moving: [] } });
   const pending = run(createOrder('1', { dueMs: performance.now() + 5_000 }, 7));
--- a/packages/ranges/src/KeyLoads.ts
+++ b/packages/ranges/src/KeyLoads.ts
@@ -11,9 +11,9 @@
 const FADE_STEP = 0.95;
 
 /** Time in which a measured load falls to 1/e, in milliseconds. */
-const FADE_MS = 2_000;
+const FADE_MS = 1_000;
 
-/** Work measured on the keys of one backend server, in milliseconds of work a second, fading over time. */
+/** Work asked for on the keys of one backend server, in milliseconds of work a second, fading over time. */
 export class KeyLoads {
   private readonly buckets = new Float64Array((keySpace.to + 1) / KEYS_PER_BUCKET);
   private fadedAtMs: number;
@@ -56,6 +56,20 @@
       : { from: range.from, to: (first + head.count) * KEYS_PER_BUCKET - 1 };
   }
 
+  /** The keys counted together that carry the most work of a range. */
+  public findHottest({ from, to }: KeyRange, nowMs: number): KeyRange & { readonly load: number } {
+    this.fade(nowMs);
+    const last = Math.floor(to / KEYS_PER_BUCKET);
+    let hottest = Math.floor(from / KEYS_PER_BUCKET);
+    for (let bucket = hottest + 1; bucket <= last; bucket += 1)
+      if ((this.buckets[bucket] ?? 0) > (this.buckets[hottest] ?? 0)) hottest = bucket;
+    return {
+      from: Math.max(from, hottest * KEYS_PER_BUCKET),
+      to: Math.min(to, (hottest + 1) * KEYS_PER_BUCKET - 1),
+      load: ((this.buckets[hottest] ?? 0) * 1_000) / FADE_MS,
+    };
+  }
+
   /** Counts buckets from `start` towards `end` whose load together is within the limit; at least one stays. */
   private countBuckets(
     start: number,
