--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type Socket } from 'node:net';
+import { randomBytes } from 'node:crypto';
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
@@ -96,6 +97,12 @@
   t.end();
 });
 
+t.test('text is compressed and random bytes are not', (t) => {
+  t.equal(packBody(Buffer.from('{"badge":"valid","pitch":17}'.repeat(60))).encoding, 'deflate');
+  t.equal(packBody(randomBytes(5_000)).encoding, 'plain');
+  t.end();
+});
+
 t.test('body is the same after compression', (t) => {
   for (const text of ['', 'short', 'long '.repeat(500)]) {
     const packed = packBody(Buffer.from(text));
