Trace a request through the logs of several daemons

Cause: the way from an id to its cause was a search through all logs by hand, and the lines that explain a decision (a move of keys, a lost store) do not carry the id.

--- a/packages/cli/src/OperatorCommands.ts
+++ b/packages/cli/src/OperatorCommands.ts
@@ -9,8 +9,9 @@
 import { ReturnCommand } from '#cli/ReturnCommand.js';
 import { StatsCommand } from '#cli/StatsCommand.js';
 import { StatusCommand } from '#cli/StatusCommand.js';
+import { TraceCommand } from '#cli/TraceCommand.js';
 
-/** Commands that use files or the administration API only. */
+/** Commands that use files, logs or the administration API only. */
 export const operatorCommands: readonly Command[] = [
   new CheckCommand(),
   new CatalogueCommand(),
@@ -22,4 +23,5 @@
   new StatsCommand(),
   new HeldCommand(),
   new ExplainCommand(),
+  new TraceCommand(),
 ];
