--- /dev/null
+++ b/packages/mesh/src/CreateOrder.ts
@@ -0,0 +1,19 @@
+import type { MeshExchange } from '#mesh/MeshExchange.js';
+import type { Order } from '#mesh/Order.js';
+import { returnMs } from '#mesh/ReturnMs.js';
+
+/** Creates the order of an exchange. `resumes` is the run of the daemon that already received it, or empty. */
+export function createOrder(exchange: MeshExchange, callerService: string, resumes: string): Order {
+  const { request, route, service, dueMs } = exchange;
+  return {
+    request,
+    service,
+    callerService,
+    idempotent: route.idempotent,
+    priority: route.priority,
+    targetLatencyMs: route.targetLatencyMs,
+    targetMs: request.arrivedMs + route.targetLatencyMs - returnMs,
+    dueMs,
+    resumes,
+  };
+}
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -4,23 +4,22 @@
 import type { Outcome } from '#delivery/Outcome.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
+import { createOrder } from '#mesh/CreateOrder.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
 import { exchangeChart } from '#mesh/ExchangeChart.js';
 import { findKeyOwner } from '#mesh/FindKeyOwner.js';
+import { findOwnerWait } from '#mesh/FindOwnerWait.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
 import type { Offer } from '#mesh/Offer.js';
-import type { Order } from '#mesh/Order.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import { RequestRecorder } from '#mesh/RequestRecorder.js';
+import { returnMs } from '#mesh/ReturnMs.js';
 import { ServerDirectory } from '#mesh/ServerDirectory.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { View } from '#mesh/View.js';
 
-/** Time of a caller's deadline or target that is kept for the way to it, in milliseconds. */
-const RETURN_MS = 20;
-
 /** Time of a route's timeout that is kept so that the answer is not late, in milliseconds. */
 const TIMEOUT_MARGIN_MS = 5;
 
@@ -39,16 +38,6 @@
 /** Times that an offer whose session was lost is continued at the same daemon. */
 const MAX_RESUMES = 3;
 
-/** Part of the target latency that a request waits for the owner of its key. */
-const OWNER_WAIT_PART = 0.5;
-
-/** The same while the owner says that the key is on its way to the next one, which mostly takes less than 500 ms. */
-const MOVE_WAIT_PART = 2;
-
-/** Pause between two looks for the owner of a key, in milliseconds. A move that ends shows in the view. */
-const OWNER_RETRY_MS = 100;
-const MOVE_RETRY_MS = 300;
-
 /** Part of the time left after which a refused caller may come back at the latest. */
 const RETRY_PART = 0.3;
 const LEAST_RETRY_MS = 60;
@@ -143,7 +132,7 @@
     }
     const nowMs = this.now();
     this.retries.noteRequest(service, '', nowMs);
-    const deadlineMs = request.arrivedMs + (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - RETURN_MS;
+    const deadlineMs = request.arrivedMs + (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - returnMs;
     const dueMs = Math.min(deadlineMs, request.arrivedMs + route.timeoutMs - TIMEOUT_MARGIN_MS);
     const cancelDue = this.options.clock.schedule(dueMs - nowMs, () => this.post({ type: 'due', exchange }));
     this.exchanges.set(exchange, {
@@ -204,19 +193,16 @@
   /** Waits a while for the keys to reach their next owner. */
   private waitForOwner(exchange: MeshExchange): void {
     const nowMs = this.now();
-    const waitingMs = exchange.waitingMs ?? nowMs;
-    const isMoving = exchange.lastRefusal === 'moving';
-    const part = isMoving ? MOVE_WAIT_PART : OWNER_WAIT_PART;
-    const limitMs = waitingMs + exchange.route.targetLatencyMs * part;
-    if (exchange.offers >= MAX_OFFERS || nowMs >= limitMs || exchange.request.key === undefined) {
+    const { sinceMs, untilMs, retryMs } = findOwnerWait(exchange, nowMs);
+    if (exchange.offers >= MAX_OFFERS || nowMs >= untilMs || exchange.request.key === undefined) {
       this.refuse(exchange);
       return;
     }
     exchange.cursor.send({ type: 'waited' });
-    const cancelWait = this.options.clock.schedule(isMoving ? MOVE_RETRY_MS : OWNER_RETRY_MS, () =>
+    const cancelWait = this.options.clock.schedule(retryMs, () =>
       this.post({ type: 'waited', exchange: exchange.number }),
     );
-    this.exchanges.set(exchange.number, { ...exchange, waitingMs, cancelWait });
+    this.exchanges.set(exchange.number, { ...exchange, waitingMs: sinceMs, cancelWait });
   }
 
   private resumeWaiting(number: number, type: 'viewChanged' | 'retried'): void {
@@ -232,27 +218,13 @@
     const offer = { number: exchange.offers + 1, server, sentMs: this.now(), resumed };
     exchange.cursor.send({ type: 'offered' });
     this.exchanges.set(exchange.number, { ...exchange, offer, offers: offer.number });
-    const order = this.createOrder(exchange, resumed > 0 ? server.processId : '');
+    const order = createOrder(exchange, this.options.place.service, resumed > 0 ? server.processId : '');
     this.options.chooser.noteSent(server.serverId);
     this.options.send(order, server, (result) =>
       this.post({ type: 'result', exchange: exchange.number, offer: offer.number, result }),
     );
   }
 
-  private createOrder({ request, route, service, dueMs }: MeshExchange, resumes: string): Order {
-    return {
-      request,
-      service,
-      callerService: this.options.place.service,
-      idempotent: route.idempotent,
-      priority: route.priority,
-      targetLatencyMs: route.targetLatencyMs,
-      targetMs: request.arrivedMs + route.targetLatencyMs - RETURN_MS,
-      dueMs,
-      resumes,
-    };
-  }
-
   private noteResult(number: number, offerNumber: number, result: OrderResult): void {
     const exchange = this.exchanges.get(number);
     const offer = exchange?.offer;
--- a/packages/mesh/src/LoadMeter.ts
+++ b/packages/mesh/src/LoadMeter.ts
@@ -1,9 +1,8 @@
-import { estimateWait } from '#mesh/EstimateWait.js';
 import type { LoadReport } from '#mesh/LoadReport.js';
 import type { OrderQueue } from '#mesh/OrderQueue.js';
 import type { ReportedLoad } from '#mesh/ReportedLoad.js';
 import { RecentLeast } from '#mesh/RecentLeast.js';
-import type { RunningOrder } from '#mesh/RunningOrder.js';
+import type { RunningOrders } from '#mesh/RunningOrders.js';
 
 /** A reported slowdown says something for this long, in milliseconds. */
 const SLOWDOWN_KEEP_MS = 400;
@@ -28,17 +27,17 @@
 
   /** `serviceMs` is the average time of an order. */
   public report(
-    running: readonly RunningOrder[],
+    running: RunningOrders,
     queue: OrderQueue,
     slots: number,
     serviceMs: number,
     nowMs: number,
   ): LoadReport {
     return {
-      running: running.length,
+      running: running.size,
       queued: queue.size,
       slots,
-      waitMs: estimateWait(running, queue.workMs(), slots, nowMs),
+      waitMs: running.waitMs(queue.workMs(), slots, nowMs),
       serviceMs,
       slowdown: nowMs - this.slowdownMs < SLOWDOWN_KEEP_MS ? this.slowdown : 1,
     };
--- a/packages/mesh/src/OrderQueue.ts
+++ b/packages/mesh/src/OrderQueue.ts
@@ -1,3 +1,6 @@
+import { findRow } from '#ranges/FindRow.js';
+import type { KeyRange } from '#ranges/KeyRange.js';
+import { canEnd } from '#mesh/CanEnd.js';
 import type { Order } from '#mesh/Order.js';
 import type { QueuedOrder } from '#mesh/QueuedOrder.js';
 
@@ -30,6 +33,26 @@
     return this.take(({ order }) => order.request.id === id);
   }
 
+  /** Removes and returns the orders that could no longer start in time; answers have to be there `returnMs` earlier. */
+  public removeLate(slots: number, returnMs: number, nowMs: number): readonly QueuedOrder[] {
+    return this.removeHopeless(
+      ({ order, serviceMs }, aheadMs) =>
+        !canEnd(order, nowMs + aheadMs / Math.max(1, slots) + returnMs, serviceMs),
+    );
+  }
+
+  /** Removes and returns the orders for keys of the given ranges, which are sorted. */
+  public removeKeys(ranges: readonly KeyRange[]): readonly QueuedOrder[] {
+    return this.removeHopeless(
+      ({ order: { request } }) => request.key !== undefined && findRow(ranges, request.key) !== undefined,
+    );
+  }
+
+  /** Removes and returns all orders. */
+  public removeAll(): readonly QueuedOrder[] {
+    return this.removeHopeless(() => true);
+  }
+
   /** Removes and returns all orders that `isHopeless` selects, given the work that waits before each. */
   public removeHopeless(
     isHopeless: (queued: QueuedOrder, workAheadMs: number) => boolean,
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -1,14 +1,14 @@
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
-import { findRow } from '#ranges/FindRow.js';
 import { applyViewToServer } from '#mesh/ApplyViewToServer.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { canEnd } from '#mesh/CanEnd.js';
 import { checkAdmission } from '#mesh/CheckAdmission.js';
 import { classifyAnswer } from '#mesh/ClassifyAnswer.js';
 import { ColdLimit } from '#mesh/ColdLimit.js';
 import { CrashRecord } from '#mesh/CrashRecord.js';
-import { estimateWait } from '#mesh/EstimateWait.js';
 import { findHeader } from '#mesh/FindHeader.js';
+import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
 import { createRefusal } from '#mesh/CreateRefusal.js';
 import { formatOrder } from '#mesh/FormatOrder.js';
 import type { GrantedKeys } from '#mesh/GrantedKeys.js';
@@ -30,6 +30,7 @@
 import type { QueuedOrder } from '#mesh/QueuedOrder.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { RunningOrder } from '#mesh/RunningOrder.js';
+import { RunningOrders } from '#mesh/RunningOrders.js';
 import type { ServerLink } from '#mesh/ServerLink.js';
 import { ServerLinks } from '#mesh/ServerLinks.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
@@ -42,18 +43,6 @@
 /** Time of an order's due time that is left for the way back to its caller, in milliseconds. */
 const RETURN_MS = 5;
 
-/** An order with less time than this part of its expected time is not started. */
-const LEAST_PART = 0.5;
-
-/**
- * Part of the target latency by which a waiting order is expected to end before its target. A longer queue would make all
- * orders late and serve no more of them.
- */
-const RESERVE_PART = 0.2;
-
-/** An order that waits for less than this part of its target latency is taken, even if it may be late. */
-const SHORT_WAIT_PART = 0.2;
-
 /** Part of the target latency that an order waits for its key to be granted to the server. */
 const GRANT_WAIT_PART = 0.6;
 
@@ -79,7 +68,7 @@
   private readonly meter = new LoadMeter();
   private readonly cold = new ColdLimit();
   private readonly crashes: CrashRecord;
-  private readonly running = new Map<string, RunningOrder>();
+  private readonly running = new RunningOrders();
   private answeredMs = -Infinity;
   private failedOpenings = 0;
   private readonly kinds = new ShortKinds();
@@ -170,15 +159,13 @@
     this.queue.add(queued);
   }
 
-  private checkRoom({ order, serviceMs, isShort }: QueuedOrder, nowMs: number): RefusalCode | undefined {
+  private checkRoom(queued: QueuedOrder, nowMs: number): RefusalCode | undefined {
+    const { order, isShort } = queued;
+    const { slots } = this.state.presence;
     if (this.crashes.isHeld(order, nowMs)) return 'quarantined';
-    if (this.queue.size >= this.state.presence.slots * QUEUE_FACTOR) return 'full';
-    const waitMs = this.waitFor(this.queue.workAheadMs(order, isShort), nowMs);
-    const dueMs = order.dueMs - RETURN_MS;
-    const inTimeMs = order.targetMs - order.targetLatencyMs * RESERVE_PART;
-    const soonMs = nowMs + serviceMs + order.targetLatencyMs * SHORT_WAIT_PART;
-    const limitMs = isShort ? dueMs : Math.min(dueMs, Math.max(inTimeMs, soonMs));
-    return nowMs + waitMs + serviceMs > limitMs ? 'full' : undefined;
+    if (this.queue.size >= slots * QUEUE_FACTOR) return 'full';
+    const waitMs = this.running.waitMs(this.queue.workAheadMs(order, isShort), slots, nowMs);
+    return fitsBeforeTarget(queued, waitMs, order.dueMs - RETURN_MS, nowMs) ? undefined : 'full';
   }
 
   private cancel(id: string): void {
@@ -189,9 +176,9 @@
         { type: 'refused', code: 'tooLate', retryAfterMs: 0, load: undefined, arrived: false },
         nowMs,
       );
-    const running = this.running.get(id);
+    const running = this.running.find(id);
     if (running?.order.idempotent !== true) return;
-    this.running.delete(id);
+    this.running.remove(id);
     running.link.destroy();
     this.ledger.close(id, { type: 'lost', code: 'cancelled', load: undefined }, nowMs);
   }
@@ -202,18 +189,13 @@
     if (before.incarnation === presence.incarnation && presence.state !== 'absent') return;
     this.failedOpenings = 0;
     if (before.incarnation !== presence.incarnation) this.links.closeAll();
-    if (presence.state === 'absent') this.refuseQueue('noServer');
+    if (presence.state === 'absent') this.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
   /** Orders that wait for keys on the move go back to their entry daemons, which know the next owner first. */
   private noteKeys(keys: GrantedKeys): void {
     this.state = { ...this.state, keys };
-    if (keys.moving.length === 0) return;
-    const moved = this.queue.removeHopeless(
-      ({ order: { request } }) =>
-        request.key !== undefined && findRow(keys.moving, request.key) !== undefined,
-    );
-    for (const { order } of moved) this.end(order, this.refuse(order, 'moving', false));
+    if (keys.moving.length > 0) this.refuseAll(this.queue.removeKeys(keys.moving), 'moving');
   }
 
   private noteSignal(link: ServerLink, signal: ServerLinkSignal): void {
@@ -223,13 +205,13 @@
         return;
       case 'answered': {
         if (!signal.reusable) this.links.remove(link);
-        const running = this.takeRunning(link);
+        const running = this.running.take(link);
         if (running !== undefined) this.finish(running, signal.answer);
         return;
       }
       case 'broken': {
         this.links.remove(link);
-        const running = this.takeRunning(link);
+        const running = this.running.take(link);
         if (running !== undefined)
           this.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
         return;
@@ -243,12 +225,6 @@
     }
   }
 
-  private takeRunning(link: ServerLink): RunningOrder | undefined {
-    const found = [...this.running.values()].find((each) => each.link === link);
-    if (found !== undefined) this.running.delete(found.order.request.id);
-    return found;
-  }
-
   private finish(running: RunningOrder, answer: BackendAnswer): void {
     const { order, sentMs } = running;
     const nowMs = this.now();
@@ -294,46 +270,40 @@
     this.failedOpenings += 1;
     this.options.onEvidence({ kind: refused ? 'refused' : 'silent', incarnation });
     if (refused) this.crashes.noteCrash(incarnation, this.now());
-    if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseQueue('noServer');
+    if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
-  private refuseQueue(code: RefusalCode): void {
-    for (const { order } of this.queue.removeHopeless(() => true))
-      this.end(order, this.refuse(order, code, false));
+  private refuseAll(waiting: readonly QueuedOrder[], code: RefusalCode): void {
+    for (const { order } of waiting) this.end(order, this.refuse(order, code, false));
   }
 
   private tick(): void {
     this.cancelTick = undefined;
     const nowMs = this.now();
     this.ledger.expire(nowMs);
-    const slots = this.state.presence.slots;
-    const hopeless = this.queue.removeHopeless(
-      ({ order, serviceMs }, aheadMs) =>
-        nowMs + aheadMs / Math.max(1, slots) + serviceMs * LEAST_PART > order.dueMs - RETURN_MS,
-    );
-    for (const { order } of hopeless) this.end(order, this.refuse(order, 'tooLate', false));
+    this.refuseAll(this.queue.removeLate(this.state.presence.slots, RETURN_MS, nowMs), 'tooLate');
     const unheld = this.queue.removeHopeless(
       ({ order, queuedMs }) =>
         this.state.keyed && nowMs - queuedMs > order.targetLatencyMs * GRANT_WAIT_PART && !this.holds(order),
     );
-    for (const { order } of unheld) this.end(order, this.refuse(order, 'notGranted', false));
+    this.refuseAll(unheld, 'notGranted');
     this.options.onLoad(this.report(), this.meter.baseSlowdown);
     this.checkSilence(nowMs);
-    for (const running of this.running.values()) {
+    for (const running of this.running.list()) {
       if (nowMs > running.order.dueMs) this.giveUp(running, nowMs);
     }
   }
 
   /** Reports a backend server that answers none of its orders; its announcements decide whether it is gone. */
   private checkSilence(nowMs: number): void {
-    const oldestMs = Math.min(...[...this.running.values()].map(({ sentMs }) => sentMs));
+    const { oldestMs } = this.running;
     if (nowMs - Math.max(oldestMs, this.answeredMs) < SILENCE_MS || !Number.isFinite(oldestMs)) return;
     this.options.onEvidence({ kind: 'silent', incarnation: this.state.presence.incarnation });
   }
 
   private giveUp(running: RunningOrder, nowMs: number): void {
     const { id } = running.order.request;
-    this.running.delete(id);
+    this.running.remove(id);
     running.link.destroy();
     this.ledger.close(id, { type: 'lost', code: 'timeout', load: this.report() }, nowMs);
   }
@@ -378,13 +348,13 @@
   private start({ order, serviceMs, queuedMs }: QueuedOrder, link: ServerLink, nowMs: number): void {
     const { request } = order;
     const leftMs = order.dueMs - RETURN_MS - nowMs;
-    if (leftMs < serviceMs * LEAST_PART) {
+    if (!canEnd(order, nowMs + RETURN_MS, serviceMs)) {
       this.end(order, this.refuse(order, 'tooLate', false));
       return;
     }
     this.cold.note(nowMs);
     this.links.touch(link);
-    this.running.set(request.id, { order, link, sentMs: nowMs, expectedMs: serviceMs });
+    this.running.add({ order, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
     const head = formatOrder(order, instanceId, leftMs, this.options.headers);
     link.send(request.id, request.method === 'HEAD', head, request.body);
@@ -416,13 +386,8 @@
   }
 
   private report(): LoadReport {
-    const running = [...this.running.values()];
     const { slots } = this.state.presence;
-    return this.meter.report(running, this.queue, slots, this.times.meanMs, this.now());
-  }
-
-  private waitFor(workAheadMs: number, nowMs: number): number {
-    return estimateWait([...this.running.values()], workAheadMs, this.state.presence.slots, nowMs);
+    return this.meter.report(this.running, this.queue, slots, this.times.meanMs, this.now());
   }
 
   private scheduleTick(): void {
