Move no keys for balance to an owner with many rows

Cause: each move adds a row of the table, and an answer to an announcement carries 60 rows; keys beyond are not granted. Change: an owner with 40 rows receives no more for balance; takeovers of lost owners still reach it. Test: rangeTask.test.ts.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -47,6 +47,9 @@
 /** Rows that one answer to an announcement can carry. */
 const MAX_ROWS = 60;
 
+/** Rows of an owner beyond which no more are moved to it for balance, so that it can still take over from a lost one. */
+const BALANCE_ROWS = 40;
+
 /**
  * An answer to an announcement is held back for this part of the time to the next one, so that most changes of keys find
  * one waiting, and for at most the given time, in milliseconds: it counts only within a second.
@@ -305,6 +308,11 @@
   private planRelease({ from, to }: KeyRange, serverId: string): void {
     const owner = listReceivers(this.view, this.service).find((each) => each.serverId === serverId);
     if (owner === undefined) return;
+    const rows = this.table?.table.rows.filter((row) => row.serverId === serverId).length ?? 0;
+    if (rows >= BALANCE_ROWS) {
+      this.options.logger.log('releaseOmitted', { step: 'move', peer: serverId, rows });
+      return;
+    }
     this.options.logger.log('release', { step: 'move', from, to, peer: serverId });
     this.releases = [...this.releases, { from, to, owner, step: 'planned' }];
   }
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -178,6 +178,26 @@
   t.equal(answers, 1);
 });
 
+t.test('owner with many rows receives no more', async (t) => {
+  // Each move adds a row; rows beyond what an answer to an announcement carries are not granted.
+  const run = start(t);
+  const rows = Array.from({ length: 120 }, (_, index) => ({
+    ...owners[index % 2]!,
+    from: index * 500,
+    to: index === 119 ? 65_535 : index * 500 + 499,
+    epoch: 1,
+    handover: '',
+  }));
+  await run.view(servers, { ...table, rows });
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
+  await run.settle();
+  t.equal(run.served.length, 60);
+  await run.checkIn([]);
+  t.equal(run.served.length, 60, 'nothing is released');
+});
+
 t.test('server that is back keeps its keys', async (t) => {
   const run = start(t);
   await run.view(servers, table);
