--- a/packages/mesh/src/OrderLedger.ts
+++ b/packages/mesh/src/OrderLedger.ts
@@ -22,6 +22,11 @@
     return this.accounts.has(id);
   }
 
+  /** Whether the order ended without having run, so that it may be offered anew. */
+  public wasRefused(id: string): boolean {
+    return this.accounts.get(id)?.result?.type === 'refused';
+  }
+
   /** Opens the account of an order that begins now. */
   public open(id: string, reply: OrderReply, nowMs: number): void {
     this.accounts.delete(id);
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -134,7 +134,8 @@
 
   private accept(order: Order, reply: OrderReply): void {
     const { id } = order.request;
-    if (this.ledger.has(id) && (order.resumes !== '' || !order.idempotent)) {
+    const isRepeat = order.resumes !== '' || (!order.idempotent && !this.ledger.wasRefused(id));
+    if (this.ledger.has(id) && isRepeat) {
       this.ledger.join(id, reply);
       return;
     }
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -258,6 +258,24 @@
   t.match(await run(createOrder('3', {}, 700)), { type: 'refused', code: 'notOwner' });
 });
 
+t.test('order that was refused can be offered anew', async (t) => {
+  // The refusal of the first offer was given again though the key had come back.
+  const { run, task, server } = await startServerTask(t, ({ id, socket }) => socket.write(formatAnswer(id)));
+  task.post({ type: 'view', view: keyedView });
+  const all = { from: 0, to: 99 };
+  const none = { held: [], untilMs: 0, expected: [], moving: [] };
+  task.post({ type: 'granted', keys: { ...none, expected: [all] } });
+  const order = createOrder('1', { idempotent: false, dueMs: performance.now() + 5_000 }, 7);
+  const first = run(order);
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  task.post({ type: 'granted', keys: { ...none, moving: [all] } });
+  t.match(await first, { type: 'refused', code: 'moving' });
+  task.post({ type: 'granted', keys: { ...none, held: [all], expected: [all], untilMs: Infinity } });
+  t.match(await run(order), { type: 'answered' });
+  t.match(await run(order), { type: 'answered' }, 'the answer is kept');
+  t.equal(server.requests.length, 1, 'it runs once');
+});
+
 t.test('daemon that ends takes no new orders', async (t) => {
   // Orders of other daemons kept it busy until it was killed with some of them at work.
   const { run, task } = await startServerTask(t, ({ id, socket }) =>
