Let no order wait for a daemon that could not be reached before

Cause: after the pause for an unreachable daemon the next connection was opened with the orders that arrived meanwhile on it. Ruled out: waiting at the owner's queue (arrivals 0, no orderRefused line for these ids). Change: a daemon that could not be reached is looked for by a connection without orders; they are refused as unreachable, which has not run, until it is established. Test: relay.test.ts 'no order waits for a daemon that was not there', failed before.

--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -91,8 +91,9 @@
 
   private findSession(address: string): PeerSession | undefined {
     const known = this.sessions.get(address);
-    if (known?.isOpen === true && !known.isSuspect) return known;
     const pause = this.pauses.get(address);
+    if (known?.isOpen === true && !known.isSuspect)
+      return known.isConnecting && pause !== undefined ? undefined : known;
     if (pause !== undefined && this.now() < pause.untilMs) return undefined;
     const session: PeerSession = new PeerSession(
       address,
@@ -100,7 +101,8 @@
       (failed) => this.post({ type: 'closed', address, session, failed }),
     );
     this.sessions.set(address, session);
-    return session;
+    // No order waits for a daemon that could not be reached before: it may be gone for good.
+    return pause === undefined ? session : undefined;
   }
 
   private noteClosed(address: string, session: PeerSession, failed: boolean): void {
@@ -118,7 +120,7 @@
   }
 
   private scheduleTick(): void {
-    const busy = [...this.sessions.values()].some((session) => session.isBusy);
+    const busy = [...this.sessions.values()].some((session) => session.isBusy || session.isConnecting);
     if (!busy || this.cancelTick !== undefined) return;
     this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
   }
