--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -65,11 +65,6 @@
     return !this.session.closed && !this.session.destroyed && this.cursor.state !== 'closed';
   }
 
-  /** Whether the session is not established yet. */
-  public get isConnecting(): boolean {
-    return this.cursor.state === 'connecting';
-  }
-
   /** Whether calls are waiting for their answer. */
   public get isBusy(): boolean {
     return this.calls > 0;
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -91,9 +91,8 @@
 
   private findSession(address: string): PeerSession | undefined {
     const known = this.sessions.get(address);
+    if (known?.isOpen === true && !known.isSuspect) return known;
     const pause = this.pauses.get(address);
-    if (known?.isOpen === true && !known.isSuspect)
-      return known.isConnecting && pause !== undefined ? undefined : known;
     if (pause !== undefined && this.now() < pause.untilMs) return undefined;
     const session: PeerSession = new PeerSession(
       address,
@@ -101,8 +100,7 @@
       (failed) => this.post({ type: 'closed', address, session, failed }),
     );
     this.sessions.set(address, session);
-    // No order waits for a daemon that could not be reached before: it may be gone for good.
-    return pause === undefined ? session : undefined;
+    return session;
   }
 
   private noteClosed(address: string, session: PeerSession, failed: boolean): void {
@@ -120,7 +118,7 @@
   }
 
   private scheduleTick(): void {
-    const busy = [...this.sessions.values()].some((session) => session.isBusy || session.isConnecting);
+    const busy = [...this.sessions.values()].some((session) => session.isBusy);
     if (!busy || this.cancelTick !== undefined) return;
     this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
   }
