Log each change of a grant, and why released keys became free

Cause: when two backend servers hold a key at once, the logs show writes of the table only. They do not tell whether the former owner had announced that it holds the keys no longer, its grants had ended, or it had been taken for dead, nor which rows either one had been granted.

Change: 'granted' names the rows added to and removed from a grant, 'released' names freed keys and the evidence. Both are written on a change only.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -20,7 +20,9 @@
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { emptyView } from '#mesh/EmptyView.js';
+import { formatRows } from '#mesh/FormatRows.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
+import { listGrantChange } from '#mesh/ListGrantChange.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { PendingRelease } from '#mesh/PendingRelease.js';
 import type { RangeMessage } from '#mesh/RangeMessage.js';
@@ -177,7 +179,7 @@
     this.leaving = leaving;
     this.slots = slots;
     this.released = [...this.released, ...released];
-    this.releases = advanceReleases(this.releases, holds);
+    this.setReleases(advanceReleases(this.releases, holds), 'announced');
     if (this.isKeyed()) this.options.onKeyed();
     if (this.waiting !== undefined) this.answer(this.waiting.reply);
     this.waiting = { reply, sinceMs: this.now() };
@@ -214,6 +216,7 @@
     }
     this.grantsEndMs = this.endOfGrant(holdMs);
     this.heldUntilMs = this.now() + holdMs;
+    this.logGrant(rows, holdMs);
     this.given = rows;
     this.releases = this.releases.map((release) =>
       release.step === 'planned' ? { ...release, step: 'told' } : release,
@@ -221,6 +224,20 @@
     reply({ rows, holdMs });
   }
 
+  private logGrant(rows: readonly RangeRow[], holdMs: number): void {
+    const { added, removed } = listGrantChange(this.given, rows);
+    if (added.length + removed.length === 0) return;
+    this.options.logger.log('granted', {
+      step: 'move',
+      incarnation: this.incarnation,
+      added: formatRows(added),
+      removed: formatRows(removed),
+      rows: rows.length,
+      holdMs,
+      term: this.lease.term,
+    });
+  }
+
   private noteEnded(incarnation: string, proven: boolean): void {
     if (incarnation !== this.incarnation) return;
     this.leaving = true;
@@ -268,7 +285,10 @@
     if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
     if (this.hasToLeave()) this.releaseAll(table.table);
     if (this.options.clock.monotonicMs() >= this.grantsEndMs)
-      this.releases = this.releases.map((release) => ({ ...release, step: 'free' }));
+      this.setReleases(
+        this.releases.map((release) => ({ ...release, step: 'free' })),
+        'grantsEnded',
+      );
     const stale = this.isAlive && !this.leaving ? renewOwner(table.table, this.owner) : table.table;
     if (stale !== table.table) {
       this.write(stale, table.revision, 'ownerRenewed');
@@ -279,6 +299,14 @@
       this.write(transferRanges(table.table, settled), table.revision, 'keysTransferred');
   }
 
+  /** Takes releases over; logs those that have become free, and by which evidence. */
+  private setReleases(next: readonly PendingRelease[], evidence: 'announced' | 'grantsEnded'): void {
+    const freed = next.filter(({ step }, index) => step === 'free' && this.releases[index]?.step !== 'free');
+    this.releases = next;
+    for (const { from, to, owner } of freed)
+      this.options.logger.log('released', { step: 'move', from, to, peer: owner.serverId, evidence });
+  }
+
   private releaseAll(table: RangeTable): void {
     const open = subtractRanges(listRowsOf(table, this.options.place.serverId), this.releases);
     if (open.length === 0) return;
