Grant inherited keys only after a write that fences the former run

What callers and backend servers saw: two backend servers hold the same keys (OWNER). Cause: a daemon that had freed keys and sent the write that gives them away is killed; the store may carry that write out seconds later, while its condition still holds. The next run of the daemon reads the table before that, grants the keys again to the backend server beside it, and then the old write names another owner, which grants them too.

Evidence: rangeTask.test.ts 'late write of a former run moves no granted keys' failed before this change: the late write was accepted after the keys had been granted.

Change: a run that finds keys of its own in the first table that it reads writes the table once (tableFenced), or sees any other write, before it grants; a conditional write of the former run fails then. The releases that are under way move into ReleaseLedger.

--- a/packages/mesh/src/RangeTableCodec.ts
+++ b/packages/mesh/src/RangeTableCodec.ts
@@ -1,9 +1,10 @@
-import { array, Codec, number, string } from 'purify-ts';
+import { array, Codec, number, optional, string } from 'purify-ts';
 
 /** Decodes a stored `RangeTable`. */
 export const rangeTableCodec = Codec.interface({
   service: string,
   lastEpoch: number,
+  fences: optional(number),
   rows: array(
     Codec.interface({
       from: number,
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -1,12 +1,12 @@
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
+import { fenceTable } from '#ranges/FenceTable.js';
 import { grantMs } from '#ranges/GrantMs.js';
 import { isSameOwner } from '#ranges/IsSameOwner.js';
 import { KeyLoads } from '#ranges/KeyLoads.js';
 import type { KeyRange } from '#ranges/KeyRange.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
-import { overlaps } from '#ranges/Overlaps.js';
 import type { Owner } from '#ranges/Owner.js';
 import type { RangeRow } from '#ranges/RangeRow.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
@@ -15,7 +15,6 @@
 import { subtractRanges } from '#ranges/SubtractRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
-import { advanceReleases } from '#mesh/AdvanceReleases.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
@@ -24,13 +23,11 @@
 import type { HeldLease } from '#mesh/HeldLease.js';
 import { listGrantChange } from '#mesh/ListGrantChange.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
-import type { PendingRelease } from '#mesh/PendingRelease.js';
 import type { RangeMessage } from '#mesh/RangeMessage.js';
 import type { RangeOptions } from '#mesh/RangeOptions.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
-import type { ReleasedRow } from '#mesh/ReleasedRow.js';
+import { ReleaseLedger } from '#mesh/ReleaseLedger.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
-import { settleReleases } from '#mesh/SettleReleases.js';
 import { settleTable } from '#mesh/SettleTable.js';
 import type { TableView } from '#mesh/TableView.js';
 import type { View } from '#mesh/View.js';
@@ -82,8 +79,9 @@
   /** Rows of the last answer to an announcement. */
   private given: readonly RangeRow[] = [];
   private waiting: WaitingReply | undefined;
-  private released: readonly ReleasedRow[] = [];
-  private releases: readonly PendingRelease[] = [];
+  private readonly releases: ReleaseLedger;
+  /** Revision of the first table that this run read, if it inherited keys from a former run; 0 otherwise. */
+  private inheritedRevision: number | undefined;
   /** Monotonic time at which the grants given so far have surely ended. */
   private grantsEndMs: number;
   private heldUntilMs = 0;
@@ -96,6 +94,7 @@
   public constructor(options: RangeOptions) {
     super();
     this.options = options;
+    this.releases = new ReleaseLedger(options.logger);
     this.loads = new KeyLoads(options.elapsed.nowMs());
     this.replyHoldMs = Math.min(MAX_REPLY_HOLD_MS, options.announceEveryMs * REPLY_HOLD_PART);
     // An earlier run of this daemon may have given grants just before.
@@ -163,23 +162,22 @@
     this.view = view;
     const table = view.tables.get(this.service);
     if (table !== undefined) this.adopt(table);
+    else if (view.complete) this.inheritedRevision ??= 0;
     if (this.isKeyed() && this.incarnation !== '') this.options.onKeyed();
   }
 
   private noteCheckIn({ incarnation, holds, released, leaving, slots, reply }: CheckIn): void {
     if (incarnation !== this.incarnation) {
       this.incarnation = incarnation;
-      this.released = [];
-      this.releases = [];
+      this.releases.clear();
       this.given = [];
     }
     this.isAlive = true;
     // A server that was taken for gone and is back keeps what it was not yet told to release.
-    if (this.leaving && !leaving) this.releases = this.releases.filter(({ step }) => step !== 'planned');
+    if (this.leaving && !leaving) this.releases.cancelPlanned();
     this.leaving = leaving;
     this.slots = slots;
-    this.released = [...this.released, ...released];
-    this.setReleases(advanceReleases(this.releases, holds), 'announced');
+    this.releases.noteAnnounced(holds, released);
     if (this.isKeyed()) this.options.onKeyed();
     if (this.waiting !== undefined) this.answer(this.waiting.reply);
     this.waiting = { reply, sinceMs: this.now() };
@@ -201,8 +199,9 @@
 
   private hasNews(): boolean {
     if (this.table === undefined || this.leaving || !this.isKeyed()) return true;
+    if (!this.isFenced(this.table)) return false;
     // The backend server announces within 100 ms of an answer while it still holds keys that it was told to release.
-    if (this.releases.some(({ step }) => step === 'told')) return true;
+    if (this.releases.hasTold) return true;
     const rows = this.listGrantable();
     return rows.length !== this.given.length || rows.some((row, index) => !isSameRow(row, this.given[index]));
   }
@@ -210,7 +209,7 @@
   private answer(reply: CheckIn['reply']): void {
     const rows = this.listGrantable();
     const holdMs = grantMs(this.lease.untilMs - this.now(), this.options.terms);
-    if (!this.isKeyed() || this.table === undefined || holdMs === 0) {
+    if (!this.isKeyed() || this.table === undefined || !this.isFenced(this.table) || holdMs === 0) {
       reply(undefined);
       return;
     }
@@ -218,9 +217,7 @@
     this.heldUntilMs = this.now() + holdMs;
     this.logGrant(rows, holdMs);
     this.given = rows;
-    this.releases = this.releases.map((release) =>
-      release.step === 'planned' ? { ...release, step: 'told' } : release,
-    );
+    this.releases.noteTold();
     reply({ rows, holdMs });
   }
 
@@ -257,7 +254,7 @@
       workMsPerSecond: rows.reduce((sum, row) => sum + this.loads.sum(row, this.now()), 0),
       slots: this.slots,
       accepts: this.isAlive && !this.hasToLeave(),
-      mayRelease: rows.length > 0 && this.releases.length === 0 && !this.writing,
+      mayRelease: rows.length > 0 && this.releases.isEmpty && !this.writing,
     });
     if (this.table === undefined) this.divideKeys();
   }
@@ -284,31 +281,28 @@
     const { table } = this;
     if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
     if (this.hasToLeave()) this.releaseAll(table.table);
-    if (this.options.clock.monotonicMs() >= this.grantsEndMs)
-      this.setReleases(
-        this.releases.map((release) => ({ ...release, step: 'free' })),
-        'grantsEnded',
-      );
+    if (this.options.clock.monotonicMs() >= this.grantsEndMs) this.releases.noteGrantsEnded();
     const stale = this.isAlive && !this.leaving ? renewOwner(table.table, this.owner) : table.table;
     if (stale !== table.table) {
       this.write(stale, table.revision, 'ownerRenewed');
       return;
     }
-    const settled = settleReleases(this.releases, this.released);
+    const settled = this.releases.listFree();
     if (settled.length > 0)
       this.write(transferRanges(table.table, settled), table.revision, 'keysTransferred');
+    else if (!this.isFenced(table)) this.write(fenceTable(table.table), table.revision, 'tableFenced');
   }
 
-  /** Takes releases over; logs those that have become free, and by which evidence. */
-  private setReleases(next: readonly PendingRelease[], evidence: 'announced' | 'grantsEnded'): void {
-    const freed = next.filter(({ step }, index) => step === 'free' && this.releases[index]?.step !== 'free');
-    this.releases = next;
-    for (const { from, to, owner } of freed)
-      this.options.logger.log('released', { step: 'move', from, to, peer: owner.serverId, evidence });
+  /**
+   * Whether the table was written since this run read it first. Until then a write of a former run of this daemon, which
+   * the store has not carried out yet, could give away keys that this run grants.
+   */
+  private isFenced({ revision }: TableView): boolean {
+    return revision > (this.inheritedRevision ?? revision);
   }
 
   private releaseAll(table: RangeTable): void {
-    const open = subtractRanges(listRowsOf(table, this.options.place.serverId), this.releases);
+    const open = this.releases.subtractFrom(listRowsOf(table, this.options.place.serverId));
     if (open.length === 0) return;
     const others = listReceivers(this.view, this.service).filter(
       ({ serverId }) => serverId !== this.options.place.serverId,
@@ -316,14 +310,11 @@
     const transfers = splitAmong(open, others);
     if (transfers.length === 0) return;
     this.options.logger.log('releaseAll', { step: 'move', rows: open.length, receivers: others.length });
-    this.releases = [
-      ...this.releases,
-      ...transfers.map(({ from, to, owner }) => ({ from, to, owner, step: 'planned' as const })),
-    ];
+    this.releases.plan(transfers);
   }
 
   private release(requests: readonly ReleaseRequest[]): void {
-    if (this.releases.length > 0) return;
+    if (!this.releases.isEmpty) return;
     const hot = chooseHotKeys(this.listGrantable(), this.loads, requests, this.now());
     if (hot !== undefined) this.planRelease(hot.range, hot.to);
     for (const request of requests) {
@@ -342,7 +333,7 @@
       return;
     }
     this.options.logger.log('release', { step: 'move', from, to, peer: serverId });
-    this.releases = [...this.releases, { from, to, owner, step: 'planned' }];
+    this.releases.plan([{ from, to, owner }]);
   }
 
   private write(next: RangeTable, ifRevision: number, event: string): void {
@@ -375,8 +366,8 @@
     if (this.table !== undefined && this.table.revision >= table.revision) return;
     this.table = table;
     const mine = listRowsOf(table.table, this.options.place.serverId);
-    this.releases = this.releases.filter((release) => mine.some((row) => overlaps(row, release)));
-    if (this.releases.length === 0) this.released = [];
+    this.releases.retain(mine);
+    this.inheritedRevision ??= mine.length > 0 ? table.revision : 0;
   }
 
   private listOwnRows(): readonly RangeRow[] {
@@ -387,16 +378,14 @@
   }
 
   private listGrantable(): readonly RangeRow[] {
-    const rows = subtractRanges(this.listOwnRows(), this.releases);
+    const rows = this.releases.subtractFrom(this.listOwnRows());
     if (rows.length > MAX_ROWS)
       this.options.logger.log('rowsOmitted', { step: 'move', rows: rows.length, limit: MAX_ROWS });
     return rows.slice(0, MAX_ROWS);
   }
 
   private tellGranted(): void {
-    const moving = this.releases
-      .filter(({ step }) => step !== 'planned')
-      .toSorted((left, right) => left.from - right.from);
+    const { moving } = this.releases;
     const expected = subtractRanges(this.listOwnRows(), moving);
     const held = expected.filter((row) => this.given.some((each) => covers(each, row)));
     this.options.onGranted({ held, untilMs: this.heldUntilMs, expected, moving });
--- /dev/null
+++ b/packages/mesh/src/ReleaseLedger.ts
@@ -0,0 +1,96 @@
+import type { Logger } from '#core/Logger.js';
+import type { KeyRange } from '#ranges/KeyRange.js';
+import { overlaps } from '#ranges/Overlaps.js';
+import type { RangeTransfer } from '#ranges/RangeTransfer.js';
+import { subtractRanges } from '#ranges/SubtractRanges.js';
+import { advanceReleases } from '#mesh/AdvanceReleases.js';
+import type { HeldRow } from '#mesh/HeldRow.js';
+import type { PendingRelease } from '#mesh/PendingRelease.js';
+import type { ReleasedRow } from '#mesh/ReleasedRow.js';
+import { settleReleases } from '#mesh/SettleReleases.js';
+
+/** The releases of keys that are under way at one run of a backend server. */
+export class ReleaseLedger {
+  private readonly logger: Logger;
+  private releases: readonly PendingRelease[] = [];
+  private released: readonly ReleasedRow[] = [];
+
+  public constructor(logger: Logger) {
+    this.logger = logger;
+  }
+
+  public get isEmpty(): boolean {
+    return this.releases.length === 0;
+  }
+
+  /** Whether the backend server has been told to release keys that it may still hold. */
+  public get hasTold(): boolean {
+    return this.releases.some(({ step }) => step === 'told');
+  }
+
+  /** Releases that the backend server was told of or that are free, in order of their keys. */
+  public get moving(): readonly PendingRelease[] {
+    return this.releases
+      .filter(({ step }) => step !== 'planned')
+      .toSorted((left, right) => left.from - right.from);
+  }
+
+  public plan(transfers: readonly Pick<RangeTransfer, 'from' | 'to' | 'owner'>[]): void {
+    const planned = transfers.map(({ from, to, owner }) => ({ from, to, owner, step: 'planned' as const }));
+    this.releases = [...this.releases, ...planned];
+  }
+
+  /** Drops releases of which the backend server was not told. */
+  public cancelPlanned(): void {
+    this.releases = this.releases.filter(({ step }) => step !== 'planned');
+  }
+
+  /** Notes that an answer leaves out the keys of all releases. */
+  public noteTold(): void {
+    this.releases = this.releases.map((release) =>
+      release.step === 'planned' ? { ...release, step: 'told' } : release,
+    );
+  }
+
+  /** Notes what an announcement lists; keys that it holds no longer are free. */
+  public noteAnnounced(holds: readonly HeldRow[], released: readonly ReleasedRow[]): void {
+    this.released = [...this.released, ...released];
+    this.replace(advanceReleases(this.releases, holds), 'announced');
+  }
+
+  /** Notes that no grant can be in force any more. */
+  public noteGrantsEnded(): void {
+    this.replace(
+      this.releases.map((release) => ({ ...release, step: 'free' })),
+      'grantsEnded',
+    );
+  }
+
+  /** The parts of rows that are not to be released. */
+  public subtractFrom<R extends KeyRange>(rows: readonly R[]): readonly R[] {
+    return subtractRanges(rows, this.releases);
+  }
+
+  /** Lists the transfers of free keys, with the handover tokens that the backend server gave. */
+  public listFree(): readonly RangeTransfer[] {
+    return settleReleases(this.releases, this.released);
+  }
+
+  /** Forgets releases of keys that are not among `rows` any more. */
+  public retain(rows: readonly KeyRange[]): void {
+    this.releases = this.releases.filter((release) => rows.some((row) => overlaps(row, release)));
+    if (this.releases.length === 0) this.released = [];
+  }
+
+  public clear(): void {
+    this.releases = [];
+    this.released = [];
+  }
+
+  private replace(next: readonly PendingRelease[], evidence: 'announced' | 'grantsEnded'): void {
+    const freed = next.filter(({ step }, index) => step === 'free' && this.releases[index]?.step !== 'free');
+    this.releases = next;
+    for (const { from, to, owner } of freed)
+      this.logger.log('released', { step: 'move', from, to, peer: owner.serverId, evidence });
+  }
+}
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
+import { transferRanges } from '#ranges/TransferRanges.js';
 import { createEntry } from './CreateEntry.js';
 import { RangeRun } from './RangeRun.js';
 
@@ -209,3 +210,26 @@
   await run.advance(20_000);
   t.equal(run.table().lastEpoch, 1);
 });
+
+t.test('late write of a former run moves no granted keys', async (t) => {
+  // The former run had freed the keys and sent this write; the store carries it out once the next run grants them.
+  const run = start(t);
+  await run.view(servers, table);
+  const { revision } = run.store.read('ranges', 's')!;
+  await run.lease(1, 60_000);
+  t.match(await run.checkIn([whole]), { rows: [whole] });
+  const late = transferRanges(table, [{ from: 0, to: 32_767, owner: owners[1]!, handover: 'h' }]);
+  const result = await run.store.put('ranges', 's', late, revision);
+  t.match(result.extract(), { type: 'conflict' });
+});
+
+t.test('nothing is granted before the table is fenced', async (t) => {
+  const run = start(t);
+  await run.view(servers, table);
+  run.store.trouble = 'down';
+  await run.lease(1, 60_000);
+  t.equal(await run.checkIn([whole]), undefined);
+  run.store.trouble = 'none';
+  await run.advance(250);
+  t.match(await run.checkIn([whole]), { rows: [whole] });
+});
--- a/packages/ranges/src/RangeTable.ts
+++ b/packages/ranges/src/RangeTable.ts
@@ -6,4 +6,6 @@
   /** Highest epoch that any row has or had. */
   readonly lastEpoch: number;
   readonly rows: readonly RangeRow[];
+  /** Number of writes by restarted daemons that only make late writes of their former runs fail. */
+  readonly fences?: number | undefined;
 }
