Tell by which run of the backend server a connection was refused

What callers and backend servers saw: a backend server that had just come back could be taken for dead, and its keys be granted to another while it holds them (OWNER). Cause: a refused connection proves that a run ended, but ServerTask reported it under the run that is present when the report is handled. A connection that was opened to the former run and is reported after the first announcement of the next one ended the wrong run.

Evidence: server.test.ts 'refused connection says nothing of a later run' failed before: the evidence named i/2 for a connection opened to i/1.

Change: each connection keeps the run for which it was opened.

--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -27,6 +27,8 @@
  * id than the current order's are skipped, and bytes that no order waits for close the connection.
  */
 export class ServerLink {
+  /** Run of the backend server for which the connection was opened. */
+  public readonly incarnation: string;
   private readonly socket: Socket;
   private readonly cursor = new ChartCursor<ServerLinkEvent>(serverLinkChart);
   private readonly parser: HTTPParserJS = new HTTPParser('RESPONSE');
@@ -46,7 +48,13 @@
   private readonly connectTimer: NodeJS.Timeout;
   private refused = false;
 
-  public constructor(address: string, idHeader: string, signal: (signal: ServerLinkSignal) => void) {
+  public constructor(
+    address: string,
+    incarnation: string,
+    idHeader: string,
+    signal: (signal: ServerLinkSignal) => void,
+  ) {
+    this.incarnation = incarnation;
     this.idHeader = idHeader;
     this.signal = signal;
     this.listenToParser();
--- a/packages/mesh/src/ServerLinks.ts
+++ b/packages/mesh/src/ServerLinks.ts
@@ -1,3 +1,4 @@
+import type { Presence } from '#mesh/Presence.js';
 import { ServerLink } from '#mesh/ServerLink.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
 
@@ -26,9 +27,11 @@
     return this.links.size;
   }
 
-  /** Opens a connection. Its signals begin later. */
-  public open(address: string): void {
-    const link: ServerLink = new ServerLink(address, this.idHeader, (signal) => this.signal(link, signal));
+  /** Opens a connection to a run of the backend server. Its signals begin later. */
+  public open({ address, incarnation }: Presence): void {
+    const link: ServerLink = new ServerLink(address, incarnation, this.idHeader, (signal) =>
+      this.signal(link, signal),
+    );
     this.links.add(link);
   }
 
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -123,7 +123,7 @@
         this.state = { ...this.state, stopping: true };
         break;
       case 'probe':
-        if (this.state.presence.address !== '') this.links.open(this.state.presence.address);
+        if (this.state.presence.address !== '') this.links.open(this.state.presence);
         break;
       case 'tick':
         this.tick();
@@ -219,7 +219,7 @@
       }
       case 'closed':
         this.links.remove(link);
-        if (signal.neverOpened) this.noteFailedOpening(signal.refused);
+        if (signal.neverOpened) this.noteFailedOpening(link.incarnation, signal.refused);
         return;
       case 'skipped':
         this.options.logger.log('answerSkipped', { step: 'backend', peer: this.state.presence.address });
@@ -261,16 +261,16 @@
     if (code === 'connectionLost') {
       this.crashes.noteLoss(order, nowMs);
       // Tells a crash from the loss of one connection.
-      if (this.links.connecting === 0) this.links.open(this.state.presence.address);
+      if (this.links.connecting === 0) this.links.open(this.state.presence);
     }
     this.end(order, { type: 'lost', code, load: this.report() });
   }
 
-  private noteFailedOpening(refused: boolean): void {
-    const { incarnation } = this.state.presence;
-    this.failedOpenings += 1;
+  private noteFailedOpening(incarnation: string, refused: boolean): void {
     this.options.onEvidence({ kind: refused ? 'refused' : 'silent', incarnation });
     if (refused) this.crashes.noteCrash(incarnation, this.now());
+    if (incarnation !== this.state.presence.incarnation) return;
+    this.failedOpenings += 1;
     if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
@@ -343,7 +343,7 @@
     if (presence.state === 'absent' || presence.address === '') return;
     const wanted = Math.min(this.queue.size, presence.slots - this.running.size);
     const limit = Math.min(maxConnections, presence.slots + 2);
-    while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence.address);
+    while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence);
   }
 
   private start({ order, serviceMs, queuedMs }: QueuedOrder, link: ServerLink, nowMs: number): void {
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { View } from '#mesh/View.js';
@@ -288,3 +289,16 @@
   t.equal((await first).type, 'answered', 'what runs is finished');
   t.equal(task.load, 0);
 });
+
+t.test('refused connection says nothing of a later run', async (t) => {
+  // Taken for that of the new run, its keys would be granted to another backend server while it holds them.
+  const { task, server, evidence, announce } = await startServerTask(t, () => undefined);
+  server.stop();
+  task.post({ type: 'probe' });
+  announce({ incarnation: 'i/2' });
+  while (evidence.length === 0) await sleep(5);
+  t.same(
+    evidence.map(({ incarnation }) => incarnation),
+    ['i/1'],
+  );
+});
