Let an owner without a lease take no more keys

Cause: an owner that asked for the load of the others could move keys to one that is cut off from the store.

Change: 'accepts' needs a lease that is in force.

rangeTask.test.ts 'owner without a lease takes no more keys' failed before.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -253,7 +253,7 @@
       incarnation: this.incarnation,
       workMsPerSecond: rows.reduce((sum, row) => sum + this.loads.sum(row, this.now()), 0),
       slots: this.slots,
-      accepts: this.isAlive && !this.hasToLeave(),
+      accepts: this.isAlive && !this.hasToLeave() && this.lease.untilMs > this.now(),
       mayRelease: rows.length > 0 && this.releases.isEmpty && !this.writing,
     });
     if (this.table === undefined) this.divideKeys();
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -6,6 +6,7 @@
 import type { RangeTable } from '#ranges/RangeTable.js';
 import type { Grant } from '#mesh/Grant.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
+import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import { RangeTask } from '#mesh/RangeTask.js';
 import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
@@ -21,6 +22,7 @@
   public readonly store = new MemoryCollectionStore();
   public readonly task: RangeTask;
   public served: readonly KeyRange[] = [];
+  public facts: LeaseFacts | undefined;
   private readonly elapsed = new ElapsedClock(this.clock);
 
   public constructor() {
@@ -36,7 +38,9 @@
         this.served = expected;
       },
       onKeyed: () => undefined,
-      onFacts: () => undefined,
+      onFacts: (facts) => {
+        this.facts = facts;
+      },
     });
   }
 
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -233,3 +233,16 @@
   await run.advance(250);
   t.match(await run.checkIn([whole]), { rows: [whole] });
 });
+
+t.test('owner without a lease takes no more keys', async (t) => {
+  // Keys that were moved to a daemon cut off from the store were served by nobody until its term ended.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 12_000);
+  await run.checkIn([]);
+  await run.advance(250);
+  t.equal(run.facts?.accepts, true);
+  await run.advance(12_000);
+  await run.advance(250);
+  t.equal(run.facts?.accepts, false);
+});
