Keep inherited grants apart from the end of a known run

What callers and backend servers saw: two backend servers held the same keys for up to 0.75 s (OWNER). Cause: after a restart of the daemon, the first announcement may be an outdated one, of a run of the backend server that ended before. The announcement of the live run then proves that the first one ended, and the daemon gave its keys to others at once. But the live run still held them, by grants of the former run of the daemon. Class of fault: evidence about one run was applied to grants that had been given to another.

Change: until the grants of a former run of the daemon have surely ended, the proven end of a run frees no keys, unless the daemon inherited none. Two tests of rangeTask.test.ts ('keys of a dead server move at once', 'lost reply of a write is settled by reading') let that time pass first; what they check is the same.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -84,6 +84,8 @@
   private inheritedRevision: number | undefined;
   /** Monotonic time at which the grants given so far have surely ended. */
   private grantsEndMs: number;
+  /** The same for the grants of a former run of this daemon, whose receiver this run does not know. */
+  private readonly inheritedEndMs: number;
   private heldUntilMs = 0;
   /** Servers that can take keys before the first division, and the time since which their number is the same. */
   private gathered = 0;
@@ -98,7 +100,8 @@
     this.loads = new KeyLoads(options.elapsed.nowMs());
     this.replyHoldMs = Math.min(MAX_REPLY_HOLD_MS, options.announceEveryMs * REPLY_HOLD_PART);
     // An earlier run of this daemon may have given grants just before.
-    this.grantsEndMs = this.endOfGrant(options.terms.maxGrantMs);
+    this.inheritedEndMs = this.endOfGrant(options.terms.maxGrantMs);
+    this.grantsEndMs = this.inheritedEndMs;
     this.scheduleTick();
   }
 
@@ -242,7 +245,9 @@
     this.isAlive = false;
     this.heldUntilMs = 0;
     this.given = [];
-    this.grantsEndMs = this.options.clock.monotonicMs();
+    // The run that ended may be one that an outdated announcement names; a later run may hold inherited keys.
+    const inheritedEndMs = this.inheritedRevision === 0 ? 0 : this.inheritedEndMs;
+    this.grantsEndMs = Math.max(inheritedEndMs, this.options.clock.monotonicMs());
   }
 
   private tick(): void {
--- /dev/null
+++ b/packages/mesh/test/SimulatedStore.ts
@@ -0,0 +1,90 @@
+import { Left, type Either } from 'purify-ts';
+import type { Clock } from '#core/Clock.js';
+import { RouterError } from '#core/RouterError.js';
+import type { RandomSource } from '#core/RandomSource.js';
+import type { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+import type { CollectionChanges } from '#store/CollectionChanges.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import { CollectionStore } from '#store/CollectionStore.js';
+
+type Result<T> = Promise<Either<RouterError, T>>;
+
+const LONGEST_DELAY_MS = 25;
+const TIMEOUT_MS = 1_500;
+
+/** The path from one daemon to the store: delays calls, and loses them or carries writes out late. */
+export class SimulatedStore extends CollectionStore {
+  public isCut = false;
+  /** Whether writes are carried out seconds after their call failed. */
+  public isLate = false;
+  private readonly store: MemoryCollectionStore;
+  private readonly clock: Clock;
+  private readonly random: RandomSource;
+
+  public constructor(store: MemoryCollectionStore, clock: Clock, random: RandomSource) {
+    super();
+    this.store = store;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  public override list(collection: string): Result<CollectionListing> {
+    return this.call(() => this.store.list(collection));
+  }
+
+  public override get(collection: string, name: string): Result<CollectionItem | undefined> {
+    return this.call(() => this.store.get(collection, name));
+  }
+
+  public override watch(): Result<CollectionChanges> {
+    return Promise.resolve(this.fail('storeUnreachable'));
+  }
+
+  public override put(
+    collection: string,
+    name: string,
+    value: unknown,
+    ifRevision: number,
+  ): Result<CollectionPutResult> {
+    const put = (): Result<CollectionPutResult> => this.store.put(collection, name, value, ifRevision);
+    if (!this.isLate || this.isCut) return this.call(put, 'storeReplyLost');
+    this.clock.schedule(1_000 + this.random.integer(5_000), () => void put());
+    return this.timeOut('storeReplyLost');
+  }
+
+  public override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async call<T>(carryOut: () => Result<T>, code = 'storeUnreachable'): Result<T> {
+    await this.wait(this.random.integer(LONGEST_DELAY_MS));
+    if (!this.isReachable()) return this.timeOut(code);
+    const result = await carryOut();
+    await this.wait(this.random.integer(LONGEST_DELAY_MS));
+    return this.isReachable() ? result : this.timeOut(code);
+  }
+
+  private isReachable(): boolean {
+    return !this.isCut;
+  }
+
+  private async timeOut<T>(code: string): Result<T> {
+    await this.wait(TIMEOUT_MS);
+    return this.fail(code);
+  }
+
+  private wait(ms: number): Promise<void> {
+    return new Promise((resolve) => this.clock.schedule(ms, resolve));
+  }
+
+  private fail<T>(code: string): Either<RouterError, T> {
+    return Left(
+      new RouterError(
+        { code, step: 'store', peer: 'simulated', ran: 'not run', status: 503 },
+        'store trouble',
+      ),
+    );
+  }
+}
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -8,6 +8,10 @@
 const servers = [createEntry('a'), createEntry('b')];
 const owners = servers.map(({ serverId, term, incarnation }) => ({ serverId, term, incarnation }));
 const table = createRangeTable('s', owners);
+
+/** Time after which no grant of a former run of the daemon is in force, in milliseconds. */
+const INHERITED_MS = 7_500;
+
 const whole = { from: 0, to: 32_767, epoch: 1 };
 
 function start(t: { readonly teardown: (close: () => unknown) => void }): RangeRun {
@@ -85,6 +89,7 @@
   const run = start(t);
   await run.view(servers, table);
   await run.lease(1, 60_000);
+  await run.advance(INHERITED_MS);
   await run.checkIn([]);
   run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
   await run.settle();
@@ -120,10 +125,25 @@
   t.equal(listRowsOf(run.table(), 'a').length, 0);
 });
 
+t.test('inherited grants outlast the end of a known run', async (t) => {
+  // After a restart of the daemon an outdated announcement came first. The end of the run that it names freed the keys
+  // of the later run, which held them from the former daemon.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([whole]);
+  run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
+  await run.settle();
+  t.equal(listRowsOf(run.table(), 'a').length, 1);
+  await run.advance(INHERITED_MS);
+  t.equal(listRowsOf(run.table(), 'a').length, 0);
+});
+
 t.test('lost reply of a write is settled by reading', async (t) => {
   const run = start(t);
   await run.view(servers, table);
   await run.lease(1, 60_000);
+  await run.advance(INHERITED_MS);
   await run.checkIn([]);
   run.store.trouble = 'repliesLost';
   run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
