Split CellTask by responsibility

Change: pure decisions are functions (TakeOverSuspects, CompleteMoves), the parts of the state that belong together are holders that the task alone uses (CellCache, PendingFetches, SuspectList, UsableShards, StoreHealth, NeighbourPicker), and the calls of peers and of the store have one module each (CellChanges, CellLoader, CellFetcher, ForeignCells, AnnounceCell, NotifyMembers). The task still takes every decision on a message and owns the parts. The order of writes, of messages and of random draws is kept; no behaviour changes.

--- /dev/null
+++ b/packages/control/src/CellChanges.ts
@@ -0,0 +1,57 @@
+import type { CellChange } from '#control/CellChange.js';
+import type { CellOutcome } from '#control/CellOutcome.js';
+import { CellWriter } from '#control/CellWriter.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import type { StoreHealth } from '#control/StoreHealth.js';
+import type { PendingWrite } from '#store/PendingWrite.js';
+
+/** Writes changes of cells, logs each result, and notes whether the store could be reached. */
+export class CellChanges {
+  private readonly writer: CellWriter;
+  private isStopped = false;
+
+  /** `writer` is unique to this run of the process. */
+  public constructor(
+    private readonly context: ControlContext,
+    writer: string,
+    private readonly health: StoreHealth,
+    private readonly onOutcome: (outcome: CellOutcome) => void,
+  ) {
+    this.writer = new CellWriter(context.store, writer);
+  }
+
+  /** Starts no further attempts. */
+  public stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Writes a change; its result goes to the listener before the promise resolves. */
+  public async write(change: CellChange): Promise<CellOutcome> {
+    const { service, index, apply, pending } = change;
+    const outcome = await this.writer.update(service, index, apply, pending);
+    this.health.noteWrite(outcome, this.context.clock.monotonicMs());
+    this.log(change, outcome);
+    this.onOutcome(outcome);
+    return outcome;
+  }
+
+  /** Writes a change again until it is known whether the store accepted it; undefined if stopped before. */
+  public async writeUntilSettled(change: CellChange): Promise<CellOutcome | undefined> {
+    let pending: readonly PendingWrite[] = [];
+    while (!this.isStopped) {
+      const outcome = await this.write({ ...change, pending });
+      if (outcome.type !== 'undecided') return outcome;
+      pending = outcome.pending;
+      const pauseMs = this.health.pauseMs();
+      await new Promise<void>((resolve) => this.context.clock.schedule(pauseMs, resolve));
+    }
+    return undefined;
+  }
+
+  private log({ what, peer = '' }: CellChange, outcome: CellOutcome): void {
+    const version = 'cell' in outcome ? outcome.cell?.version : undefined;
+    const code = outcome.type === 'failed' ? outcome.code : undefined;
+    const fields = { step: 'store', peer, change: what, outcome: outcome.type, version, code } as const;
+    this.context.logger.log('cellWrite', fields);
+  }
+}
--- /dev/null
+++ b/packages/control/src/CellFetcher.ts
@@ -0,0 +1,76 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { Catalogue } from '#catalogue/Catalogue.js';
+import type { CellCache } from '#control/CellCache.js';
+import type { CellLoader } from '#control/CellLoader.js';
+import type { CellMessage } from '#control/CellMessage.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import { NeighbourPicker } from '#control/NeighbourPicker.js';
+import { PendingFetches } from '#control/PendingFetches.js';
+import type { PeerAddress } from '#rpc/PeerAddress.js';
+
+type MessageOf<T extends CellMessage['type']> = Extract<CellMessage, { readonly type: T }>;
+
+/** A cell of another service changes more often than its members' addresses, which are all that is needed of it. */
+const FOREIGN_FETCH_EVERY_MS = 10_000;
+
+/** Decides when a cell is fetched, and fetches each one only once at a time. Used by the cell task alone. */
+export class CellFetcher {
+  private readonly pending = new PendingFetches();
+  private readonly neighbours: NeighbourPicker;
+
+  public constructor(
+    private readonly context: ControlContext,
+    private readonly cells: CellCache,
+    private readonly loader: CellLoader,
+    private readonly onLoaded: (name: string, cell: Cell | undefined) => void,
+  ) {
+    this.neighbours = new NeighbourPicker(context.random);
+  }
+
+  /** Fetches a known cell of which a peer holds a newer version. */
+  public compareVersion({ name, version, from }: MessageOf<'seen'>, ownName: string | undefined): void {
+    const known = this.cells.versionOf(name);
+    if (known === 0 || version <= known) return;
+    const isForeign = name !== ownName;
+    if (isForeign && this.pending.ageMs(name, this.nowMs()) < FOREIGN_FETCH_EVERY_MS) return;
+    this.fetch(name, from);
+  }
+
+  /** Fetches a cell of which a newer version is known to exist. */
+  public refresh({ name, minVersion, from }: MessageOf<'refresh'>): void {
+    if (this.cells.versionOf(name) >= minVersion) return;
+    this.fetch(name, from === undefined ? undefined : this.cells.directory().get(from));
+  }
+
+  /** Replies with a cell, at once if the held version is new enough. */
+  public fetchFor({ name, minVersion, reply }: MessageOf<'fetch'>): void {
+    const cell = this.cells.get(name);
+    if (cell !== undefined && cell.version >= minVersion) {
+      reply(cell);
+      return;
+    }
+    this.fetch(name);
+    this.pending.addReply(name, reply);
+  }
+
+  /** Fetches a random other cell if one is due. */
+  public fetchNeighbour(catalogue: Catalogue | undefined, ownName: string | undefined): void {
+    const name = this.neighbours.pick(catalogue, ownName, this.nowMs());
+    if (name !== undefined) this.fetch(name);
+  }
+
+  /** Ends a fetch and answers those who wait for it with the cell that is held now. */
+  public end(name: string): void {
+    for (const reply of this.pending.end(name)) reply(this.cells.get(name));
+  }
+
+  private fetch(name: string, from?: PeerAddress): void {
+    if (!this.pending.start(name, this.nowMs())) return;
+    const loaded = this.loader.load(name, this.cells.get(name), from);
+    void loaded.then((cell) => this.onLoaded(name, cell));
+  }
+
+  private nowMs(): number {
+    return this.context.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/control/src/CellLoader.ts
@@ -0,0 +1,52 @@
+import type { Cell } from '#assignment/Cell.js';
+import type { ControlContext } from '#control/ControlContext.js';
+import { parseSeed } from '#control/ParseSeed.js';
+import { readCell } from '#control/ReadCell.js';
+import type { StoreHealth } from '#control/StoreHealth.js';
+import type { PeerAddress } from '#rpc/PeerAddress.js';
+
+const FETCH_TIMEOUT_MS = 2_000;
+
+/** Loads cells from peers and from the store, and notes whether the store could be read. */
+export class CellLoader {
+  private readonly seeds: readonly PeerAddress[];
+
+  public constructor(
+    private readonly context: ControlContext,
+    private readonly health: StoreHealth,
+  ) {
+    this.seeds = context.settings.seeds.map(parseSeed);
+  }
+
+  /**
+   * Asks the peer that holds a newer version, then a member of the cell and a seed, and the store last. `known` is the
+   * version that is held now.
+   */
+  public async load(name: string, known: Cell | undefined, from?: PeerAddress): Promise<Cell | undefined> {
+    const { random, settings } = this.context;
+    const version = known?.version ?? 0;
+    const members = known?.members.filter(
+      ({ state, serverId }) => state !== 'gone' && serverId !== settings.serverId,
+    );
+    const peers = [from, random.pick(members ?? []), random.pick(this.seeds)];
+    for (const peer of peers) {
+      const cell = peer && (await this.fetchFrom(peer, name));
+      if (cell !== undefined && cell.version > version) return cell;
+    }
+    return this.readStored(name);
+  }
+
+  /** Reads a cell from the store. */
+  public async readStored(name: string): Promise<Cell | undefined> {
+    const read = await this.context.store.get(name);
+    this.health.noteRead(read.isRight());
+    const object = read.orDefault(undefined);
+    return object && readCell(object);
+  }
+
+  private async fetchFrom(peer: PeerAddress, name: string): Promise<Cell | undefined> {
+    const options = { channel: 'http', timeoutMs: FETCH_TIMEOUT_MS } as const;
+    const answer = await this.context.transport.call(peer, 'fetch', { name }, options);
+    return (answer.orDefault(null) as Cell | null) ?? undefined;
+  }
+}
