Split OwnerTask by responsibility

Change: the table of faults is data (CreateOwnerFault), the queue's view of an order and the cap of the deadline are functions (CreateQueuedRequest, CapDeadline), and waiting releases have a holder that the task alone uses (ShardReleases). CrashWatch sends its marks to the listener itself, which three methods of the task did for it. No behaviour changes.

--- a/packages/proxy/src/CrashWatch.ts
+++ b/packages/proxy/src/CrashWatch.ts
@@ -1,6 +1,7 @@
 import type { CrashMark } from '#admission/CrashMark.js';
 import { Quarantine } from '#admission/Quarantine.js';
 import type { QuarantineResult } from '#admission/QuarantineResult.js';
+import { Logger } from '#core/Logger.js';
 import { createFingerprint } from '#proxy/CreateFingerprint.js';
 import type { MarkedRequest } from '#proxy/MarkedRequest.js';
 import type { Order } from '#proxy/Order.js';
@@ -20,13 +21,22 @@
   readonly atMs: number;
 }
 
-/** Finds the requests that were in flight when a backend server died. Used by the owner task alone. */
+/**
+ * Finds the requests that were in flight when a backend server died, and sends their marks to the listener. Used by the
+ * owner task alone.
+ */
 export class CrashWatch {
+  private readonly logger = new Logger('owner');
   private readonly quarantine = new Quarantine(MAX_ENTRIES, KEEP_MS);
   /** Where marked requests come from, by fingerprint; the entry that was added first is forgotten first. */
   private readonly origins = new Map<string, Origin>();
   private lost: readonly LostOrder[] = [];
 
+  public constructor(
+    private readonly serverId: string,
+    private readonly onMarks: (marks: readonly RequestMark[]) => void,
+  ) {}
+
   /** Decides how an order may run. */
   public check(order: Order, nowMs: number): QuarantineResult {
     if (this.quarantine.size === 0) return { kind: 'run' };
@@ -40,23 +50,24 @@
   }
 
   /** Clears the marks of an order that was answered, so that requests beside a crashing one are not blamed for good. */
-  public noteAnswered(order: Order, nowMs: number): readonly RequestMark[] {
-    if (this.quarantine.size === 0) return [];
-    return this.describe(this.quarantine.clear(fingerprintOf(order), nowMs));
+  public noteAnswered(order: Order, nowMs: number): void {
+    if (this.quarantine.size > 0) this.lift(fingerprintOf(order), nowMs);
   }
 
-  /** Marks the orders that were lost with a backend server; `death` names the process that died. */
-  public markDeath(death: string, nowMs: number): readonly RequestMark[] {
+  /** Marks the orders that were lost with the backend server process `incarnation`. */
+  public markDeath(incarnation: string, nowMs: number): void {
     const recent = this.lost.filter(({ atMs }) => nowMs - atMs < DEATH_WINDOW_MS);
     this.lost = [];
-    if (recent.length === 0) return [];
+    if (recent.length === 0) return;
     for (const { order } of recent) this.remember(fingerprintOf(order), originOf(order));
     const marks = this.quarantine.mark(
       recent.map(({ order }) => fingerprintOf(order)),
-      death,
+      `${this.serverId}/${incarnation}`,
       nowMs,
     );
-    return this.describe(marks);
+    if (marks.length === 0) return;
+    this.logger.log('backendDied', { step: 'quarantine', peer: this.serverId, inFlight: marks.length });
+    this.onMarks(this.describe(marks));
   }
 
   /** Merges marks of other daemons. */
@@ -72,9 +83,11 @@
       .map((row) => ({ ...row, ...(this.origins.get(row.fingerprint) ?? FORGOTTEN) }));
   }
 
-  /** Lifts a hold; returns the marks to send to other daemons. */
-  public lift(fingerprint: string, nowMs: number): readonly RequestMark[] {
-    return this.describe(this.quarantine.clear(fingerprint, nowMs));
+  /** Lifts a hold; returns whether there was one. */
+  public lift(fingerprint: string, nowMs: number): boolean {
+    const marks = this.quarantine.clear(fingerprint, nowMs);
+    if (marks.length > 0) this.onMarks(this.describe(marks));
+    return marks.length > 0;
   }
 
   /** Forgets old marks. */
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -6,41 +6,40 @@
 import type { ReleaseRequest } from '#control/ReleaseRequest.js';
 import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
-import { Logger } from '#core/Logger.js';
-import type { RouterErrorFields } from '#core/RouterErrorFields.js';
 import { Task } from '#core/Task.js';
 import { BackendCapacity } from '#proxy/BackendCapacity.js';
 import type { BackendFacts } from '#proxy/BackendFacts.js';
 import type { BackendMessage } from '#proxy/BackendMessage.js';
 import type { BackendOutcome } from '#proxy/BackendOutcome.js';
+import { capDeadline } from '#proxy/CapDeadline.js';
 import { CrashWatch } from '#proxy/CrashWatch.js';
+import { createOwnerFault } from '#proxy/CreateOwnerFault.js';
+import { createQueuedRequest } from '#proxy/CreateQueuedRequest.js';
 import { OnceGate } from '#proxy/OnceGate.js';
 import type { Order } from '#proxy/Order.js';
 import type { OrderEvent } from '#proxy/OrderEvent.js';
 import type { OwnedOrder } from '#proxy/OwnedOrder.js';
+import type { OwnerFaultKind } from '#proxy/OwnerFaultKind.js';
 import type { OwnerListener } from '#proxy/OwnerListener.js';
 import type { OwnerMessage } from '#proxy/OwnerMessage.js';
 import type { OwnerReport } from '#proxy/OwnerReport.js';
 import { OwnershipView } from '#proxy/OwnershipView.js';
+import { ShardReleases } from '#proxy/ShardReleases.js';
 
 const TICK_MS = 20;
 const SLOW_TICKS = 50;
 const MAX_WAITING = 4096;
-const MOVE_RETRY_MS = 50;
 
 /**
  * Admits orders to the backend server beside this daemon: checks lease and ownership at the moment of use, idempotency,
  * quarantine, deadline and slots. Owns the queue, the idempotency records and the slow-start state.
  */
 export class OwnerTask extends Task<OwnerMessage> {
-  private readonly logger = new Logger('owner');
   private readonly gate: OnceGate;
   private readonly queue = new BackendQueue(new PriorityOrder(() => new FairOrder()), 1, MAX_WAITING);
-  private readonly crashes = new CrashWatch();
+  private readonly crashes: CrashWatch;
   private readonly orders = new Map<string, OwnedOrder>();
-  private readonly releases = new Map<string, ReleaseRequest>();
-  /** Shards of waiting releases that the ownership no longer lists. */
-  private readonly withdrawn = new Set<string>();
+  private readonly releases = new ShardReleases();
   private readonly shardCounts = new Map<string, number>();
   private readonly ownership: OwnershipView;
   private readonly capacity = new BackendCapacity();
@@ -57,6 +56,7 @@
   ) {
     super();
     this.ownership = new OwnershipView(clock);
+    this.crashes = new CrashWatch(serverId, (marks) => listener.onMarks(marks));
     this.gate = new OnceGate(serverId, horizonMs, clock, (orderId, bodyHash) =>
       this.post({ type: 'bodyHashed', orderId, bodyHash }),
     );
@@ -111,7 +111,7 @@
         message.reply(this.crashes.list(this.clock.monotonicMs()));
         break;
       case 'lift':
-        message.reply(this.lift(message.fingerprint));
+        message.reply(this.crashes.lift(message.fingerprint, this.clock.monotonicMs()));
         break;
       case 'drain':
         this.beginDrain(message.reply);
@@ -131,11 +131,11 @@
       ? this.ownership.findUsable(head.service, entry.homeRegions, head.key)?.shardId
       : '';
     if (shardId === undefined) {
-      order.emit({ type: 'refused', fields: this.createFault('notOwner', 'own', 421, MOVE_RETRY_MS) });
+      order.emit({ type: 'refused', fields: createOwnerFault('notOwner', this.serverId) });
       return;
     }
     if (this.releases.has(shardId)) {
-      order.emit({ type: 'refused', fields: this.createFault('shardMoving', 'own', 503, MOVE_RETRY_MS) });
+      order.emit({ type: 'refused', fields: createOwnerFault('shardReleased', this.serverId) });
       return;
     }
     if (shardId !== '') this.shardCounts.set(shardId, (this.shardCounts.get(shardId) ?? 0) + 1);
@@ -158,16 +158,7 @@
       this.end(order.orderId, { type: 'refused', fields: { ...verdict.error, peer: this.serverId } });
       return;
     }
-    const { priority, share } = order.entry.limits;
-    const request = {
-      id: order.orderId,
-      tenant: order.head.tenant,
-      class: order.head.class,
-      priority,
-      share,
-      deadlineMs: order.deadlineAtMs,
-      exclusive: verdict.kind === 'alone',
-    };
+    const request = createQueuedRequest(order, verdict.kind === 'alone');
     this.apply(this.queue.arrive(request, nowMs));
   }
 
@@ -184,26 +175,15 @@
     const { order, shardId, recorded } = owned;
     // The lease may have ended while the order waited.
     if (shardId !== '' && !this.ownership.mayActOn(shardId)) {
-      this.end(orderId, {
-        type: 'refused',
-        fields: this.createFault('leaseExpired', 'own', 503, MOVE_RETRY_MS),
-      });
+      this.refuse(orderId, 'leaseExpired');
       this.apply(this.queue.finish(orderId, this.clock.monotonicMs(), false));
       return;
     }
     const body = recorded ? this.gate.start(order) : order.body;
     const token = shardId === '' ? 0 : (this.ownership.current.shards.get(shardId)?.token ?? 0);
-    const deadlineAtMs = this.capDeadline(owned);
-    this.postToBackend({
-      type: 'run',
-      backendOrder: { order, body, deadlineAtMs, epoch: this.ownership.current.epoch, token },
-    });
-  }
-
-  /** A backend server that does not check grants stops by itself at the deadline, so that is capped at the lease end. */
-  private capDeadline({ order, shardId, graceMs }: OwnedOrder): number {
-    if (shardId === '' || this.capacity.facts?.checksToken === true) return order.deadlineAtMs;
-    return Math.min(order.deadlineAtMs, this.ownership.current.leaseEndMs + graceMs);
+    const { epoch, leaseEndMs } = this.ownership.current;
+    const deadlineAtMs = capDeadline(owned, leaseEndMs, this.capacity.facts?.checksToken === true);
+    this.postToBackend({ type: 'run', backendOrder: { order, body, deadlineAtMs, epoch, token } });
   }
 
   private handleEvent(orderId: string, event: OrderEvent): void {
@@ -233,6 +213,10 @@
     this.finishRelease(owned.shardId);
   }
 
+  private refuse(orderId: string, kind: OwnerFaultKind): void {
+    this.end(orderId, { type: 'refused', fields: createOwnerFault(kind, this.serverId) });
+  }
+
   private handleDone(orderId: string, outcome: BackendOutcome): void {
     const nowMs = this.clock.monotonicMs();
     const running = this.queue.runningCount;
@@ -251,7 +235,7 @@
     const before = this.capacity.facts;
     this.capacity.applyFacts(facts, nowMs);
     if (before !== undefined && before.incarnation !== facts?.incarnation)
-      this.markDeath(before.incarnation, nowMs);
+      this.crashes.markDeath(before.incarnation, nowMs);
     if (facts !== undefined) {
       if (facts.leaving && this.queue.state === 'serving') this.apply(this.queue.drain());
       if (!facts.leaving && this.queue.state !== 'serving' && this.drained === undefined) this.queue.resume();
@@ -265,26 +249,14 @@
     const { owner: tenant, class: requestClass } = order.entry;
     const queueMs = Math.max(0, nowMs - serviceMs - arrivedMs);
     this.listener.onAnswered({ tenant, class: requestClass, queueMs, backendMs: serviceMs });
-    this.clearMarks(order, nowMs);
-  }
-
-  private clearMarks(order: Order, nowMs: number): void {
-    const marks = this.crashes.noteAnswered(order, nowMs);
-    if (marks.length > 0) this.listener.onMarks(marks);
-  }
-
-  private markDeath(incarnation: string, nowMs: number): void {
-    const marks = this.crashes.markDeath(`${this.serverId}/${incarnation}`, nowMs);
-    if (marks.length === 0) return;
-    this.logger.log('backendDied', { step: 'quarantine', peer: this.serverId, inFlight: marks.length });
-    this.listener.onMarks(marks);
+    this.crashes.noteAnswered(order, nowMs);
   }
 
   private cancel(orderId: string): void {
     const owned = this.orders.get(orderId);
     if (owned === undefined) return;
     if (this.queue.cancel(orderId)) {
-      this.end(orderId, { type: 'refused', fields: this.createFault('callerGone', 'queue', 499, 0) });
+      this.refuse(orderId, 'callerGone');
       return;
     }
     // The answer of a non-repeatable order serves the repeats of its id, so the order goes on.
@@ -298,42 +270,25 @@
     this.ownership.set(update);
     if (isExtended) this.postToBackend({ type: 'grant', epoch: update.epoch, leaseEndMs: update.leaseEndMs });
     if (isSameMap) return;
-    this.reviewReleases();
+    this.releases.review(
+      (shardId) => update.shards.has(shardId),
+      (shardId) => this.isRunning(shardId),
+    );
     for (const [shardId, { token }] of update.shards) {
       if (!this.releases.has(shardId)) this.gate.openShard(shardId, token);
     }
   }
 
-  /**
-   * Ends releases that the ownership confirms. One that waits for orders in flight stays until they end; if the shard is
-   * owned again before that, its move was given up.
-   */
-  private reviewReleases(): void {
-    for (const shardId of [...this.releases.keys()]) {
-      const isOwned = this.ownership.current.shards.has(shardId);
-      if (!isOwned && this.isRunning(shardId)) this.withdrawn.add(shardId);
-      else if (!isOwned || this.withdrawn.has(shardId)) this.endRelease(shardId);
-    }
-  }
-
   private isRunning(shardId: string): boolean {
     return [...this.orders.values()].some((owned) => owned.shardId === shardId);
   }
 
-  private endRelease(shardId: string): void {
-    this.releases.delete(shardId);
-    this.withdrawn.delete(shardId);
-  }
-
   private release(request: ReleaseRequest): void {
     const { shardId } = request;
-    this.releases.set(shardId, request);
+    this.releases.add(request);
     for (const { order, shardId: other } of [...this.orders.values()]) {
-      if (other !== shardId || !this.queue.cancel(order.orderId)) continue;
-      this.end(order.orderId, {
-        type: 'refused',
-        fields: this.createFault('shardMoving', 'move', 503, MOVE_RETRY_MS),
-      });
+      if (other === shardId && this.queue.cancel(order.orderId))
+        this.refuse(order.orderId, 'releasedInQueue');
     }
     this.finishRelease(shardId);
   }
@@ -345,16 +300,10 @@
     if (this.isRunning(shardId)) return;
     const owned = this.ownership.current.shards.get(shardId);
     // Without ownership no order of the shard can start, and the next grant of it has to find no release.
-    if (owned === undefined) this.endRelease(shardId);
+    if (owned === undefined) this.releases.end(shardId);
     request.reply(this.gate.releaseShard(shardId, owned?.token ?? 0));
   }
 
-  private lift(fingerprint: string): boolean {
-    const marks = this.crashes.lift(fingerprint, this.clock.monotonicMs());
-    if (marks.length > 0) this.listener.onMarks(marks);
-    return marks.length > 0;
-  }
-
   private beginDrain(reply: () => void): void {
     this.drained = reply;
     this.apply(this.queue.drain());
@@ -396,13 +345,4 @@
       onceRecords: this.gate.size,
     };
   }
-
-  private createFault(
-    code: string,
-    step: RouterErrorFields['step'],
-    status: number,
-    retryAfterMs: number,
-  ): RouterErrorFields {
-    return { code, step, peer: this.serverId, ran: 'not run', status, retryAfterMs };
-  }
 }
