Split SpreadTask by responsibility

Change: the choice of the peer of a digest, of the loads that it carries and of the readers of the store are functions (PickDigestPeer, SelectBusiest, IsStoreReader), the operators' writes have a class like that of the cells (ObjectWriter), and the digests seen have a holder that the task alone uses (SeenDigests). Backoff takes the limits of its pauses, and serves the watches too; its first pause is now named by its own limit (200 ms, before: 100 ms doubled once). The draws of random numbers are the same. No behaviour changes.

--- a/packages/control/src/Backoff.ts
+++ b/packages/control/src/Backoff.ts
@@ -1,16 +1,18 @@
 import type { RandomSource } from '#core/RandomSource.js';
 
-const FIRST_MS = 100;
+/** Limits of the first and of the longest pause; a caller may set others. */
+const FIRST_MS = 200;
 const LONGEST_MS = 5_000;
 
 /** Pauses between attempts: doubled with each failure, with jitter. */
 export class Backoff {
-  private readonly random: RandomSource;
   private failures = 0;
 
-  public constructor(random: RandomSource) {
-    this.random = random;
-  }
+  public constructor(
+    private readonly random: RandomSource,
+    private readonly firstMs = FIRST_MS,
+    private readonly longestMs = LONGEST_MS,
+  ) {}
 
   /** Counts the result of an attempt. */
   public count(failed: boolean): void {
@@ -20,7 +22,7 @@
   /** Pause before the next attempt, in milliseconds; 0 after a success. */
   public pauseMs(): number {
     if (this.failures === 0) return 0;
-    const limitMs = Math.min(LONGEST_MS, FIRST_MS * 2 ** this.failures);
+    const limitMs = Math.min(this.longestMs, this.firstMs * 2 ** (this.failures - 1));
     return limitMs * (0.5 + this.random.fraction() / 2);
   }
 }
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -1,56 +1,45 @@
-import { Left, Right, type Either } from 'purify-ts';
+import { Right, type Either } from 'purify-ts';
 import type { Cell } from '#assignment/Cell.js';
 import { findMember } from '#assignment/FindMember.js';
 import { applyPatch } from '#catalogue/ApplyPatch.js';
-import type { Catalogue } from '#catalogue/Catalogue.js';
 import { decodeCatalogue } from '#catalogue/DecodeCatalogue.js';
 import type { VersionedCatalogue } from '#catalogue/VersionedCatalogue.js';
+import { announceObject } from '#control/AnnounceObject.js';
+import { Backoff } from '#control/Backoff.js';
 import type { CatalogueAnswer } from '#control/CatalogueAnswer.js';
 import { PatchLog } from '#control/PatchLog.js';
 import type { Cancel } from '#core/Cancel.js';
-import { RouterError } from '#core/RouterError.js';
+import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
-import { chooseReaders } from '#control/ChooseReaders.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { Digest } from '#control/Digest.js';
 import type { DigestCall } from '#control/DigestCall.js';
 import type { Directory } from '#control/Directory.js';
-import { formatCellName } from '#control/FormatCellName.js';
-import type { Intent } from '#control/Intent.js';
+import { isStoreReader } from '#control/IsStoreReader.js';
+import { ObjectWriter } from '#control/ObjectWriter.js';
 import { parseSeed } from '#control/ParseSeed.js';
-import type { PutObject } from '#control/PutObject.js';
-import type { PutOutcome } from '#control/PutOutcome.js';
-import type { SeenVersions } from '#control/SeenVersions.js';
+import { pickDigestPeer } from '#control/PickDigestPeer.js';
+import { SeenDigests } from '#control/SeenDigests.js';
+import { selectBusiest } from '#control/SelectBusiest.js';
 import type { ShardLoads } from '#control/ShardLoads.js';
 import type { SharedObject } from '#control/SharedObject.js';
 import type { SpreadMessage } from '#control/SpreadMessage.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
+import { toVersioned } from '#control/ToVersioned.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
 import type { StoreObject } from '#store/StoreObject.js';
-import { updateObject } from '#store/UpdateObject.js';
 
 type MessageOf<T extends SpreadMessage['type']> = Extract<SpreadMessage, { readonly type: T }>;
 
-interface Authored {
-  readonly author: string;
-}
-
 const NAMES = ['catalogue', 'intent'] as const;
 /** A waiting watch counts as one call, so that few long ones cost less than many short ones. */
 const WATCH_MS = 25_000;
 /** Pause after a failed watch, doubled with each failure; the longest one keeps a reader within its call budget. */
 const WATCH_RETRY_MS = 1_000;
 const WATCH_RETRY_MAX_MS = 10_000;
-/** Part of the digests that go to a seed: 4,300 daemons then send 170 a second to all seeds together. */
-const SEED_FRACTION = 0.02;
 const FETCH_TIMEOUT_MS = 2_000;
 /** Peers that learn of an accepted change at once. */
 const EAGER_PEERS = 3;
-/** Digests of other daemons that are kept for the status. */
-const SEEN_KEPT = 256;
-/** A member of a full cell owns 2 shards of each placement; 24 bytes each leave a digest within one datagram. */
-const LOADS_SENT = 32;
-
 /** Versions of the catalogue for which patches are kept; at 13,000 changes a day, about 7 minutes. */
 const PATCHES_KEPT = 64;
 
@@ -59,18 +48,17 @@
   private readonly patches = new PatchLog(PATCHES_KEPT);
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
-  private readonly writer: string;
+  private readonly writer: ObjectWriter;
   private readonly seeds: readonly PeerAddress[];
+  private readonly watchBackoff: Backoff;
+  private readonly seen = new SeenDigests();
   private objects: ReadonlyMap<string, SharedObject> = new Map();
   private directory: Directory = new Map();
   private ownName = '';
   private ownCell: Cell | undefined;
   private loads: ShardLoads | undefined;
-  private seen: ReadonlyMap<string, SeenVersions> = new Map();
   private watching: ReadonlySet<string> = new Set();
   private fetching: ReadonlySet<string> = new Set();
-  private watchFailures = 0;
-  private marks = 0;
   private cancelTick: Cancel = () => undefined;
 
   /** `writer` is unique to this run of the process. */
@@ -78,8 +66,9 @@
     super();
     this.context = context;
     this.links = links;
-    this.writer = writer;
+    this.writer = new ObjectWriter(context, writer, (name, object) => this.adoptStored(name, object));
     this.seeds = context.settings.seeds.map(parseSeed);
+    this.watchBackoff = new Backoff(context.random, WATCH_RETRY_MS, WATCH_RETRY_MAX_MS);
   }
 
   public override stop(): void {
@@ -129,7 +118,7 @@
         message.reply(this.objects.get(message.name));
         return;
       case 'put':
-        void this.put(message.change).then(message.reply);
+        void this.writer.put(message.change).then(message.reply);
         return;
       case 'watchEnded':
         this.endWatch(message);
@@ -151,7 +140,7 @@
     if (object.name === 'catalogue' && !this.noteCatalogue(object)) return;
     this.objects = new Map([...this.objects, [object.name, object]]);
     this.context.logger.log('adopted', { step: 'spread', object: object.name, version: object.version });
-    this.announce(object);
+    announceObject(this.links, object);
     this.publishDigest();
     for (let count = 0; count < EAGER_PEERS; count += 1) void this.sendDigest(this.pickPeer());
   }
@@ -191,24 +180,6 @@
     return object === undefined ? undefined : { object };
   }
 
-  private announce({ name, version, value }: SharedObject): void {
-    if (name === 'catalogue') {
-      const { author, catalogue } = value as Authored & { readonly catalogue: Catalogue };
-      this.links.emit({ type: 'catalogue', catalogue: { version, author, catalogue } });
-      this.links.cell({ type: 'catalogue', catalogue });
-      this.links.membership({ type: 'catalogue', catalogue });
-      return;
-    }
-    const { intent } = value as Authored & { readonly intent: Intent };
-    this.links.emit({ type: 'intent', version, intent });
-    this.links.cell({ type: 'intent', intent });
-    this.links.membership({ type: 'intent', intent });
-    this.links.move({ type: 'intent', intent });
-    const lost = { type: 'confirmedLost', serverIds: intent.confirmedLost } as const;
-    this.links.fence(lost);
-    this.links.witness(lost);
-  }
-
   private versionOf(name: string): number {
     return this.objects.get(name)?.version ?? 0;
   }
@@ -229,13 +200,10 @@
   }
 
   private compareDigest({ digest, from }: MessageOf<'seen'>): void {
-    const entry = { serverId: from, digest, seenAtMs: this.context.clock.monotonicMs() };
-    const others = [...this.seen].filter(([serverId]) => serverId !== from);
-    this.seen = new Map([...others.slice(1 - SEEN_KEPT), [from, entry]]);
+    this.seen.note({ serverId: from, digest, seenAtMs: this.context.clock.monotonicMs() });
     const peer = this.directory.get(from);
     if (peer === undefined) return;
-    if (digest.c > this.versionOf('catalogue')) this.fetch('catalogue', peer);
-    if (digest.i > this.versionOf('intent')) this.fetch('intent', peer);
+    this.fetchNewer(digest, peer);
     if (digest.n !== '') this.links.cell({ type: 'seen', name: digest.n, version: digest.v, from: peer });
   }
 
@@ -248,7 +216,7 @@
     if (answer.isLeft()) return;
     const reply = answer.unsafeCoerce() as DigestCall;
     if (peer.serverId !== '') this.noteCall(reply, peer.serverId);
-    else this.compareSeed(reply.digest, peer);
+    else this.fetchNewer(reply.digest, peer);
   }
 
   private noteCall({ digest, loads }: DigestCall, from: string): void {
@@ -262,22 +230,17 @@
   private digestCall(cellName: string): DigestCall {
     const digest = this.digest();
     if (this.loads === undefined || cellName === '' || cellName !== this.ownName) return { digest };
-    const busiest = Object.entries(this.loads).sort((left, right) => right[1] - left[1]);
-    return { digest, loads: Object.fromEntries(busiest.slice(0, LOADS_SENT)) };
+    return { digest, loads: selectBusiest(this.loads) };
   }
 
-  private compareSeed(digest: Digest, seed: PeerAddress): void {
-    if (digest.c > this.versionOf('catalogue')) this.fetch('catalogue', seed);
-    if (digest.i > this.versionOf('intent')) this.fetch('intent', seed);
+  private fetchNewer(digest: Digest, peer: PeerAddress): void {
+    if (digest.c > this.versionOf('catalogue')) this.fetch('catalogue', peer);
+    if (digest.i > this.versionOf('intent')) this.fetch('intent', peer);
   }
 
   private pickPeer(): PeerAddress | undefined {
     const { random, settings } = this.context;
-    const members = [...this.directory.values()].filter(
-      (member) => member.state !== 'gone' && member.serverId !== settings.serverId,
-    );
-    const useSeed = members.length === 0 || random.fraction() < SEED_FRACTION;
-    return (useSeed ? random.pick(this.seeds) : undefined) ?? random.pick(members);
+    return pickDigestPeer(this.directory, this.seeds, settings.serverId, random);
   }
 
   private fetch(name: SharedObject['name'], peer: PeerAddress): void {
@@ -331,15 +294,12 @@
   }
 
   private endWatch({ name, failed }: MessageOf<'watchEnded'>): void {
+    this.watchBackoff.count(failed);
     if (!failed) {
-      this.watchFailures = 0;
       this.resumeWatch(name);
       return;
     }
-    const limitMs = Math.min(WATCH_RETRY_MAX_MS, WATCH_RETRY_MS * 2 ** this.watchFailures);
-    this.watchFailures += 1;
-    const pauseMs = limitMs * (0.5 + this.context.random.fraction() / 2);
-    this.context.clock.schedule(pauseMs, () => this.post({ type: 'watchDue', name }));
+    this.context.clock.schedule(this.watchBackoff.pauseMs(), () => this.post({ type: 'watchDue', name }));
   }
 
   private resumeWatch(name: SharedObject['name']): void {
@@ -347,37 +307,10 @@
     this.watchStore();
   }
 
-  /**
-   * The readers are members of the first cell of the first service, so that their number does not grow with the fleet.
-   * Without a catalogue the members of each cell watch.
-   */
   private isReader(): boolean {
-    const { serverId, region } = this.context.settings;
-    if (this.ownCell === undefined) return false;
     const object = this.objects.get('catalogue');
-    const services = (object?.value as { readonly catalogue: Catalogue } | undefined)?.catalogue.services;
-    const first = services?.map(({ name }) => name).sort()[0];
-    if (first !== undefined && this.ownName !== formatCellName(first, 0)) return false;
-    return chooseReaders(this.ownCell, region).includes(serverId);
-  }
-
-  private async put(change: PutObject): Promise<Either<RouterError, PutOutcome>> {
-    const { name, value, author, ifVersion } = change;
-    const authored = { author, timeMs: this.context.clock.wallMs(), [name]: value };
-    const { store, operatorStore = store } = this.context;
-    const updated = await updateObject(operatorStore, {
-      name,
-      change: (current) => ((current?.version ?? 0) === ifVersion ? authored : undefined),
-      nextMark: () => `${this.writer}/${name}/${(this.marks += 1)}`,
-    });
-    if (updated.isLeft()) return Left(updated.extract());
-    const outcome = updated.unsafeCoerce();
-    if (outcome.type === 'undecided') return Right({ type: 'undecided' });
-    this.adoptStored(name, outcome.object);
-    const { version = 0 } = outcome.object ?? {};
-    this.context.logger.log('put', { step: 'admin', object: name, author, outcome: outcome.type, version });
-    if (outcome.type === 'accepted') return Right({ type: 'accepted', version: outcome.version });
-    return Right({ type: 'conflict', version, author: (outcome.object?.value as Authored).author });
+    const catalogue = object === undefined ? undefined : toVersioned(object).catalogue;
+    return isStoreReader(this.context.settings, this.ownName, this.ownCell, catalogue);
   }
 
   private replyStatus(reply: MessageOf<'status'>['reply']): void {
@@ -385,7 +318,7 @@
       catalogueVersion: this.versionOf('catalogue'),
       intentVersion: this.versionOf('intent'),
       isReader: this.isReader(),
-      seen: [...this.seen.values()],
+      seen: this.seen.list(),
     });
   }
 
@@ -394,8 +327,3 @@
     this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
   }
 }
-
-function toVersioned({ version, value }: SharedObject): VersionedCatalogue {
-  const { author, catalogue } = value as Authored & { readonly catalogue: Catalogue };
-  return { version, author, catalogue };
-}
