Let one class keep the tick timers of control and proxy tasks

Cause: seven tasks of packages/control and four of packages/proxy each had a field, a stop and a method for the timer that posts their `tick`; SpreadTask, CellTask and OwnerTask were among the longest files. Change: core/TickingTask holds the timer and cancels it when the task stops. It serves both ways that were in use: a tick that schedules the next one when it is handled (control), and ticks at a fixed period (proxy). They differ when a task falls behind or a test moves the clock far ahead, so both stay as they were. No behaviour changes. Lint, formatting and import checks clean.

--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -4,8 +4,7 @@
 import { ensurePlacements } from '#assignment/EnsurePlacements.js';
 import { listOwnedShards } from '#assignment/ListOwnedShards.js';
 import type { Catalogue } from '#catalogue/Catalogue.js';
-import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import { announceCell } from '#control/AnnounceCell.js';
 import { CellCache } from '#control/CellCache.js';
 import { CellChanges } from '#control/CellChanges.js';
@@ -47,7 +46,7 @@
  * Owns the cell of the own service and the cells fetched on demand, writes all changes of cells, and tells the request
  * path which shards this daemon may use.
  */
-export class CellTask extends Task<CellMessage> {
+export class CellTask extends TickingTask<CellMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private readonly changes: CellChanges;
@@ -64,11 +63,10 @@
   private lease = { epoch: 0, leaseEndMs: Number.NEGATIVE_INFINITY };
   private isClearing = false;
   private isPlacing = false;
-  private cancelTick: Cancel = () => undefined;
 
   /** `writer` is unique to this run of the process. */
   public constructor(context: ControlContext, links: TaskLinks, writer: string) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
     this.store = new StoreHealth(context.random);
@@ -78,13 +76,12 @@
       this.post({ type: 'fetchEnded', name, cell }),
     );
     this.foreign = new ForeignCells(context.clock, loader);
-    this.scheduleTick();
+    this.scheduleTick(TICK_MS);
   }
 
   public override stop(): void {
     super.stop();
     this.changes.stop();
-    this.cancelTick();
   }
 
   protected override receive(message: CellMessage): void {
@@ -153,7 +150,7 @@
         this.replyStatus(message.reply);
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleTick(TICK_MS);
         this.addPlacements();
         this.fetcher.fetchNeighbour(this.catalogue, this.home?.name);
     }
@@ -321,8 +318,4 @@
       storeReachable: this.store.isReachable,
     });
   }
-
-  private scheduleTick(): void {
-    this.cancelTick = this.context.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
-  }
 }
--- a/packages/control/src/FenceTask.ts
+++ b/packages/control/src/FenceTask.ts
@@ -1,6 +1,5 @@
 import type { Fence } from '#assignment/Fence.js';
-import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { Directory } from '#control/Directory.js';
 import type { FenceMessage } from '#control/FenceMessage.js';
@@ -13,25 +12,19 @@
 import { stepFence } from '#lease/StepFence.js';
 
 /** Collects the promises that this daemon needs before it may act on shards of lost grants. */
-export class FenceTask extends Task<FenceMessage> {
+export class FenceTask extends TickingTask<FenceMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private fences: ReadonlyMap<number, FenceState> = new Map();
   private directory: Directory = new Map();
   private confirmedLost: readonly string[] = [];
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
   }
 
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
-  }
-
   protected override receive(message: FenceMessage): void {
     const nowMs = this.context.clock.monotonicMs();
     switch (message.type) {
@@ -52,7 +45,7 @@
       }
       case 'tick':
         for (const fenceId of this.fences.keys()) this.step(fenceId, { type: 'tick', nowMs });
-        this.scheduleTick();
+        this.scheduleNextTick();
     }
   }
 
@@ -67,7 +60,7 @@
       added.map((fence) => fence.id),
       nowMs,
     );
-    this.scheduleTick();
+    this.scheduleNextTick();
   }
 
   private announceLost(fenceIds: readonly number[], nowMs: number): void {
@@ -106,11 +99,10 @@
     answer.ifRight((value) => this.post({ type: 'reply', fenceId, witness, reply: value as PromiseReply }));
   }
 
-  private scheduleTick(): void {
-    this.cancelTick();
+  /** Ticks only while a fence is open. */
+  private scheduleNextTick(): void {
     const isOpen = [...this.fences.values()].some((state) => state.value !== 'satisfied');
-    if (!isOpen) return;
-    const delayMs = this.context.config.renewEveryMs / 4;
-    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+    if (isOpen) this.scheduleTick(this.context.config.renewEveryMs / 4);
+    else this.cancelTick();
   }
 }
--- a/packages/control/src/LeaseTask.ts
+++ b/packages/control/src/LeaseTask.ts
@@ -1,5 +1,4 @@
-import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import { decodeRenewAnswer } from '#control/DecodeRenewAnswer.js';
 import type { Digest } from '#control/Digest.js';
@@ -16,7 +15,7 @@
 import { stepHolder } from '#lease/StepHolder.js';
 
 /** Holds the lease of this daemon: sends renewals to its witnesses and reports the end of the lease. */
-export class LeaseTask extends Task<LeaseMessage> {
+export class LeaseTask extends TickingTask<LeaseMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private state: HolderState;
@@ -25,19 +24,13 @@
   private cellName = '';
   private granted = 0;
   private lost = 0;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
     this.state = createHolder(context.settings.serverId);
-    this.scheduleTick();
-  }
-
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
+    this.scheduleNextTick();
   }
 
   protected override receive(message: LeaseMessage): void {
@@ -54,7 +47,7 @@
         this.replyStatus(message.reply);
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleNextTick();
         this.step({ type: 'tick', nowMs });
         return;
       case 'reply':
@@ -115,9 +108,8 @@
   }
 
   /** Ticks twice per renewal interval, so that an expiry is noticed before the next round is due. */
-  private scheduleTick(): void {
-    const delayMs = this.context.config.renewEveryMs / 2;
-    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+  private scheduleNextTick(): void {
+    this.scheduleTick(this.context.config.renewEveryMs / 2);
   }
 
   private replyStatus(reply: Extract<LeaseMessage, { readonly type: 'status' }>['reply']): void {
--- a/packages/control/src/MembershipTask.ts
+++ b/packages/control/src/MembershipTask.ts
@@ -8,8 +8,7 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import { advanceChart } from '#chart/AdvanceChart.js';
 import { compileChart } from '#chart/CompileChart.js';
-import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import { Backoff } from '#control/Backoff.js';
 import type { CellHome } from '#control/CellHome.js';
 import type { CellOutcome } from '#control/CellOutcome.js';
@@ -38,7 +37,7 @@
 const WITNESS_COUNT = 3;
 
 /** Keeps this daemon a member of its cell: joins, renews its epoch, replaces witnesses, drains and leaves. */
-export class MembershipTask extends Task<MembershipMessage> {
+export class MembershipTask extends TickingTask<MembershipMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private readonly backoff: Backoff;
@@ -59,19 +58,13 @@
   private registerNotBeforeMs = 0;
   private drainReplies: readonly (() => void)[] = [];
   private isLeaving = false;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
     this.backoff = new Backoff(context.random);
-    this.scheduleTick();
-  }
-
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
+    this.scheduleTick(TICK_MS);
   }
 
   protected override receive(message: MembershipMessage): void {
@@ -123,7 +116,7 @@
         message.reply(this.membership);
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleTick(TICK_MS);
         this.improveWitnesses();
         this.checkIsolation();
         this.leaveIfEmpty();
@@ -355,8 +348,4 @@
   private ownMember(): Member | undefined {
     return this.cell && this.home && findMember(this.cell, this.home.facts.serverId);
   }
-
-  private scheduleTick(): void {
-    this.cancelTick = this.context.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
-  }
 }
--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -13,7 +13,7 @@
 import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
 import { compileChart } from '#chart/CompileChart.js';
 import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { HandoverAnswer } from '#control/HandoverAnswer.js';
 import type { Intent } from '#control/Intent.js';
@@ -48,7 +48,7 @@
 const LOAD_AGE_MS = 60_000;
 
 /** Carries out planned moves of this daemon's shards, and takes over the records of shards moved to it. */
-export class MoveTask extends Task<MoveMessage> {
+export class MoveTask extends TickingTask<MoveMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private incarnation = '';
@@ -61,17 +61,15 @@
   private lastTransferId = 0;
   /** Cancels the limit of each transfer's release. */
   private limits: ReadonlyMap<number, Cancel> = new Map();
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
   }
 
   public override stop(): void {
     super.stop();
-    this.cancelTick();
     for (const cancel of this.limits.values()) cancel();
   }
 
@@ -79,7 +77,7 @@
     switch (message.type) {
       case 'start':
         this.incarnation = message.incarnation;
-        this.scheduleTick();
+        this.scheduleNextTick();
         return;
       case 'cell':
         this.cell = message.cell;
@@ -100,7 +98,7 @@
         message.reply(this.listMoves());
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleNextTick();
         this.plan();
     }
   }
@@ -238,10 +236,10 @@
   }
 
   /** The owners of a cell plan at different moments, so that they see each other's moves. */
-  private scheduleTick(): void {
+  private scheduleNextTick(): void {
     const everyMs = this.isLeaving() ? DRAIN_EVERY_MS : PLAN_EVERY_MS;
     const delayMs = everyMs * (0.5 + this.context.random.fraction());
-    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+    this.scheduleTick(delayMs);
   }
 }
 
--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -8,9 +8,8 @@
 import { Backoff } from '#control/Backoff.js';
 import type { CatalogueAnswer } from '#control/CatalogueAnswer.js';
 import { PatchLog } from '#control/PatchLog.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { RouterError } from '#core/RouterError.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { Digest } from '#control/Digest.js';
 import type { DigestCall } from '#control/DigestCall.js';
@@ -44,7 +43,7 @@
 const PATCHES_KEPT = 64;
 
 /** Spreads the catalogue and the operator intent: digests between peers, and watches by the readers of each region. */
-export class SpreadTask extends Task<SpreadMessage> {
+export class SpreadTask extends TickingTask<SpreadMessage> {
   private readonly patches = new PatchLog(PATCHES_KEPT);
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
@@ -59,11 +58,10 @@
   private loads: ShardLoads | undefined;
   private watching: ReadonlySet<string> = new Set();
   private fetching: ReadonlySet<string> = new Set();
-  private cancelTick: Cancel = () => undefined;
 
   /** `writer` is unique to this run of the process. */
   public constructor(context: ControlContext, links: TaskLinks, writer: string) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
     this.writer = new ObjectWriter(context, writer, (name, object) => this.adoptStored(name, object));
@@ -71,19 +69,14 @@
     this.watchBackoff = new Backoff(context.random, WATCH_RETRY_MS, WATCH_RETRY_MAX_MS);
   }
 
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
-  }
-
   protected override receive(message: SpreadMessage): void {
     switch (message.type) {
       case 'start':
         for (const name of NAMES) void this.loadObject(name);
-        this.scheduleTick();
+        this.scheduleNextTick();
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleNextTick();
         this.watchStore();
         void this.sendDigest(this.pickPeer());
         return;
@@ -322,8 +315,8 @@
     });
   }
 
-  private scheduleTick(): void {
+  private scheduleNextTick(): void {
     const delayMs = this.context.settings.timings.spreadEveryMs * (0.75 + this.context.random.fraction() / 2);
-    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
+    this.scheduleTick(delayMs);
   }
 }
--- a/packages/control/src/WitnessTask.ts
+++ b/packages/control/src/WitnessTask.ts
@@ -5,8 +5,7 @@
 import { advanceChart } from '#chart/AdvanceChart.js';
 import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
 import { compileChart } from '#chart/CompileChart.js';
-import type { Cancel } from '#core/Cancel.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { Digest } from '#control/Digest.js';
 import type { Directory } from '#control/Directory.js';
@@ -37,7 +36,7 @@
 const CHART = compileChart('suspicion.json', file, SUSPICION_RULES);
 
 /** Renews the leases of other daemons, gives promises to new owners, and reports holders that fell silent. */
-export class WitnessTask extends Task<WitnessMessage> {
+export class WitnessTask extends TickingTask<WitnessMessage> {
   private readonly context: ControlContext;
   private readonly links: TaskLinks;
   private state: WitnessState = createWitness();
@@ -47,20 +46,14 @@
   private suspicions: ReadonlyMap<string, Suspicion> = new Map();
   private confirmedLost: readonly string[] = [];
   private digest: Digest = NO_DIGEST;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(context: ControlContext, links: TaskLinks) {
-    super();
+    super(context.clock);
     this.context = context;
     this.links = links;
     const nonce = randomBytes(6).toString('base64');
     this.step({ type: 'started', nowMs: context.clock.monotonicMs(), nonce });
-    this.scheduleTick();
-  }
-
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
+    this.scheduleTick(this.context.config.renewEveryMs / 4);
   }
 
   protected override receive(message: WitnessMessage): void {
@@ -88,7 +81,7 @@
         this.advanceSuspicion(message);
         return;
       case 'tick':
-        this.scheduleTick();
+        this.scheduleTick(this.context.config.renewEveryMs / 4);
         for (const command of this.step({ type: 'tick', nowMs })) {
           if (command.type === 'suspect') this.beginSuspicion(command.serverId, command.epoch);
         }
@@ -238,9 +231,4 @@
   private dropSuspicion(serverId: string): void {
     this.suspicions = new Map([...this.suspicions].filter(([id]) => id !== serverId));
   }
-
-  private scheduleTick(): void {
-    const delayMs = this.context.config.renewEveryMs / 4;
-    this.cancelTick = this.context.clock.schedule(delayMs, () => this.post({ type: 'tick' }));
-  }
 }
--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import { AnswerHandler } from '#proxy/AnswerHandler.js';
 import type { BackendChartCommand } from '#proxy/BackendChartCommand.js';
 import type { BackendChartContext } from '#proxy/BackendChartContext.js';
@@ -39,7 +39,7 @@
 }
 
 /** Owns the connections to the backend server beside this daemon and the port on which it announces itself. */
-export class BackendTask extends Task<BackendMessage> {
+export class BackendTask extends TickingTask<BackendMessage> {
   private readonly chart = compileBackendChart();
   private readonly logger = new Logger('backend');
   private readonly running = new Map<string, Running>();
@@ -49,21 +49,20 @@
     context: { facts: undefined, heardAtMs: 0 },
   };
   private pool: Pool | undefined;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(
     private readonly serverId: string,
     private readonly ownerAddress: () => string,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly signal: (signal: BackendSignal) => void,
   ) {
-    super();
+    super(clock);
     this.server = createServer((req, res) => this.readAnnouncement(req, res));
   }
 
   /** Listens for announcements on a loopback port and resolves with the port. */
   public start(port: number): Promise<number> {
-    this.scheduleTick();
+    this.scheduleTicks(TICK_MS);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, '127.0.0.1', () => {
@@ -75,7 +74,6 @@
 
   public override stop(): void {
     super.stop();
-    this.cancelTick();
     this.server.close();
     this.server.closeAllConnections();
     void this.pool?.destroy();
@@ -112,13 +110,6 @@
     }
   }
 
-  private scheduleTick(): void {
-    this.cancelTick = this.clock.schedule(TICK_MS, () => {
-      this.post({ type: 'tick' });
-      this.scheduleTick();
-    });
-  }
-
   private checkAnnouncement(): void {
     const silentMs = this.clock.monotonicMs() - this.snapshot.context.heardAtMs;
     if (silentMs > ANNOUNCEMENT_TIMEOUT_MS) this.advance({ type: 'silent' });
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -6,11 +6,10 @@
 import type { Cell } from '#assignment/Cell.js';
 import { findCellIndex } from '#assignment/FindCellIndex.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
 import type { ArrivedRequest } from '#proxy/ArrivedRequest.js';
 import { checkRequest } from '#proxy/CheckRequest.js';
@@ -51,26 +50,25 @@
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Serves callers: checks, admits and routes their requests, retries where that is safe, and judges delivery. */
-export class EntryTask extends Task<EntryMessage> {
+export class EntryTask extends TickingTask<EntryMessage> {
   private readonly exchanges = new ExchangeTable();
   private readonly router: OrderRouter;
   private readonly outcomes: OutcomeCounts;
   private readonly admission: EntryAdmission;
   private readonly retries: RetryPlanner;
   private nextId = 0;
-  private cancelTick: Cancel = () => undefined;
   private closed: (() => void) | undefined;
 
   public constructor(
     private readonly identity: EntryIdentity,
-    private readonly clock: Clock,
+    clock: Clock,
     random: RandomSource,
     quota: QuotaClient,
     balance: BalancePolicy,
     private readonly links: EntryLinks,
     private readonly listener: EntryListener,
   ) {
-    super();
+    super(clock);
     this.retries = new RetryPlanner(clock, random);
     this.router = new OrderRouter(identity, balance, random);
     this.outcomes = new OutcomeCounts(clock, listener);
@@ -84,15 +82,11 @@
 
   /** Starts the timers. */
   public start(): void {
-    this.cancelTick = this.clock.schedule(ASK_TICK_MS, () => {
-      this.post({ type: 'tick' });
-      this.start();
-    });
+    this.scheduleTicks(ASK_TICK_MS);
   }
 
   public override stop(): void {
     super.stop();
-    this.cancelTick();
     this.admission.stop();
     this.exchanges.cancelDeadlines();
   }
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -4,9 +4,8 @@
 import type { QueueResult } from '#admission/QueueResult.js';
 import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
 import type { ReleaseRequest } from '#control/ReleaseRequest.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import { BackendCapacity } from '#proxy/BackendCapacity.js';
 import type { BackendFacts } from '#proxy/BackendFacts.js';
 import type { BackendMessage } from '#proxy/BackendMessage.js';
@@ -34,7 +33,7 @@
  * Admits orders to the backend server beside this daemon: checks lease and ownership at the moment of use, idempotency,
  * quarantine, deadline and slots. Owns the queue, the idempotency records and the slow-start state.
  */
-export class OwnerTask extends Task<OwnerMessage> {
+export class OwnerTask extends TickingTask<OwnerMessage> {
   private readonly gate: OnceGate;
   private readonly queue = new BackendQueue(new PriorityOrder(() => new FairOrder()), 1, MAX_WAITING);
   private readonly crashes: CrashWatch;
@@ -45,16 +44,15 @@
   private readonly capacity = new BackendCapacity();
   private ticks = 0;
   private drained: (() => void) | undefined;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(
     private readonly serverId: string,
     horizonMs: number,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly postToBackend: (message: BackendMessage) => void,
     private readonly listener: OwnerListener,
   ) {
-    super();
+    super(clock);
     this.ownership = new OwnershipView(clock);
     this.crashes = new CrashWatch(serverId, (marks) => listener.onMarks(marks));
     this.gate = new OnceGate(serverId, horizonMs, clock, (orderId, bodyHash) =>
@@ -64,12 +62,7 @@
 
   /** Starts the timers. */
   public start(): void {
-    this.scheduleTick();
-  }
-
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
+    this.scheduleTicks(TICK_MS);
   }
 
   protected override receive(message: OwnerMessage): void {
@@ -326,13 +319,6 @@
     this.shardCounts.clear();
   }
 
-  private scheduleTick(): void {
-    this.cancelTick = this.clock.schedule(TICK_MS, () => {
-      this.post({ type: 'tick' });
-      this.scheduleTick();
-    });
-  }
-
   private report(): OwnerReport {
     return {
       running: this.queue.runningCount,
--- a/packages/proxy/src/ReceiptTask.ts
+++ b/packages/proxy/src/ReceiptTask.ts
@@ -1,6 +1,5 @@
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import type { PendingReceipt } from '#delivery/PendingReceipt.js';
 import { ReceiptTable } from '#delivery/ReceiptTable.js';
@@ -13,28 +12,19 @@
 const TICK_MS = 100;
 
 /** Awaits the receipts of callers and reports the outcome of each answer that needed one. */
-export class ReceiptTask extends Task<ReceiptMessage> {
+export class ReceiptTask extends TickingTask<ReceiptMessage> {
   private readonly table = new ReceiptTable(MAX_PENDING, GRACE_MS);
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly onEnd: (receipt: PendingReceipt, outcome: Outcome) => void,
   ) {
-    super();
+    super(clock);
   }
 
   /** Starts the timers. */
   public start(): void {
-    this.cancelTick = this.clock.schedule(TICK_MS, () => {
-      this.post({ type: 'tick' });
-      this.start();
-    });
-  }
-
-  public override stop(): void {
-    super.stop();
-    this.cancelTick();
+    this.scheduleTicks(TICK_MS);
   }
 
   protected override receive(message: ReceiptMessage): void {
