--- a/packages/mesh/test/RawServer.ts
+++ b/packages/mesh/test/RawServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server, type Socket } from 'node:net';
+import { listenOnFreePort } from './ListenOnFreePort.js';
 import type { RawRequest } from './RawRequest.js';
 
 /** A backend server that answers with whatever bytes a test writes. Bodies of requests must be empty. */
@@ -15,10 +16,7 @@
   }
 
   public async start(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    const address = this.server.address();
-    if (address === null || typeof address === 'string') throw new Error('no port');
-    return `127.0.0.1:${address.port}`;
+    return `127.0.0.1:${await listenOnFreePort(this.server)}`;
   }
 
   /** Ends the process, as far as its callers can tell. */
