Keep the running orders of the backend and forward tasks in one class

Cause: BackendTask and ForwardTask each kept a map of answer handlers and their timers, with the same steps at start, cancel and end. Change: proxy/RunningOrders does it for both; each task owns its own. No behaviour changes.

--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -2,7 +2,6 @@
 import { Pool } from 'undici';
 import { advanceChart } from '#chart/AdvanceChart.js';
 import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
@@ -18,6 +17,7 @@
 import type { BackendSignal } from '#proxy/BackendSignal.js';
 import { compileBackendChart } from '#proxy/CompileBackendChart.js';
 import { parseBackendFacts } from '#proxy/ParseBackendFacts.js';
+import { RunningOrders } from '#proxy/RunningOrders.js';
 import { selectAnswerHeaders } from '#proxy/SelectAnswerHeaders.js';
 
 /** A backend server that has not announced itself for this long is treated as gone. */
@@ -33,16 +33,11 @@
   stale: 'stale',
 };
 
-interface Running {
-  readonly handler: AnswerHandler;
-  readonly cancelTimer: Cancel;
-}
-
 /** Owns the connections to the backend server beside this daemon and the port on which it announces itself. */
 export class BackendTask extends TickingTask<BackendMessage> {
   private readonly chart = compileBackendChart();
   private readonly logger = new Logger('backend');
-  private readonly running = new Map<string, Running>();
+  private readonly running: RunningOrders;
   private readonly server: Server;
   private snapshot: ChartSnapshot<BackendChartContext> = {
     value: 'absent',
@@ -57,6 +52,7 @@
     private readonly signal: (signal: BackendSignal) => void,
   ) {
     super(clock);
+    this.running = new RunningOrders(clock);
     this.server = createServer((req, res) => this.readAnnouncement(req, res));
   }
 
@@ -85,7 +81,7 @@
         this.run(message.backendOrder);
         break;
       case 'cancel':
-        this.running.get(message.orderId)?.handler.cancel();
+        this.running.cancel(message.orderId);
         break;
       case 'announced':
         this.advance({ type: 'announced', facts: message.facts, nowMs: this.clock.monotonicMs() });
@@ -101,8 +97,7 @@
           this.advance({ type: 'unreachable' });
         break;
       case 'ended':
-        this.running.get(message.orderId)?.cancelTimer();
-        this.running.delete(message.orderId);
+        this.running.end(message.orderId);
         break;
       case 'tick':
         this.checkAnnouncement();
@@ -201,10 +196,7 @@
     }
     const handler = this.createHandler(backendOrder, facts, nowMs);
     const graceMs = order.entry.repeatable ? 0 : LATE_ANSWER_MS;
-    const cancelTimer = this.clock.schedule(backendOrder.deadlineAtMs - nowMs + graceMs, () =>
-      handler.cancel(),
-    );
-    this.running.set(order.orderId, { handler, cancelTimer });
+    this.running.add(order.orderId, handler, backendOrder.deadlineAtMs - nowMs + graceMs);
     pool.dispatch(
       {
         path: order.head.path,
--- a/packages/proxy/src/ForwardTask.ts
+++ b/packages/proxy/src/ForwardTask.ts
@@ -1,6 +1,5 @@
 import { Pool } from 'undici';
 import type { Member } from '#assignment/Member.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
@@ -12,6 +11,7 @@
 import type { HopSigner } from '#proxy/HopSigner.js';
 import type { Order } from '#proxy/Order.js';
 import { parseRefusal } from '#proxy/ParseRefusal.js';
+import { RunningOrders } from '#proxy/RunningOrders.js';
 import { selectAnswerHeaders } from '#proxy/SelectAnswerHeaders.js';
 
 /** Bounds the sockets between two daemons; each request holds one while it waits. */
@@ -19,16 +19,11 @@
 const CONNECT_TIMEOUT_MS = 500;
 const REFUSAL_MAX_BYTES = 65_536;
 
-interface Running {
-  readonly handler: AnswerHandler;
-  readonly cancelTimer: Cancel;
-}
-
 /** Owns the connections to other daemons and forwards orders over one inner hop. */
 export class ForwardTask extends Task<ForwardMessage> {
   private readonly logger = new Logger('forward');
   private readonly pools = new Map<string, Pool>();
-  private readonly running = new Map<string, Running>();
+  private readonly running: RunningOrders;
 
   public constructor(
     private readonly serverId: string,
@@ -36,6 +31,7 @@
     private readonly signer: HopSigner,
   ) {
     super();
+    this.running = new RunningOrders(clock);
   }
 
   public override stop(): void {
@@ -50,11 +46,10 @@
         this.forward(message.member, message.order);
         break;
       case 'cancel':
-        this.running.get(message.orderId)?.handler.cancel();
+        this.running.cancel(message.orderId);
         break;
       case 'ended':
-        this.running.get(message.orderId)?.cancelTimer();
-        this.running.delete(message.orderId);
+        this.running.end(message.orderId);
         break;
       case 'members':
         this.closeUnusedPools(message.members);
@@ -74,8 +69,7 @@
     }
     const head = { ...order.head, deadlineMs: remainingMs };
     const handler = this.createHandler(member, order);
-    const cancelTimer = this.clock.schedule(remainingMs, () => handler.cancel());
-    this.running.set(order.orderId, { handler, cancelTimer });
+    this.running.add(order.orderId, handler, remainingMs);
     const signature = this.signer.sign(formatHopFields(this.serverId, member.serverId, head));
     const isBuffer = Buffer.isBuffer(order.body);
     this.findPool(member).dispatch(
