List the other members of a cell in one place

Cause: CellLoader, PickDigestPeer, MembershipTask and the daemon's sendMarks each filtered out the own server and the members that are gone. Change: assignment/ListOtherMembers does it for all four, in the same order. No behaviour changes.

--- a/packages/control/src/CellLoader.ts
+++ b/packages/control/src/CellLoader.ts
@@ -1,4 +1,5 @@
 import type { Cell } from '#assignment/Cell.js';
+import { listOtherMembers } from '#assignment/ListOtherMembers.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import { parseSeed } from '#control/ParseSeed.js';
 import { readCell } from '#control/ReadCell.js';
@@ -25,10 +26,8 @@
   public async load(name: string, known: Cell | undefined, from?: PeerAddress): Promise<Cell | undefined> {
     const { random, settings } = this.context;
     const version = known?.version ?? 0;
-    const members = known?.members.filter(
-      ({ state, serverId }) => state !== 'gone' && serverId !== settings.serverId,
-    );
-    const peers = [from, random.pick(members ?? []), random.pick(this.seeds)];
+    const members = listOtherMembers(known?.members ?? [], settings.serverId);
+    const peers = [from, random.pick(members), random.pick(this.seeds)];
     for (const peer of peers) {
       const cell = peer && (await this.fetchFrom(peer, name));
       if (cell !== undefined && cell.version > version) return cell;
--- a/packages/control/src/MembershipTask.ts
+++ b/packages/control/src/MembershipTask.ts
@@ -1,6 +1,7 @@
 import type { AssignOptions } from '#assignment/AssignOptions.js';
 import type { Cell } from '#assignment/Cell.js';
 import { findMember } from '#assignment/FindMember.js';
+import { listOtherMembers } from '#assignment/ListOtherMembers.js';
 import { listOwnedShards } from '#assignment/ListOwnedShards.js';
 import type { Member } from '#assignment/Member.js';
 import { removeMember } from '#assignment/RemoveMember.js';
@@ -278,10 +279,7 @@
   }
 
   private async probePeer(): Promise<void> {
-    const own = this.context.settings.serverId;
-    const peers = [...this.directory.values()].filter(
-      ({ serverId, state }) => serverId !== own && state !== 'gone',
-    );
+    const peers = listOtherMembers(this.directory.values(), this.context.settings.serverId);
     const peer = this.context.random.pick(peers);
     if (peer === undefined) return;
     const options = { channel: 'udp', timeoutMs: TICK_MS } as const;
--- a/packages/control/src/PickDigestPeer.ts
+++ b/packages/control/src/PickDigestPeer.ts
@@ -1,3 +1,4 @@
+import { listOtherMembers } from '#assignment/ListOtherMembers.js';
 import type { Directory } from '#control/Directory.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
@@ -12,9 +13,7 @@
   ownServerId: string,
   random: RandomSource,
 ): PeerAddress | undefined {
-  const members = [...directory.values()].filter(
-    ({ state, serverId }) => state !== 'gone' && serverId !== ownServerId,
-  );
+  const members = listOtherMembers(directory.values(), ownServerId);
   const useSeed = members.length === 0 || random.fraction() < SEED_FRACTION;
   return (useSeed ? random.pick(seeds) : undefined) ?? random.pick(members);
 }
--- a/packages/daemon/src/SendMarks.ts
+++ b/packages/daemon/src/SendMarks.ts
@@ -1,4 +1,5 @@
 import type { Cell } from '#assignment/Cell.js';
+import { listOtherMembers } from '#assignment/ListOtherMembers.js';
 import type { RequestMark } from '#proxy/RequestMark.js';
 import type { Transport } from '#rpc/Transport.js';
 
@@ -13,7 +14,7 @@
   marks: readonly RequestMark[],
 ): void {
   const members = [...cells].flatMap((cell) => cell.members);
-  const peers = members.filter((member) => member.serverId !== serverId && member.state !== 'gone');
+  const peers = listOtherMembers(members, serverId);
   for (let start = 0; start < marks.length; start += MARKS_PER_DATAGRAM) {
     const part = marks.slice(start, start + MARKS_PER_DATAGRAM);
     for (const peer of peers) transport.notify(peer, 'marks', part);
