--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -2,11 +2,10 @@
 import { Pool } from 'undici';
 import { advanceChart } from '#chart/AdvanceChart.js';
 import type { ChartSnapshot } from '#chart/ChartSnapshot.js';
-import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
-import { Task } from '#core/Task.js';
+import { TickingTask } from '#core/TickingTask.js';
 import { AnswerHandler } from '#proxy/AnswerHandler.js';
 import type { BackendChartCommand } from '#proxy/BackendChartCommand.js';
 import type { BackendChartContext } from '#proxy/BackendChartContext.js';
@@ -18,6 +17,7 @@
 import type { BackendSignal } from '#proxy/BackendSignal.js';
 import { compileBackendChart } from '#proxy/CompileBackendChart.js';
 import { parseBackendFacts } from '#proxy/ParseBackendFacts.js';
+import { RunningOrders } from '#proxy/RunningOrders.js';
 import { selectAnswerHeaders } from '#proxy/SelectAnswerHeaders.js';
 
 /** A backend server that has not announced itself for this long is treated as gone. */
@@ -33,37 +33,32 @@
   stale: 'stale',
 };
 
-interface Running {
-  readonly handler: AnswerHandler;
-  readonly cancelTimer: Cancel;
-}
-
 /** Owns the connections to the backend server beside this daemon and the port on which it announces itself. */
-export class BackendTask extends Task<BackendMessage> {
+export class BackendTask extends TickingTask<BackendMessage> {
   private readonly chart = compileBackendChart();
   private readonly logger = new Logger('backend');
-  private readonly running = new Map<string, Running>();
+  private readonly running: RunningOrders;
   private readonly server: Server;
   private snapshot: ChartSnapshot<BackendChartContext> = {
     value: 'absent',
     context: { facts: undefined, heardAtMs: 0 },
   };
   private pool: Pool | undefined;
-  private cancelTick: Cancel = () => undefined;
 
   public constructor(
     private readonly serverId: string,
     private readonly ownerAddress: () => string,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly signal: (signal: BackendSignal) => void,
   ) {
-    super();
+    super(clock);
+    this.running = new RunningOrders(clock);
     this.server = createServer((req, res) => this.readAnnouncement(req, res));
   }
 
   /** Listens for announcements on a loopback port and resolves with the port. */
   public start(port: number): Promise<number> {
-    this.scheduleTick();
+    this.scheduleTicks(TICK_MS);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, '127.0.0.1', () => {
@@ -75,7 +70,6 @@
 
   public override stop(): void {
     super.stop();
-    this.cancelTick();
     this.server.close();
     this.server.closeAllConnections();
     void this.pool?.destroy();
@@ -87,7 +81,7 @@
         this.run(message.backendOrder);
         break;
       case 'cancel':
-        this.running.get(message.orderId)?.handler.cancel();
+        this.running.cancel(message.orderId);
         break;
       case 'announced':
         this.advance({ type: 'announced', facts: message.facts, nowMs: this.clock.monotonicMs() });
@@ -103,8 +97,7 @@
           this.advance({ type: 'unreachable' });
         break;
       case 'ended':
-        this.running.get(message.orderId)?.cancelTimer();
-        this.running.delete(message.orderId);
+        this.running.end(message.orderId);
         break;
       case 'tick':
         this.checkAnnouncement();
@@ -112,13 +105,6 @@
     }
   }
 
-  private scheduleTick(): void {
-    this.cancelTick = this.clock.schedule(TICK_MS, () => {
-      this.post({ type: 'tick' });
-      this.scheduleTick();
-    });
-  }
-
   private checkAnnouncement(): void {
     const silentMs = this.clock.monotonicMs() - this.snapshot.context.heardAtMs;
     if (silentMs > ANNOUNCEMENT_TIMEOUT_MS) this.advance({ type: 'silent' });
@@ -210,10 +196,7 @@
     }
     const handler = this.createHandler(backendOrder, facts, nowMs);
     const graceMs = order.entry.repeatable ? 0 : LATE_ANSWER_MS;
-    const cancelTimer = this.clock.schedule(backendOrder.deadlineAtMs - nowMs + graceMs, () =>
-      handler.cancel(),
-    );
-    this.running.set(order.orderId, { handler, cancelTimer });
+    this.running.add(order.orderId, handler, backendOrder.deadlineAtMs - nowMs + graceMs);
     pool.dispatch(
       {
         path: order.head.path,
