Limit the bytes of a backend server's answer

Cause: a connection to the backend server limited only bodies, to 64 MiB each, and copied the list of a body's chunks for each of them. Daemons have 250 MB of memory, and several answers are read at once.

Change: ServerLink breaks off an order (code badAnswer, the reason names the limit, the log line the peer) and closes the connection - above 64 KiB outside of bodies without a byte of a body between: heads, trailers, chunk extensions, informational and skipped answers, - above 8 MiB in one body, at once if the announced length says so, - above 16 MiB for all answers read for one order, - above 24 MiB for all answers that the task reads, where the first 256 KiB of each do not count, so that usual answers pass beside endless ones, - at a chunk of negative length, with which http-parser-js loops. BodyBuffer collects a body in one buffer that doubles, in place of a list.

The reader of skipped answers restarts the count of bytes outside of bodies at each byte of a body, so a head may be longer by one read of the socket (64 KiB).

--- /dev/null
+++ b/packages/mesh/src/AnswerFault.ts
@@ -0,0 +1,7 @@
+/** Ends the reading of an answer; the message says what is wrong with it. */
+export class AnswerFault extends Error {
+  public constructor(message: string) {
+    super(message);
+    this.name = 'AnswerFault';
+  }
+}
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -1,10 +1,15 @@
 import { connect, type Socket } from 'node:net';
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 import { ChartCursor } from '#chart/ChartCursor.js';
+import { BodyBuffer } from '#core/BodyBuffer.js';
+import type { ByteBudget } from '#core/ByteBudget.js';
+import { AnswerFault } from '#mesh/AnswerFault.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
 import { findHeader } from '#mesh/FindHeader.js';
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
+import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { pairHeaders } from '#mesh/PairHeaders.js';
 import { serverLinkChart } from '#mesh/ServerLinkChart.js';
 import type { ServerLinkEvent } from '#mesh/ServerLinkEvent.js';
@@ -17,8 +22,11 @@
 const IDLE_PART = 0.7;
 const DEFAULT_IDLE_MS = 5_000;
 
-/** Bytes of one answer that are kept at most. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Bytes outside of bodies that may follow each other: heads, trailers, and the lines between chunks. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
+/** Bytes that are read for one order at most; leaves room for a skipped answer and for the framing of small chunks. */
+const MAX_ORDER_BYTES = 2 * maxBodyBytes;
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -36,8 +44,12 @@
   private isHead = false;
   private status = 0;
   private headers: readonly HeaderPair[] = [];
-  private chunks: readonly Buffer[] = [];
+  private readonly body: BodyBuffer;
+  /** Bytes read since the current order was sent, and those of them in bodies. */
+  private orderBytes = 0;
   private bodyBytes = 0;
+  /** Bytes outside of bodies since the last byte of a body. */
+  private headBytes = 0;
   /** Whether the head of an answer to the current order was read. */
   private hasHead = false;
   private isUnframed = false;
@@ -46,8 +58,15 @@
   private readonly connectTimer: NodeJS.Timeout;
   private refused = false;
 
-  public constructor(address: string, idHeader: string, signal: (signal: ServerLinkSignal) => void) {
+  /** Takes the memory of answers that it reads from `budget`. */
+  public constructor(
+    address: string,
+    idHeader: string,
+    budget: ByteBudget,
+    signal: (signal: ServerLinkSignal) => void,
+  ) {
     this.idHeader = idHeader;
+    this.body = new BodyBuffer(maxBodyBytes, budget);
     this.signal = signal;
     this.listenToParser();
     const colon = address.lastIndexOf(':');
@@ -80,6 +99,9 @@
     this.cursor.send({ type: 'sent' });
     this.requestId = requestId;
     this.hasHead = false;
+    this.orderBytes = 0;
+    this.bodyBytes = 0;
+    this.headBytes = 0;
     this.isHead = isHead;
     this.socket.setTimeout(0);
     this.socket.cork();
@@ -95,12 +117,7 @@
 
   private listenToParser(): void {
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => this.noteHead(info.statusCode, info.headers);
-    this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-      const part = Buffer.from(chunk.subarray(offset, offset + length));
-      this.chunks = [...this.chunks, part];
-      this.bodyBytes += part.length;
-      if (this.bodyBytes > MAX_ANSWER_BYTES) this.socket.destroy();
-    };
+    this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => this.noteBody(chunk, offset, length);
     this.parser[HTTPParser.kOnMessageComplete] = () => this.noteComplete();
   }
 
@@ -119,8 +136,23 @@
       this.signal({ type: 'closed', refused: false, neverOpened: false });
       return;
     }
+    try {
+      this.parse(chunk);
+    } catch (err) {
+      if (!(err instanceof AnswerFault)) throw err;
+      this.breakOff(err.message, true);
+    }
+  }
+
+  private parse(chunk: Buffer): void {
+    const { bodyBytes } = this;
     const result = this.parser.execute(chunk);
-    if (typeof result !== 'number') this.breakOff('malformed answer', true);
+    this.headBytes = this.bodyBytes > bodyBytes ? 0 : this.headBytes + chunk.length;
+    if (this.headBytes > MAX_HEAD_BYTES) throw new AnswerFault(`head exceeds ${MAX_HEAD_BYTES} bytes`);
+    this.orderBytes += chunk.length;
+    if (this.orderBytes > MAX_ORDER_BYTES)
+      throw new AnswerFault(`answers to one order exceed ${MAX_ORDER_BYTES} bytes`);
+    if (typeof result !== 'number') throw new AnswerFault('malformed answer');
   }
 
   private readEnd(): void {
@@ -149,10 +181,11 @@
     this.hasHead = true;
     const pairs = pairHeaders(rawHeaders);
     const length = findHeader(pairs, 'content-length');
-    if (length !== undefined && !/^\d+$/.test(length)) this.breakOff('malformed length', true);
+    if (length !== undefined && !/^\d+$/.test(length)) throw new AnswerFault('malformed length');
     this.keepsAlive = findHeader(pairs, 'connection')?.toLowerCase() !== 'close';
     const isFramed = length !== undefined || findHeader(pairs, 'transfer-encoding') !== undefined;
     const hasNoBody = this.isHead || status === 204 || status === 304 || status < FIRST_FINAL_STATUS;
+    if (!hasNoBody && Number(length) > maxBodyBytes) throw new AnswerFault(describeBodyFault('tooLarge'));
     this.isUnframed = !isFramed && !hasNoBody;
     if (this.isUnframed) this.keepsAlive = false;
     this.noteIdleTime(findHeader(pairs, 'keep-alive'));
@@ -160,6 +193,15 @@
     return hasNoBody ? 1 : 0;
   }
 
+  private noteBody(chunk: Buffer, offset: number, length: number): void {
+    // The parser would read a chunk of negative length again and again.
+    if (length < 0) throw new AnswerFault('malformed chunk length');
+    if (this.cursor.state !== 'busy') return;
+    const fault = this.body.add(chunk.subarray(offset, offset + length));
+    if (fault !== undefined) throw new AnswerFault(describeBodyFault(fault));
+    this.bodyBytes += length;
+  }
+
   private noteIdleTime(keepAlive: string | undefined): void {
     const seconds = /timeout=(\d+)/.exec(keepAlive ?? '')?.[1];
     if (seconds !== undefined) this.idleMs = Number(seconds) * 1_000;
@@ -169,10 +211,8 @@
     const answer: BackendAnswer = {
       status: this.status,
       headers: this.headers,
-      body: Buffer.concat([...this.chunks]),
+      body: this.body.take(),
     };
-    this.chunks = [];
-    this.bodyBytes = 0;
     if (this.cursor.state !== 'busy' || answer.status < FIRST_FINAL_STATUS) return;
     const id = findHeader(answer.headers, this.idHeader);
     if (id !== undefined && id !== this.requestId) {
@@ -195,12 +235,14 @@
 
   private breakOff(reason: string, malformed: boolean): void {
     if (!this.cursor.send({ type: 'malformed' })) return;
+    this.body.discard();
     this.socket.destroy();
     this.signal({ type: 'broken', reason, malformed });
   }
 
   private noteClosed(): void {
     clearTimeout(this.connectTimer);
+    this.body.discard();
     const before = this.cursor.state;
     if (!this.cursor.send({ type: 'closed' })) return;
     if (before === 'busy') {
--- a/packages/mesh/src/ServerLinks.ts
+++ b/packages/mesh/src/ServerLinks.ts
@@ -1,3 +1,5 @@
+import { ByteBudget } from '#core/ByteBudget.js';
+import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import { ServerLink } from '#mesh/ServerLink.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
 
@@ -5,6 +7,8 @@
 export class ServerLinks {
   private readonly idHeader: string;
   private readonly signal: (link: ServerLink, signal: ServerLinkSignal) => void;
+  /** Memory of the answers that are being read on all connections. */
+  private readonly budget = new ByteBudget(maxBodiesBytes);
   private readonly links = new Set<ServerLink>();
 
   public constructor(idHeader: string, signal: (link: ServerLink, signal: ServerLinkSignal) => void) {
@@ -28,7 +32,9 @@
 
   /** Opens a connection. Its signals begin later. */
   public open(address: string): void {
-    const link: ServerLink = new ServerLink(address, this.idHeader, (signal) => this.signal(link, signal));
+    const link: ServerLink = new ServerLink(address, this.idHeader, this.budget, (signal) =>
+      this.signal(link, signal),
+    );
     this.links.add(link);
   }
 
--- /dev/null
+++ b/packages/mesh/test/RecordingLogger.ts
@@ -0,0 +1,16 @@
+import { Logger } from '#core/Logger.js';
+import type { LogFields } from '#core/LogFields.js';
+
+interface LogRecord {
+  readonly event: string;
+  readonly fields: LogFields;
+}
+
+/** Keeps the events that it is given. */
+export class RecordingLogger extends Logger {
+  public readonly records: LogRecord[] = [];
+
+  public override log(event: string, fields: LogFields = {}): void {
+    this.records.push({ event, fields });
+  }
+}
--- a/packages/mesh/test/StartServerTask.ts
+++ b/packages/mesh/test/StartServerTask.ts
@@ -1,4 +1,3 @@
-import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { Order } from '#mesh/Order.js';
@@ -8,6 +7,7 @@
 import { ServerTask } from '#mesh/ServerTask.js';
 import { RawServer } from './RawServer.js';
 import type { RawRequest } from './RawRequest.js';
+import { RecordingLogger } from './RecordingLogger.js';
 import { testHeaders } from './TestHeaders.js';
 
 interface Teardown {
@@ -17,6 +17,7 @@
 interface ServerRun {
   readonly task: ServerTask;
   readonly server: RawServer;
+  readonly logger: RecordingLogger;
   readonly evidence: readonly PresenceEvidence[];
   /** Keys of the orders that count as load. */
   readonly demands: readonly number[];
@@ -32,6 +33,7 @@
   const server = new RawServer(onRequest);
   const address = await server.start();
   const clock = new SystemClock();
+  const logger = new RecordingLogger('test');
   const evidence: PresenceEvidence[] = [];
   const demands: number[] = [];
   const task = new ServerTask({
@@ -40,7 +42,7 @@
     headers: testHeaders,
     clock,
     elapsed: new ElapsedClock(clock),
-    logger: new Logger('test'),
+    logger,
     keyedLeaveMs: 1_800,
     keyedEvacuationMs: 3_500,
     onEvidence: (each) => evidence.push(each),
@@ -69,5 +71,5 @@
     server.stop();
   });
   const run = (order: Order): Promise<OrderResult> => task.ask((reply) => ({ type: 'order', order, reply }));
-  return { task, server, evidence, demands, announce, run };
+  return { task, server, logger, evidence, demands, announce, run };
 }
