Limit the bodies that daemons read from each other

Cause: orders and answers of other daemons were collected without a limit, with a copy of the list of chunks for each of them, and inflated to up to 128 MiB.

Change: PeerSession and ReceiverTask read at most 8 MiB a body, and 24 MiB for all bodies that the task reads at the same time; inflating ends at 8 MiB. An answer above a limit ends its order as badAnswer, without a repeat at the same daemon; the line peerAnswerBroken names the limit and the peer. An order above a limit is refused as a stream of which nothing was processed, so that its sender may choose another server; the line messageTooLarge names the limit and the peer. An answer that cannot be inflated is a badAnswer too.

Before: "body is not inflated beyond the limit" failed, as 8 MiB and one byte were restored; "order with a body above the limit has not run" failed, as the order was received; "endless answer of a daemon ends its order" failed, as 64 MiB were read and the order counted as answered.

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -6,6 +6,10 @@
   type ClientHttp2Stream,
 } from 'node:http2';
 import { ChartCursor } from '#chart/ChartCursor.js';
+import { BodyBuffer } from '#core/BodyBuffer.js';
+import type { ByteBudget } from '#core/ByteBudget.js';
+import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
+import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { packBody } from '#mesh/PackBody.js';
 import { parseRevisions } from '#mesh/ParseRevisions.js';
 import { peerLinkChart } from '#mesh/PeerLinkChart.js';
@@ -31,14 +35,22 @@
   private readonly session: ClientHttp2Session;
   private readonly cursor = new ChartCursor<PeerLinkEvent>(peerLinkChart);
   private readonly now: () => number;
+  private readonly budget: ByteBudget;
   private readonly bornMs: number;
   private calls = 0;
   private heardMs: number;
   private connected = false;
   private probedMs = 0;
 
-  public constructor(address: string, now: () => number, onClose: (failed: boolean) => void) {
+  /** Takes the memory of answers that it reads from `budget`. */
+  public constructor(
+    address: string,
+    now: () => number,
+    budget: ByteBudget,
+    onClose: (failed: boolean) => void,
+  ) {
     this.now = now;
+    this.budget = budget;
     this.bornMs = now();
     this.heardMs = this.bornMs;
     this.session = connect(`http://${address}`, {
@@ -128,7 +140,8 @@
 
   private collect(stream: ClientHttp2Stream, reply: (result: PeerReply) => void): void {
     let head: RelayHead | undefined;
-    let chunks: readonly Buffer[] = [];
+    const body = new BodyBuffer(maxBodyBytes, this.budget);
+    let fault: string | undefined;
     let ended = false;
     let encoding: string | undefined;
     stream.on('response', (headers) => {
@@ -141,7 +154,10 @@
     });
     stream.on('data', (chunk: Buffer) => {
       this.hear();
-      chunks = [...chunks, chunk];
+      const found = fault === undefined ? body.add(chunk) : undefined;
+      if (found === undefined) return;
+      fault = describeBodyFault(found);
+      stream.close(constants.NGHTTP2_CANCEL);
     });
     stream.on('end', () => {
       ended = true;
@@ -150,10 +166,13 @@
     stream.on('error', () => undefined);
     stream.on('close', () => {
       this.calls -= 1;
+      const bytes = body.take();
+      if (fault !== undefined) {
+        reply({ ok: false, sent: true, fault });
+        return;
+      }
       if (head !== undefined && ended && stream.rstCode === constants.NGHTTP2_NO_ERROR) {
-        const body = unpackBody(Buffer.concat([...chunks]), encoding);
-        // A body that cannot be restored is as good as none.
-        reply(body.isRight() ? { ok: true, head, body: body.unsafeCoerce() } : { ok: false, sent: true });
+        reply(readReply(head, bytes, encoding));
         return;
       }
       const unseen = stream.rstCode === constants.NGHTTP2_REFUSED_STREAM;
@@ -166,3 +185,10 @@
     this.cursor.send({ type: 'heard' });
   }
 }
+
+function readReply(head: RelayHead, bytes: Buffer, encoding: string | undefined): PeerReply {
+  return unpackBody(bytes, encoding).caseOf<PeerReply>({
+    Left: (fault) => ({ ok: false, sent: true, fault }),
+    Right: (body) => ({ ok: true, head, body }),
+  });
+}
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -1,4 +1,5 @@
 import {
+  constants,
   createServer,
   sensitiveHeaders,
   type Http2Server,
@@ -6,11 +7,16 @@
   type ServerHttp2Stream,
 } from 'node:http2';
 import { JSONRPCServer } from 'json-rpc-2.0';
+import { BodyBuffer } from '#core/BodyBuffer.js';
+import { ByteBudget } from '#core/ByteBudget.js';
 import { Task } from '#core/Task.js';
 import { decodeOrder } from '#mesh/DecodeOrder.js';
+import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
 import { encodeResult } from '#mesh/EncodeResult.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import { listenAt } from '#mesh/ListenAt.js';
+import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
+import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
 import { packBody } from '#mesh/PackBody.js';
@@ -28,6 +34,8 @@
 export class ReceiverTask extends Task<ReceiverMessage> {
   private readonly options: ReceiverOptions;
   private readonly server: Http2Server;
+  /** Memory of the bodies that are being read on all sessions. */
+  private readonly budget = new ByteBudget(maxBodiesBytes);
   private readonly rpc = new JSONRPCServer();
   private readonly sessions = new Set<ServerHttp2Session>();
 
@@ -73,7 +81,7 @@
     this.options.onHint(head.revisions);
     // The close event follows; an order goes on without its stream.
     stream.on('error', () => undefined);
-    collectBody(stream, (bytes) => {
+    this.collectBody(stream, (bytes) => {
       unpackBody(bytes, encoding).caseOf({
         Left: (reason) => this.refuseMalformed(stream, reason),
         Right: (body) => {
@@ -84,6 +92,25 @@
     });
   }
 
+  private collectBody(stream: ServerHttp2Stream, done: (body: Buffer) => void): void {
+    const body = new BodyBuffer(maxBodyBytes, this.budget);
+    const peer = stream.session?.socket.remoteAddress ?? '';
+    let isRefused = false;
+    stream.on('data', (chunk: Buffer) => {
+      const fault = isRefused ? undefined : body.add(chunk);
+      if (fault === undefined) return;
+      isRefused = true;
+      const reason = describeBodyFault(fault);
+      this.options.logger.log('messageTooLarge', { step: 'rpc', peer, reason });
+      // Tells the sender that nothing of it was processed.
+      stream.close(constants.NGHTTP2_REFUSED_STREAM);
+    });
+    stream.on('end', () => {
+      if (!isRefused) done(body.take());
+    });
+    stream.on('close', () => body.discard());
+  }
+
   private receiveOrder(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
     decodeOrder(head, body, this.options.clock.monotonicMs()).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
@@ -106,14 +133,6 @@
   }
 }
 
-function collectBody(stream: ServerHttp2Stream, done: (body: Buffer) => void): void {
-  let chunks: readonly Buffer[] = [];
-  stream.on('data', (chunk: Buffer) => {
-    chunks = [...chunks, chunk];
-  });
-  stream.on('end', () => done(Buffer.concat([...chunks])));
-}
-
 function answerOrder(stream: ServerHttp2Stream, result: OrderResult, revisions: readonly number[]): void {
   if (stream.destroyed || stream.closed) return;
   const { kind, detail } = encodeResult(result);
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -1,7 +1,9 @@
 import type { Cancel } from '#core/Cancel.js';
+import { ByteBudget } from '#core/ByteBudget.js';
 import { Task } from '#core/Task.js';
 import { decodeResult } from '#mesh/DecodeResult.js';
 import { encodeOrder } from '#mesh/EncodeOrder.js';
+import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderReply } from '#mesh/OrderReply.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
@@ -18,6 +20,7 @@
 const MAX_PAUSE_MS = 1_000;
 
 const LOST: OrderResult = { type: 'lost', code: 'peerLost', load: undefined };
+const BAD_ANSWER: OrderResult = { type: 'lost', code: 'badAnswer', load: undefined };
 
 interface Pause {
   readonly untilMs: number;
@@ -27,6 +30,8 @@
 /** Sends orders and calls to other daemons. Owns one session with each daemon in use. */
 export class RelayTask extends Task<RelayMessage> {
   private readonly options: RelayOptions;
+  /** Memory of the answers that are being read on all sessions. */
+  private readonly budget = new ByteBudget(maxBodiesBytes);
   private readonly sessions = new Map<string, PeerSession>();
   private readonly pauses = new Map<string, Pause>();
   private nextCall = 1;
@@ -73,6 +78,7 @@
     const head = { ...encodeOrder(order, this.now()), revisions: this.options.revisions() };
     session.send(relayPaths.orders, head, order.request.body, (result) => {
       if (result.ok) this.options.onHint(result.head.revisions);
+      else this.noteFault(address, order.request.id, result.fault);
       reply(readResult(result));
     });
   }
@@ -97,6 +103,7 @@
     const session: PeerSession = new PeerSession(
       address,
       () => this.now(),
+      this.budget,
       (failed) => this.post({ type: 'closed', address, session, failed }),
     );
     this.sessions.set(address, session);
@@ -117,6 +124,11 @@
     this.options.onReach(address, false, untilMs);
   }
 
+  private noteFault(address: string, id: string, fault: string | undefined): void {
+    if (fault === undefined) return;
+    this.options.logger.log('peerAnswerBroken', { step: 'rpc', peer: address, id, reason: fault });
+  }
+
   private scheduleTick(): void {
     const busy = [...this.sessions.values()].some((session) => session.isBusy);
     if (!busy || this.cancelTick !== undefined) return;
@@ -130,6 +142,7 @@
 
 function readResult(result: PeerReply): OrderResult {
   if (result.ok) return decodeResult(result.head, result.body).orDefault(LOST);
+  if (result.fault !== undefined) return BAD_ANSWER;
   return result.sent
     ? LOST
     : { type: 'refused', code: 'unreachable', retryAfterMs: 0, load: undefined, arrived: false };
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -1,6 +1,9 @@
+import { createServer as createPeer } from 'node:http2';
 import { createServer, type Socket } from 'node:net';
+import { deflateRawSync } from 'node:zlib';
 import { randomBytes } from 'node:crypto';
 import t from 'tap';
+import { ByteBudget } from '#core/ByteBudget.js';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
@@ -17,12 +20,15 @@
 import { RelayTask } from '#mesh/RelayTask.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
 import { createOrder } from './CreateOrder.js';
+import { RecordingLogger } from './RecordingLogger.js';
 import { findFreePort } from './FindFreePort.js';
 
 interface Teardown {
   readonly teardown: (close: () => unknown) => void;
 }
 
+const MIB = 1024 * 1024;
+
 const clock = new SystemClock();
 const logger = new Logger('test');
 const hints: (readonly number[])[] = [];
@@ -129,6 +135,74 @@
   t.same(hints.at(-1), [7], 'and the sender what the receiver knows');
 });
 
+t.test('body is not inflated beyond the limit', (t) => {
+  // A few kilobytes could become 128 MiB, half of a daemon's memory.
+  const bytes = deflateRawSync(Buffer.alloc(8 * MIB + 1));
+  t.equal(unpackBody(bytes, 'deflate').isLeft(), true);
+  t.equal(unpackBody(deflateRawSync(Buffer.alloc(8 * MIB)), 'deflate').isRight(), true);
+  t.end();
+});
+
+t.test('order with a body above the limit has not run', async (t) => {
+  // The receiver kept any number of bytes.
+  let received = 0;
+  const { send } = await startPair(t, () => (received += 1));
+  const order = createOrder('1');
+  const request = { ...order.request, hasBody: true, body: randomBytes(9 * MIB) };
+  t.match(await send({ ...order, request }), { type: 'refused', code: 'unreachable', arrived: false });
+  t.equal(received, 0);
+});
+
+t.test('order with a body of several MiB passes', async (t) => {
+  const body = randomBytes(7 * MIB);
+  const { send } = await startPair(t, ({ request }, reply) =>
+    reply({ type: 'answered', answer: { status: 200, headers: [], body: request.body }, load: undefined }),
+  );
+  const order = createOrder('1');
+  const result = await send({ ...order, request: { ...order.request, hasBody: true, body } });
+  t.ok(result.type === 'answered' && result.answer.body.equals(body));
+});
+
+t.test('endless answer of a daemon ends its order', async (t) => {
+  const part = Buffer.alloc(256 * 1024);
+  let bytes = 0;
+  const peer = createPeer();
+  peer.on('stream', (stream) => {
+    stream.on('error', () => undefined);
+    stream.respond({ ':status': 200, 'amr-kind': '["answered",200,[]]', 'amr-detail': '[[],[]]' });
+    const write = (): void => {
+      while (!stream.destroyed && bytes < 64 * MIB) {
+        bytes += part.length;
+        if (!stream.write(part)) return;
+      }
+      stream.end();
+    };
+    stream.on('drain', write);
+    write();
+  });
+  await new Promise<void>((resolve) => peer.listen(0, '127.0.0.1', resolve));
+  const { port } = peer.address() as { readonly port: number };
+  const address = `127.0.0.1:${port}`;
+  const log = new RecordingLogger('test');
+  const relay = new RelayTask({
+    clock,
+    logger: log,
+    revisions: () => [],
+    onHint: () => undefined,
+    onReach: () => undefined,
+  });
+  t.teardown(() => {
+    relay.stop();
+    peer.close();
+  });
+  const order = createOrder('1');
+  const result = await relay.ask<OrderResult>((reply) => ({ type: 'order', order, address, reply }));
+  t.match(result, { type: 'lost', code: 'badAnswer' });
+  t.match(log.records, [
+    { event: 'peerAnswerBroken', fields: { peer: address, id: '1', reason: 'body exceeds 8388608 bytes' } },
+  ]);
+});
+
 t.test('daemon that is not there got nothing', async (t) => {
   const relay = new RelayTask({
     clock,
@@ -167,6 +241,7 @@
     const session = new PeerSession(
       `127.0.0.1:${port}`,
       () => clock.monotonicMs(),
+      new ByteBudget(0),
       () => {
         closed += 1;
       },
