Limit the body of a check-in

Cause: the endpoint for check-ins kept a body of any length. readBody relied on callers that check the announced length.

The other callers of readBody pass the limit that they check before; nothing changes for them.

Before: "endless body of a check-in is cut off" failed, as all 96 MiB that the test sends were read. After: it ends after 3.9 MB written, the bytes in the buffers of the connection included; platform, packages/proxy and packages/mesh pass.

--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -88,7 +88,7 @@
       writeRefusal(res, { code: 'badReceipt', step: 'receipt', peer: 'caller', ran: 'not run', status: 400 });
       return;
     }
-    readBody(req, (body) =>
+    readBody(req, RECEIPT_MAX_BYTES, (body) =>
       parseReceipt(body).caseOf({
         Left: (fields) => writeRefusal(res, fields),
         Right: (bytes) => {
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -206,7 +206,7 @@
     });
     if (head.contentLength === 0) this.acceptBody(id, Buffer.alloc(0));
     else if (head.contentLength > 0 && head.contentLength <= BUFFERED_BODY_BYTES) {
-      readBody(req, (body) => this.post({ type: 'bodyRead', exchangeId: id, body }));
+      readBody(req, BUFFERED_BODY_BYTES, (body) => this.post({ type: 'bodyRead', exchangeId: id, body }));
     } else this.advance(id, { type: 'accepted' });
   }
 
--- a/packages/proxy/src/HopTask.ts
+++ b/packages/proxy/src/HopTask.ts
@@ -121,7 +121,8 @@
       this.postToOwner({ type: 'order', order, needsOwnership, graceMs: service.orderGraceMs });
     };
     if (head.contentLength === 0) send(Buffer.alloc(0));
-    else if (head.contentLength > 0 && head.contentLength <= BUFFERED_BODY_BYTES) readBody(req, send);
+    else if (head.contentLength > 0 && head.contentLength <= BUFFERED_BODY_BYTES)
+      readBody(req, BUFFERED_BODY_BYTES, send);
     else send(req);
   }
 
--- a/packages/proxy/src/ReadBody.ts
+++ b/packages/proxy/src/ReadBody.ts
@@ -1,11 +1,28 @@
 import type { IncomingMessage } from 'node:http';
 
-/** Reads a body whose length is known and small; `onBody` is not called if the caller cuts it off. */
-export function readBody(req: IncomingMessage, onBody: (body: Buffer) => void): void {
+/**
+ * Reads a body of at most `maxBytes`; a request with a larger one is cut off. `onBody` is not called if the request is
+ * cut off by either side, and `onExcess` is if it is by this one.
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+  onBody: (body: Buffer) => void,
+  onExcess: () => void = () => undefined,
+): void {
   const chunks: Buffer[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
-  req.on('data', (chunk: Buffer) => chunks.push(chunk));
+  let bytes = 0;
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes <= maxBytes) {
+      chunks.push(chunk);
+      return;
+    }
+    if (!req.destroyed) onExcess();
+    req.destroy();
+  });
   req.on('end', () => {
-    if (req.complete)
+    if (req.complete && bytes <= maxBytes)
       onBody(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
   });
 }
