Split the outcomes and the starts of orders from ServerTask

Change: OrderOutcomes works out the results of orders, logs refusals and losses, and gives them to those that wait; StartRule decides which waiting orders may start. No change of behaviour; the connection that tells a crash from the loss of one connection is opened after the loss is told, in the same message.

--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -1,31 +1,21 @@
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
 import { applyViewToServer } from '#mesh/ApplyViewToServer.js';
-import type { BackendAnswer } from '#mesh/BackendAnswer.js';
 import { canEnd } from '#mesh/CanEnd.js';
 import { checkAdmission } from '#mesh/CheckAdmission.js';
-import { classifyAnswer } from '#mesh/ClassifyAnswer.js';
-import { ColdLimit } from '#mesh/ColdLimit.js';
 import { CrashRecord } from '#mesh/CrashRecord.js';
-import { findHeader } from '#mesh/FindHeader.js';
 import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
-import { createRefusal } from '#mesh/CreateRefusal.js';
 import { formatOrder } from '#mesh/FormatOrder.js';
 import type { GrantedKeys } from '#mesh/GrantedKeys.js';
-import { hasToEnd } from '#mesh/HasToEnd.js';
-import { holdsKey } from '#mesh/HoldsKey.js';
 import { initialServerState } from '#mesh/InitialServerState.js';
-import { isCold } from '#mesh/IsCold.js';
 import { KindTimes } from '#mesh/KindTimes.js';
 import { LoadMeter } from '#mesh/LoadMeter.js';
 import type { LoadReport } from '#mesh/LoadReport.js';
-import type { LossCode } from '#mesh/LossCode.js';
 import type { Order } from '#mesh/Order.js';
 import { OrderLedger } from '#mesh/OrderLedger.js';
 import { OrderQueue } from '#mesh/OrderQueue.js';
+import { OrderOutcomes } from '#mesh/OrderOutcomes.js';
 import type { OrderReply } from '#mesh/OrderReply.js';
-import type { OrderResult } from '#mesh/OrderResult.js';
-import { parseLoad } from '#mesh/ParseLoad.js';
 import type { Presence } from '#mesh/Presence.js';
 import type { QueuedOrder } from '#mesh/QueuedOrder.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
@@ -36,7 +26,7 @@
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
 import type { ServerMessage } from '#mesh/ServerMessage.js';
 import type { ServerOptions } from '#mesh/ServerOptions.js';
-import { ShortKinds } from '#mesh/ShortKinds.js';
+import { StartRule } from '#mesh/StartRule.js';
 
 const TICK_MS = 20;
 
@@ -49,9 +39,6 @@
 /** Orders that may wait, in multiples of the slots. */
 const QUEUE_FACTOR = 12;
 
-/** Time for which a short order keeps one slot free for others of its kind, in milliseconds. */
-const SHORT_KEEP_MS = 5_000;
-
 /** Connections that failed to open in a row before waiting orders are refused. */
 const FAILED_OPENINGS = 2;
 
@@ -66,20 +53,28 @@
   private readonly ledger = new OrderLedger();
   private readonly times = new KindTimes();
   private readonly meter = new LoadMeter();
-  private readonly cold = new ColdLimit();
+  private readonly starts: StartRule;
   private readonly crashes: CrashRecord;
   private readonly running = new RunningOrders();
-  private answeredMs = -Infinity;
+  private readonly outcomes: OrderOutcomes;
   private failedOpenings = 0;
-  private readonly kinds = new ShortKinds();
-  private shortUntilMs = 0;
   private cancelTick: Cancel | undefined;
   private state = initialServerState;
 
   public constructor(options: ServerOptions) {
     super();
     this.options = options;
+    this.starts = new StartRule(options);
     this.crashes = new CrashRecord(options.logger, options.onMarks);
+    this.outcomes = new OrderOutcomes({
+      options,
+      ledger: this.ledger,
+      times: this.times,
+      meter: this.meter,
+      crashes: this.crashes,
+      presence: () => this.state.presence,
+      report: () => this.report(),
+    });
     this.links = new ServerLinks(options.headers.requestId, (link, signal) =>
       this.post({ type: 'signal', link, signal }),
     );
@@ -144,8 +139,7 @@
       return;
     }
     const nowMs = this.now();
-    const isShort = this.kinds.note(order.targetLatencyMs);
-    if (isShort) this.shortUntilMs = nowMs + SHORT_KEEP_MS;
+    const isShort = this.starts.noteArrival(order, nowMs);
     const queued = { order, queuedMs: nowMs, serviceMs: this.times.expect(order), isShort };
     const admission = checkAdmission(order, this.state, this.options, nowMs);
     // Demand counts also where there is no room for it: what a full server runs hides how much its keys ask for.
@@ -153,7 +147,7 @@
       this.options.onDemand(order.request.key, queued.serviceMs);
     const code = admission ?? this.checkRoom(queued, nowMs);
     if (code !== undefined) {
-      reply(this.refuse(order, code, false));
+      reply(this.outcomes.refuse(order, code, false));
       return;
     }
     this.ledger.open(id, reply, nowMs);
@@ -190,13 +184,13 @@
     if (before.incarnation === presence.incarnation && presence.state !== 'absent') return;
     this.failedOpenings = 0;
     if (before.incarnation !== presence.incarnation) this.links.closeAll();
-    if (presence.state === 'absent') this.refuseAll(this.queue.removeAll(), 'noServer');
+    if (presence.state === 'absent') this.outcomes.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
   /** Orders that wait for keys on the move go back to their entry daemons, which know the next owner first. */
   private noteKeys(keys: GrantedKeys): void {
     this.state = { ...this.state, keys };
-    if (keys.moving.length > 0) this.refuseAll(this.queue.removeKeys(keys.moving), 'moving');
+    if (keys.moving.length > 0) this.outcomes.refuseAll(this.queue.removeKeys(keys.moving), 'moving');
   }
 
   private noteSignal(link: ServerLink, signal: ServerLinkSignal): void {
@@ -207,14 +201,16 @@
       case 'answered': {
         if (!signal.reusable) this.links.remove(link);
         const running = this.running.take(link);
-        if (running !== undefined) this.finish(running, signal.answer);
+        if (running !== undefined) this.outcomes.finish(running, signal.answer);
         return;
       }
       case 'broken': {
         this.links.remove(link);
         const running = this.running.take(link);
-        if (running !== undefined)
-          this.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
+        if (running === undefined) return;
+        this.outcomes.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
+        // Tells a crash from the loss of one connection.
+        if (!signal.malformed && this.links.connecting === 0) this.links.open(this.state.presence.address);
         return;
       }
       case 'closed':
@@ -226,68 +222,27 @@
     }
   }
 
-  private finish(running: RunningOrder, answer: BackendAnswer): void {
-    const { order, sentMs } = running;
-    const nowMs = this.now();
-    this.answeredMs = nowMs;
-    const kind = classifyAnswer(answer, this.options.headers);
-    const reported = parseLoad(findHeader(answer.headers, this.options.headers.load));
-    if (reported !== undefined) this.meter.note(reported, nowMs);
-    if (kind === 'shed' || kind === 'misdirected') {
-      this.end(order, this.refuse(order, kind, true));
-      return;
-    }
-    const tookMs = nowMs - sentMs;
-    this.times.add(order, tookMs);
-    if (kind === 'invalid') {
-      this.lose(running, 'badAnswer', `status ${answer.status} is not a valid answer`);
-      return;
-    }
-    this.crashes.noteRun(order, nowMs);
-    this.end(order, { type: 'answered', answer, load: this.report() });
-  }
-
-  private lose({ order, sentMs }: RunningOrder, code: LossCode, reason: string): void {
-    const nowMs = this.now();
-    this.options.logger.log('orderLost', {
-      step: 'backend',
-      peer: this.state.presence.address,
-      id: order.request.id,
-      code,
-      reason,
-      ranMs: Math.round(nowMs - sentMs),
-      incarnation: this.state.presence.incarnation,
-    });
-    if (code === 'connectionLost') {
-      this.crashes.noteLoss(order, nowMs);
-      // Tells a crash from the loss of one connection.
-      if (this.links.connecting === 0) this.links.open(this.state.presence.address);
-    }
-    this.end(order, { type: 'lost', code, load: this.report() });
-  }
-
   private noteFailedOpening(refused: boolean): void {
     const { incarnation } = this.state.presence;
     this.failedOpenings += 1;
     this.options.onEvidence({ kind: refused ? 'refused' : 'silent', incarnation });
     if (refused) this.crashes.noteCrash(incarnation, this.now());
-    if (refused || this.failedOpenings >= FAILED_OPENINGS) this.refuseAll(this.queue.removeAll(), 'noServer');
-  }
-
-  private refuseAll(waiting: readonly QueuedOrder[], code: RefusalCode): void {
-    for (const { order } of waiting) this.end(order, this.refuse(order, code, false));
+    if (refused || this.failedOpenings >= FAILED_OPENINGS)
+      this.outcomes.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
   private tick(): void {
     this.cancelTick = undefined;
     const nowMs = this.now();
     this.ledger.expire(nowMs);
-    this.refuseAll(this.queue.removeLate(this.state.presence.slots, RETURN_MS, nowMs), 'tooLate');
+    this.outcomes.refuseAll(this.queue.removeLate(this.state.presence.slots, RETURN_MS, nowMs), 'tooLate');
     const unheld = this.queue.removeHopeless(
       ({ order, queuedMs }) =>
-        this.state.keyed && nowMs - queuedMs > order.targetLatencyMs * GRANT_WAIT_PART && !this.holds(order),
+        this.state.keyed &&
+        nowMs - queuedMs > order.targetLatencyMs * GRANT_WAIT_PART &&
+        !this.starts.isGranted(order, this.state),
     );
-    this.refuseAll(unheld, 'notGranted');
+    this.outcomes.refuseAll(unheld, 'notGranted');
     this.options.onLoad(this.report(), this.meter.baseSlowdown);
     this.checkSilence(nowMs);
     for (const running of this.running.list()) {
@@ -298,7 +253,8 @@
   /** Reports a backend server that answers none of its orders; its announcements decide whether it is gone. */
   private checkSilence(nowMs: number): void {
     const { oldestMs } = this.running;
-    if (nowMs - Math.max(oldestMs, this.answeredMs) < SILENCE_MS || !Number.isFinite(oldestMs)) return;
+    if (nowMs - Math.max(oldestMs, this.outcomes.answeredMs) < SILENCE_MS || !Number.isFinite(oldestMs))
+      return;
     this.options.onEvidence({ kind: 'silent', incarnation: this.state.presence.incarnation });
   }
 
@@ -313,31 +269,19 @@
     for (;;) {
       if (this.queue.size === 0) return;
       const nowMs = this.now();
-      const mayStart = (queued: QueuedOrder): boolean => this.mayStart(queued, nowMs);
       const link = this.links.findIdle();
       if (link === undefined) {
         this.openLinks();
         return;
       }
-      const queued = this.queue.take(mayStart);
+      const queued = this.queue.take((each) =>
+        this.starts.allows(each, this.state, this.running.size, nowMs),
+      );
       if (queued === undefined) return;
       this.start(queued, link, nowMs);
     }
   }
 
-  private mayStart({ order, isShort }: QueuedOrder, nowMs: number): boolean {
-    const { presence, keyed, coldPerSecond } = this.state;
-    const keepsSlot = !isShort && nowMs < this.shortUntilMs && presence.slots > 2;
-    if (this.running.size >= presence.slots - (keepsSlot ? 1 : 0)) return false;
-    if (keyed && !this.holds(order)) return false;
-    if (hasToEnd(this.state, this.options, nowMs)) return false;
-    return !isCold(this.state, nowMs) || this.cold.allows(coldPerSecond, nowMs);
-  }
-
-  private holds({ request }: Order): boolean {
-    return holdsKey(this.state, request.key, this.options.elapsed.nowMs());
-  }
-
   private openLinks(): void {
     const { presence, maxConnections } = this.state;
     if (presence.state === 'absent' || presence.address === '') return;
@@ -346,14 +290,15 @@
     while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence.address);
   }
 
-  private start({ order, serviceMs, queuedMs }: QueuedOrder, link: ServerLink, nowMs: number): void {
+  private start(queued: QueuedOrder, link: ServerLink, nowMs: number): void {
+    const { order, serviceMs, queuedMs } = queued;
     const { request } = order;
     const leftMs = order.dueMs - RETURN_MS - nowMs;
     if (!canEnd(order, nowMs + RETURN_MS, serviceMs)) {
-      this.end(order, this.refuse(order, 'tooLate', false));
+      this.outcomes.refuseAll([queued], 'tooLate');
       return;
     }
-    this.cold.note(nowMs);
+    this.starts.noteStart(nowMs);
     this.links.touch(link);
     this.running.add({ order, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
@@ -368,24 +313,6 @@
     }
   }
 
-  private end(order: Order, result: OrderResult): void {
-    this.ledger.close(order.request.id, result, this.now());
-  }
-
-  private refuse(order: Order, code: RefusalCode, arrived: boolean): OrderResult {
-    const load = this.report();
-    this.options.logger.log('orderRefused', {
-      step: 'queue',
-      id: order.request.id,
-      code,
-      running: load.running,
-      queued: load.queued,
-      waitMs: Math.round(load.waitMs),
-      leftMs: Math.round(order.dueMs - this.now()),
-    });
-    return createRefusal(code, load, arrived);
-  }
-
   private report(): LoadReport {
     const { slots } = this.state.presence;
     return this.meter.report(this.running, this.queue, slots, this.times.meanMs, this.now());
