--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -1,11 +1,18 @@
 import { connect, type Socket } from 'node:net';
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 import { ChartCursor } from '#chart/ChartCursor.js';
+import { BodyBuffer } from '#core/BodyBuffer.js';
+import type { ByteBudget } from '#core/ByteBudget.js';
+import { AnswerFault } from '#mesh/AnswerFault.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
 import { findHeader } from '#mesh/FindHeader.js';
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
+import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { pairHeaders } from '#mesh/PairHeaders.js';
+import type { ParserPosition } from '#mesh/ParserPosition.js';
+import type { Presence } from '#mesh/Presence.js';
 import { serverLinkChart } from '#mesh/ServerLinkChart.js';
 import type { ServerLinkEvent } from '#mesh/ServerLinkEvent.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
@@ -17,8 +24,11 @@
 const IDLE_PART = 0.7;
 const DEFAULT_IDLE_MS = 5_000;
 
-/** Bytes of one answer that are kept at most. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Bytes outside of bodies that may follow each other: heads, trailers, and the lines between chunks. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
+/** Bytes that are read for one order at most; leaves room for a skipped answer and for the framing of small chunks. */
+const MAX_ORDER_BYTES = 2 * maxBodyBytes;
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -38,8 +48,12 @@
   private isHead = false;
   private status = 0;
   private headers: readonly HeaderPair[] = [];
-  private chunks: readonly Buffer[] = [];
+  private readonly body: BodyBuffer;
+  /** Bytes read since the current order was sent, and those of them in bodies. */
+  private orderBytes = 0;
   private bodyBytes = 0;
+  /** Bytes outside of bodies since the last byte of a body. */
+  private headBytes = 0;
   /** Whether the head of an answer to the current order was read. */
   private hasHead = false;
   private isUnframed = false;
@@ -48,14 +62,16 @@
   private readonly connectTimer: NodeJS.Timeout;
   private refused = false;
 
+  /** Takes the memory of answers that it reads from `budget`. */
   public constructor(
-    address: string,
-    incarnation: string,
+    { address, incarnation }: Pick<Presence, 'address' | 'incarnation'>,
     idHeader: string,
+    budget: ByteBudget,
     signal: (signal: ServerLinkSignal) => void,
   ) {
     this.incarnation = incarnation;
     this.idHeader = idHeader;
+    this.body = new BodyBuffer(maxBodyBytes, budget);
     this.signal = signal;
     this.listenToParser();
     const colon = address.lastIndexOf(':');
@@ -88,6 +104,9 @@
     this.cursor.send({ type: 'sent' });
     this.requestId = requestId;
     this.hasHead = false;
+    this.orderBytes = 0;
+    this.bodyBytes = 0;
+    this.headBytes = 0;
     this.isHead = isHead;
     this.socket.setTimeout(0);
     this.socket.cork();
@@ -103,15 +122,14 @@
 
   private listenToParser(): void {
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => this.noteHead(info.statusCode, info.headers);
-    this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-      const part = Buffer.from(chunk.subarray(offset, offset + length));
-      this.chunks = [...this.chunks, part];
-      this.bodyBytes += part.length;
-      if (this.bodyBytes > MAX_ANSWER_BYTES) this.socket.destroy();
-    };
+    this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => this.noteBody(chunk, offset, length);
     this.parser[HTTPParser.kOnMessageComplete] = () => this.noteComplete();
   }
 
+  private get position(): ParserPosition {
+    return this.parser as unknown as ParserPosition;
+  }
+
   private noteConnected(): void {
     clearTimeout(this.connectTimer);
     this.cursor.send({ type: 'connected' });
@@ -127,8 +145,23 @@
       this.signal({ type: 'closed', refused: false, neverOpened: false });
       return;
     }
+    try {
+      this.parse(chunk);
+    } catch (err) {
+      if (!(err instanceof AnswerFault)) throw err;
+      this.breakOff(err.message, true);
+    }
+  }
+
+  private parse(chunk: Buffer): void {
+    const { bodyBytes } = this;
     const result = this.parser.execute(chunk);
-    if (typeof result !== 'number') this.breakOff('malformed answer', true);
+    this.headBytes = this.bodyBytes > bodyBytes ? 0 : this.headBytes + chunk.length;
+    if (this.headBytes > MAX_HEAD_BYTES) throw new AnswerFault(`head exceeds ${MAX_HEAD_BYTES} bytes`);
+    this.orderBytes += chunk.length;
+    if (this.orderBytes > MAX_ORDER_BYTES)
+      throw new AnswerFault(`answers to one order exceed ${MAX_ORDER_BYTES} bytes`);
+    if (typeof result !== 'number') throw new AnswerFault('malformed answer');
   }
 
   private readEnd(): void {
@@ -157,10 +190,11 @@
     this.hasHead = true;
     const pairs = pairHeaders(rawHeaders);
     const length = findHeader(pairs, 'content-length');
-    if (length !== undefined && !/^\d+$/.test(length)) this.breakOff('malformed length', true);
+    if (length !== undefined && !/^\d+$/.test(length)) throw new AnswerFault('malformed length');
     this.keepsAlive = findHeader(pairs, 'connection')?.toLowerCase() !== 'close';
     const isFramed = length !== undefined || findHeader(pairs, 'transfer-encoding') !== undefined;
     const hasNoBody = this.isHead || status === 204 || status === 304 || status < FIRST_FINAL_STATUS;
+    if (!hasNoBody && Number(length) > maxBodyBytes) throw new AnswerFault(describeBodyFault('tooLarge'));
     this.isUnframed = !isFramed && !hasNoBody;
     if (this.isUnframed) this.keepsAlive = false;
     this.noteIdleTime(findHeader(pairs, 'keep-alive'));
@@ -168,19 +202,27 @@
     return hasNoBody ? 1 : 0;
   }
 
+  private noteBody(chunk: Buffer, offset: number, length: number): void {
+    // The parser would read a chunk of negative length again and again.
+    if (length < 0) throw new AnswerFault('malformed chunk length');
+    if (this.cursor.state !== 'busy') return;
+    const fault = this.body.add(chunk.subarray(offset, offset + length));
+    if (fault !== undefined) throw new AnswerFault(describeBodyFault(fault));
+    this.bodyBytes += length;
+  }
+
   private noteIdleTime(keepAlive: string | undefined): void {
     const seconds = /timeout=(\d+)/.exec(keepAlive ?? '')?.[1];
     if (seconds !== undefined) this.idleMs = Number(seconds) * 1_000;
   }
 
   private noteComplete(): void {
+    if (Number.isNaN(this.position.body_bytes)) throw new AnswerFault('malformed chunk length');
     const answer: BackendAnswer = {
       status: this.status,
       headers: this.headers,
-      body: Buffer.concat([...this.chunks]),
+      body: this.body.take(),
     };
-    this.chunks = [];
-    this.bodyBytes = 0;
     if (this.cursor.state !== 'busy' || answer.status < FIRST_FINAL_STATUS) return;
     const id = findHeader(answer.headers, this.idHeader);
     if (id !== undefined && id !== this.requestId) {
@@ -193,7 +235,10 @@
 
   private finishOrder(answer: BackendAnswer): void {
     // The rest of a body that is still unsent would be read as the next request.
-    const reusable = this.keepsAlive && this.socket.writableLength === 0 && !this.socket.readableEnded;
+    const isSent = this.socket.writableLength === 0;
+    // Bytes behind the answer would be read as the beginning of the next one.
+    const hasSurplus = this.position.offset < this.position.end;
+    const reusable = this.keepsAlive && isSent && !hasSurplus && !this.socket.readableEnded;
     this.cursor.send({ type: reusable ? 'answered' : 'answeredLast' });
     this.requestId = '';
     if (reusable) this.restIdle();
@@ -203,12 +248,14 @@
 
   private breakOff(reason: string, malformed: boolean): void {
     if (!this.cursor.send({ type: 'malformed' })) return;
+    this.body.discard();
     this.socket.destroy();
     this.signal({ type: 'broken', reason, malformed });
   }
 
   private noteClosed(): void {
     clearTimeout(this.connectTimer);
+    this.body.discard();
     const before = this.cursor.state;
     if (!this.cursor.send({ type: 'closed' })) return;
     if (before === 'busy') {
--- a/packages/mesh/src/ServerLinks.ts
+++ b/packages/mesh/src/ServerLinks.ts
@@ -1,3 +1,5 @@
+import { ByteBudget } from '#core/ByteBudget.js';
+import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import type { Presence } from '#mesh/Presence.js';
 import { ServerLink } from '#mesh/ServerLink.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
@@ -6,6 +8,8 @@
 export class ServerLinks {
   private readonly idHeader: string;
   private readonly signal: (link: ServerLink, signal: ServerLinkSignal) => void;
+  /** Memory of the answers that are being read on all connections. */
+  private readonly budget = new ByteBudget(maxBodiesBytes);
   private readonly links = new Set<ServerLink>();
 
   public constructor(idHeader: string, signal: (link: ServerLink, signal: ServerLinkSignal) => void) {
@@ -28,8 +32,8 @@
   }
 
   /** Opens a connection to a run of the backend server. Its signals begin later. */
-  public open({ address, incarnation }: Presence): void {
-    const link: ServerLink = new ServerLink(address, incarnation, this.idHeader, (signal) =>
+  public open(presence: Presence): void {
+    const link: ServerLink = new ServerLink(presence, this.idHeader, this.budget, (signal) =>
       this.signal(link, signal),
     );
     this.links.add(link);
