Check epochs and keys still worked on in the simulated fleet

The simulation compared held rows only. It now also reports a backend server that takes keys with an epoch that is not above those which others had for them, and keys that are granted while another still works on them.

--- a/packages/mesh/test/OwnershipRun.ts
+++ b/packages/mesh/test/OwnershipRun.ts
@@ -3,6 +3,7 @@
 import { overlaps } from '#ranges/Overlaps.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+import type { HeldRow } from '#mesh/HeldRow.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { createView } from './CreateView.js';
 import { SimulatedVm } from './SimulatedVm.js';
@@ -28,6 +29,8 @@
   private readonly store = new MemoryCollectionStore();
   private readonly random: RandomSource;
   private readonly vms: readonly SimulatedVm[];
+  private readonly known = new Set<string>();
+  private readonly past: Holding[] = [];
   private evacuated: ReadonlySet<string> = new Set();
 
   public constructor(seed: number, vms: number) {
@@ -57,6 +60,19 @@
     }
   }
 
+  /** Checks that a row that is new at a backend server has a higher epoch than the others had for its keys. */
+  private noteEpoch({ id, row }: Holding, atMs: number): void {
+    const name = `${id} ${row.from}-${row.to}@${row.epoch}`;
+    if (this.known.has(name)) return;
+    this.known.add(name);
+    const higher = this.past.find(
+      (past) => past.id !== id && overlaps(past.row, row) && past.row.epoch >= row.epoch,
+    );
+    if (higher !== undefined)
+      this.violations.push(`${atMs} ms: ${name} after epoch ${higher.row.epoch} of ${higher.id}`);
+    this.past.push({ id, row });
+  }
+
   private showViews(): void {
     const entries = this.vms.flatMap(({ id }): readonly ServerEntry[] => {
       const item = this.store.read('servers', id);
@@ -102,9 +118,10 @@
   }
 
   private check(atMs: number): void {
-    const held = this.vms.flatMap(({ id, held: rows }) => rows.map((row) => ({ id, row })));
-    if (held.length > 0) this.heldSteps += 1;
-    const sorted = held.toSorted((left, right) => left.row.from - right.row.from);
+    const used = this.vms.flatMap(({ id, used: rows }) => rows.map((row) => ({ id, row })));
+    if (this.vms.some(({ held }) => held.length > 0)) this.heldSteps += 1;
+    for (const holding of used) this.noteEpoch(holding, atMs);
+    const sorted = used.toSorted((left, right) => left.row.from - right.row.from);
     for (const [index, next] of sorted.entries()) {
       const before = sorted[index - 1];
       if (before === undefined || before.id === next.id || !overlaps(before.row, next.row)) continue;
@@ -115,6 +132,11 @@
   }
 }
 
+interface Holding {
+  readonly id: string;
+  readonly row: HeldRow;
+}
+
 async function settle(): Promise<void> {
   for (let index = 0; index < 12; index += 1) await Promise.resolve();
 }
--- a/packages/mesh/test/SimulatedServer.ts
+++ b/packages/mesh/test/SimulatedServer.ts
@@ -55,6 +55,11 @@
     return this.isUp && this.clock.monotonicMs() < this.endMs ? this.rows : [];
   }
 
+  /** Rows on which it still works, though it was told to release them. */
+  public get working(): readonly HeldRow[] {
+    return this.isUp && this.clock.monotonicMs() < this.endMs ? this.finishing : [];
+  }
+
   public get isRunning(): boolean {
     return this.isUp;
   }
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -65,6 +65,11 @@
     return this.server.held;
   }
 
+  /** Keys that it holds or still works on. */
+  public get used(): readonly HeldRow[] {
+    return [...this.server.held, ...this.server.working];
+  }
+
   public see(view: View): void {
     const { daemon } = this;
     if (this.isCut) return;
