Take no announcement for a service that nobody knows

Cause: other writers may send announcements too. One with a service that is neither the daemon's own nor in the configuration was taken for a successor at the address: it proved the end of the backend server that holds the keys, and made that server's own announcements outdated.

Change: such an announcement names no server; it is logged and refused.

presence.test.ts 'unknown service replaces no server' fails without the check (3 of 10 assertions). PresenceTask had no tests of its own.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -165,6 +165,7 @@
       store,
       clock,
       logger: new Logger('presence'),
+      isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? true,
       onPresence: (presence) => this.server.post({ type: 'presence', presence }),
       onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
       onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
--- a/packages/mesh/src/PresenceOptions.ts
+++ b/packages/mesh/src/PresenceOptions.ts
@@ -17,6 +17,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly onPresence: (presence: Presence) => void;
+  /** Whether the configuration names a service; true while no configuration is known. */
+  readonly isConfigured: (service: string) => boolean;
   /** Asks for the keys that an announcing backend server may hold. */
   readonly onCheckIn: (checkIn: CheckIn) => void;
   /** Told that a run of the backend server ended; `proven` if its process is known to be gone. */
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -82,6 +82,11 @@
 
   private noteAnnouncement(announcement: Announcement, reply: (reply: AnnouncementReply) => void): void {
     const incarnation = `${announcement.instanceId}/${announcement.bornMs}`;
+    if (this.isForeign(announcement)) {
+      this.options.logger.log('announcementForeign', { incarnation, service: announcement.service });
+      reply({ accepted: false, grant: undefined });
+      return;
+    }
     if (this.isOutdated(announcement, incarnation)) {
       this.options.logger.log('announcementOutdated', {
         incarnation,
@@ -115,6 +120,11 @@
     });
   }
 
+  /** Whether another writer than the backend server beside this daemon must have sent it. */
+  private isForeign({ service }: Announcement): boolean {
+    return service !== this.options.place.service && !this.options.isConfigured(service);
+  }
+
   private isOutdated(announcement: Announcement, incarnation: string): boolean {
     if (this.run === undefined) return false;
     const current = this.run.announcement;
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -230,6 +230,7 @@
       store,
       clock,
       logger,
+      isConfigured: () => true,
       onPresence: () => undefined,
       onCheckIn: (checkIn) => ranges.post({ type: 'checkIn', checkIn }),
       onEnded: (incarnation, proven) => ranges.post({ type: 'ended', incarnation, proven }),
--- /dev/null
+++ b/packages/mesh/test/presence.test.ts
@@ -0,0 +1,85 @@
+import t from 'tap';
+import { Logger } from '#core/Logger.js';
+import { ManualClock } from '#core/ManualClock.js';
+import type { Announcement } from '#mesh/Announcement.js';
+import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import { PresenceTask } from '#mesh/PresenceTask.js';
+import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
+
+const announcement: Announcement = {
+  instanceId: 'i',
+  bornMs: 5_000,
+  sequence: 3,
+  service: 's',
+  address: '10.0.0.1:1',
+  slots: 4,
+  draining: false,
+  coldLeftMs: 0,
+  holds: [],
+  released: [],
+};
+
+/** A `PresenceTask` beside a backend server of the service `s`; the configuration also names `t`. */
+class PresenceRun {
+  public readonly clock = new ManualClock();
+  public readonly ended: (readonly [incarnation: string, proven: boolean])[] = [];
+  public readonly task = new PresenceTask({
+    place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
+    processId: 'p',
+    address: '10.0.0.1:2',
+    announceEveryMs: 900,
+    store: new MemoryCollectionStore(),
+    clock: this.clock,
+    logger: new Logger('test'),
+    isConfigured: (service) => service === 't',
+    onPresence: () => undefined,
+    onCheckIn: ({ reply }) => reply({ rows: [], holdMs: 1_000 }),
+    onEnded: (incarnation, proven) => this.ended.push([incarnation, proven]),
+  });
+
+  public announce(change: Partial<Announcement> = {}): Promise<AnnouncementReply> {
+    const changed = { ...announcement, ...change };
+    return this.task.ask((reply) => ({ type: 'announced', announcement: changed, reply }));
+  }
+}
+
+t.test('unknown service replaces no server', async (t) => {
+  // Taken for a successor at the address, it would prove the end of the server that holds the keys.
+  const run = new PresenceRun();
+  await run.announce();
+  t.match(await run.announce({ instanceId: 'x', bornMs: 9_000, service: 'u' }), { accepted: false });
+  t.same(run.ended, []);
+  t.match(await run.announce({ sequence: 4 }), { accepted: true, grant: { holdMs: 1_000 } });
+});
+
+t.test('server of another configured service is taken', async (t) => {
+  const run = new PresenceRun();
+  t.match(await run.announce({ service: 't' }), { accepted: true });
+});
+
+t.test('delayed announcement of a former run is outdated', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  t.match(await run.announce({ instanceId: 'x', bornMs: 4_000 }), { accepted: false, grant: undefined });
+  t.match(await run.announce({ sequence: 2 }), { accepted: true, grant: undefined });
+  t.same(run.ended, []);
+});
+
+t.test('later run proves the end of the former one', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  await run.announce({ bornMs: 6_000, sequence: 1 });
+  t.same(run.ended, [['i/5000', true]]);
+});
+
+t.test('silence ends a run without proof', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  run.task.post({ type: 'evidence', evidence: { kind: 'silent', incarnation: 'i/5000' } });
+  await run.announce({ sequence: 4 });
+  t.same(run.ended, [], 'it has missed no announcement');
+  run.clock.advance(2_000);
+  run.task.post({ type: 'evidence', evidence: { kind: 'silent', incarnation: 'i/5000' } });
+  await run.announce({ sequence: 5 });
+  t.same(run.ended, [['i/5000', false]]);
+});
