Store the table of key ranges in a short form

Cause: each daemon reads the whole table at each of its changes, and VMs of the grown deployments have links from 7 Mbit/s.

Change: owners are written once, a row names its owner by index and ends where the next one begins.

--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -15,6 +15,7 @@
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { PlannerMessage } from '#mesh/PlannerMessage.js';
 import type { PlannerOptions } from '#mesh/PlannerOptions.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import type { Resignation } from '#mesh/Resignation.js';
 import { resignationCodec } from '#mesh/ResignationCodec.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
@@ -190,7 +191,7 @@
       revision: table.revision,
     });
     void this.options.store
-      .put(collections.ranges, this.service, next, table.revision)
+      .put(collections.ranges, this.service, rangeTableCodec.encode(next), table.revision)
       .then((result) => this.post({ type: 'written', result }));
     return true;
   }
--- a/packages/mesh/src/SettleTable.ts
+++ b/packages/mesh/src/SettleTable.ts
@@ -4,6 +4,7 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
 import { collections } from '#mesh/Collections.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 
 const RETRY_MS = 250;
 
@@ -18,7 +19,7 @@
   next: RangeTable,
   ifRevision: number,
 ): Promise<CollectionItem | undefined> {
-  const put = await store.put(collections.ranges, next.service, next, ifRevision);
+  const put = await store.put(collections.ranges, next.service, rangeTableCodec.encode(next), ifRevision);
   if (put.isRight()) {
     const result = put.unsafeCoerce();
     return result.type === 'accepted' ? result.item : result.current;
--- a/packages/mesh/test/OwnershipRun.ts
+++ b/packages/mesh/test/OwnershipRun.ts
@@ -1,9 +1,9 @@
 import { ManualClock } from '#core/ManualClock.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { overlaps } from '#ranges/Overlaps.js';
-import type { RangeTable } from '#ranges/RangeTable.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { createView } from './CreateView.js';
 import { SimulatedVm } from './SimulatedVm.js';
@@ -82,7 +82,12 @@
     const tables =
       item === undefined
         ? []
-        : [['s', { table: item.value as RangeTable, revision: item.revision }] as const];
+        : [
+            [
+              's',
+              { table: rangeTableCodec.decode(item.value).unsafeCoerce(), revision: item.revision },
+            ] as const,
+          ];
     const view = {
       ...createView(entries, {}, undefined, true),
       tables: new Map(tables),
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -7,6 +7,7 @@
 import type { Grant } from '#mesh/Grant.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
 import type { LeaseFacts } from '#mesh/LeaseFacts.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { RangeTask } from '#mesh/RangeTask.js';
 import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
@@ -56,7 +57,8 @@
     out: readonly string[] = [],
   ): Promise<void> {
     const view = createView(servers, {}, undefined, true);
-    const item = table === undefined ? undefined : this.store.set('ranges', 's', table);
+    const item =
+      table === undefined ? undefined : this.store.set('ranges', 's', rangeTableCodec.encode(table));
     const tables =
       table === undefined || item === undefined
         ? new Map()
@@ -89,7 +91,7 @@
 
   /** The table as it is in the store. */
   public table(): RangeTable {
-    return this.store.read('ranges', 's')?.value as RangeTable;
+    return rangeTableCodec.decode(this.store.read('ranges', 's')?.value).unsafeCoerce();
   }
 
   public async settle(): Promise<void> {
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -6,6 +6,7 @@
 import { listRowsOf } from '#ranges/ListRowsOf.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
 import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { PlannerTask } from '#mesh/PlannerTask.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import { createEntry } from './CreateEntry.js';
@@ -49,7 +50,7 @@
       logger: new Logger('test'),
       call: (_address, _method, _params, reply) => reply(undefined),
     });
-    const { revision } = this.store.set('ranges', 's', table);
+    const { revision } = this.store.set('ranges', 's', rangeTableCodec.encode(table));
     const view = createView(servers, {}, undefined, true);
     this.task.post({ type: 'view', view: { ...view, tables: new Map([['s', { table, revision }]]) } });
     for (const id of ['a', 'b']) this.store.set('leases', id, lease(id));
@@ -70,7 +71,8 @@
   }
 
   public rowsOf(serverId: string): number {
-    return listRowsOf(this.store.read('ranges', 's')?.value as RangeTable, serverId).length;
+    const stored = rangeTableCodec.decode(this.store.read('ranges', 's')?.value);
+    return listRowsOf(stored.unsafeCoerce(), serverId).length;
   }
 }
 
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -2,6 +2,7 @@
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
+import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { createEntry } from './CreateEntry.js';
 import { RangeRun } from './RangeRun.js';
 
@@ -239,7 +240,7 @@
   await run.lease(1, 60_000);
   t.match(await run.checkIn([whole]), { rows: [whole] });
   const late = transferRanges(table, [{ from: 0, to: 32_767, owner: owners[1]!, handover: 'h' }]);
-  const result = await run.store.put('ranges', 's', late, revision);
+  const result = await run.store.put('ranges', 's', rangeTableCodec.encode(late), revision);
   t.match(result.extract(), { type: 'conflict' });
 });
 
