Limit the answers that are kept for senders that lost their session

Cause: OrderLedger keeps each answer for 8 s, up to 20,000 of them, whatever memory their bodies take. Ten answers of 8 MiB, each within the limit of one answer, are a third of a daemon's memory.

Change: the bodies of kept answers have 32 MiB together; beyond, the oldest answer is dropped. Its order stays known and does not run again; a sender that asks for it is told connectionLost.

Before: "answers that are kept share a limit" failed, as all 80 MiB were kept; "waiting sender gets an answer of any size" failed, as 40 MiB were kept. After: packages/mesh and platform pass.

--- a/packages/mesh/src/OrderLedger.ts
+++ b/packages/mesh/src/OrderLedger.ts
@@ -7,6 +7,12 @@
 /** Results that are kept at most. */
 const MAX_KEPT = 20_000;
 
+/** Bytes of the bodies of all results that are kept. */
+const MAX_KEPT_BYTES = 32 * 1024 * 1024;
+
+/** Takes the place of an answer that is no longer kept. */
+const FORGOTTEN: OrderResult = { type: 'lost', code: 'connectionLost', load: undefined };
+
 interface Account {
   readonly replies: readonly OrderReply[];
   readonly result: OrderResult | undefined;
@@ -16,6 +22,9 @@
 /** Orders that this run of the daemon received, by request id, so that none runs twice for being sent again. */
 export class OrderLedger {
   private readonly accounts = new Map<string, Account>();
+  /** Bytes of the bodies that are kept, by request id, the oldest first. */
+  private readonly bodies = new Map<string, number>();
+  private bodyBytes = 0;
 
   /** Whether an order was received and its result is still kept or awaited. */
   public has(id: string): boolean {
@@ -29,7 +38,7 @@
 
   /** Opens the account of an order that begins now. */
   public open(id: string, reply: OrderReply, nowMs: number): void {
-    this.accounts.delete(id);
+    this.remove(id);
     this.accounts.set(id, { replies: [reply], result: undefined, changedMs: nowMs });
   }
 
@@ -47,6 +56,7 @@
     if (account === undefined || account.result !== undefined) return;
     this.accounts.delete(id);
     this.accounts.set(id, { replies: [], result, changedMs: nowMs });
+    if (result.type === 'answered') this.keepBody(id, result.answer.body.length);
     for (const reply of account.replies) reply(result);
   }
 
@@ -55,7 +65,29 @@
     for (const [id, { result, changedMs }] of this.accounts) {
       const excess = this.accounts.size > MAX_KEPT;
       if (!excess && nowMs - changedMs < KEEP_MS) return;
-      if (result !== undefined) this.accounts.delete(id);
+      if (result !== undefined) this.remove(id);
+    }
+  }
+
+  private keepBody(id: string, bytes: number): void {
+    this.bodies.set(id, bytes);
+    this.bodyBytes += bytes;
+    for (const oldest of this.bodies.keys()) {
+      if (this.bodyBytes <= MAX_KEPT_BYTES) return;
+      this.forgetBody(oldest);
     }
   }
+
+  /** Drops an answer; its order stays known, so that it does not run again. */
+  private forgetBody(id: string): void {
+    this.bodyBytes -= this.bodies.get(id) ?? 0;
+    this.bodies.delete(id);
+    const account = this.accounts.get(id);
+    if (account !== undefined) this.accounts.set(id, { ...account, result: FORGOTTEN });
+  }
+
+  private remove(id: string): void {
+    this.forgetBody(id);
+    this.accounts.delete(id);
+  }
 }
