Limit the bodies that callers send

Cause: until the configuration is known the daemon kept bodies of any length, afterwards as many at once as callers send; each chunk copied the list of those before it. An order with a larger body than daemons read from each other could not be relayed.

Change: CallerTask reads at most 8 MiB a body, or less if the configuration says so, and 24 MiB for all bodies being read; a body without room is answered with 503 and Retry-After 1 s.

--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -1,5 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { BodyBuffer } from '#core/BodyBuffer.js';
+import type { BodyFault } from '#core/BodyFault.js';
+import { ByteBudget } from '#core/ByteBudget.js';
 import { Task } from '#core/Task.js';
 import type { CallerLimits } from '#routes/CallerLimits.js';
 import type { CallerMessage } from '#mesh/CallerMessage.js';
@@ -7,6 +10,8 @@
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import { listenAt } from '#mesh/ListenAt.js';
+import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
+import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
@@ -20,6 +25,10 @@
 const MAX_WAITING_CONNECTIONS = 1_024;
 
 const PAYLOAD_TOO_LARGE = 413;
+const UNAVAILABLE = 503;
+
+/** Time after which a caller may come back whose body had no room, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
 
 interface OpenExchange {
   readonly socket: Socket;
@@ -35,7 +44,9 @@
   private readonly bySocket = new Map<Socket, ReadonlySet<number>>();
   /** Connections whose last answer is on its way; requests behind it are not read. */
   private readonly closing = new WeakSet<Socket>();
-  private maxBodyBytes = Infinity;
+  /** Memory of the bodies that are being read on all connections. */
+  private readonly budget = new ByteBudget(maxBodiesBytes);
+  private bodyLimit = maxBodyBytes;
   private nextExchange = 1;
   private stopping = false;
 
@@ -97,27 +108,26 @@
     const request = readCallerRequest(req, Buffer.alloc(0), this.options.headers, arrivedMs);
     this.open.set(exchange, { socket, res, request });
     this.bySocket.set(socket, new Set([...(this.bySocket.get(socket) ?? []), exchange]));
-    let chunks: readonly Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer(this.bodyLimit, this.budget);
+    let fault: BodyFault | undefined;
     req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= this.maxBodyBytes) chunks = [...chunks, chunk];
+      fault ??= body.add(chunk);
+      if (fault !== undefined) body.discard();
     });
     req.on('end', () => {
-      if (bytes > this.maxBodyBytes) this.refuseLarge(exchange);
-      else this.post({ type: 'read', exchange, body: Buffer.concat([...chunks]) });
+      if (fault === undefined) this.post({ type: 'read', exchange, body: body.take() });
+      else this.refuseBody(exchange, fault);
     });
+    req.on('close', () => body.discard());
     // The connection's close event follows.
     req.on('error', () => undefined);
   }
 
-  private refuseLarge(exchange: number): void {
-    const reply: CallerReply = {
-      type: 'refusal',
-      status: PAYLOAD_TOO_LARGE,
-      code: 'bodyTooLarge',
-      retryAfterMs: 0,
-    };
+  private refuseBody(exchange: number, fault: BodyFault): void {
+    const reply: CallerReply =
+      fault === 'tooLarge'
+        ? { type: 'refusal', status: PAYLOAD_TOO_LARGE, code: 'bodyTooLarge', retryAfterMs: 0 }
+        : { type: 'refusal', status: UNAVAILABLE, code: 'full', retryAfterMs: RETRY_AFTER_MS };
     this.post({ type: 'replied', exchange, reply });
   }
 
@@ -153,7 +163,7 @@
   }
 
   private applyLimits(limits: CallerLimits): void {
-    this.maxBodyBytes = limits.maxBodyBytes;
+    this.bodyLimit = Math.min(limits.maxBodyBytes, maxBodyBytes);
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
