--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -164,6 +164,12 @@
 
   private applyLimits(limits: CallerLimits): void {
     this.bodyLimit = Math.min(limits.maxBodyBytes, maxBodyBytes);
+    if (limits.maxBodyBytes > maxBodyBytes)
+      this.options.logger.log('bodyLimitReduced', {
+        step: 'parse',
+        configured: limits.maxBodyBytes,
+        limit: maxBodyBytes,
+      });
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
--- a/packages/mesh/test/rangeTable.test.ts
+++ b/packages/mesh/test/rangeTable.test.ts
@@ -43,7 +43,9 @@
 });
 
 t.test('malformed table is refused', (t) => {
-  const good = rangeTableCodec.encode(createRangeTable('s', owners.slice(0, 2))) as Record<string, unknown>;
+  const good = rangeTableCodec.encode<Readonly<Record<string, unknown>>>(
+    createRangeTable('s', owners.slice(0, 2)),
+  );
   t.equal(rangeTableCodec.decode(good).isRight(), true);
   const bad: readonly unknown[] = [
     undefined,
