--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -20,7 +20,9 @@
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import { formatRows } from '#mesh/FormatRows.js';
+import { Gathering } from '#mesh/Gathering.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
+import { HeldReply } from '#mesh/HeldReply.js';
 import { listGrantChange } from '#mesh/ListGrantChange.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { RangeMessage } from '#mesh/RangeMessage.js';
@@ -34,12 +36,6 @@
 
 const TICK_MS = 250;
 
-/** The keys are divided once the number of backend servers has not changed for this time, in milliseconds. */
-const GATHER_MS = 1_500;
-
-/** Each daemon after the first waits this much longer before it divides the keys, in milliseconds. */
-const RANK_WAIT_MS = 1_000;
-
 /** Time that a grant may be under way to the backend server, in milliseconds. */
 const DELIVERY_MS = 200;
 
@@ -49,18 +45,6 @@
 /** Rows of an owner beyond which no more are moved to it for balance, so that it can still take over from a lost one. */
 const BALANCE_ROWS = 40;
 
-/**
- * An answer to an announcement is held back for this part of the time to the next one, so that most changes of keys find
- * one waiting, and for at most the given time, in milliseconds: it counts only within a second.
- */
-const REPLY_HOLD_PART = 0.9;
-const MAX_REPLY_HOLD_MS = 800;
-
-interface WaitingReply {
-  readonly reply: CheckIn['reply'];
-  readonly sinceMs: number;
-}
-
 /**
  * Grants keys to the backend server beside this daemon, and changes the table of owners by conditional writes. Owns the
  * grants, the releases that are under way, and the measured load of the keys.
@@ -68,7 +52,8 @@
 export class RangeTask extends Task<RangeMessage> {
   private readonly options: RangeOptions;
   private readonly loads: KeyLoads;
-  private readonly replyHoldMs: number;
+  private readonly heldReply: HeldReply;
+  private readonly gathering = new Gathering();
   private view: View = emptyView;
   private table: TableView | undefined;
   private lease: HeldLease = { term: 0, untilMs: 0 };
@@ -78,7 +63,6 @@
   private leaving = false;
   /** Rows of the last answer to an announcement. */
   private given: readonly RangeRow[] = [];
-  private waiting: WaitingReply | undefined;
   private readonly releases: ReleaseLedger;
   /** Revision of the first table that this run read, if it inherited keys from a former run; 0 otherwise. */
   private inheritedRevision: number | undefined;
@@ -87,9 +71,6 @@
   /** The same for the grants of a former run of this daemon, whose receiver this run does not know. */
   private readonly inheritedEndMs: number;
   private heldUntilMs = 0;
-  /** Servers that can take keys before the first division, and the time since which their number is the same. */
-  private gathered = 0;
-  private gatheredMs = 0;
   private writing = false;
   private cancelTick: Cancel = () => undefined;
 
@@ -98,7 +79,7 @@
     this.options = options;
     this.releases = new ReleaseLedger(options.logger);
     this.loads = new KeyLoads(options.elapsed.nowMs());
-    this.replyHoldMs = Math.min(MAX_REPLY_HOLD_MS, options.announceEveryMs * REPLY_HOLD_PART);
+    this.heldReply = new HeldReply(options.announceEveryMs);
     // An earlier run of this daemon may have given grants just before.
     this.inheritedEndMs = this.endOfGrant(options.terms.maxGrantMs);
     this.grantsEndMs = this.inheritedEndMs;
@@ -182,9 +163,9 @@
     this.slots = slots;
     this.releases.noteAnnounced(holds, released);
     if (this.isKeyed()) this.options.onKeyed();
-    if (this.waiting !== undefined) this.answer(this.waiting.reply);
-    this.waiting = { reply, sinceMs: this.now() };
-    this.options.clock.schedule(this.replyHoldMs, () => this.post({ type: 'due' }));
+    this.answerHeld();
+    this.heldReply.hold(reply, this.now());
+    this.options.clock.schedule(this.heldReply.holdMs, () => this.post({ type: 'due' }));
   }
 
   /**
@@ -192,12 +173,14 @@
    * keys reaches the backend server at once and not with its next announcement.
    */
   private answerWaiting(): void {
-    const { waiting } = this;
-    if (waiting === undefined) return;
-    const isDue = this.now() - waiting.sinceMs >= this.replyHoldMs;
-    if (!isDue && (this.writing || !this.hasNews())) return;
-    this.waiting = undefined;
-    this.answer(waiting.reply);
+    if (!this.heldReply.isWaiting) return;
+    if (!this.heldReply.isDue(this.now()) && (this.writing || !this.hasNews())) return;
+    this.answerHeld();
+  }
+
+  private answerHeld(): void {
+    const reply = this.heldReply.take();
+    if (reply !== undefined) this.answer(reply);
   }
 
   private hasNews(): boolean {
@@ -268,12 +251,8 @@
   private divideKeys(): void {
     if (!this.view.complete || this.lease.term === 0 || this.writing) return;
     const receivers = listReceivers(this.view, this.service);
-    if (receivers.length !== this.gathered) {
-      this.gathered = receivers.length;
-      this.gatheredMs = this.now();
-    }
     const rank = receivers.findIndex(({ serverId }) => serverId === this.options.place.serverId);
-    if (rank < 0 || this.now() - this.gatheredMs < GATHER_MS + rank * RANK_WAIT_MS) return;
+    if (!this.gathering.isDue(receivers.length, rank, this.now())) return;
     this.write(createRangeTable(this.service, receivers), 0, 'keysDivided');
   }
 
