Leave calls of the store's budget to changes

Cause of 'SIGTERM cuts off nothing': the leaving daemon had spent its call budget (60, then 0.4 a second). While callers are misdirected, each daemon reads the cell from the store up to ten times a second, and a drain takes 20 to 30 calls. With the budget spent, the writes of the last moves failed with storeBudgetSpent, the shards went back to the leaving daemon, and each further attempt spent on its read the one call that its write needed. At the end of its drain time the daemon ended with status 0 while the cell named it as owner. Ruled out by reading: a move that begins after the list of shards was taken (the list is read anew at each plan), shards given to a member that leaves (completeMove and assignShards accept active members only), and an exit before a write was settled. Change: a read tells its purpose. Look-ups leave 30 calls of the burst to changes, and a change begins only if one more call is left for its write. A version that a peer told of is read without that reserve, as a first member without seeds hears of others only so. The rates that the store sees do not rise. 'a spent call budget stops calls' sets no reserve, so that it checks the same calls as before.

--- a/packages/control/src/CellTask.ts
+++ b/packages/control/src/CellTask.ts
@@ -34,6 +34,7 @@
 import type { TaskLinks } from '#control/TaskLinks.js';
 import type { PeerAddress } from '#rpc/PeerAddress.js';
 import type { PendingWrite } from '#store/PendingWrite.js';
+import type { ReadPurpose } from '#store/ReadPurpose.js';
 
 type MessageOf<T extends CellMessage['type']> = Extract<CellMessage, { readonly type: T }>;
 
@@ -363,7 +364,7 @@
     const fetchedAtMs = this.fetchedAtMs.get(name) ?? Number.NEGATIVE_INFINITY;
     const isForeign = name !== this.home?.name;
     if (isForeign && this.context.clock.monotonicMs() - fetchedAtMs < FOREIGN_FETCH_EVERY_MS) return;
-    this.fetch(name, from);
+    this.fetch(name, 'change', from);
   }
 
   private fetchNeighbour(): void {
@@ -373,14 +374,14 @@
     if (service === undefined || nowMs < this.neighbourDueMs) return;
     this.neighbourDueMs = nowMs + NEIGHBOUR_EVERY_MS * (0.5 + random.fraction());
     const name = formatCellName(service.name, random.integer(Math.max(1, service.cells)));
-    if (name !== this.home?.name) this.fetch(name);
+    if (name !== this.home?.name) this.fetch(name, 'lookUp');
     // The own cell was drawn: with few cells that is likely, and the next tick draws again.
     else this.neighbourDueMs = 0;
   }
 
   private refresh({ name, minVersion, from }: MessageOf<'refresh'>): void {
     if (this.versionOf(name) >= minVersion) return;
-    this.fetch(name, from === undefined ? undefined : this.directory().get(from));
+    this.fetch(name, 'change', from === undefined ? undefined : this.directory().get(from));
   }
 
   private fetchFor({ name, minVersion, reply }: MessageOf<'fetch'>): void {
@@ -390,15 +391,15 @@
       return;
     }
     const waiting = this.waiting.get(name);
-    this.fetch(name);
+    this.fetch(name, 'lookUp');
     this.waiting = new Map([...this.waiting, [name, [...(waiting ?? []), reply]]]);
   }
 
-  private fetch(name: string, from?: PeerAddress): void {
+  private fetch(name: string, purpose: ReadPurpose, from?: PeerAddress): void {
     if (this.waiting.has(name)) return;
     this.waiting = new Map([...this.waiting, [name, []]]);
     this.fetchedAtMs = new Map([...this.fetchedAtMs, [name, this.context.clock.monotonicMs()]]);
-    void this.load(name, from).then((cell) => this.post({ type: 'fetchEnded', name, cell }));
+    void this.load(name, purpose, from).then((cell) => this.post({ type: 'fetchEnded', name, cell }));
   }
 
   private endFetch({ name, cell }: MessageOf<'fetchEnded'>): void {
@@ -409,7 +410,7 @@
   }
 
   /** Asks the peer that holds a newer version, then a member of the cell and a seed, and the store last. */
-  private async load(name: string, from?: PeerAddress): Promise<Cell | undefined> {
+  private async load(name: string, purpose: ReadPurpose, from?: PeerAddress): Promise<Cell | undefined> {
     const { random, settings } = this.context;
     const known = this.versionOf(name);
     const members = this.cells
@@ -420,7 +421,7 @@
       const cell = peer && (await this.fetchFrom(peer, name));
       if (cell !== undefined && cell.version > known) return cell;
     }
-    return this.readStored(name);
+    return this.readStored(name, purpose);
   }
 
   private async fetchFrom(peer: PeerAddress, name: string): Promise<Cell | undefined> {
@@ -429,8 +430,8 @@
     return (answer.orDefault(null) as Cell | null) ?? undefined;
   }
 
-  private async readStored(name: string): Promise<Cell | undefined> {
-    const read = await this.context.store.get(name);
+  private async readStored(name: string, purpose: ReadPurpose): Promise<Cell | undefined> {
+    const read = await this.context.store.get(name, purpose);
     this.storeReachable = read.isRight();
     const object = read.orDefault(undefined);
     return object && readCell(object);
@@ -460,7 +461,7 @@
       .map(({ name }) => formatCellName(name, 0))
       .filter((name) => name !== this.home?.name)
       .slice(0, MAX_FOREIGN_CELLS);
-    for (const cell of await Promise.all(names.map((name) => this.readStored(name)))) {
+    for (const cell of await Promise.all(names.map((name) => this.readStored(name, 'lookUp')))) {
       if (cell !== undefined) this.adopt(cell);
     }
   }
--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -6,6 +6,7 @@
 import type { Catalogue } from '#catalogue/Catalogue.js';
 import { ControlPlane } from '#control/ControlPlane.js';
 import type { Timings } from '#settings/Timings.js';
+import type { HttpStoreOptions } from '#store/HttpStoreOptions.js';
 import { PausableClock } from './PausableClock.js';
 import { FleetDaemon } from './FleetDaemon.js';
 
@@ -26,6 +27,8 @@
 };
 /** Default timings, for tests in which no lease may lapse: a busy machine stalls a process for half a second. */
 const STEADY: Partial<Timings> = { leaseMs: 1_500, renewEveryMs: 400, spreadEveryMs: 500 };
+/** Budgets of the store that no test reaches. */
+const AMPLE_CALLS: Partial<HttpStoreOptions> = { callsPerSecond: 50, callBurst: 500 };
 const WAIT_LIMIT_MS = 30_000;
 const POLL_MS = 10;
 
@@ -34,6 +37,8 @@
   public readonly server = new ObjectStoreServer();
   public readonly daemons = new Map<string, FleetDaemon>();
   public hasSeeds = true;
+  /** Call budgets of the daemons' store clients. */
+  public calls = AMPLE_CALLS;
   /** Descriptions of moments at which two daemons could use the same shard. */
   public readonly conflicts: string[] = [];
   /** Daemons whose lease must not lapse, and the lapses seen. */
@@ -85,8 +90,7 @@
       clock,
       random,
       timeoutMs: 300,
-      callsPerSecond: 50,
-      callBurst: 500,
+      ...this.calls,
     });
     const ports = await transport.start();
     const settings = {
--- a/packages/control/test/moves.test.ts
+++ b/packages/control/test/moves.test.ts
@@ -80,3 +80,18 @@
   await fleet.waitFor('moves', () => fleet.isServed() && inside() === 0);
   t.strictSame(fleet.conflicts, []);
 });
+
+t.test('a daemon leaves after many look-ups', async (t) => {
+  // Its moves were refused as the budget was spent, and it ended while the cell named it as an owner.
+  const fleet = Fleet.steady(t);
+  fleet.calls = {};
+  await fleet.start(4);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const owner = fleet.owner();
+  for (let count = 0; count < 100; count += 1)
+    await owner.plane.fetchCell(owner.service, 0, owner.cell!.version + 1);
+  const left = owner.plane.drain();
+  await fleet.waitFor('moves', () => fleet.isServed() && owner.usable().size === 0);
+  t.equal(await left, true);
+  t.strictSame(fleet.conflicts, []);
+});
--- a/packages/daemon/src/MeteredStore.ts
+++ b/packages/daemon/src/MeteredStore.ts
@@ -4,6 +4,7 @@
 import { ObjectStore } from '#store/ObjectStore.js';
 import type { PutRequest } from '#store/PutRequest.js';
 import type { PutResult } from '#store/PutResult.js';
+import type { ReadPurpose } from '#store/ReadPurpose.js';
 import type { StoreObject } from '#store/StoreObject.js';
 
 /** Passes calls on to a store and counts them. A call that its own budget refuses was not sent and is not counted. */
@@ -15,8 +16,11 @@
     super();
   }
 
-  public override get(name: string): Promise<Either<RouterError, StoreObject | undefined>> {
-    return this.count(this.store.get(name));
+  public override get(
+    name: string,
+    purpose?: ReadPurpose,
+  ): Promise<Either<RouterError, StoreObject | undefined>> {
+    return this.count(this.store.get(name, purpose));
   }
 
   public override put(request: PutRequest): Promise<Either<RouterError, PutResult>> {
--- a/packages/store/src/HttpObjectStore.ts
+++ b/packages/store/src/HttpObjectStore.ts
@@ -7,6 +7,7 @@
 import { ObjectStore } from '#store/ObjectStore.js';
 import type { PutRequest } from '#store/PutRequest.js';
 import type { PutResult } from '#store/PutResult.js';
+import type { ReadPurpose } from '#store/ReadPurpose.js';
 import type { StoreObject } from '#store/StoreObject.js';
 import { TokenBucket } from '#store/TokenBucket.js';
 
@@ -16,6 +17,10 @@
 const CALLS_PER_SECOND = 0.4;
 /** Covers a join, a takeover of a failure domain and a drain in batches without waiting. */
 const CALL_BURST = 60;
+/** A drain takes about 30 calls. Look-ups for requests of callers would otherwise leave none to it. */
+const CHANGE_RESERVE = 30;
+/** An update begins only if its write can follow: a spent budget would otherwise go into reads alone. */
+const WRITE_RESERVE = 1;
 const READ_ATTEMPTS = 3;
 const RETRY_PAUSE_MS = 50;
 /** Retries are at most one tenth of the calls, so that they don't multiply the load of a failing store. */
@@ -35,6 +40,12 @@
   readonly text: string;
 }
 
+interface CallParts {
+  readonly body?: string;
+  /** Calls of the budget that this one has to leave. */
+  readonly reserve?: number;
+}
+
 interface Body {
   readonly marks: readonly string[];
   readonly value: unknown;
@@ -47,6 +58,7 @@
   private readonly random: RandomSource;
   private readonly timeoutMs: number;
   private readonly calls: TokenBucket;
+  private readonly reserves: Readonly<Record<ReadPurpose, number>>;
   private readonly retries: TokenBucket;
   private readonly agent: Agent;
 
@@ -61,13 +73,18 @@
       options.callsPerSecond ?? CALLS_PER_SECOND,
       options.callBurst ?? CALL_BURST,
     );
+    this.reserves = { lookUp: options.changeReserve ?? CHANGE_RESERVE, change: WRITE_RESERVE };
     this.retries = new TokenBucket(options.clock, 0, RETRY_BURST);
     this.agent = new Agent({ connections: 8, connect: { timeout: this.timeoutMs }, pipelining: 1 });
   }
 
-  public override async get(name: string): Promise<Either<RouterError, StoreObject | undefined>> {
+  public override async get(
+    name: string,
+    purpose: ReadPurpose = 'lookUp',
+  ): Promise<Either<RouterError, StoreObject | undefined>> {
+    const reserve = this.reserves[purpose];
     for (let attempt = 1; ; attempt += 1) {
-      const answer = await this.call('GET', this.pathOf(name), {}, this.timeoutMs);
+      const answer = await this.call('GET', this.pathOf(name), {}, this.timeoutMs, { reserve });
       if (answer.isRight() || attempt === READ_ATTEMPTS || !this.mayRetry(answer)) {
         return answer.chain((value) => this.parseRead(name, value));
       }
@@ -80,7 +97,7 @@
       request.ifVersion === 0 ? { 'if-none-match': '*' } : { 'if-match': `"${request.ifVersion}"` };
     const body = JSON.stringify({ marks: request.marks, value: request.value } satisfies Body);
     const headers = { ...condition, 'content-type': 'application/json' };
-    const answer = await this.call('PUT', this.pathOf(request.name), headers, this.timeoutMs, body);
+    const answer = await this.call('PUT', this.pathOf(request.name), headers, this.timeoutMs, { body });
     return answer.chain((value) => this.parsePut(request.name, value));
   }
 
@@ -103,13 +120,20 @@
     path: string,
     headers: Readonly<Record<string, string>>,
     timeoutMs: number,
-    body: string | null = null,
+    { body, reserve = 0 }: CallParts = {},
   ): Promise<Either<RouterError, Answer>> {
-    if (!this.calls.take()) return Left(this.failure('storeBudgetSpent', 'the call budget is spent'));
+    if (!this.calls.take(reserve)) return Left(this.failure('storeBudgetSpent', 'the call budget is spent'));
     this.retries.add(RETRIES_PER_CALL);
     try {
       const signal = AbortSignal.timeout(timeoutMs);
-      const res = await this.agent.request({ origin: this.url, path, method, headers, body, signal });
+      const res = await this.agent.request({
+        origin: this.url,
+        path,
+        method,
+        headers,
+        body: body ?? null,
+        signal,
+      });
       const text = await res.body.text();
       return Right({ status: res.statusCode, version: parseVersion(res.headers.etag), text });
     } catch (err) {
--- a/packages/store/src/HttpStoreOptions.ts
+++ b/packages/store/src/HttpStoreOptions.ts
@@ -13,4 +13,6 @@
   readonly callsPerSecond?: number;
   /** Calls that may be made at once above the sustained rate. */
   readonly callBurst?: number;
+  /** Calls of the burst that look-ups leave to changes. */
+  readonly changeReserve?: number;
 }
--- a/packages/store/src/ObjectStore.ts
+++ b/packages/store/src/ObjectStore.ts
@@ -2,6 +2,7 @@
 import type { RouterError } from '#core/RouterError.js';
 import type { PutRequest } from '#store/PutRequest.js';
 import type { PutResult } from '#store/PutResult.js';
+import type { ReadPurpose } from '#store/ReadPurpose.js';
 import type { StoreObject } from '#store/StoreObject.js';
 
 /**
@@ -11,7 +12,10 @@
  */
 export abstract class ObjectStore {
   /** Reads an object; undefined if it does not exist. */
-  public abstract get(name: string): Promise<Either<RouterError, StoreObject | undefined>>;
+  public abstract get(
+    name: string,
+    purpose?: ReadPurpose,
+  ): Promise<Either<RouterError, StoreObject | undefined>>;
 
   /** Writes an object if it still has the version `ifVersion`. */
   public abstract put(request: PutRequest): Promise<Either<RouterError, PutResult>>;
--- a/packages/store/src/TokenBucket.ts
+++ b/packages/store/src/TokenBucket.ts
@@ -16,10 +16,10 @@
     this.countedAtMs = clock.monotonicMs();
   }
 
-  /** Takes one token; false if less than one is left. */
-  public take(): boolean {
+  /** Takes one token; false if fewer than `reserve` would be left. */
+  public take(reserve = 0): boolean {
     this.accrue();
-    if (this.tokens < 1) return false;
+    if (this.tokens < 1 + reserve) return false;
     this.tokens -= 1;
     return true;
   }
--- a/packages/store/src/UpdateObject.ts
+++ b/packages/store/src/UpdateObject.ts
@@ -24,7 +24,7 @@
   let newest: StoreObject | undefined;
   for (let attempt = 0; attempt < (request.attempts ?? ATTEMPTS); attempt += 1) {
     if (newest === undefined) {
-      const read = await store.get(request.name);
+      const read = await store.get(request.name, 'change');
       if (read.isLeft()) return failOrUndecided(read.extract(), pending);
       newest = read.extract() as StoreObject | undefined;
     }
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { ManualClock } from '#core/ManualClock.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { ObjectStoreServer } from '#standin/ObjectStoreServer.js';
@@ -113,10 +114,32 @@
 });
 
 t.test('a spent call budget stops calls', async (t) => {
-  const { server, store } = await setUp(t, { callBurst: 2, callsPerSecond: 0 });
+  const { server, store } = await setUp(t, { callBurst: 2, callsPerSecond: 0, changeReserve: 0 });
   await store.get('words/a');
   await store.get('words/a');
   const refused = await store.get('words/a');
   t.equal(refused.swap().unsafeCoerce().fields.code, 'storeBudgetSpent');
   t.equal(server.readStats().reads, 2);
 });
+
+t.test('look-ups leave calls to changes', async (t) => {
+  // Look-ups for misdirected requests spent the budget, so that a leaving daemon could not write its moves.
+  const { store, append } = await setUp(t, { callBurst: 8, callsPerSecond: 0, changeReserve: 4 });
+  for (let count = 0; count < 20; count += 1) await store.get('words/a');
+  t.match(await append('x'), { type: 'accepted', version: 1 });
+  t.match(await append('y'), { type: 'accepted', version: 2 });
+});
+
+t.test('a spent budget delays a change only', async (t) => {
+  // Each attempt spent on its read the call that its write needed, so that none was ever written.
+  const clock = new ManualClock();
+  const { store } = await setUp(t, { clock, callBurst: 4, callsPerSecond: 0.4, changeReserve: 0 });
+  for (let count = 0; count < 4; count += 1) await store.get('words/a');
+  const request = { name: 'words/a', change: () => ['x'], nextMark: () => 'm' };
+  let written = false;
+  for (let elapsedMs = 0; !written && elapsedMs < 6_000; elapsedMs += 500) {
+    clock.advance(500);
+    written = (await updateObject(store, request)).isRight();
+  }
+  t.ok(written);
+});
