Let a daemon that leaves join no more

Cause: a join or a registration that was under way when the daemon began to leave was written after its drain, which had found no member to mark. The daemon stayed an active member without a drain mark, received shards, and its cell named it when its process ended. The same happened to a daemon that was taken over just before SIGTERM and was joining again, as on a busy machine. Change: a registration of a daemon that leaves renews its entry but does not join; the drain is repeated if a join was written after it, and the leave ends at once if the drain finds the daemon not listed. Test: moves.test.ts 'a daemon that leaves does not join' failed before (drain not done within 20 s, member listed); the 7 tests of the file pass.

--- a/packages/control/src/MembershipTask.ts
+++ b/packages/control/src/MembershipTask.ts
@@ -58,6 +58,7 @@
   private pending: readonly PendingWrite[] = [];
   private registerNotBeforeMs = 0;
   private drainReplies: readonly (() => void)[] = [];
+  private isDraining = false;
   private isLeaving = false;
   private cancelTick: Cancel = () => undefined;
 
@@ -107,6 +108,7 @@
         this.advance('retry');
         return;
       case 'drain':
+        this.isDraining = true;
         this.drainReplies = [...this.drainReplies, message.reply];
         void this.beginDrain();
         return;
@@ -199,6 +201,7 @@
     return {
       facts,
       wasMember: this.wasMember,
+      isLeaving: this.isDraining,
       reason: this.reason,
       silentWitnesses: [...this.silent.keys()],
       placements: listPlacements(this.catalogue, service),
@@ -236,6 +239,8 @@
       this.advance('accepted');
     } else this.advance('failed');
     this.checkListed();
+    // A join that was under way may have been written after the drain, which then found no member to mark.
+    if (this.isDraining && this.ownMember()?.state !== 'draining') void this.beginDrain();
   }
 
   private startEpoch(): void {
@@ -308,8 +313,9 @@
     const outcome = await this.change('drain', [], drain);
     const isFailure = outcome.type === 'failed' || outcome.type === 'undecided';
     this.backoff.count(isFailure);
-    if (!isFailure) return;
-    this.context.clock.schedule(this.backoff.pauseMs(), () => this.post({ type: 'drainRetry' }));
+    if (isFailure)
+      this.context.clock.schedule(this.backoff.pauseMs(), () => this.post({ type: 'drainRetry' }));
+    else if (this.pending.length === 0) this.post({ type: 'leaveEnded', outcome });
   }
 
   /** A draining member leaves the cell once its last shard has moved. */
--- a/packages/control/src/PlanRegistration.ts
+++ b/packages/control/src/PlanRegistration.ts
@@ -17,6 +17,7 @@
   const isOther = member !== undefined && member.incarnation !== facts.incarnation;
   if (isOther && request.wasMember) return { type: 'replaced' };
   if (member === undefined || isOther || member.state === 'gone') {
+    if (request.isLeaving) return { type: 'keep' };
     // The shards of a new cell are placed once its members have gathered.
     const isNew = Object.keys(cell.shards).length === 0;
     const tabled = isNew ? cell : ensurePlacements(cell, request.placements, options);
--- a/packages/control/src/RegistrationRequest.ts
+++ b/packages/control/src/RegistrationRequest.ts
@@ -7,6 +7,8 @@
   readonly facts: MemberFacts;
   /** Whether this process was a member before. */
   readonly wasMember: boolean;
+  /** A daemon that leaves keeps its lease until its shards have moved, but doesn't join again. */
+  readonly isLeaving: boolean;
   /** `join` for the first entry, `witnesses` if a better set of witnesses may exist. */
   readonly reason: ReRegisterReason | 'join' | 'witnesses';
   readonly silentWitnesses: readonly string[];
--- a/packages/control/test/moves.test.ts
+++ b/packages/control/test/moves.test.ts
@@ -95,3 +95,14 @@
   t.equal(await left, true);
   t.strictSame(fleet.conflicts, []);
 });
+
+t.test('a daemon that leaves does not join', async (t) => {
+  // Its join followed its drain in the store, so that it stayed an active member until its process ended.
+  const fleet = new Fleet(t);
+  await fleet.start(3);
+  await fleet.waitFor('service', () => fleet.isServed());
+  const late = await fleet.add('s3', 'd0');
+  t.equal(await late.plane.drain(), true);
+  await fleet.watchFor(1_000);
+  t.notOk(fleet.get('s0').cell!.members.some(({ serverId }) => serverId === 's3'));
+});
