Give up at the end of a shutdown the shards that have not moved

Cause: a daemon whose drain time passed ended with status 0 while the cell named it as an owner, whatever had kept its moves. Callers then waited until its witnesses had noticed its silence, although the daemon knew that it was ending. Change: once no request is open, such a daemon asks for the takeover of its own shards, as an isolated member does, and repeats this at each tick until it is written or shutdownMs has passed. The log tells 'drainEnded' with its outcome instead of 'shardsLeft', which was also logged when shards were left.

--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -107,6 +107,11 @@
     });
   }
 
+  /** Gives the shards up that a drain has not moved, so that they need not wait for the witnesses; the drain then ends. */
+  public resign(): void {
+    this.membership.post({ type: 'resign' });
+  }
+
   /** Reports the load of the own shards, in requests a second by shard id; shards left out count as idle. */
   public reportLoad(loads: ShardLoads): void {
     this.spread.post({ type: 'load', loads });
--- a/packages/control/src/MembershipMessage.ts
+++ b/packages/control/src/MembershipMessage.ts
@@ -27,6 +27,8 @@
   /** Gives all shards away and leaves the cell; replies when that is done. */
   | { readonly type: 'drain'; readonly reply: () => void }
   | { readonly type: 'drainRetry' }
+  /** Gives the shards up that a drain has not moved. */
+  | { readonly type: 'resign' }
   | { readonly type: 'leaveEnded'; readonly outcome: CellOutcome }
   /** An isolated member heard a peer again. */
   | { readonly type: 'reachable' }
--- a/packages/control/src/MembershipTask.ts
+++ b/packages/control/src/MembershipTask.ts
@@ -59,6 +59,7 @@
   private registerNotBeforeMs = 0;
   private drainReplies: readonly (() => void)[] = [];
   private isDraining = false;
+  private isResigning = false;
   private isLeaving = false;
   private cancelTick: Cancel = () => undefined;
 
@@ -115,6 +116,10 @@
       case 'drainRetry':
         void this.beginDrain();
         return;
+      case 'resign':
+        this.isResigning = true;
+        this.resign();
+        return;
       case 'leaveEnded':
         this.endLeave(message.outcome);
         return;
@@ -129,6 +134,7 @@
         this.improveWitnesses();
         this.checkIsolation();
         this.leaveIfEmpty();
+        this.resign();
     }
   }
 
@@ -158,7 +164,7 @@
         this.context.clock.schedule(this.backoff.pauseMs(), () => this.post({ type: 'retry' }));
         return;
       case 'giveUp':
-        this.giveUp();
+        this.giveUp('isolated');
     }
   }
 
@@ -280,11 +286,12 @@
     if (others.length > 0 && listOwnedShards(cell, own.serverId).length > 0) this.advance('isolated');
   }
 
-  private giveUp(): void {
+  /** Asks for a takeover of the own shards, as the witnesses do for a member that fell silent. */
+  private giveUp(cause: 'isolated' | 'resigned'): void {
     const own = this.ownMember();
     if (own === undefined || this.home === undefined) return;
     const { serverId, epoch } = own;
-    this.context.logger.log('isolated', { step: 'lease', epoch });
+    this.context.logger.log(cause, { step: 'lease', epoch });
     const report = { cellName: this.home.name, serverId, epoch };
     this.links.cell({ type: 'suspect', report });
   }
@@ -330,6 +337,11 @@
     void this.change('leave', [], remove).then((outcome) => this.post({ type: 'leaveEnded', outcome }));
   }
 
+  /** Repeated at each tick, as the takeover may fail; it ends the drain. */
+  private resign(): void {
+    if (this.isResigning && isListed(this.cell, this.home)) this.giveUp('resigned');
+  }
+
   private endLeave(outcome: CellOutcome): void {
     this.isLeaving = false;
     const isOut = 'cell' in outcome && !isListed(outcome.cell, this.home);
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -136,13 +136,17 @@
     await Promise.all([this.store.close(), this.adminStore.close()]);
   }
 
-  /** The entry goes on serving until the shards have left. */
+  /** The entry goes on serving until the shards have left. Those that have not are given up once no request is open. */
   private async leave(): Promise<void> {
     this.path.announceClose();
     this.advance('shutDown');
-    await Promise.race([this.wait(this.settings.timings.shutdownMs * DRAIN_PART), this.drained]);
-    this.logger.log('shardsLeft', { step: 'shutdown' });
+    const drainMs = this.settings.timings.shutdownMs * DRAIN_PART;
+    const isDrained = await Promise.race([this.wait(drainMs).then(() => false), this.drained]);
+    this.logger.log('drainEnded', { step: 'shutdown', outcome: isDrained ? 'left' : 'timeout' });
     await this.path.close();
+    if (isDrained) return;
+    this.control.resign();
+    await this.drained;
   }
 
   private wait(durationMs: number): Promise<void> {
--- a/packages/daemon/test/leave.test.ts
+++ b/packages/daemon/test/leave.test.ts
@@ -48,6 +48,16 @@
   t.notOk(Object.values(cell?.shards ?? {}).some(({ owner }) => owner === 'd1'));
 });
 
+t.test('short shutdown leaves no owner', async (t) => {
+  // Shards that could not be moved in time belonged to the ended daemon until its witnesses had noticed its silence.
+  const fleet = await startFleet(4, { shutdownMs: 4_000 });
+  t.teardown(() => fleet.stop());
+  fleet.signal('d1', 'SIGTERM', 'daemon');
+  t.equal(await fleet.waitDaemonEnd('d1'), 0);
+  const cell = await fleet.readCell('badges');
+  t.notOk(Object.values(cell?.shards ?? {}).some(({ owner }) => owner === 'd1'));
+});
+
 t.test('backend leaves and returns', async (t) => {
   // A daemon whose backend server left must give its shards away, go on serving callers, and own shards again later.
   const fleet = await startFleet(4);
