Write no epoch that nobody can renew

Cause: a member without any witness, as the first daemon of a fleet, wrote a new epoch at each lease length. These are 2 calls in 1.5 s, of a budget of 0.4 a second, so that a fleet that starts slowly, as on a busy machine, spent its first daemon's budget before it served. Change: an expired lease leads to a new epoch only if there is a witness for it. One that appears later leads to an epoch of its own, as before.

--- a/packages/control/src/PlanRegistration.ts
+++ b/packages/control/src/PlanRegistration.ts
@@ -27,13 +27,15 @@
     const next = replaceWitnesses(cell, facts.serverId, request.silentWitnesses, options.peers);
     return next === cell ? { type: 'keep' } : { type: 'write', cell: next };
   }
-  return { type: 'write', cell: renewGrant(cell, request) };
+  const witnesses = chooseWitnesses(cell, facts.serverId, options.peers, request.silentWitnesses);
+  // Nobody could renew the new epoch; a witness that appears later leads to one of its own.
+  if (request.reason === 'expired' && witnesses.length === 0) return { type: 'keep' };
+  return { type: 'write', cell: renewGrant(cell, facts.serverId, witnesses) };
 }
 
-function renewGrant(cell: Cell, { facts, silentWitnesses, options }: RegistrationRequest): Cell {
-  const witnesses = chooseWitnesses(cell, facts.serverId, options.peers, silentWitnesses);
+function renewGrant(cell: Cell, serverId: string, witnesses: readonly string[]): Cell {
   const members = cell.members.map((member) =>
-    member.serverId === facts.serverId ? { ...member, epoch: member.epoch + 1, witnesses } : member,
+    member.serverId === serverId ? { ...member, epoch: member.epoch + 1, witnesses } : member,
   );
   return { ...cell, members };
 }
