End the lease with a renewal that was under way at the resignation

Cause: the reply to a renewal that was under way when the daemon resigned extended its lease again, so that RangeTask could grant keys which others had taken since the resignation; and the resignation was refused as a conflict with that renewal, without a log line. Change: after the resignation a reply extends nothing; the resignation is written after it, with its revision. A conflict is logged, too. Test: lease.test.ts 'renewal under way ends with the lease' failed before (both checks); lease, planner and rangeTask of mesh pass.

--- a/packages/mesh/src/RangeLeaseTask.ts
+++ b/packages/mesh/src/RangeLeaseTask.ts
@@ -70,7 +70,8 @@
         return;
       case 'renewed':
         this.inCall = false;
-        this.noteRenewed(message.sentMs, message.term, message.result);
+        if (this.resigned) this.noteLastRenewed(message.result);
+        else this.noteRenewed(message.sentMs, message.term, message.result);
     }
   }
 
@@ -92,15 +93,30 @@
   }
 
   private resign(reply: (resignation: Resignation) => void): void {
-    const { place, processId, store, logger } = this.options;
-    const { term, revision, facts } = this;
+    const { place, processId, logger } = this.options;
+    const { term } = this;
     this.resigned = true;
     this.cancelRenew();
     logger.log('leaseResigned', { step: 'lease', term });
     reply({ serverId: place.serverId, term, processId });
-    const record = this.createRecord(facts, true);
-    void store.put(collections.leases, place.serverId, record, revision).then((result) => {
-      if (result.isLeft()) logger.log('resignationNotWritten', { step: 'lease', term });
+    if (!this.inCall) this.writeResignation();
+  }
+
+  /** A renewal that was under way at the resignation extends nothing; its revision is that of the record to replace. */
+  private noteLastRenewed(result: Either<RouterError, CollectionPutResult>): void {
+    result.ifRight((put) => {
+      if (put.type === 'accepted') this.revision = put.item.revision;
+    });
+    this.writeResignation();
+  }
+
+  private writeResignation(): void {
+    const { place, store, logger } = this.options;
+    const { term } = this;
+    const record = this.createRecord(this.facts, true);
+    void store.put(collections.leases, place.serverId, record, this.revision).then((result) => {
+      const isWritten = result.map(({ type }) => type === 'accepted').orDefault(false);
+      if (!isWritten) logger.log('resignationNotWritten', { step: 'lease', term });
     });
   }
 
--- a/packages/mesh/test/lease.test.ts
+++ b/packages/mesh/test/lease.test.ts
@@ -108,3 +108,17 @@
   await run.advance(4_000);
   t.match(run.record, { term: 1, revoked: true });
 });
+
+t.test('renewal under way ends with the lease', async (t) => {
+  // Its reply extended the lease after the resignation, so that keys which others had taken could be granted again; and
+  // the resignation was not written, as the renewal had changed the record.
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(500);
+  const before = run.leases.length;
+  run.task.post({ type: 'renew' });
+  await run.task.ask((reply) => ({ type: 'resign', reply }));
+  await run.advance(1_000);
+  t.equal(run.leases.length, before);
+  t.match(run.record, { term: 1, revoked: true });
+});
