Let a move whose write is refused count as failed

Cause: a move ended as 'done' whatever the outcome of its write was, so that the log of a leaving daemon showed moves done whose shards went back to it. Its cellWrite line alone told that the budget was spent. Change: the event 'written' tells whether the write was accepted; if not, the move ends as 'failed'. Shards are restored in both cases, as before. Test: moves.test.ts 'a move whose write is refused has failed'; the 8 tests of the file pass.

--- a/packages/control/src/MoveEvent.ts
+++ b/packages/control/src/MoveEvent.ts
@@ -6,4 +6,4 @@
   | { readonly type: 'releaseExpired' }
   /** `incarnation` is the process that confirmed the records; undefined if none did. */
   | { readonly type: 'sent'; readonly incarnation: string | undefined }
-  | { readonly type: 'written' };
+  | { readonly type: 'written'; readonly accepted: boolean };
--- a/packages/control/src/MoveRules.ts
+++ b/packages/control/src/MoveRules.ts
@@ -10,6 +10,7 @@
 export const MOVE_RULES: ChartRules<MoveContext, MoveEvent, MoveCommand> = {
   guards: {
     isLastRelease: (context, event) => collect(context, event).records.length === context.moves.length,
+    isAccepted: (_, event) => event.type === 'written' && event.accepted,
     isConfirmed: (_, event) => event.type === 'sent' && event.incarnation !== undefined,
   },
   actions: {
--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -14,6 +14,7 @@
 import { compileChart } from '#chart/CompileChart.js';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
+import type { CellOutcome } from '#control/CellOutcome.js';
 import type { ControlContext } from '#control/ControlContext.js';
 import type { HandoverAnswer } from '#control/HandoverAnswer.js';
 import type { Intent } from '#control/Intent.js';
@@ -190,7 +191,8 @@
         );
         return;
       case 'write': {
-        const reply = (): void => this.postEvent(transferId, { type: 'written' });
+        const reply = ({ type }: CellOutcome): void =>
+          this.postEvent(transferId, { type: 'written', accepted: type === 'accepted' });
         this.links.cell({ type: 'complete', moves, to, incarnation: command.incarnation, reply });
         return;
       }
--- a/packages/control/test/moves.test.ts
+++ b/packages/control/test/moves.test.ts
@@ -1,4 +1,8 @@
 import t from 'tap';
+import { advanceChart } from '#chart/AdvanceChart.js';
+import { compileChart } from '#chart/CompileChart.js';
+import { MOVE_RULES } from '#control/MoveRules.js';
+import file from '../charts/move.json' with { type: 'json' };
 import { Fleet } from './Fleet.js';
 
 t.test('a drained daemon gives all shards away and leaves', async (t) => {
@@ -106,3 +110,14 @@
   await fleet.watchFor(1_000);
   t.notOk(fleet.get('s0').cell!.members.some(({ serverId }) => serverId === 's3'));
 });
+
+t.test('a move whose write is refused has failed', (t) => {
+  // The log told that such moves were done, which hid why a daemon still owned shards when it ended.
+  const chart = compileChart('move.json', file, MOVE_RULES);
+  const writing = { value: 'writing', context: { moves: [], to: 's1', records: [] } };
+  const end = (accepted: boolean): string =>
+    advanceChart(chart, writing, { type: 'written', accepted }).snapshot.value;
+  t.equal(end(false), 'failed');
+  t.equal(end(true), 'done');
+  t.end();
+});
