Begin moves for balance only with calls to spare

Cause: moves for balance take 2 calls for each receiver and may begin 60 times a minute, of a budget of 0.4 calls a second. Change: they begin only while more calls are left than the 30 that look-ups leave to changes. A fleet whose owners have spent their burst balances more slowly than before, at the rate of the budget. Test: moves.test.ts 'balance leaves calls to a drain' failed without the change (moves had begun; the drain itself still succeeded with the 34 calls of the test) and passes.

--- a/packages/control/src/MoveTask.ts
+++ b/packages/control/src/MoveTask.ts
@@ -123,7 +123,11 @@
     if (cell === undefined || findMember(cell, own)?.incarnation !== this.incarnation) return;
     const nowMs = this.context.clock.monotonicMs();
     const loads = this.mergeLoads(cell, nowMs);
-    if (!this.isLeaving() && !isAboveFair(cell, own, loads ?? noLoads)) return;
+    if (
+      !this.isLeaving() &&
+      !(this.context.store.hasSpareCalls() && isAboveFair(cell, own, loads ?? noLoads))
+    )
+      return;
     const planned = planMoves(cell, loads ?? noLoads, this.intent.withdrawals, this.budget, nowMs);
     const busy = new Set([...this.transfers.values()].flatMap(({ context }) => listShards(context.moves)));
     const moves = planned.filter(
--- a/packages/control/test/moves.test.ts
+++ b/packages/control/test/moves.test.ts
@@ -100,6 +100,22 @@
   t.strictSame(fleet.conflicts, []);
 });
 
+t.test('balance leaves calls to a drain', async (t) => {
+  // Moves for balance took calls of the owner's budget that a drain needs. The owner has to hear of the others, too.
+  const fleet = Fleet.steady(t);
+  fleet.calls = { callsPerSecond: 0, callBurst: 34 };
+  await fleet.startStore();
+  const owner = await fleet.add('s0', 'd0');
+  await fleet.waitFor('shards', () => Object.keys(owner.cell?.shards ?? {}).length === 128);
+  await fleet.add('s1', 'd1');
+  await fleet.add('s2', 'd2');
+  await fleet.waitFor('service', () => fleet.isServed());
+  await fleet.watchFor(5_000);
+  t.equal(owner.usable().size, 128);
+  t.equal(await owner.plane.drain(), true);
+  t.strictSame(fleet.conflicts, []);
+});
+
 t.test('a daemon that leaves does not join', async (t) => {
   // Its join followed its drain in the store, so that it stayed an active member until its process ended.
   const fleet = new Fleet(t);
--- a/packages/daemon/src/MeteredStore.ts
+++ b/packages/daemon/src/MeteredStore.ts
@@ -35,6 +35,10 @@
     return this.count(this.store.watch(name, afterVersion, timeoutMs));
   }
 
+  public override hasSpareCalls(): boolean {
+    return this.store.hasSpareCalls();
+  }
+
   public override close(): Promise<void> {
     return this.store.close();
   }
--- a/packages/daemon/test/FakeStore.ts
+++ b/packages/daemon/test/FakeStore.ts
@@ -38,6 +38,10 @@
     return Promise.resolve(Right(undefined));
   }
 
+  public override hasSpareCalls(): boolean {
+    return true;
+  }
+
   public override close(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/store/src/HttpObjectStore.ts
+++ b/packages/store/src/HttpObjectStore.ts
@@ -17,7 +17,7 @@
 const CALLS_PER_SECOND = 0.4;
 /** Covers a join, a takeover of a failure domain and a drain in batches without waiting. */
 const CALL_BURST = 60;
-/** A drain takes about 30 calls. Look-ups for requests of callers would otherwise leave none to it. */
+/** A drain takes about 30 calls. Look-ups, as for misdirected requests, would otherwise leave none to it. */
 const CHANGE_RESERVE = 30;
 /** An update begins only if its write can follow: a spent budget would otherwise go into reads alone. */
 const WRITE_RESERVE = 1;
@@ -111,6 +111,10 @@
     return answer.chain((value) => this.parseRead(name, value));
   }
 
+  public override hasSpareCalls(): boolean {
+    return this.calls.has(this.reserves.lookUp);
+  }
+
   public override close(): Promise<void> {
     return this.agent.destroy();
   }
--- a/packages/store/src/ObjectStore.ts
+++ b/packages/store/src/ObjectStore.ts
@@ -27,6 +27,9 @@
     timeoutMs: number,
   ): Promise<Either<RouterError, StoreObject | undefined>>;
 
+  /** Whether the call budget has more left than look-ups leave to changes. */
+  public abstract hasSpareCalls(): boolean;
+
   /** Closes connections; waiting calls end with an error. */
   public abstract close(): Promise<void>;
 }
--- a/packages/store/src/TokenBucket.ts
+++ b/packages/store/src/TokenBucket.ts
@@ -16,10 +16,15 @@
     this.countedAtMs = clock.monotonicMs();
   }
 
+  /** Whether one token may be taken so that `reserve` tokens are left. */
+  public has(reserve: number): boolean {
+    this.accrue();
+    return this.tokens >= 1 + reserve;
+  }
+
   /** Takes one token; false if fewer than `reserve` would be left. */
   public take(reserve = 0): boolean {
-    this.accrue();
-    if (this.tokens < 1 + reserve) return false;
+    if (!this.has(reserve)) return false;
     this.tokens -= 1;
     return true;
   }
