Look up cells and owners of keys in one place

Change: assignment/FormatCellKey, PutCell and FindKeyOwner do it. No behaviour changes. Tests: packages/proxy, packages/daemon but for leave.test.ts, and packages/assignment 334 of 334. daemon/test/leave.test.ts: 8 of 8 in one of three runs; in two, on a machine with a load of 27, 'crashing request is held' ended with "not in time: the backend server died". The daemons' logs of one failure: d1 started 7 s before d2 and d3, was given all shards, and moved that of the test's key to d3 after the first death; the request then ended the backend server of d3, while the test waits for that of the first owner.

--- /dev/null
+++ b/packages/assignment/src/FormatCellKey.ts
@@ -0,0 +1,4 @@
+/** Returns the key by which maps hold a cell. */
+export function formatCellKey(service: string, index: number): string {
+  return `${service}/${index}`;
+}
--- a/packages/daemon/src/ApplyToView.ts
+++ b/packages/daemon/src/ApplyToView.ts
@@ -1,3 +1,4 @@
+import { putCell } from '#assignment/PutCell.js';
 import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { FleetView } from '#daemon/FleetView.js';
@@ -9,10 +10,8 @@
       return { ...view, catalogue: event.catalogue, index: indexCatalogue(event.catalogue) };
     case 'intent':
       return { ...view, intentVersion: event.version, intent: event.intent };
-    case 'cell': {
-      const { cell } = event;
-      return { ...view, cells: new Map(view.cells).set(`${cell.service}/${cell.index}`, cell) };
-    }
+    case 'cell':
+      return { ...view, cells: putCell(view.cells, event.cell) };
     default:
       return view;
   }
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -2,6 +2,7 @@
 import { AdminTask } from '#admin/AdminTask.js';
 import type { QuotaAsk } from '#admission/QuotaAsk.js';
 import type { QuotaSlice } from '#admission/QuotaSlice.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import type { Member } from '#assignment/Member.js';
 import type { MemberFacts } from '#assignment/MemberFacts.js';
 import { advanceChart } from '#chart/AdvanceChart.js';
@@ -202,7 +203,7 @@
   }
 
   private countChanges(cell: Extract<ControlEvent, { readonly type: 'cell' }>['cell']): void {
-    const before = this.view.cells.get(`${cell.service}/${cell.index}`);
+    const before = this.view.cells.get(formatCellKey(cell.service, cell.index));
     const changes = compareCells(before, cell, this.settings.serverId);
     this.metrics.count('takeovers', changes.takeovers);
     this.metrics.count('plannedMoves', changes.plannedMoves);
@@ -267,7 +268,7 @@
   }
 
   private fetchCell(service: string, index: number): void {
-    const name = `${service}/${index}`;
+    const name = formatCellKey(service, index);
     const nowMs = this.clock.monotonicMs();
     this.metrics.count('misdirected');
     if (nowMs - (this.fetchedAtMs.get(name) ?? -CELL_FETCH_PAUSE_MS) < CELL_FETCH_PAUSE_MS) return;
--- a/packages/daemon/src/ExplainRequest.ts
+++ b/packages/daemon/src/ExplainRequest.ts
@@ -2,6 +2,7 @@
 import type { ExplainedDaemon } from '#admin/ExplainedDaemon.js';
 import type { ExplainQuestion } from '#admin/ExplainQuestion.js';
 import { findShard } from '#assignment/FindShard.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import { formatPlacement } from '#assignment/FormatPlacement.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import type { RandomSource } from '#core/RandomSource.js';
@@ -92,7 +93,7 @@
   serverId: string,
 ): string {
   if (!checked.needsOwnership) return `${serverId} is one of the members that the balance policy may choose`;
-  const cell = view.cells.get(`${head.service}/${findCellIndex(head.key, checked.service.cells)}`);
+  const cell = view.cells.get(formatCellKey(head.service, findCellIndex(head.key, checked.service.cells)));
   const found = cell && findShard(cell, formatPlacement(checked.entry.homeRegions), head.key);
   return `${serverId} owns shard ${found?.shardId ?? ''}`;
 }
--- a/packages/daemon/src/FleetCells.ts
+++ b/packages/daemon/src/FleetCells.ts
@@ -1,4 +1,5 @@
 import type { Cell } from '#assignment/Cell.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import type { Member } from '#assignment/Member.js';
 import { formatCellName } from '#control/FormatCellName.js';
 import { readCell } from '#control/ReadCell.js';
@@ -52,7 +53,7 @@
 
   /** Reads one cell; undefined if nobody holds it. */
   public async read(service: string, index: number): Promise<Cell | undefined> {
-    const name = `${service}/${index}`;
+    const name = formatCellKey(service, index);
     const nowMs = this.clock.monotonicMs();
     const routed = this.view().cells.get(name);
     if (routed !== undefined && isListed(routed, this.serverId)) return routed;
--- a/packages/daemon/src/LocalAdmin.ts
+++ b/packages/daemon/src/LocalAdmin.ts
@@ -4,6 +4,7 @@
 import type { HeldRequest } from '#admin/HeldRequest.js';
 import type { ShardMove } from '#admin/ShardMove.js';
 import { findCellIndex } from '#assignment/FindCellIndex.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import { isWithdrawn } from '#assignment/IsWithdrawn.js';
 import { PowerOfTwoChoices } from '#balance/PowerOfTwoChoices.js';
 import type { ShardLoads } from '#control/ShardLoads.js';
@@ -176,7 +177,7 @@
     const count = index?.services.get(service)?.cells;
     if (count === undefined) return routing;
     const cellIndex = findCellIndex(key, count);
-    const name = `${service}/${cellIndex}`;
+    const name = formatCellKey(service, cellIndex);
     if (cells.has(name)) return routing;
     const cell = await this.links.cells.read(service, cellIndex);
     return cell === undefined ? routing : { ...routing, cells: new Map(cells).set(name, cell) };
--- a/packages/proxy/src/ChooseTarget.ts
+++ b/packages/proxy/src/ChooseTarget.ts
@@ -1,8 +1,8 @@
 import { Left, Right, type Either } from 'purify-ts';
 import type { Cell } from '#assignment/Cell.js';
 import { findCellIndex } from '#assignment/FindCellIndex.js';
-import { findShard } from '#assignment/FindShard.js';
-import { formatPlacement } from '#assignment/FormatPlacement.js';
+import { findKeyOwner } from '#assignment/FindKeyOwner.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import type { Member } from '#assignment/Member.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import type { Candidate } from '#balance/Candidate.js';
@@ -25,21 +25,15 @@
 ): Either<RouterErrorFields, Target> {
   const { head, checked } = facts;
   const index = findCellIndex(head.key, checked.service.cells);
-  const cell = view.cells.get(`${head.service}/${index}`);
+  const cell = view.cells.get(formatCellKey(head.service, index));
   if (cell === undefined) return refuse('noCell', 503);
   const member = checked.needsOwnership
-    ? findOwner(cell, facts)
+    ? findKeyOwner(cell, checked.entry.homeRegions, head.key)
     : choosePeer(cell, view, facts, policy, random, nowMs);
   if (member === undefined) return refuse(checked.needsOwnership ? 'noOwner' : 'noBackendServer', 503);
   return Right({ member, crossesRegions: member.region !== facts.region });
 }
 
-function findOwner(cell: Cell, { head, checked }: TargetFacts): Member | undefined {
-  const found = findShard(cell, formatPlacement(checked.entry.homeRegions), head.key);
-  if (found === undefined) return undefined;
-  return cell.members.find((member) => member.serverId === found.shard.owner && member.state !== 'gone');
-}
-
 function choosePeer(
   cell: Cell,
   view: RoutingView,
--- a/packages/proxy/src/FindQuotaHolder.ts
+++ b/packages/proxy/src/FindQuotaHolder.ts
@@ -1,6 +1,6 @@
 import { findCellIndex } from '#assignment/FindCellIndex.js';
-import { findShard } from '#assignment/FindShard.js';
-import { formatPlacement } from '#assignment/FormatPlacement.js';
+import { findKeyOwner } from '#assignment/FindKeyOwner.js';
+import { formatCellKey } from '#assignment/FormatCellKey.js';
 import type { Member } from '#assignment/Member.js';
 import { findEntryByKey } from '#proxy/FindEntryByKey.js';
 import { formatQuotaKey } from '#proxy/FormatQuotaKey.js';
@@ -20,8 +20,7 @@
   if (entry === undefined || service === undefined) return undefined;
   const key = formatQuotaKey(entryKey);
   const cellIndex = findCellIndex(key, service.cells);
-  const cell = view.cells.get(`${service.name}/${cellIndex}`);
-  const owner = cell && findShard(cell, formatPlacement(entry.homeRegions), key)?.shard.owner;
-  const member = cell?.members.find(({ serverId, state }) => serverId === owner && state !== 'gone');
+  const cell = view.cells.get(formatCellKey(service.name, cellIndex));
+  const member = cell && findKeyOwner(cell, entry.homeRegions, key);
   return { service: service.name, cellIndex, member };
 }
--- a/packages/proxy/src/HopTask.ts
+++ b/packages/proxy/src/HopTask.ts
@@ -1,3 +1,4 @@
+import { putCell } from '#assignment/PutCell.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Left, Right, type Either } from 'purify-ts';
 import { indexCatalogue } from '#catalogue/IndexCatalogue.js';
@@ -54,14 +55,9 @@
       case 'catalogue':
         this.view = { ...this.view, index: indexCatalogue(message.catalogue) };
         break;
-      case 'cell': {
-        const { cell } = message;
-        this.view = {
-          ...this.view,
-          cells: new Map(this.view.cells).set(`${cell.service}/${cell.index}`, cell),
-        };
+      case 'cell':
+        this.view = { ...this.view, cells: putCell(this.view.cells, message.cell) };
         break;
-      }
       case 'request':
         this.acceptRequest(message.req, message.res);
         break;
--- a/packages/proxy/src/OrderRouter.ts
+++ b/packages/proxy/src/OrderRouter.ts
@@ -1,6 +1,7 @@
 import type { Either } from 'purify-ts';
 import type { Cell } from '#assignment/Cell.js';
 import type { Member } from '#assignment/Member.js';
+import { putCell } from '#assignment/PutCell.js';
 import type { Withdrawn } from '#assignment/Withdrawn.js';
 import type { BalancePolicy } from '#balance/BalancePolicy.js';
 import { OutlierDetector } from '#balance/OutlierDetector.js';
@@ -44,7 +45,7 @@
 
   /** Applies a newer cell and returns the active members of all cells. */
   public setCell(cell: Cell): readonly Member[] {
-    const cells = new Map(this.current.cells).set(`${cell.service}/${cell.index}`, cell);
+    const cells = putCell(this.current.cells, cell);
     this.current = { ...this.current, cells };
     const active = [...cells.values()].flatMap(({ members }) =>
       members.filter(({ state }) => state === 'active'),
--- a/packages/proxy/src/OwnershipView.ts
+++ b/packages/proxy/src/OwnershipView.ts
@@ -1,6 +1,7 @@
 import type { Cell } from '#assignment/Cell.js';
 import { findShard } from '#assignment/FindShard.js';
 import { formatPlacement } from '#assignment/FormatPlacement.js';
+import { putCell } from '#assignment/PutCell.js';
 import type { OwnedShard } from '#control/OwnedShard.js';
 import type { OwnershipUpdate } from '#control/OwnershipUpdate.js';
 import type { Clock } from '#core/Clock.js';
@@ -22,7 +23,7 @@
   }
 
   public setCell(cell: Cell): void {
-    this.cells = new Map(this.cells).set(`${cell.service}/${cell.index}`, cell);
+    this.cells = putCell(this.cells, cell);
   }
 
   /** Returns the shard of a key if this daemon may act on it now. */
