Free keys only by announcements that follow the last grant

What backend servers would see: two of them hold the same keys. The duration of the last grants could also go back when a shorter one followed, and a renewal whose reply came after the stop gave a stopping daemon its lease back.

Change: an announcement frees keys if it lists them as released after the answer that left them out, or if it comes 1 s after that answer, when none with the keys counts any more, and after the grants of a former run. The end of grants never goes back. A stopping daemon ignores renewals.

The simulated store now carries late writes out although the daemon was killed; it dropped them before.

--- a/packages/mesh/src/AdvanceReleases.ts
+++ b/packages/mesh/src/AdvanceReleases.ts
@@ -1,17 +1,22 @@
 import { overlaps } from '#ranges/Overlaps.js';
+import { subtractRanges } from '#ranges/SubtractRanges.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
 import type { PendingRelease } from '#mesh/PendingRelease.js';
+import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 
 /**
- * Advances releases by an announcement. Only an announcement that follows the answer which left the keys out can free
- * them: an earlier one may have been sent before the backend server received its last grant.
+ * Advances releases by an announcement that does not list their keys as held. It may have been sent before the backend
+ * server received its last grant, so it frees keys only if it lists them as released, or comes too late for such a grant.
  */
 export function advanceReleases(
   releases: readonly PendingRelease[],
   holds: readonly HeldRow[],
+  released: readonly ReleasedRow[],
+  nowMs: number,
 ): readonly PendingRelease[] {
   return releases.map((release) => {
-    const isHeld = holds.some((row) => overlaps(row, release));
-    return release.step === 'told' && !isHeld ? { ...release, step: 'free' } : release;
+    if (release.step !== 'told' || holds.some((row) => overlaps(row, release))) return release;
+    const isReleased = subtractRanges([release], released).length === 0;
+    return isReleased || nowMs >= release.surelyToldMs ? { ...release, step: 'free' } : release;
   });
 }
--- a/packages/mesh/src/PendingRelease.ts
+++ b/packages/mesh/src/PendingRelease.ts
@@ -10,4 +10,6 @@
    * - `free`: it holds them no longer, by a later announcement, the end of its grants or its death.
    */
   readonly step: 'planned' | 'told' | 'free';
+  /** Monotonic time after which no earlier answer can still give it the keys; Infinity while it was not told. */
+  readonly surelyToldMs: number;
 }
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -39,6 +39,9 @@
 /** Time that a grant may be under way to the backend server, in milliseconds. */
 const DELIVERY_MS = 200;
 
+/** A backend server takes no answer that comes later than this after its announcement, in milliseconds. */
+const ANSWER_VALID_MS = 1_000;
+
 /** Rows that one answer to an announcement can carry. */
 const MAX_ROWS = 60;
 
@@ -72,6 +75,7 @@
   private readonly inheritedEndMs: number;
   private heldUntilMs = 0;
   private writing = false;
+  private stopping = false;
   private cancelTick: Cancel = () => undefined;
 
   public constructor(options: RangeOptions) {
@@ -103,7 +107,7 @@
         this.noteEnded(message.incarnation, message.proven);
         break;
       case 'lease':
-        this.lease = message.lease;
+        if (!this.stopping) this.lease = message.lease;
         break;
       case 'demanded':
         this.loads.add(message.key, message.workMs);
@@ -121,6 +125,7 @@
         break;
       case 'stopping':
         message.reply(this.listOwnRows().length > 0 && this.options.clock.monotonicMs() >= this.grantsEndMs);
+        this.stopping = true;
         this.lease = { ...this.lease, untilMs: 0 };
         break;
     }
@@ -161,7 +166,7 @@
     if (this.leaving && !leaving) this.releases.cancelPlanned();
     this.leaving = leaving;
     this.slots = slots;
-    this.releases.noteAnnounced(holds, released);
+    this.releases.noteAnnounced(holds, released, this.options.clock.monotonicMs());
     if (this.isKeyed()) this.options.onKeyed();
     this.answerHeld();
     this.heldReply.hold(reply, this.now());
@@ -199,11 +204,13 @@
       reply(undefined);
       return;
     }
-    this.grantsEndMs = this.endOfGrant(holdMs);
+    this.grantsEndMs = Math.max(this.grantsEndMs, this.endOfGrant(holdMs));
     this.heldUntilMs = this.now() + holdMs;
     this.logGrant(rows, holdMs);
     this.given = rows;
-    this.releases.noteTold();
+    this.releases.noteTold(
+      Math.max(this.unknownGrantsEndMs(), this.options.clock.monotonicMs() + ANSWER_VALID_MS),
+    );
     reply({ rows, holdMs });
   }
 
@@ -229,8 +236,12 @@
     this.heldUntilMs = 0;
     this.given = [];
     // The run that ended may be one that an outdated announcement names; a later run may hold inherited keys.
-    const inheritedEndMs = this.inheritedRevision === 0 ? 0 : this.inheritedEndMs;
-    this.grantsEndMs = Math.max(inheritedEndMs, this.options.clock.monotonicMs());
+    this.grantsEndMs = Math.max(this.unknownGrantsEndMs(), this.options.clock.monotonicMs());
+  }
+
+  /** Monotonic time until which a run that this daemon does not know may hold keys. */
+  private unknownGrantsEndMs(): number {
+    return this.inheritedRevision === 0 ? 0 : this.inheritedEndMs;
   }
 
   private tick(): void {
--- a/packages/mesh/src/ReleaseLedger.ts
+++ b/packages/mesh/src/ReleaseLedger.ts
@@ -36,7 +36,13 @@
   }
 
   public plan(transfers: readonly Pick<RangeTransfer, 'from' | 'to' | 'owner'>[]): void {
-    const planned = transfers.map(({ from, to, owner }) => ({ from, to, owner, step: 'planned' as const }));
+    const planned = transfers.map(({ from, to, owner }) => ({
+      from,
+      to,
+      owner,
+      step: 'planned' as const,
+      surelyToldMs: Infinity,
+    }));
     this.releases = [...this.releases, ...planned];
   }
 
@@ -45,17 +51,19 @@
     this.releases = this.releases.filter(({ step }) => step !== 'planned');
   }
 
-  /** Notes that an answer leaves out the keys of all releases. */
-  public noteTold(): void {
+  /** Notes that an answer leaves out the keys of all releases; no earlier answer gives them after `surelyToldMs`. */
+  public noteTold(surelyToldMs: number): void {
     this.releases = this.releases.map((release) =>
-      release.step === 'planned' ? { ...release, step: 'told' } : release,
+      release.step === 'planned' ? { ...release, step: 'told', surelyToldMs } : release,
     );
   }
 
   /** Notes what an announcement lists; keys that it holds no longer are free. */
-  public noteAnnounced(holds: readonly HeldRow[], released: readonly ReleasedRow[]): void {
-    this.released = [...this.released, ...released];
-    this.replace(advanceReleases(this.releases, holds), 'announced');
+  public noteAnnounced(holds: readonly HeldRow[], released: readonly ReleasedRow[], nowMs: number): void {
+    const told = this.releases.filter(({ step }) => step === 'told');
+    const news = released.filter((row) => told.some((release) => overlaps(row, release)));
+    this.released = [...this.released, ...news];
+    this.replace(advanceReleases(this.releases, holds, this.released, nowMs), 'announced');
   }
 
   /** Notes that no grant can be in force any more. */
--- a/packages/mesh/test/SimulatedStore.ts
+++ b/packages/mesh/test/SimulatedStore.ts
@@ -21,12 +21,15 @@
   public isLate = false;
   private readonly store: MemoryCollectionStore;
   private readonly clock: Clock;
+  private readonly storeClock: Clock;
   private readonly random: RandomSource;
 
-  public constructor(store: MemoryCollectionStore, clock: Clock, random: RandomSource) {
+  /** `clock` is that of the daemon, `storeClock` goes on after the daemon was killed. */
+  public constructor(store: MemoryCollectionStore, clock: Clock, storeClock: Clock, random: RandomSource) {
     super();
     this.store = store;
     this.clock = clock;
+    this.storeClock = storeClock;
     this.random = random;
   }
 
@@ -50,7 +53,7 @@
   ): Result<CollectionPutResult> {
     const put = (): Result<CollectionPutResult> => this.store.put(collection, name, value, ifRevision);
     if (!this.isLate || this.isCut) return this.call(put, 'storeReplyLost');
-    this.clock.schedule(1_000 + this.random.integer(5_000), () => void put());
+    this.storeClock.schedule(1_000 + this.random.integer(5_000), () => void put());
     return this.timeOut('storeReplyLost');
   }
 
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -182,7 +182,7 @@
 
   private startDaemon(): void {
     const clock = new StallingClock(this.clock);
-    const store = new SimulatedStore(this.memory, clock, this.random);
+    const store = new SimulatedStore(this.memory, clock, this.clock, this.random);
     const elapsed = new ElapsedClock(clock);
     const place = { serverId: this.id, failureDomain: this.failureDomain, region: 'r', service: 's' };
     const logger = new Logger(this.id);
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -267,3 +267,43 @@
   await run.advance(250);
   t.equal(run.facts?.accepts, false);
 });
+
+t.test('announcement sent before a grant frees nothing', async (t) => {
+  // A stalled daemon handled three announcements that had been sent before the first of them was answered with the keys.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.advance(INHERITED_MS);
+  await run.checkIn([]);
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
+  await run.checkIn([]);
+  await run.checkIn([]);
+  t.equal(run.table().lastEpoch, 1, 'the server may still take the first answer');
+  await run.advance(1_000);
+  await run.checkIn([{ from: 0, to: 16_383, epoch: 1 }]);
+  t.equal(run.table().lastEpoch, 2);
+});
+
+t.test('outdated announcements free no inherited keys', async (t) => {
+  // After a restart, announcements of a former run that held no keys freed those that the live run holds.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([], [], 'a/1');
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
+  await run.checkIn([], [], 'a/1');
+  await run.advance(1_500);
+  await run.checkIn([], [], 'a/1');
+  t.equal(run.table().lastEpoch, 1);
+});
+
+t.test('renewal after the stop grants nothing', async (t) => {
+  // The reply to a renewal that was under way gave a stopping daemon its lease back.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 12_000);
+  await run.checkIn([whole]);
+  await run.task.ask<boolean>((reply) => ({ type: 'stopping', reply }));
+  await run.lease(1, 12_000);
+  t.equal(await run.checkIn([whole]), undefined);
+});
