--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -26,6 +26,8 @@
   'platform',
   'standin',
   'load',
+  'fixtures',
+  'soak',
   'model',
   'cli',
 ];
@@ -42,11 +44,13 @@
   'routes',
   'ranges',
 ];
+// Folders of the entries that are no package.
+const DIRS = { platform: 'platform/src', fixtures: 'platform/fixtures', soak: 'platform/soak' };
 const NETWORK = /from '(node:(http|net|dgram|https|tls)|undici|json-rpc-2\.0)'/;
 
 const faults = [];
 for (const [rank, name] of ORDER.entries()) {
-  const dir = name === 'platform' ? 'platform/src' : `packages/${name}/src`;
+  const dir = DIRS[name] ?? `packages/${name}/src`;
   if (!existsSync(dir)) continue;
   for (const file of readdirSync(dir)) {
     const text = readFileSync(`${dir}/${file}`, 'utf8');
