--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -250,7 +250,8 @@
   private balance(owners: ReadonlySet<string>, leases: ReadonlyMap<string, LeaseEntry>, nowMs: number): void {
     const loads = listReceivers(this.view, this.service).flatMap((owner): readonly OwnerLoad[] => {
       const lease = leases.get(owner.serverId);
-      if (lease?.record.accepts !== true || this.watch.ageMs(owner.serverId, nowMs) > STALE_MS) return [];
+      if (lease?.record.accepts !== true || lease.record.revoked) return [];
+      if (this.watch.ageMs(owner.serverId, nowMs) > STALE_MS) return [];
       const { workMsPerSecond, slots } = lease.record;
       return [{ owner, workMsPerSecond, slots, hasKeys: owners.has(owner.serverId) }];
     });
