--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -18,7 +18,7 @@
   links: PeerCallLinks,
 ): Readonly<Record<string, (params: unknown) => unknown>> {
   return {
-    [rpcMethods.ping]: () => ({ processId }),
+    [rpcMethods.ping]: async () => ({ processId, plans: await links.describePlanner() }),
     [rpcMethods.load]: () => links.describeLoad(),
     [rpcMethods.resigned]: (params) => links.onResigned(params),
     [rpcMethods.cancel]: (params) => links.onCancel(decode(rpcMethods.cancel, cancel, params).id),
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -178,6 +178,7 @@
       onHint: (revisions) => this.noteHint(revisions),
       onOrder: (order, reply) => this.server.post({ type: 'order', order, reply }),
       calls: createPeerCalls(processId, {
+        describePlanner: () => this.planner.ask((reply) => ({ type: 'asked', reply })),
         describeLoad: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
         onResigned: (value) => accept(this.planner, { type: 'resigned', value }),
         onCancel: (id) => accept(this.server, { type: 'cancel', id }),
--- a/packages/mesh/src/PeerCallLinks.ts
+++ b/packages/mesh/src/PeerCallLinks.ts
@@ -4,6 +4,8 @@
 
 /** Where the calls of other daemons lead. The results of the handlers are sent back. */
 export interface PeerCallLinks {
+  /** Whether this daemon can plan the keys of its service. */
+  readonly describePlanner: () => Promise<boolean>;
   readonly describeLoad: () => Promise<BalanceFacts>;
   /** Takes the statement of a daemon that ended. */
   readonly onResigned: (value: unknown) => boolean;
--- a/packages/mesh/src/PlannerMessage.ts
+++ b/packages/mesh/src/PlannerMessage.ts
@@ -11,8 +11,10 @@
   | { readonly type: 'tick' }
   /** Another daemon ended and gave up its term. */
   | { readonly type: 'resigned'; readonly value: unknown }
-  /** Whether a daemon before this one in rank answered. */
-  | { readonly type: 'pinged'; readonly rank: number; readonly answered: boolean }
+  /** Whether a daemon before this one in rank plans. */
+  | { readonly type: 'pinged'; readonly rank: number; readonly plans: boolean }
+  /** Asks whether this daemon can plan. */
+  | { readonly type: 'asked'; readonly reply: (plans: boolean) => void }
   | {
       readonly type: 'listed';
       /** Table as it was before the leases were read. */
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -1,3 +1,4 @@
+import { boolean, Codec } from 'purify-ts';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
 import { isTermEnded } from '#ranges/IsTermEnded.js';
@@ -31,12 +32,20 @@
 /** A lease record that is older says nothing about the load, in milliseconds. */
 const STALE_MS = 8_000;
 
+/** A daemon that has listed the leases within this time plans, in milliseconds. */
+const LISTED_MS = 2 * PLAN_MS + 1_000;
+
+/** An election or plan that has not ended after this time is given up, in milliseconds. */
+const LONGEST_PLAN_MS = 10_000;
+
 /** Time to the next step of a takeover, in milliseconds. */
 const STEP_MS = 50;
 
+const pingReply = Codec.interface({ plans: boolean });
+
 /**
  * Plans the keys of this daemon's service: takes over those of lost daemons, and asks busy owners to give keys away.
- * One daemon does so at a time, the first in rank that can be reached; two at once do no harm, as each change is a
+ * One daemon does so at a time, the first in rank that can be reached and reads the leases; two at once do no harm, as each change is a
  * conditional write.
  */
 export class PlannerTask extends Task<PlannerMessage> {
@@ -44,6 +53,9 @@
   private readonly watch: LeaseWatch;
   private view: View = emptyView;
   private busy = false;
+  /** Monotonic time of the last election that began here, and of the last listing of leases that succeeded. */
+  private electedMs = 0;
+  private listedMs = -Infinity;
   private joining = false;
   private readonly resignations = new Map<string, Resignation>();
   private cancelTick: Cancel = () => undefined;
@@ -68,19 +80,25 @@
         return;
       case 'tick':
         this.schedule(PLAN_MS);
-        if (!this.busy) this.elect(0);
+        if (!this.isBusy()) this.elect(0);
         return;
       case 'pinged':
-        if (message.answered) this.busy = false;
+        if (message.plans) this.busy = false;
         else this.elect(message.rank + 1);
         return;
+      case 'asked':
+        message.reply(this.options.clock.monotonicMs() - this.listedMs < LISTED_MS);
+        return;
       case 'resigned':
         this.noteResignation(message.value);
         return;
       case 'listed':
         message.result.caseOf({
           Left: () => this.finish(),
-          Right: ({ items }) => this.plan(message.table, items),
+          Right: ({ items }) => {
+            this.listedMs = this.options.clock.monotonicMs();
+            this.plan(message.table, items);
+          },
         });
         return;
       case 'revoked':
@@ -121,7 +139,11 @@
     return resignation.term === term && resignation.processId === processId;
   }
 
-  /** Asks the daemons before this one whether they are there; plans if none is. */
+  private isBusy(): boolean {
+    return this.busy && this.options.clock.monotonicMs() - this.electedMs < LONGEST_PLAN_MS;
+  }
+
+  /** Asks the daemons before this one whether they plan: one that cannot read the leases does not. */
   private elect(rank: number): void {
     const table = this.view.tables.get(this.service);
     const receivers = listReceivers(this.view, this.service);
@@ -130,6 +152,7 @@
       this.busy = false;
       return;
     }
+    if (rank === 0) this.electedMs = this.options.clock.monotonicMs();
     this.busy = true;
     const before = receivers[rank];
     if (rank >= own || before === undefined) {
@@ -138,7 +161,7 @@
     }
     const address = this.view.servers.get(before.serverId)?.address ?? '';
     this.options.call(address, rpcMethods.ping, {}, (result) =>
-      this.post({ type: 'pinged', rank, answered: result !== undefined }),
+      this.post({ type: 'pinged', rank, plans: isPlanning(result) }),
     );
   }
 
@@ -284,6 +307,10 @@
   }
 }
 
+function isPlanning(reply: unknown): boolean {
+  return pingReply.decode(reply).caseOf({ Left: () => false, Right: ({ plans }) => plans });
+}
+
 const EMPTY_RECORD = {
   processId: '',
   term: 0,
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -256,7 +256,10 @@
     peer?.clock.run(() => {
       if (method === rpcMethods.release)
         peer.ranges.post({ type: 'release', requests: [params as ReleaseRequest] });
-      clock.run(() => end({}));
+      peer.planner.post({
+        type: 'asked',
+        reply: (plans) => clock.run(() => end({ plans })),
+      });
     });
   }
 }
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -39,16 +39,22 @@
   public readonly store = new MemoryCollectionStore();
   public readonly clock = new ManualClock();
   public readonly task: PlannerTask;
+  /** Methods called at other daemons. */
+  public readonly calls: string[] = [];
   private renewals = 0;
 
-  public constructor() {
+  /** `reply` is the answer of the daemon of `a` to a ping. */
+  public constructor(ownId = 'a', reply?: unknown) {
     this.task = new PlannerTask({
-      place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
+      place: { serverId: ownId, failureDomain: 'd', region: 'r', service: 's' },
       terms: defaultLeaseTerms,
       store: this.store,
       clock: this.clock,
       logger: new Logger('test'),
-      call: (_address, _method, _params, reply) => reply(undefined),
+      call: (_address, method, _params, answer) => {
+        this.calls.push(method);
+        answer(reply);
+      },
     });
     const { revision } = this.store.set('ranges', 's', rangeTableCodec.encode(table));
     const view = createView(servers, {}, undefined, true);
@@ -109,3 +115,38 @@
   await run.pass(4_000, ['a']);
   t.equal(run.rowsOf('b'), 1);
 });
+
+t.test('planner without the store is passed over', async (t) => {
+  // It answered pings, so that the others took over nobody's keys, its own included, while it could not read the leases.
+  const run = new PlannerRun('b', { plans: false });
+  t.teardown(() => run.task.stop());
+  await run.pass(21_000, ['b']);
+  t.equal(run.rowsOf('a'), 0);
+});
+
+t.test('planner that reads the leases goes first', async (t) => {
+  const run = new PlannerRun('b', { plans: true });
+  t.teardown(() => run.task.stop());
+  await run.pass(21_000, ['b']);
+  t.equal(run.rowsOf('a'), 1);
+});
+
+t.test('planner tells whether it reads the leases', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.pass(4_000, ['a', 'b']);
+  t.equal(await run.task.ask<boolean>((reply) => ({ type: 'asked', reply })), true);
+  run.store.trouble = 'down';
+  await run.pass(9_000, []);
+  t.equal(await run.task.ask<boolean>((reply) => ({ type: 'asked', reply })), false);
+});
+
+t.test('revoked owner receives no keys', async (t) => {
+  // The revocation itself made its record look fresh, so that keys went back to the daemon that had just lost them.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.set('leases', 'b', lease('b', { revoked: true }));
+  await run.pass(6_000, ['a']);
+  t.equal(run.rowsOf('b'), 0);
+  t.notOk(run.calls.includes('release'), 'no owner is asked to give keys to it');
+});
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -255,6 +255,7 @@
 t.test('malformed call changes nothing', (t) => {
   const cancelled: string[] = [];
   const calls = createPeerCalls('p', {
+    describePlanner: () => Promise.resolve(true),
     describeLoad: () => Promise.reject(new Error('not asked')),
     onResigned: () => true,
     onCancel: (id) => cancelled.push(id) > 0,
