Match a farewell by its run, and give no keys to another service's server

An announcement of an unknown service is also refused while no configuration is known; the daemon's own service is always taken.

presence.test.ts 'farewell of a former run ends nothing' and 'server of another configured service is taken, without keys' fail without the changes. The latter was 'server of another configured service is taken' and now also checks that no keys are granted.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -165,7 +165,7 @@
       store,
       clock,
       logger: new Logger('presence'),
-      isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? true,
+      isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? false,
       onPresence: (presence) => this.server.post({ type: 'presence', presence }),
       onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
       onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
@@ -218,8 +218,8 @@
   }
 
   /** Takes the farewell of the backend server. */
-  public withdraw(instanceId: string): Promise<void> {
-    return this.presence.ask((reply) => ({ type: 'withdrawn', instanceId, reply: () => reply() }));
+  public withdraw(instanceId: string, bornMs: number | undefined): Promise<void> {
+    return this.presence.ask((reply) => ({ type: 'withdrawn', instanceId, bornMs, reply: () => reply() }));
   }
 
   /** Stops taking callers, waits for requests in flight within the grace time, and ends the tasks. */
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -12,7 +12,13 @@
       readonly announcement: Announcement;
       readonly reply: (reply: AnnouncementReply) => void;
     }
-  | { readonly type: 'withdrawn'; readonly instanceId: string; readonly reply: () => void }
+  | {
+      readonly type: 'withdrawn';
+      readonly instanceId: string;
+      /** Start of the run that leaves; undefined if it does not say. */
+      readonly bornMs: number | undefined;
+      readonly reply: () => void;
+    }
   | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
   /** Term of the lease under which this daemon grants keys. */
   | { readonly type: 'term'; readonly term: number }
--- a/packages/mesh/src/PresenceOptions.ts
+++ b/packages/mesh/src/PresenceOptions.ts
@@ -17,7 +17,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly onPresence: (presence: Presence) => void;
-  /** Whether the configuration names a service; true while no configuration is known. */
+  /** Whether the configuration names a service. */
   readonly isConfigured: (service: string) => boolean;
   /** Asks for the keys that an announcing backend server may hold. */
   readonly onCheckIn: (checkIn: CheckIn) => void;
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -61,7 +61,7 @@
         this.noteAnnouncement(message.announcement, message.reply);
         return;
       case 'withdrawn':
-        this.noteWithdrawal(message.instanceId);
+        this.noteWithdrawal(message.instanceId, message.bornMs);
         message.reply();
         return;
       case 'evidence':
@@ -110,6 +110,10 @@
     if (this.cursor.state !== 'gone')
       this.cursor.send({ type: announcement.draining ? 'draining' : 'ready' });
     this.tell(before);
+    if (announcement.service !== this.options.place.service) {
+      reply({ accepted: true, grant: undefined });
+      return;
+    }
     this.options.onCheckIn({
       incarnation,
       holds: announcement.holds,
@@ -139,9 +143,13 @@
     this.options.onEnded(run.incarnation, true);
   }
 
-  private noteWithdrawal(instanceId: string): void {
+  private noteWithdrawal(instanceId: string, bornMs: number | undefined): void {
     const { run } = this;
     if (run?.announcement.instanceId !== instanceId) return;
+    if (bornMs !== undefined && bornMs !== run.announcement.bornMs) {
+      this.options.logger.log('withdrawalOutdated', { instanceId, bornMs, current: run.incarnation });
+      return;
+    }
     if (!this.cursor.send({ type: 'withdrawn' })) return;
     const before = run;
     this.run = { ...run, leavingMs: run.leavingMs ?? this.options.clock.monotonicMs() };
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -52,9 +52,22 @@
   t.match(await run.announce({ sequence: 4 }), { accepted: true, grant: { holdMs: 1_000 } });
 });
 
-t.test('server of another configured service is taken', async (t) => {
+t.test('server of another configured service is taken, without keys', async (t) => {
+  // The keys of the daemon's own service were granted to it.
   const run = new PresenceRun();
-  t.match(await run.announce({ service: 't' }), { accepted: true });
+  t.match(await run.announce({ service: 't' }), { accepted: true, grant: undefined });
+});
+
+t.test('farewell of a former run ends nothing', async (t) => {
+  // A server that came back under its id was taken for gone by the delayed farewell of its former run.
+  const run = new PresenceRun();
+  await run.announce();
+  const leave = (bornMs: number | undefined): Promise<void> =>
+    run.task.ask((reply) => ({ type: 'withdrawn', instanceId: 'i', bornMs, reply: () => reply() }));
+  await leave(4_000);
+  t.same(run.ended, []);
+  await leave(5_000);
+  t.same(run.ended, [['i/5000', false]]);
 });
 
 t.test('delayed announcement of a former run is outdated', async (t) => {
