Log a backend server that announces itself after it was taken for ended

A refused connection counts as proof that a run ended. If that were not so, for example because a full server refuses connections, its keys would have two holders; the log could not show it. 'refusalRefuted' tells.

--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -43,6 +43,8 @@
   private published: ServerEntry | undefined;
   private pending: ServerEntry | undefined;
   private revision = 0;
+  /** Run whose port refused a connection last, so that it was taken for ended. */
+  private refusedIncarnation = '';
   private cancelPublish: Cancel | undefined;
 
   public constructor(options: PresenceOptions) {
@@ -96,6 +98,8 @@
       reply({ accepted: incarnation === this.run?.incarnation, grant: undefined });
       return;
     }
+    if (incarnation === this.refusedIncarnation)
+      this.options.logger.log('refusalRefuted', { incarnation, sequence: announcement.sequence });
     if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplaced(this.run);
     const before = this.run;
     const nowMs = this.options.clock.monotonicMs();
@@ -163,6 +167,7 @@
     const silentMs = this.options.clock.monotonicMs() - run.heardMs;
     const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
     if (kind === 'silent' && !missed) return;
+    if (kind === 'refused') this.refusedIncarnation = incarnation;
     this.options.onEnded(incarnation, kind === 'refused');
     if (!this.cursor.send({ type: 'died' })) return;
     this.options.logger.log('serverDied', { incarnation, evidence: kind, silentMs: Math.round(silentMs) });
