--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -21,6 +21,7 @@
 import { emptyView } from '#mesh/EmptyView.js';
 import { formatRows } from '#mesh/FormatRows.js';
 import { Gathering } from '#mesh/Gathering.js';
+import { GrantHorizon } from '#mesh/GrantHorizon.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import { HeldReply } from '#mesh/HeldReply.js';
 import { listGrantChange } from '#mesh/ListGrantChange.js';
@@ -36,9 +37,6 @@
 
 const TICK_MS = 250;
 
-/** Time that a grant may be under way to the backend server, in milliseconds. */
-const DELIVERY_MS = 200;
-
 /** A backend server takes no answer that comes later than this after its announcement, in milliseconds. */
 const ANSWER_VALID_MS = 1_000;
 
@@ -69,10 +67,7 @@
   private readonly releases: ReleaseLedger;
   /** Revision of the first table that this run read, if it inherited keys from a former run; 0 otherwise. */
   private inheritedRevision: number | undefined;
-  /** Monotonic time at which the grants given so far have surely ended. */
-  private grantsEndMs: number;
-  /** The same for the grants of a former run of this daemon, whose receiver this run does not know. */
-  private readonly inheritedEndMs: number;
+  private readonly grants: GrantHorizon;
   private heldUntilMs = 0;
   private writing = false;
   private stopping = false;
@@ -84,9 +79,7 @@
     this.releases = new ReleaseLedger(options.logger);
     this.loads = new KeyLoads(options.elapsed.nowMs());
     this.heldReply = new HeldReply(options.announceEveryMs);
-    // An earlier run of this daemon may have given grants just before.
-    this.inheritedEndMs = this.endOfGrant(options.terms.maxGrantMs);
-    this.grantsEndMs = this.inheritedEndMs;
+    this.grants = new GrantHorizon(options.clock, options.terms);
     this.scheduleTick();
   }
 
@@ -124,7 +117,7 @@
       case 'due':
         break;
       case 'stopping':
-        message.reply(this.listOwnRows().length > 0 && this.options.clock.monotonicMs() >= this.grantsEndMs);
+        message.reply(this.listOwnRows().length > 0 && this.grants.hasEnded);
         this.stopping = true;
         this.lease = { ...this.lease, untilMs: 0 };
         break;
@@ -151,7 +144,7 @@
     this.view = view;
     const table = view.tables.get(this.service);
     if (table !== undefined) this.adopt(table);
-    else if (view.complete) this.inheritedRevision ??= 0;
+    else if (view.complete) this.noteFirstTable(0);
     if (this.isKeyed() && this.incarnation !== '') this.options.onKeyed();
   }
 
@@ -204,13 +197,12 @@
       reply(undefined);
       return;
     }
-    this.grantsEndMs = Math.max(this.grantsEndMs, this.endOfGrant(holdMs));
+    this.grants.noteGranted(holdMs);
     this.heldUntilMs = this.now() + holdMs;
     this.logGrant(rows, holdMs);
     this.given = rows;
-    this.releases.noteTold(
-      Math.max(this.unknownGrantsEndMs(), this.options.clock.monotonicMs() + ANSWER_VALID_MS),
-    );
+    const validUntilMs = this.options.clock.monotonicMs() + ANSWER_VALID_MS;
+    this.releases.noteTold(Math.max(this.grants.inheritedEndMs, validUntilMs));
     reply({ rows, holdMs });
   }
 
@@ -235,13 +227,7 @@
     this.isAlive = false;
     this.heldUntilMs = 0;
     this.given = [];
-    // The run that ended may be one that an outdated announcement names; a later run may hold inherited keys.
-    this.grantsEndMs = Math.max(this.unknownGrantsEndMs(), this.options.clock.monotonicMs());
-  }
-
-  /** Monotonic time until which a run that this daemon does not know may hold keys. */
-  private unknownGrantsEndMs(): number {
-    return this.inheritedRevision === 0 ? 0 : this.inheritedEndMs;
+    this.grants.noteServerEnded();
   }
 
   private tick(): void {
@@ -276,7 +262,7 @@
     const { table } = this;
     if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
     if (this.hasToLeave()) this.releaseAll(table.table);
-    if (this.options.clock.monotonicMs() >= this.grantsEndMs) this.releases.noteGrantsEnded();
+    if (this.grants.hasEnded) this.releases.noteGrantsEnded();
     const stale = this.isAlive && !this.leaving ? renewOwner(table.table, this.owner) : table.table;
     if (stale !== table.table) {
       this.write(stale, table.revision, 'ownerRenewed');
@@ -362,7 +348,13 @@
     this.table = table;
     const mine = listRowsOf(table.table, this.options.place.serverId);
     this.releases.retain(mine);
-    this.inheritedRevision ??= mine.length > 0 ? table.revision : 0;
+    this.noteFirstTable(mine.length > 0 ? table.revision : 0);
+  }
+
+  private noteFirstTable(inheritedRevision: number): void {
+    if (this.inheritedRevision !== undefined) return;
+    this.inheritedRevision = inheritedRevision;
+    if (inheritedRevision === 0) this.grants.noteNothingInherited();
   }
 
   private listOwnRows(): readonly RangeRow[] {
@@ -386,10 +378,6 @@
     this.options.onGranted({ held, untilMs: this.heldUntilMs, expected, moving });
   }
 
-  private endOfGrant(holdMs: number): number {
-    return this.options.clock.monotonicMs() + holdMs * (1 + this.options.terms.clockDrift) + DELIVERY_MS;
-  }
-
   private now(): number {
     return this.options.elapsed.nowMs();
   }
