--- a/packages/mesh/test/ownership.test.ts
+++ b/packages/mesh/test/ownership.test.ts
@@ -5,8 +5,8 @@
 const RUN_MS = 90_000;
 const CALM_MS = 6_000;
 
-/** On 28, 32 and 39 a restarted daemon gave inherited keys away after the end of a run that an outdated announcement named. */
-const SEEDS = [1, 2, 28, 32, 39];
+/** On 33, 60, 65 and 87 a restarted daemon gave inherited keys away after the end of a run that an outdated announcement named. */
+const SEEDS = [1, 2, 33, 60, 65, 87];
 
 for (const seed of SEEDS)
   t.test(`no key has two holders, seed ${seed}`, async (t) => {
