--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -307,3 +307,47 @@
   await run.lease(1, 12_000);
   t.equal(await run.checkIn([whole]), undefined);
 });
+
+t.test('hot key alone in its row takes no others along', async (t) => {
+  // The piece that was cut reached down to another hot key, over the rows of other owners.
+  const run = start(t);
+  const there = [...servers, createEntry('c')];
+  const divided = createRangeTable('s', [owners[1]!, { serverId: 'c', term: 1, incarnation: 'c/1' }]);
+  const alone = transferRanges(divided, [{ from: 26_984, to: 26_984, owner: owners[0]!, handover: '' }]);
+  await run.view(there, alone);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  for (const [key, workMs] of [
+    [1_560, 2_000],
+    [9_000, 950],
+    [26_984, 900],
+    [60_000, 2_000],
+  ] as const)
+    run.task.post({ type: 'demanded', key, workMs });
+  run.task.post({ type: 'release', requests: [{ to: 'c', workMsPerSecond: 800, share: 0, speedup: 1 }] });
+  await run.checkIn([{ from: 26_984, to: 26_984, epoch: 2 }]);
+  await run.checkIn([], [{ from: 26_984, to: 26_984, handover: 'h' }]);
+  await run.advance(INHERITED_MS);
+  await run.checkIn([]);
+  t.match(listRowsOf(run.table(), 'b'), [{ from: 0, to: 26_983 }, { from: 26_985 }]);
+});
+
+t.test('keys of other owners are not given away', async (t) => {
+  // A release that outlived a takeover of some of its keys took them from their next owner.
+  const run = start(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
+  await run.settle();
+  await run.checkIn([whole]);
+  const there = [...servers, createEntry('c')];
+  const owner = { serverId: 'c', term: 1, incarnation: 'c/1' };
+  await run.view(there, transferRanges(table, [{ from: 20_000, to: 24_999, owner, handover: '' }]));
+  const kept = { from: 0, to: 16_383, epoch: 1 };
+  await run.checkIn([kept], [{ from: 16_384, to: 32_767, handover: 'h' }]);
+  const rowAt = (key: number): unknown => run.table().rows.find(({ from, to }) => from <= key && to >= key);
+  t.match(rowAt(20_000), { from: 20_000, to: 24_999, serverId: 'c', epoch: 2 });
+  t.match(rowAt(19_999), { from: 16_384, to: 19_999, serverId: 'b', epoch: 3, handover: 'h' });
+  t.match(rowAt(25_000), { from: 25_000, to: 32_767, serverId: 'b', epoch: 3, handover: 'h' });
+});
--- a/packages/ranges/test/ranges.test.ts
+++ b/packages/ranges/test/ranges.test.ts
@@ -190,6 +190,21 @@
   t.end();
 });
 
+t.test('row without a whole bucket is not cut', (t) => {
+  // The count went on past the row, so that a third of all keys was given away with one key.
+  const loads = new KeyLoads(0);
+  for (const [key, workMs] of [
+    [1_560, 2_000],
+    [9_000, 950],
+    [26_984, 900],
+    [60_000, 2_000],
+  ] as const)
+    loads.add(key, workMs);
+  t.equal(loads.cutEnd({ from: 26_984, to: 26_984 }, 800, 0), undefined);
+  t.equal(loads.cutEnd({ from: 26_983, to: 26_986 }, 800, 0), undefined);
+  t.end();
+});
+
 t.test('empty owner is filled from the busiest', (t) => {
   const releases = planReleases([
     { owner: owner('a'), workMsPerSecond: 3_000, slots: 6, hasKeys: true },
