Log how many keys a move takes and whose they are

The report of two holders has no line that tells a takeover from a release of keys that the releasing daemon does not own: keysTransferred names the size of the table only. 'transfer' names the keys, those that stand under the daemon itself, and the receivers; 'takeover' names the number of keys.

--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -1,4 +1,5 @@
 import { Task } from '#core/Task.js';
+import { countKeys } from '#ranges/CountKeys.js';
 import type { BalanceFacts } from '#mesh/BalanceFacts.js';
 import { balanceFactsCodec } from '#mesh/BalanceFactsCodec.js';
 import type { BalanceMessage } from '#mesh/BalanceMessage.js';
@@ -77,7 +78,7 @@
     const { service, serverId } = this.options.place;
     const rows = view.tables.get(service)?.table.rows ?? [];
     const own = rows.filter((row) => row.serverId === serverId);
-    const keys = own.reduce((sum, { from, to }) => sum + to - from + 1, 0);
+    const keys = countKeys(own);
     if (keys > this.ownKeys) this.receivedMs = this.options.clock.monotonicMs();
     this.ownKeys = keys;
   }
--- /dev/null
+++ b/packages/mesh/src/DescribeTransfer.ts
@@ -0,0 +1,16 @@
+import type { LogFields } from '#core/LogFields.js';
+import { countKeys } from '#ranges/CountKeys.js';
+import type { KeyRange } from '#ranges/KeyRange.js';
+import type { RangeTransfer } from '#ranges/RangeTransfer.js';
+
+/** Fields of a log line on keys that change hands; `own` are those of them that stand under this daemon. */
+export function describeTransfer(transfers: readonly RangeTransfer[], own: readonly KeyRange[]): LogFields {
+  return {
+    step: 'move',
+    keys: countKeys(transfers),
+    ownKeys: countKeys(own),
+    from: transfers[0]?.from,
+    to: transfers.at(-1)?.to,
+    receivers: new Set(transfers.map(({ owner }) => owner.serverId)).size,
+  };
+}
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -1,6 +1,7 @@
 import { boolean, Codec } from 'purify-ts';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
+import { countKeys } from '#ranges/CountKeys.js';
 import { isTermEnded } from '#ranges/IsTermEnded.js';
 import { LeaseWatch } from '#ranges/LeaseWatch.js';
 import type { OwnerLoad } from '#ranges/OwnerLoad.js';
@@ -209,6 +210,7 @@
     this.options.logger.log('takeover', {
       step: 'takeover',
       rows: lost.length,
+      keys: countKeys(lost),
       from: [...new Set(lost.map(({ serverId }) => serverId))].join(','),
       receivers: receivers.length,
       revision: table.revision,
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -3,6 +3,7 @@
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { fenceTable } from '#ranges/FenceTable.js';
 import { grantMs } from '#ranges/GrantMs.js';
+import { intersectRanges } from '#ranges/IntersectRanges.js';
 import { isSameOwner } from '#ranges/IsSameOwner.js';
 import { KeyLoads } from '#ranges/KeyLoads.js';
 import type { KeyRange } from '#ranges/KeyRange.js';
@@ -10,6 +11,7 @@
 import type { Owner } from '#ranges/Owner.js';
 import type { RangeRow } from '#ranges/RangeRow.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
+import type { RangeTransfer } from '#ranges/RangeTransfer.js';
 import { renewOwner } from '#ranges/RenewOwner.js';
 import { splitAmong } from '#ranges/SplitAmong.js';
 import { subtractRanges } from '#ranges/SubtractRanges.js';
@@ -18,12 +20,15 @@
 import type { CheckIn } from '#mesh/CheckIn.js';
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
+import { describeTransfer } from '#mesh/DescribeTransfer.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import { formatRows } from '#mesh/FormatRows.js';
 import { Gathering } from '#mesh/Gathering.js';
 import { GrantHorizon } from '#mesh/GrantHorizon.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import { HeldReply } from '#mesh/HeldReply.js';
+import { isGranted } from '#mesh/IsGranted.js';
+import { isSameGrant } from '#mesh/IsSameGrant.js';
 import { listGrantChange } from '#mesh/ListGrantChange.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { RangeMessage } from '#mesh/RangeMessage.js';
@@ -186,8 +191,7 @@
     if (!this.isFenced(this.table)) return false;
     // The backend server announces within 100 ms of an answer while it still holds keys that it was told to release.
     if (this.releases.hasTold) return true;
-    const rows = this.listGrantable();
-    return rows.length !== this.given.length || rows.some((row, index) => !isSameRow(row, this.given[index]));
+    return !isSameGrant(this.listGrantable(), this.given);
   }
 
   private answer(reply: CheckIn['reply']): void {
@@ -269,11 +273,17 @@
       return;
     }
     const settled = this.releases.listFree();
-    if (settled.length > 0)
-      this.write(transferRanges(table.table, settled), table.revision, 'keysTransferred');
+    if (settled.length > 0) this.transfer(table, settled);
     else if (!this.isFenced(table)) this.write(fenceTable(table.table), table.revision, 'tableFenced');
   }
 
+  private transfer({ table, revision }: TableView, transfers: readonly RangeTransfer[]): void {
+    const { serverId } = this.options.place;
+    const own = intersectRanges(transfers, listRowsOf(table, serverId));
+    this.options.logger.log('transfer', describeTransfer(transfers, own));
+    this.write(transferRanges(table, transfers), revision, 'keysTransferred');
+  }
+
   /**
    * Whether the table was written since this run read it first. Until then a write of a former run of this daemon, which
    * the store has not carried out yet, could give away keys that this run grants.
@@ -308,7 +318,7 @@
   private planRelease({ from, to }: KeyRange, serverId: string): void {
     const owner = listReceivers(this.view, this.service).find((each) => each.serverId === serverId);
     if (owner === undefined) return;
-    const rows = this.table?.table.rows.filter((row) => row.serverId === serverId).length ?? 0;
+    const rows = this.table === undefined ? 0 : listRowsOf(this.table.table, serverId).length;
     if (rows >= BALANCE_ROWS) {
       this.options.logger.log('releaseOmitted', { step: 'move', peer: serverId, rows });
       return;
@@ -374,7 +384,7 @@
   private tellGranted(): void {
     const { moving } = this.releases;
     const expected = subtractRanges(this.listOwnRows(), moving);
-    const held = expected.filter((row) => this.given.some((each) => covers(each, row)));
+    const held = expected.filter((row) => isGranted(row, this.given));
     this.options.onGranted({ held, untilMs: this.heldUntilMs, expected, moving });
   }
 
@@ -386,11 +396,3 @@
     this.cancelTick = this.options.clock.schedule(TICK_MS, () => this.post({ type: 'tick' }));
   }
 }
-
-function isSameRow(left: RangeRow, right: RangeRow | undefined): boolean {
-  return left.from === right?.from && left.to === right.to && left.epoch === right.epoch;
-}
-
-function covers(given: RangeRow, row: RangeRow): boolean {
-  return given.epoch === row.epoch && given.from <= row.from && given.to >= row.to;
-}
--- /dev/null
+++ b/packages/ranges/src/IntersectRanges.ts
@@ -0,0 +1,13 @@
+import type { KeyRange } from '#ranges/KeyRange.js';
+
+/** The parts of ranges that lie within the given ones, which do not overlap each other. */
+export function intersectRanges<R extends KeyRange>(
+  ranges: readonly R[],
+  within: readonly KeyRange[],
+): readonly R[] {
+  return ranges.flatMap((range) =>
+    within
+      .map(({ from, to }) => ({ ...range, from: Math.max(range.from, from), to: Math.min(range.to, to) }))
+      .filter(({ from, to }) => from <= to),
+  );
+}
--- a/packages/ranges/src/SplitAmong.ts
+++ b/packages/ranges/src/SplitAmong.ts
@@ -1,3 +1,4 @@
+import { countKeys } from '#ranges/CountKeys.js';
 import type { KeyRange } from '#ranges/KeyRange.js';
 import type { Owner } from '#ranges/Owner.js';
 import type { RangeTransfer } from '#ranges/RangeTransfer.js';
@@ -5,8 +6,7 @@
 /** Divides ranges among owners so that each receives a nearly equal part of the keys, in few rows. */
 export function splitAmong(ranges: readonly KeyRange[], owners: readonly Owner[]): readonly RangeTransfer[] {
   if (owners.length === 0) return [];
-  const total = ranges.reduce((sum, { from, to }) => sum + to - from + 1, 0);
-  const quota = Math.ceil(total / owners.length);
+  const quota = Math.ceil(countKeys(ranges) / owners.length);
   const transfers: RangeTransfer[] = []; // eslint-disable-line no-restricted-syntax -- local accumulator
   let given = 0;
   for (const range of ranges) {
