Cut no piece beyond a row that is smaller than a bucket of loads

Cause: KeyLoads.cutEnd counts whole buckets of four keys from one end of a row to the other. In a row without a whole bucket, such as the last key of a division that is hot and was left alone (26984-26984), the end lies before the start, the count never meets it, and goes on over the rows of others until it meets a load above the limit: 1564-26984, the row of the report. If it meets none, the loop does not end and the daemon stands still (seen with one hot key and no other load: given up after 10 minutes).

Ruled out: a takeover with one receiver (the first receiver of such a one would not own rows of its own in the range, as ss-benin did) and a hold that ran out (the overlap is that of one announcement, every 1.5 s).

Change: the count is limited by the number of buckets and cannot pass the row. A property test draws rows and loads: each piece lies within its row (500 cases).

--- a/packages/ranges/src/KeyLoads.ts
+++ b/packages/ranges/src/KeyLoads.ts
@@ -39,16 +39,16 @@
   }
 
   /**
-   * Keys at one end of a range whose load is close to `wanted`, from the end where it comes closest; undefined if the
-   * keys at either end are too hot or the whole range is colder.
+   * Keys at one end of a range whose load is close to `wanted`, from the end where it comes closest. At least one whole
+   * bucket stays; undefined if the keys at either end are too hot, or the range has less than two whole buckets.
    */
   public cutEnd(range: KeyRange, wanted: number, nowMs: number): KeyRange | undefined {
     this.fade(nowMs);
     const limit = ((wanted * FADE_MS) / 1_000) * MOST_OF_WANTED;
     const first = Math.ceil(range.from / KEYS_PER_BUCKET);
     const last = Math.floor((range.to + 1) / KEYS_PER_BUCKET) - 1;
-    const tail = this.countBuckets(last, first, -1, limit);
-    const head = this.countBuckets(first, last, 1, limit);
+    const tail = this.countBuckets(last, -1, last - first, limit);
+    const head = this.countBuckets(first, 1, last - first, limit);
     const useTail = tail.load >= head.load;
     if ((useTail ? tail : head).count === 0) return undefined;
     return useTail
@@ -70,17 +70,17 @@
     };
   }
 
-  /** Counts buckets from `start` towards `end` whose load together is within the limit; at least one stays. */
+  /** Counts at most `most` buckets from `start` on whose load together is within the limit. */
   private countBuckets(
     start: number,
-    end: number,
     step: 1 | -1,
+    most: number,
     limit: number,
   ): { readonly count: number; readonly load: number } {
     let count = 0;
     let load = 0;
-    for (let bucket = start; bucket !== end; bucket += step) {
-      const next = load + (this.buckets[bucket] ?? 0);
+    while (count < most) {
+      const next = load + (this.buckets[start + count * step] ?? 0);
       if (next > limit) break;
       load = next;
       count += 1;
--- a/packages/ranges/test/ranges.test.ts
+++ b/packages/ranges/test/ranges.test.ts
@@ -205,6 +205,30 @@
   t.end();
 });
 
+t.test('piece that is cut lies within its row', (t) => {
+  const loads = new KeyLoads(0);
+  const demand = fc.record({
+    key: fc.integer({ min: 0, max: 400 }),
+    workMs: fc.integer({ min: 1, max: 900 }),
+  });
+  const row = fc.record({ from: fc.integer({ min: 0, max: 400 }), size: fc.integer({ min: 1, max: 60 }) });
+  fc.assert(
+    fc.property(
+      fc.array(demand),
+      row,
+      fc.integer({ min: 1, max: 2_000 }),
+      (demands, { from, size }, wanted) => {
+        for (const { key, workMs } of demands) loads.add(key, workMs);
+        const to = from + size - 1;
+        const piece = loads.cutEnd({ from, to }, wanted, 0);
+        return piece === undefined || (piece.from >= from && piece.to <= to && piece.from <= piece.to);
+      },
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+  t.end();
+});
+
 t.test('empty owner is filled from the busiest', (t) => {
   const releases = planReleases([
     { owner: owner('a'), workMsPerSecond: 3_000, slots: 6, hasKeys: true },
