Give away only keys that stand under this daemon in the table it replaces

Cause, the class behind the cut that went too far: a daemon's write of the table was conditional on its revision only, so that any range in its list of releases moved, whoever owned it. Besides a wrong cut, a release that outlived a takeover of some of its keys did this: it took them from their next owner, which still held them.

Change: a transfer is cut to the rows of the daemon in the very table that the conditional write replaces. takeOver, renewOwner and releaseAll already draw their rows from that table.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -277,11 +277,11 @@
     else if (!this.isFenced(table)) this.write(fenceTable(table.table), table.revision, 'tableFenced');
   }
 
+  /** Gives free keys to their receivers, as far as this daemon still owns them: a release may outlive a takeover. */
   private transfer({ table, revision }: TableView, transfers: readonly RangeTransfer[]): void {
-    const { serverId } = this.options.place;
-    const own = intersectRanges(transfers, listRowsOf(table, serverId));
+    const own = intersectRanges(transfers, listRowsOf(table, this.options.place.serverId));
     this.options.logger.log('transfer', describeTransfer(transfers, own));
-    this.write(transferRanges(table, transfers), revision, 'keysTransferred');
+    this.write(transferRanges(table, own), revision, 'keysTransferred');
   }
 
   /**
