Run no order and pass no answer that was cut off between daemons

What callers would see: a session between daemons that ends while an order's body is on its way (a lost probe, a VM that is gone) leaves a part of the body at the receiver. The receiver ran the order with that part, and gave its answer to the sender's repeat: a form of which half was executed, reported as a success. An answer whose stream the peer closed without an error code passed as whole, with a short or empty body.

Cause: node's http2 emits `end` on a stream that was cut off, also with the code CANCEL, and `ReceiverTask` took `end` for the end of the body. `PeerSession` checks the code as well, but a stream that is destroyed without an error has the code NO_ERROR.

Change: messages between daemons carry `content-length`, and a body of another length is not processed. A message without it is taken as before, so that daemons of two versions work together while they are replaced. A reply to a call is not written to a stream that closed meanwhile, which would throw in a promise that nobody handles.

Ruled out, by tests: heads before the final one and trailers change no result; an order that arrived whole runs though its session ends. Compressed bodies were safe, as a cut one cannot be inflated.

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -12,6 +12,7 @@
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { packBody } from '#mesh/PackBody.js';
 import { parseRevisions } from '#mesh/ParseRevisions.js';
+import { readBodyLength } from '#mesh/ReadBodyLength.js';
 import { peerLinkChart } from '#mesh/PeerLinkChart.js';
 import type { PeerLinkEvent } from '#mesh/PeerLinkEvent.js';
 import type { PeerReply } from '#mesh/PeerReply.js';
@@ -99,8 +100,9 @@
         'amr-kind': head.kind,
         'amr-detail': head.detail,
         'amr-revisions': head.revisions.join('.'),
+        'content-length': packed.bytes.length,
         ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
-        [sensitiveHeaders]: ['amr-detail'],
+        [sensitiveHeaders]: ['amr-detail', 'content-length'],
       },
       { endStream: body.length === 0 },
     );
@@ -144,11 +146,13 @@
     let fault: string | undefined;
     let ended = false;
     let encoding: string | undefined;
+    let length: number | undefined;
     stream.on('response', (headers) => {
       this.hear();
       const kind = headers['amr-kind'];
       const detail = headers['amr-detail'];
       encoding = headers['amr-encoding']?.toString();
+      length = readBodyLength(headers);
       if (typeof kind === 'string' && typeof detail === 'string')
         head = { kind, detail, revisions: parseRevisions(headers['amr-revisions']) };
     });
@@ -171,7 +175,8 @@
         reply({ ok: false, sent: true, fault });
         return;
       }
-      if (head !== undefined && ended && stream.rstCode === constants.NGHTTP2_NO_ERROR) {
+      const isWhole = ended && bytes.length === (length ?? bytes.length);
+      if (head !== undefined && isWhole && stream.rstCode === constants.NGHTTP2_NO_ERROR) {
         reply(readReply(head, bytes, encoding));
         return;
       }
--- a/packages/mesh/src/ReceiverMessage.ts
+++ b/packages/mesh/src/ReceiverMessage.ts
@@ -8,4 +8,6 @@
   readonly path: string;
   readonly head: RelayHead;
   readonly encoding: string | undefined;
+  /** Announced length of its body, in bytes. */
+  readonly length: number | undefined;
 }
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -21,6 +21,7 @@
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
 import { packBody } from '#mesh/PackBody.js';
 import { parseRevisions } from '#mesh/ParseRevisions.js';
+import { readBodyLength } from '#mesh/ReadBodyLength.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
@@ -61,7 +62,8 @@
         revisions: parseRevisions(headers['amr-revisions']),
       };
       const encoding = headers['amr-encoding']?.toString();
-      this.post({ type: 'opened', stream, path, head, encoding });
+      const length = readBodyLength(headers);
+      this.post({ type: 'opened', stream, path, head, encoding, length });
     });
   }
 
@@ -77,11 +79,15 @@
   }
 
   protected override receive(message: ReceiverMessage): void {
-    const { stream, path, head, encoding } = message;
+    const { stream, path, head, encoding, length } = message;
     this.options.onHint(head.revisions);
     // The close event follows; an order goes on without its stream.
     stream.on('error', () => undefined);
     this.collectBody(stream, (bytes) => {
+      if (bytes.length !== (length ?? bytes.length)) {
+        this.refuseMalformed(stream, `a body has ${bytes.length} of ${length} bytes`);
+        return;
+      }
       unpackBody(bytes, encoding).caseOf({
         Left: (reason) => this.refuseMalformed(stream, reason),
         Right: (body) => {
@@ -121,14 +127,15 @@
 
   private refuseMalformed(stream: ServerHttp2Stream, message: string): void {
     this.options.logger.log('messageMalformed', { step: 'parse', message });
-    if (!stream.destroyed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
+    if (!stream.destroyed && !stream.closed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
   }
 
   private receiveCall(stream: ServerHttp2Stream, body: Buffer): void {
     void this.rpc.receiveJSON(body.toString()).then((answer) => {
-      if (stream.destroyed) return;
-      stream.respond({ ':status': 200, 'amr-kind': 'call', 'amr-detail': '' });
-      stream.end(JSON.stringify(answer));
+      if (stream.destroyed || stream.closed) return;
+      const body = Buffer.from(JSON.stringify(answer));
+      stream.respond({ ':status': 200, 'amr-kind': 'call', 'amr-detail': '', 'content-length': body.length });
+      stream.end(body);
     });
   }
 }
@@ -142,8 +149,9 @@
     'amr-kind': kind,
     'amr-detail': detail,
     'amr-revisions': revisions.join('.'),
+    'content-length': body?.bytes.length ?? 0,
     ...(body === undefined || body.encoding === 'plain' ? {} : { 'amr-encoding': body.encoding }),
-    [sensitiveHeaders]: ['amr-detail'],
+    [sensitiveHeaders]: ['amr-detail', 'content-length'],
   });
   stream.end(body?.bytes);
 }
--- /dev/null
+++ b/packages/mesh/test/StartPeer.ts
@@ -0,0 +1,43 @@
+import { createServer, type ServerHttp2Session, type ServerHttp2Stream } from 'node:http2';
+import { SystemClock } from '#core/SystemClock.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderResult } from '#mesh/OrderResult.js';
+import { RelayTask } from '#mesh/RelayTask.js';
+import { RecordingLogger } from './RecordingLogger.js';
+
+interface Teardown {
+  readonly teardown: (close: () => unknown) => void;
+}
+
+/** Starts another daemon that `onStream` plays, and returns a function that sends an order to it. */
+export async function startPeer(
+  t: Teardown,
+  onStream: (stream: ServerHttp2Stream) => void,
+): Promise<(order: Order) => Promise<OrderResult>> {
+  const peer = createServer();
+  const sessions = new Set<ServerHttp2Session>();
+  peer.on('session', (session) => {
+    sessions.add(session);
+    session.on('error', () => undefined);
+  });
+  peer.on('stream', (stream) => {
+    stream.on('error', () => undefined);
+    onStream(stream);
+  });
+  await new Promise<void>((resolve) => peer.listen(0, '127.0.0.1', resolve));
+  const { port } = peer.address() as { readonly port: number };
+  const relay = new RelayTask({
+    clock: new SystemClock(),
+    logger: new RecordingLogger('test'),
+    revisions: () => [],
+    onHint: () => undefined,
+    onReach: () => undefined,
+  });
+  t.teardown(() => {
+    relay.stop();
+    for (const session of sessions) session.destroy();
+    peer.close();
+  });
+  const address = `127.0.0.1:${port}`;
+  return (order) => relay.ask((reply) => ({ type: 'order', order, address, reply }));
+}
--- /dev/null
+++ b/packages/mesh/test/StartReceiver.ts
@@ -0,0 +1,32 @@
+import { SystemClock } from '#core/SystemClock.js';
+import type { Order } from '#mesh/Order.js';
+import type { OrderReply } from '#mesh/OrderReply.js';
+import { ReceiverTask } from '#mesh/ReceiverTask.js';
+import { findFreePort } from './FindFreePort.js';
+import { RecordingLogger } from './RecordingLogger.js';
+
+interface Teardown {
+  readonly teardown: (close: () => unknown) => void;
+}
+
+/** Starts a `ReceiverTask` that gives its orders to `onOrder`, and returns its address and its log. */
+export async function startReceiver(
+  t: Teardown,
+  onOrder: (order: Order, reply: OrderReply) => void,
+): Promise<{ readonly address: string; readonly logger: RecordingLogger }> {
+  const port = await findFreePort();
+  const logger = new RecordingLogger('test');
+  const receiver = new ReceiverTask({
+    host: '127.0.0.1',
+    port,
+    clock: new SystemClock(),
+    logger,
+    onOrder,
+    calls: {},
+    revisions: () => [],
+    onHint: () => undefined,
+  });
+  await receiver.listen();
+  t.teardown(() => receiver.stop());
+  return { address: `127.0.0.1:${port}`, logger };
+}
