Believe an answer only with the id of its order

What callers would see: an instance that writes an earlier refusal once more, without its id or into the head of another answer, made the router report a request as not run while it ran, and offer it to a second instance.

Cause: an answer without `X-Request-Id` was taken for that of the present order; of several ids the first counted; status 421 alone, and the header for it on a success, stood for "not run". The parser drops lines that are no headers, so that the lines of a second answer became headers of the first. It also reads a length from a line that has none, leaves out what follows a switch of protocols in the same read, and takes bytes beyond ASCII for others, ids included. An earlier answer to HEAD announces a body that it lacks: the next answer was then read from within its own body.

"Not run" needs its header beside that id, and no success. Requests without an id receive one, as answers could not be told apart: two such orders that may run once shared the answer that was kept for the first.

Ruled out, by tests that passed before: an earlier refusal with its own id, ahead of the next answer or in several packets; one behind the earlier answer or between two orders, which closes the connection; one in an interim answer. Not to be told from a right answer: bytes within a body that has a length.

--- a/packages/mesh/src/ClassifyAnswer.ts
+++ b/packages/mesh/src/ClassifyAnswer.ts
@@ -18,11 +18,13 @@
   names: HeaderNames,
 ): 'answer' | 'shed' | 'misdirected' | 'invalid' {
   const { status, headers } = answer;
-  if (status === MISDIRECTED) return 'misdirected';
-  if (findHeader(headers, names.notExecuted) !== undefined) return 'shed';
+  const isSuccess = status >= 200 && status < 300;
+  // Only this header says so; a status alone may come from an instance that ran the order.
+  const isNotExecuted = findHeader(headers, names.notExecuted) !== undefined;
+  if (isNotExecuted && isSuccess) return 'invalid';
+  if (isNotExecuted) return status === MISDIRECTED ? 'misdirected' : 'shed';
   if (NOT_RUN_STATUSES.has(status)) return 'invalid';
   if (findHeader(headers, 'content-encoding') !== undefined) return 'invalid';
-  const isSuccess = status >= 200 && status < 300;
   if (isSuccess && findHeader(headers, names.signature) === undefined) return 'invalid';
   return 'answer';
 }
--- a/packages/mesh/src/ParserPosition.ts
+++ b/packages/mesh/src/ParserPosition.ts
@@ -3,6 +3,4 @@
   /** Where it stands in the bytes that it was given, and where they end. */
   readonly offset: number;
   readonly end: number;
-  /** Bytes left of a body or of its current chunk; NaN after a length that is no number. */
-  readonly body_bytes: number | null;
 }
--- a/packages/mesh/src/ReadCallerRequest.ts
+++ b/packages/mesh/src/ReadCallerRequest.ts
@@ -1,18 +1,20 @@
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import { findHeader } from '#mesh/FindHeader.js';
 import type { HeaderNames } from '#mesh/HeaderNames.js';
+import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
 import { pairHeaders } from '#mesh/PairHeaders.js';
 
-/** Reads the head of a request, which has the given body. */
+/** Reads the head of a request, which has the given body. A request without an id receives one. */
 export function readCallerRequest(
   req: IncomingMessage,
   body: Buffer,
   names: HeaderNames,
   arrivedMs: number,
 ): CallerRequest {
-  const pairs = pairHeaders(req.rawHeaders);
+  const pairs = identify(pairHeaders(req.rawHeaders), names.requestId);
   const own = new Set(
     [names.deadlineMs, names.callerService, names.expectedServer].map((name) => name.toLowerCase()),
   );
@@ -30,6 +32,15 @@
   };
 }
 
+/** Leaves the first id of a request, or adds one: answers are told apart by it. */
+function identify(pairs: readonly HeaderPair[], idHeader: string): readonly HeaderPair[] {
+  const wanted = idHeader.toLowerCase();
+  const given = pairs.filter(([name]) => name.toLowerCase() === wanted);
+  if (given.length === 1 && given[0]?.[1] !== '') return pairs;
+  const id: HeaderPair = given.find(([, value]) => value !== '') ?? [idHeader, randomUUID()];
+  return [...pairs.filter(([name]) => name.toLowerCase() !== wanted), id];
+}
+
 function readCount(text: string | undefined): number | undefined {
   return text !== undefined && /^\d+$/.test(text.trim()) ? Number(text) : undefined;
 }
--- /dev/null
+++ b/packages/mesh/src/SentOrder.ts
@@ -0,0 +1,6 @@
+/** What a connection needs to know of the order that it carries. */
+export interface SentOrder {
+  readonly requestId: string;
+  /** Whether its method is HEAD, whose answers have no body. */
+  readonly isHead: boolean;
+}
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -303,7 +303,7 @@
     this.running.add({ order, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
     const head = formatOrder(order, instanceId, leftMs, this.options.headers);
-    link.send(request.id, request.method === 'HEAD', head, request.body);
+    link.send({ requestId: request.id, isHead: request.method === 'HEAD' }, head, request.body);
     if (nowMs - queuedMs > order.targetLatencyMs) {
       this.options.logger.log('orderWaited', {
         step: 'queue',
--- a/packages/mesh/test/caller.test.ts
+++ b/packages/mesh/test/caller.test.ts
@@ -1,8 +1,11 @@
-import { request } from 'node:http';
+import { IncomingMessage, request } from 'node:http';
+import { Socket } from 'node:net';
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { CallerTask } from '#mesh/CallerTask.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
+import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { findFreePort } from './FindFreePort.js';
 import { testHeaders } from './TestHeaders.js';
 
@@ -78,3 +81,39 @@
   );
   t.equal(await post(5), '200 5', 'small ones are read');
 });
+
+/** Reads a request with the given raw headers. */
+function readWith(...rawHeaders: string[]): CallerRequest {
+  const req = new IncomingMessage(new Socket());
+  req.rawHeaders = rawHeaders;
+  return readCallerRequest(req, Buffer.alloc(0), testHeaders, 0);
+}
+
+t.test('requests without an id do not share one', (t) => {
+  // All of them had the empty id: one received the answer that was kept for another.
+  const requests = [readWith('Host', 'a'), readWith('x-request-id', '', 'Host', 'a')];
+  t.not(requests[0]?.id, requests[1]?.id);
+  for (const { id, headers } of requests) {
+    t.match(id, /^[0-9a-f-]{36}$/);
+    t.same(headers, [
+      ['Host', 'a'],
+      ['X-Request-Id', id],
+    ]);
+  }
+  t.end();
+});
+
+t.test('request is sent with one id', (t) => {
+  // An instance joins several and answers with an id that belongs to no order.
+  const { id, headers } = readWith('X-Request-Id', '1', 'Host', 'a', 'x-request-id', '2');
+  t.equal(id, '1');
+  t.same(headers, [
+    ['Host', 'a'],
+    ['X-Request-Id', '1'],
+  ]);
+  t.same(readWith('x-request-id', '3', 'Host', 'a').headers, [
+    ['x-request-id', '3'],
+    ['Host', 'a'],
+  ]);
+  t.end();
+});
