Send an order again on another connection only

What callers would see: a request that an instance refused is offered to it again with the same id. If the instance then writes its earlier refusal once more on that connection, the second offer counts as not run while it runs, and its caller is told to try again. In the same way, the answer to a first try ends the second one.

Cause: of two orders with one id on one connection, an earlier answer cannot be told from the later one's.

Change: a connection carries an id only once. An order finds another idle connection, or one is opened for it; at the limit of connections the idle one that was not used for the longest time is closed. The alternative, to close a connection after each refusal, opens as many connections as an overloaded instance refuses orders, just when it has no time for them, and leaves the answers to repeated orders open.

A connection that is being closed also no longer counts as idle: an order that came together with a new run of the instance was sent to the former one's connection and ended as lost.

--- a/packages/mesh/src/OrderQueue.ts
+++ b/packages/mesh/src/OrderQueue.ts
@@ -28,6 +28,11 @@
     return found;
   }
 
+  /** Whether any order fulfils a condition. */
+  public some(condition: (queued: QueuedOrder) => boolean): boolean {
+    return this.orders.some(condition);
+  }
+
   /** Removes and returns the order with this id. */
   public remove(id: string): QueuedOrder | undefined {
     return this.take(({ order }) => order.request.id === id);
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -18,9 +18,13 @@
 const IDLE_PART = 0.7;
 const DEFAULT_IDLE_MS = 5_000;
 
+/** Orders that one connection carries at most, as it remembers their ids. */
+const MAX_ORDERS = 1_000;
+
 /**
  * One HTTP/1.1 connection to the backend server, which carries one order at a time. Only an answer with the request id of
- * that order ends it; those with another id are skipped, and bytes that no order waits for close the connection.
+ * that order ends it; those with another id are skipped, and bytes that no order waits for close the connection. It may
+ * carry an id only once: an earlier answer that came again would be taken for that of the second order.
  */
 export class ServerLink {
   /** Run of the backend server for which the connection was opened. */
@@ -28,6 +32,7 @@
   private readonly socket: Socket;
   private readonly cursor = new ChartCursor<ServerLinkEvent>(serverLinkChart);
   private readonly reader: AnswerReader;
+  private readonly carried = new Set<string>();
   private readonly signal: (signal: ServerLinkSignal) => void;
   private idleMs = DEFAULT_IDLE_MS;
   private readonly connectTimer: NodeJS.Timeout;
@@ -65,13 +70,19 @@
 
   /** `connecting`, `idle`, `busy` or `closed`. */
   public get state(): string {
-    return this.cursor.state;
+    return this.socket.destroyed ? 'closed' : this.cursor.state;
+  }
+
+  /** Whether it can take an order with this id now. */
+  public canCarry(requestId: string): boolean {
+    return this.state === 'idle' && !this.carried.has(requestId);
   }
 
-  /** Sends the bytes of an order. The connection must be idle. */
+  /** Sends the bytes of an order, which the connection must be able to carry. */
   public send(order: SentOrder, head: string, body: Buffer): void {
     this.cursor.send({ type: 'sent' });
     this.reader.begin(order);
+    this.carried.add(order.requestId);
     this.socket.setTimeout(0);
     this.socket.cork();
     this.socket.write(head, 'latin1');
@@ -141,7 +152,8 @@
     const isSent = this.socket.writableLength === 0;
     // Bytes behind the answer would be read as the beginning of the next one.
     const { hasSurplus } = this.reader;
-    const reusable = keepsAlive && isSent && !hasSurplus && !this.socket.readableEnded;
+    const hasRoom = this.carried.size < MAX_ORDERS;
+    const reusable = keepsAlive && isSent && hasRoom && !hasSurplus && !this.socket.readableEnded;
     this.cursor.send({ type: reusable ? 'answered' : 'answeredLast' });
     this.reader.stop();
     if (reusable) this.restIdle();
--- a/packages/mesh/src/ServerLinks.ts
+++ b/packages/mesh/src/ServerLinks.ts
@@ -17,9 +17,14 @@
     this.signal = signal;
   }
 
-  /** A connection that can take an order now: the one used last, so that others can close for being idle. */
-  public findIdle(): ServerLink | undefined {
-    return [...this.links].findLast(({ state }) => state === 'idle');
+  /** A connection that can take the order with this id now: the one used last, so that others can close for being idle. */
+  public findFor(requestId: string): ServerLink | undefined {
+    return [...this.links].findLast((link) => link.canCarry(requestId));
+  }
+
+  /** Whether any connection is idle. */
+  public get hasIdle(): boolean {
+    return [...this.links].some(({ state }) => state === 'idle');
   }
 
   /** Number of connections that are being opened. */
@@ -39,6 +44,14 @@
     this.links.add(link);
   }
 
+  /** Closes the idle connection that was not used for the longest time. */
+  public closeIdle(): void {
+    const link = [...this.links].find(({ state }) => state === 'idle');
+    if (link === undefined) return;
+    this.links.delete(link);
+    link.destroy();
+  }
+
   /** Makes a connection the one used last. */
   public touch(link: ServerLink): void {
     if (this.links.delete(link)) this.links.add(link);
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -268,26 +268,43 @@
   private dispatch(): void {
     for (;;) {
       if (this.queue.size === 0) return;
-      const nowMs = this.now();
-      const link = this.links.findIdle();
-      if (link === undefined) {
+      if (!this.links.hasIdle) {
         this.openLinks();
         return;
       }
-      const queued = this.queue.take((each) =>
-        this.starts.allows(each, this.state, this.running.size, nowMs),
+      const nowMs = this.now();
+      const mayStart = (each: QueuedOrder): boolean =>
+        this.starts.allows(each, this.state, this.running.size, nowMs);
+      const queued = this.queue.take(
+        (each) => mayStart(each) && this.links.findFor(each.order.request.id) !== undefined,
       );
-      if (queued === undefined) return;
-      this.start(queued, link, nowMs);
+      if (queued === undefined) {
+        if (this.queue.some(mayStart)) this.openAnother();
+        return;
+      }
+      const link = this.links.findFor(queued.order.request.id);
+      if (link !== undefined) this.start(queued, link, nowMs);
     }
   }
 
+  /** Opens a connection for an order whose id all idle ones have carried. */
+  private openAnother(): void {
+    const { presence } = this.state;
+    if (this.links.connecting > 0 || presence.state === 'absent' || presence.address === '') return;
+    if (this.links.size >= this.linkLimit) this.links.closeIdle();
+    this.links.open(presence);
+  }
+
   private openLinks(): void {
-    const { presence, maxConnections } = this.state;
+    const { presence } = this.state;
     if (presence.state === 'absent' || presence.address === '') return;
     const wanted = Math.min(this.queue.size, presence.slots - this.running.size);
-    const limit = Math.min(maxConnections, presence.slots + 2);
-    while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence);
+    while (this.links.connecting < wanted && this.links.size < this.linkLimit) this.links.open(presence);
+  }
+
+  private get linkLimit(): number {
+    const { presence, maxConnections } = this.state;
+    return Math.min(maxConnections, presence.slots + 2);
   }
 
   private start(queued: QueuedOrder, link: ServerLink, nowMs: number): void {
