Give an answer to the order with its id only

What callers would see: the answer to another request. An order that is repeated while it runs keeps its place in the list of running orders. If the repeat takes a connection whose last answer is still in the mailbox, the list finds the repeat before the order that the answer belongs to.

Change: signals of a connection name the order, and `RunningOrders` takes it by id, if it runs on that connection.

Before: `take` gives order 1 for the answer of order 2 (the calls of `answer of an order that is behind in the mailbox ends no other`, run on the former code, whose `take` had no id). After: the test passes.

--- a/packages/mesh/src/AnswerReader.ts
+++ b/packages/mesh/src/AnswerReader.ts
@@ -74,6 +74,11 @@
     this.body.discard();
   }
 
+  /** Id of the order whose answer is read; empty if there is none. */
+  public get requestId(): string {
+    return this.reading?.order.requestId ?? '';
+  }
+
   /** Whether a part of an answer to the order was read. */
   public get hasBegun(): boolean {
     return this.reading?.hasBegun === true;
--- a/packages/mesh/src/RunningOrders.ts
+++ b/packages/mesh/src/RunningOrders.ts
@@ -31,10 +31,11 @@
     this.orders.delete(id);
   }
 
-  /** Removes and returns the order that runs on a connection. */
-  public take(link: ServerLink): RunningOrder | undefined {
-    const found = this.list().find((each) => each.link === link);
-    if (found !== undefined) this.remove(found.order.request.id);
+  /** Removes and returns the order with this id if it runs on this connection. */
+  public take(link: ServerLink, id: string): RunningOrder | undefined {
+    const found = this.orders.get(id);
+    if (found?.link !== link) return undefined;
+    this.remove(id);
     return found;
   }
 
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -151,30 +151,32 @@
     // The rest of a body that is still unsent would be read as the next request.
     const isSent = this.socket.writableLength === 0;
     // Bytes behind the answer would be read as the beginning of the next one.
-    const { hasSurplus } = this.reader;
+    const { hasSurplus, requestId } = this.reader;
     const hasRoom = this.carried.size < MAX_ORDERS;
     const reusable = keepsAlive && isSent && hasRoom && !hasSurplus && !this.socket.readableEnded;
     this.cursor.send({ type: reusable ? 'answered' : 'answeredLast' });
     this.reader.stop();
     if (reusable) this.restIdle();
     else this.socket.destroy();
-    this.signal({ type: 'answered', answer, reusable });
+    this.signal({ type: 'answered', requestId, answer, reusable });
   }
 
   private breakOff(reason: string, malformed: boolean): void {
     if (!this.cursor.send({ type: 'malformed' })) return;
+    const { requestId } = this.reader;
     this.reader.stop();
     this.socket.destroy();
-    this.signal({ type: 'broken', reason, malformed });
+    this.signal({ type: 'broken', requestId, reason, malformed });
   }
 
   private noteClosed(): void {
     clearTimeout(this.connectTimer);
+    const { requestId } = this.reader;
     this.reader.stop();
     const before = this.cursor.state;
     if (!this.cursor.send({ type: 'closed' })) return;
     if (before === 'busy') {
-      this.signal({ type: 'broken', reason: 'connection closed', malformed: false });
+      this.signal({ type: 'broken', requestId, reason: 'connection closed', malformed: false });
       return;
     }
     this.signal({ type: 'closed', refused: this.refused, neverOpened: before === 'connecting' });
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -200,13 +200,13 @@
         return;
       case 'answered': {
         if (!signal.reusable) this.links.remove(link);
-        const running = this.running.take(link);
+        const running = this.running.take(link, signal.requestId);
         if (running !== undefined) this.outcomes.finish(running, signal.answer);
         return;
       }
       case 'broken': {
         this.links.remove(link);
-        const running = this.running.take(link);
+        const running = this.running.take(link, signal.requestId);
         if (running === undefined) return;
         this.outcomes.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
         // Tells a crash from the loss of one connection.
--- /dev/null
+++ b/packages/mesh/test/running.test.ts
@@ -0,0 +1,32 @@
+import t from 'tap';
+import { ByteBudget } from '#core/ByteBudget.js';
+import { RunningOrders } from '#mesh/RunningOrders.js';
+import { ServerLink } from '#mesh/ServerLink.js';
+import { createOrder } from './CreateOrder.js';
+
+const open = (): ServerLink => {
+  const link = new ServerLink(
+    { address: '127.0.0.1:1', incarnation: 'i/1' },
+    'X-Request-Id',
+    new ByteBudget(0),
+    () => undefined,
+  );
+  link.destroy();
+  return link;
+};
+
+t.test('answer of an order that is behind in the mailbox ends no other', (t) => {
+  // A repeated order that took the connection meanwhile was found first, and got that answer.
+  const running = new RunningOrders();
+  const [first, second] = [open(), open()];
+  const add = (id: string, link: ServerLink): void =>
+    running.add({ order: createOrder(id), link, sentMs: 0, expectedMs: 0 });
+  add('1', first);
+  add('2', second);
+  add('1', second);
+  t.equal(running.take(second, '2')?.order.request.id, '2');
+  t.equal(running.take(first, '1'), undefined, 'the repeat runs elsewhere');
+  t.equal(running.take(second, '1')?.order.request.id, '1');
+  t.equal(running.size, 0);
+  t.end();
+});
