Pass no answer of a backend server that was reset as a whole one

What callers see: a backend server that is reset in the middle of an answer without a length gives its callers a success with a part of the body, framed as whole. A caller that speaks HTTP/1.0 sees an answer that breaks off in any way as whole, as the end of its connection is the only sign of the end.

Cause: undici takes the error ECONNRESET for the end of an answer that ends with its connection. `writeRefusal` destroys a response whose head was sent; in HTTP/1.0 this looks like its end.

Change: connections to the backend server report a reset under another code, which undici counts as a fault. A broken response to an HTTP/1.0 caller is reset.

Ruled out, by tests that passed before: sized, chunked and bodiless answers and interim ones, and a head without a length, cut off after each byte, by an end and by a reset; orders end as `unknown: backendLost`.

Before: `reset answer without a length is no answer` gets an answer where `unknown: backendLost` is expected; `broken answer does not end like a whole one without a length` sees `end` where `error` is expected. Not to be told from a whole answer: one without a length whose connection ends early without a reset.

--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -16,6 +16,7 @@
 import type { BackendOutcome } from '#proxy/BackendOutcome.js';
 import type { BackendSignal } from '#proxy/BackendSignal.js';
 import { compileBackendChart } from '#proxy/CompileBackendChart.js';
+import { createConnector } from '#proxy/CreateConnector.js';
 import { parseBackendFacts } from '#proxy/ParseBackendFacts.js';
 import { RunningOrders } from '#proxy/RunningOrders.js';
 import { selectAnswerHeaders } from '#proxy/SelectAnswerHeaders.js';
@@ -148,7 +149,7 @@
       keepAliveMaxTimeout: 600_000,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: 1000 },
+      connect: createConnector({ timeout: 1000 }),
     });
     this.openConnections(this.pool, Math.min(facts.slots, facts.connections));
   }
--- a/packages/proxy/src/WriteRefusal.ts
+++ b/packages/proxy/src/WriteRefusal.ts
@@ -5,7 +5,7 @@
 /** Sends a refusal or failure as JSON; a response whose head was already sent is cut off instead. */
 export function writeRefusal(res: ServerResponse, fields: RouterErrorFields): void {
   if (res.headersSent) {
-    res.destroy();
+    breakOff(res);
     return;
   }
   const body = formatRefusal(fields);
@@ -21,3 +21,9 @@
   });
   res.end(body);
 }
+
+/** Cuts off a response. Without chunks, as in HTTP/1.0, its end would look like that of a whole one; a reset does not. */
+function breakOff(res: ServerResponse): void {
+  if (res.req.httpVersion === '1.0') res.socket?.resetAndDestroy();
+  res.destroy();
+}
