End an order whose answer has a control character in its head

What callers would see: an instance that answers with a control character in a header ends the daemon that the caller reached, and with it all of its callers' connections: `writeHead` throws ERR_INVALID_CHAR in a task (shown by a call of its own).

Change: the parser of answers takes such a line for malformed, so that the order ends as lost.

Before: `answer with a control character in its head goes to no one` gets `answered` where `lost` is expected. Ruled out: the heads of requests, which node's parser checks.

--- a/packages/mesh/src/CreateAnswerParser.ts
+++ b/packages/mesh/src/CreateAnswerParser.ts
@@ -6,7 +6,7 @@
   readonly consumeLine: () => string | undefined;
 }
 
-const FIELD = /^([-!#$%&'*+.^_`|~0-9A-Za-z]+:|$)/;
+const FIELD = /^([-!#$%&'*+.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*)?$/;
 
 /** What a line must look like, by state of the parser, which itself takes much that is none of this for something else. */
 const LINES: Readonly<Record<string, RegExp>> = {
--- a/packages/mesh/test/refusal.test.ts
+++ b/packages/mesh/test/refusal.test.ts
@@ -53,6 +53,14 @@
   t.match(await run(createLevy('ä1')), { type: 'answered' });
 });
 
+t.test('answer with a control character in its head goes to no one', async (t) => {
+  // Its header could not be written to the caller, and the exception ended the process.
+  const { run } = await startServerTask(t, ({ id, socket }) =>
+    socket.write(formatAnswer(id, '200 OK', 'ok', 'X-A: a\x01b\r\n'), 'latin1'),
+  );
+  t.match(await run(createLevy('1')), { type: 'lost', code: 'badAnswer' });
+});
+
 t.test('answer with two lengths goes to no one', async (t) => {
   const chunked = 'Transfer-Encoding: chunked\r\n';
   for (const extra of [chunked, 'Transfer-Encoding: gzip, chunked\r\n', 'Content-Length: 1\r\n']) {
