--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -200,13 +200,13 @@
         return;
       case 'answered': {
         if (!signal.reusable) this.links.remove(link);
-        const running = this.running.take(link);
+        const running = this.running.take(link, signal.requestId);
         if (running !== undefined) this.outcomes.finish(running, signal.answer);
         return;
       }
       case 'broken': {
         this.links.remove(link);
-        const running = this.running.take(link);
+        const running = this.running.take(link, signal.requestId);
         if (running === undefined) return;
         this.outcomes.lose(running, signal.malformed ? 'badAnswer' : 'connectionLost', signal.reason);
         // Tells a crash from the loss of one connection.
@@ -268,26 +268,43 @@
   private dispatch(): void {
     for (;;) {
       if (this.queue.size === 0) return;
-      const nowMs = this.now();
-      const link = this.links.findIdle();
-      if (link === undefined) {
+      if (!this.links.hasIdle) {
         this.openLinks();
         return;
       }
-      const queued = this.queue.take((each) =>
-        this.starts.allows(each, this.state, this.running.size, nowMs),
+      const nowMs = this.now();
+      const mayStart = (each: QueuedOrder): boolean =>
+        this.starts.allows(each, this.state, this.running.size, nowMs);
+      const queued = this.queue.take(
+        (each) => mayStart(each) && this.links.findFor(each.order.request.id) !== undefined,
       );
-      if (queued === undefined) return;
-      this.start(queued, link, nowMs);
+      if (queued === undefined) {
+        if (this.queue.some(mayStart)) this.openAnother();
+        return;
+      }
+      const link = this.links.findFor(queued.order.request.id);
+      if (link !== undefined) this.start(queued, link, nowMs);
     }
   }
 
+  /** Opens a connection for an order whose id all idle ones have carried. */
+  private openAnother(): void {
+    const { presence } = this.state;
+    if (this.links.connecting > 0 || presence.state === 'absent' || presence.address === '') return;
+    if (this.links.size >= this.linkLimit) this.links.closeIdle();
+    this.links.open(presence);
+  }
+
   private openLinks(): void {
-    const { presence, maxConnections } = this.state;
+    const { presence } = this.state;
     if (presence.state === 'absent' || presence.address === '') return;
     const wanted = Math.min(this.queue.size, presence.slots - this.running.size);
-    const limit = Math.min(maxConnections, presence.slots + 2);
-    while (this.links.connecting < wanted && this.links.size < limit) this.links.open(presence);
+    while (this.links.connecting < wanted && this.links.size < this.linkLimit) this.links.open(presence);
+  }
+
+  private get linkLimit(): number {
+    const { presence, maxConnections } = this.state;
+    return Math.min(maxConnections, presence.slots + 2);
   }
 
   private start(queued: QueuedOrder, link: ServerLink, nowMs: number): void {
@@ -303,7 +320,7 @@
     this.running.add({ order, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
     const head = formatOrder(order, instanceId, leftMs, this.options.headers);
-    link.send(request.id, request.method === 'HEAD', head, request.body);
+    link.send({ requestId: request.id, isHead: request.method === 'HEAD' }, head, request.body);
     if (nowMs - queuedMs > order.targetLatencyMs) {
       this.options.logger.log('orderWaited', {
         step: 'queue',
