--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -45,8 +45,8 @@
 
 /**
  * Plans the keys of this daemon's service: takes over those of lost daemons, and asks busy owners to give keys away.
- * One daemon does so at a time, the first in rank that can be reached and reads the leases; two at once do no harm, as each change is a
- * conditional write.
+ * One daemon does so at a time, the first in rank that can be reached and reads the leases; two at once do no harm, as
+ * each change is a conditional write.
  */
 export class PlannerTask extends Task<PlannerMessage> {
   private readonly options: PlannerOptions;
