Write a row of keys as text in one function

formatRows, for log lines, and listGrantChange, which compares grants, both wrote from-to@epoch. formatRow serves both; the text is the same.

--- a/packages/mesh/src/ListGrantChange.ts
+++ b/packages/mesh/src/ListGrantChange.ts
@@ -1,3 +1,4 @@
+import { formatRow } from '#mesh/FormatRow.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
 
 /** Rows that one grant holds and another does not. */
@@ -12,10 +13,6 @@
 }
 
 function listMissing(rows: readonly HeldRow[], others: readonly HeldRow[]): readonly HeldRow[] {
-  const known = new Set(others.map(nameOf));
-  return rows.filter((row) => !known.has(nameOf(row)));
-}
-
-function nameOf({ from, to, epoch }: HeldRow): string {
-  return `${from}-${to}@${epoch}`;
+  const known = new Set(others.map(formatRow));
+  return rows.filter((row) => !known.has(formatRow(row)));
 }
