Connect the tasks that decide on ownership in one class

MeshNode and the simulated VM of the tests wired PresenceTask, RangeTask, RangeLeaseTask and PlannerTask each by itself, so that a connection added to one could be missing in the other and the simulation would test another daemon. OwnershipTasks creates and connects them for both. The order in which the tasks are created and told of views is as before, but BalanceTask is created after PresenceTask; neither starts a timer when it is created.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -19,10 +19,7 @@
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { Order } from '#mesh/Order.js';
 import type { OrderReply } from '#mesh/OrderReply.js';
-import { PlannerTask } from '#mesh/PlannerTask.js';
-import { PresenceTask } from '#mesh/PresenceTask.js';
-import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
-import { RangeTask } from '#mesh/RangeTask.js';
+import { OwnershipTasks } from '#mesh/OwnershipTasks.js';
 import { ReadinessTask } from '#mesh/ReadinessTask.js';
 import { ReceiverTask } from '#mesh/ReceiverTask.js';
 import { RelayTask } from '#mesh/RelayTask.js';
@@ -61,10 +58,7 @@
   private readonly directory: DirectoryTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
-  private readonly presence: PresenceTask;
-  private readonly ranges: RangeTask;
-  private readonly lease: RangeLeaseTask;
-  private readonly planner: PlannerTask;
+  private readonly ownership: OwnershipTasks;
   private readonly balance: BalanceTask;
   private readonly relay: RelayTask;
   private readonly receiver: ReceiverTask;
@@ -107,45 +101,25 @@
       logger: new Logger('server'),
       keyedLeaveMs: options.drainMs - LEAVE_MARGIN_MS,
       keyedEvacuationMs: options.evacuateMs - 2 * LEAVE_MARGIN_MS,
-      onEvidence: (evidence) => this.presence.post({ type: 'evidence', evidence }),
+      onEvidence: (evidence) => this.ownership.presence.post({ type: 'evidence', evidence }),
       onLoad: (load, baseSlowdown) => this.balance.post({ type: 'load', load, baseSlowdown }),
-      onDemand: (key, workMs) => this.ranges.post({ type: 'demanded', key, workMs }),
+      onDemand: (key, workMs) => this.ownership.ranges.post({ type: 'demanded', key, workMs }),
       onMarks: (marks) => this.spreadMarks(marks),
     });
-    this.ranges = new RangeTask({
+    this.ownership = new OwnershipTasks({
       place,
+      processId,
+      address: `${options.orders.host}:${options.orders.port}`,
       terms,
       announceEveryMs: options.announceEveryMs,
       store,
       clock,
       elapsed,
-      logger: new Logger('ranges'),
+      createLogger: (component) => new Logger(component),
+      isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? false,
+      onPresence: (presence) => this.server.post({ type: 'presence', presence }),
       onGranted: (keys) => this.server.post({ type: 'granted', keys }),
-      onKeyed: () => this.lease.post({ type: 'hold' }),
-      onFacts: (facts) => {
-        this.lease.post({ type: 'facts', facts });
-        this.balance.post({ type: 'facts', facts });
-      },
-    });
-    this.lease = new RangeLeaseTask({
-      place,
-      processId,
-      terms,
-      store,
-      clock,
-      elapsed,
-      logger: new Logger('lease'),
-      onLease: (lease) => {
-        this.ranges.post({ type: 'lease', lease });
-        this.presence.post({ type: 'term', term: lease.term });
-      },
-    });
-    this.planner = new PlannerTask({
-      place,
-      terms,
-      store,
-      clock,
-      logger: new Logger('planner'),
+      onFacts: (facts) => this.balance.post({ type: 'facts', facts }),
       call: (address, method, params, reply) =>
         this.relay.post({ type: 'call', address, method, params, reply }),
     });
@@ -155,20 +129,7 @@
       logger: new Logger('balance'),
       call: (address, method, params, reply) =>
         this.relay.post({ type: 'call', address, method, params, reply }),
-      onRelease: (requests) => this.ranges.post({ type: 'release', requests }),
-    });
-    this.presence = new PresenceTask({
-      place,
-      processId,
-      address: `${options.orders.host}:${options.orders.port}`,
-      announceEveryMs: options.announceEveryMs,
-      store,
-      clock,
-      logger: new Logger('presence'),
-      isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? false,
-      onPresence: (presence) => this.server.post({ type: 'presence', presence }),
-      onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
-      onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
+      onRelease: (requests) => this.ownership.ranges.post({ type: 'release', requests }),
     });
     this.receiver = new ReceiverTask({
       ...options.orders,
@@ -178,11 +139,11 @@
       onHint: (revisions) => this.noteHint(revisions),
       onOrder: (order, reply) => this.server.post({ type: 'order', order, reply }),
       calls: createPeerCalls(processId, {
-        describePlanner: () => this.planner.ask((reply) => ({ type: 'asked', reply })),
+        describePlanner: () => this.ownership.planner.ask((reply) => ({ type: 'asked', reply })),
         describeLoad: () => this.balance.ask((reply) => ({ type: 'asked', reply })),
-        onResigned: (value) => accept(this.planner, { type: 'resigned', value }),
+        onResigned: (value) => accept(this.ownership.planner, { type: 'resigned', value }),
         onCancel: (id) => accept(this.server, { type: 'cancel', id }),
-        onRelease: (request) => accept(this.ranges, { type: 'release', requests: [request] }),
+        onRelease: (request) => accept(this.ownership.ranges, { type: 'release', requests: [request] }),
         onMarks: (marks) => accept(this.server, { type: 'marks', marks }),
       }),
     });
@@ -214,12 +175,17 @@
 
   /** Takes an announcement of the backend server. */
   public announce(announcement: Announcement): Promise<AnnouncementReply> {
-    return this.presence.ask((reply) => ({ type: 'announced', announcement, reply }));
+    return this.ownership.presence.ask((reply) => ({ type: 'announced', announcement, reply }));
   }
 
   /** Takes the farewell of the backend server. */
   public withdraw(instanceId: string, bornMs: number | undefined): Promise<void> {
-    return this.presence.ask((reply) => ({ type: 'withdrawn', instanceId, bornMs, reply: () => reply() }));
+    return this.ownership.presence.ask((reply) => ({
+      type: 'withdrawn',
+      instanceId,
+      bornMs,
+      reply: () => reply(),
+    }));
   }
 
   /** Stops taking callers, waits for requests in flight within the grace time, and ends the tasks. */
@@ -246,9 +212,9 @@
 
   /** Gives up the term of keys that the backend server holds no longer, so that others need not wait for its end. */
   private async resign(): Promise<void> {
-    const isFree = await this.ranges.ask<boolean>((reply) => ({ type: 'stopping', reply }));
+    const isFree = await this.ownership.ranges.ask<boolean>((reply) => ({ type: 'stopping', reply }));
     if (!isFree) return;
-    const resignation = await this.lease.ask<Resignation>((reply) => ({ type: 'resign', reply }));
+    const resignation = await this.ownership.lease.ask<Resignation>((reply) => ({ type: 'resign', reply }));
     this.callColleagues(rpcMethods.resigned, resignation);
     await new Promise<void>((resolve) => this.options.clock.schedule(RESIGN_MS, resolve));
   }
@@ -283,10 +249,7 @@
       this.directory,
       this.entry,
       this.server,
-      this.presence,
-      this.ranges,
-      this.lease,
-      this.planner,
+      this.ownership,
       this.balance,
       this.relay,
       this.receiver,
@@ -298,8 +261,7 @@
     this.view = view;
     this.entry.post({ type: 'view', view });
     this.server.post({ type: 'view', view });
-    this.ranges.post({ type: 'view', view });
-    this.planner.post({ type: 'view', view });
+    this.ownership.applyView(view);
     this.balance.post({ type: 'view', view });
     const { routes } = view;
     if (routes !== undefined && routes !== before?.routes)
--- /dev/null
+++ b/packages/mesh/src/OwnershipOptions.ts
@@ -0,0 +1,30 @@
+import type { Clock } from '#core/Clock.js';
+import type { Logger } from '#core/Logger.js';
+import type { ElapsedClock } from '#ranges/ElapsedClock.js';
+import type { LeaseTerms } from '#ranges/LeaseTerms.js';
+import type { CollectionStore } from '#store/CollectionStore.js';
+import type { PlannerOptions } from '#mesh/PlannerOptions.js';
+import type { PresenceOptions } from '#mesh/PresenceOptions.js';
+import type { RangeOptions } from '#mesh/RangeOptions.js';
+import type { Place } from '#mesh/Place.js';
+
+/** What `OwnershipTasks` is created with. */
+export interface OwnershipOptions {
+  readonly place: Place;
+  readonly processId: string;
+  /** `host:port` at which this daemon takes orders. */
+  readonly address: string;
+  readonly terms: LeaseTerms;
+  /** Usual time between two announcements, in milliseconds. */
+  readonly announceEveryMs: number;
+  readonly store: CollectionStore;
+  readonly clock: Clock;
+  readonly elapsed: ElapsedClock;
+  /** Creates the logger of a task. */
+  readonly createLogger: (component: string) => Logger;
+  readonly isConfigured: PresenceOptions['isConfigured'];
+  readonly onPresence: PresenceOptions['onPresence'];
+  readonly onGranted: RangeOptions['onGranted'];
+  readonly onFacts: RangeOptions['onFacts'];
+  readonly call: PlannerOptions['call'];
+}
--- /dev/null
+++ b/packages/mesh/src/OwnershipTasks.ts
@@ -0,0 +1,52 @@
+import type { OwnershipOptions } from '#mesh/OwnershipOptions.js';
+import { PlannerTask } from '#mesh/PlannerTask.js';
+import { PresenceTask } from '#mesh/PresenceTask.js';
+import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
+import { RangeTask } from '#mesh/RangeTask.js';
+import type { View } from '#mesh/View.js';
+
+/** Creates and connects the tasks of a daemon that decide which keys its backend server holds. */
+export class OwnershipTasks {
+  public readonly presence: PresenceTask;
+  public readonly ranges: RangeTask;
+  public readonly lease: RangeLeaseTask;
+  public readonly planner: PlannerTask;
+
+  public constructor(options: OwnershipOptions) {
+    const { createLogger, onFacts } = options;
+    this.ranges = new RangeTask({
+      ...options,
+      logger: createLogger('ranges'),
+      onKeyed: () => this.lease.post({ type: 'hold' }),
+      onFacts: (facts) => {
+        this.lease.post({ type: 'facts', facts });
+        onFacts(facts);
+      },
+    });
+    this.lease = new RangeLeaseTask({
+      ...options,
+      logger: createLogger('lease'),
+      onLease: (lease) => {
+        this.ranges.post({ type: 'lease', lease });
+        this.presence.post({ type: 'term', term: lease.term });
+      },
+    });
+    this.planner = new PlannerTask({ ...options, logger: createLogger('planner') });
+    this.presence = new PresenceTask({
+      ...options,
+      logger: createLogger('presence'),
+      onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
+      onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
+    });
+  }
+
+  public stop(): void {
+    for (const task of [this.presence, this.ranges, this.lease, this.planner]) task.stop();
+  }
+
+  /** Passes a view of the fleet on. */
+  public applyView(view: View): void {
+    this.ranges.post({ type: 'view', view });
+    this.planner.post({ type: 'view', view });
+  }
+}
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -4,11 +4,8 @@
 import { defaultLeaseTerms } from '#ranges/DefaultLeaseTerms.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
-import { PlannerTask } from '#mesh/PlannerTask.js';
-import { PresenceTask } from '#mesh/PresenceTask.js';
-import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
+import { OwnershipTasks } from '#mesh/OwnershipTasks.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
-import { RangeTask } from '#mesh/RangeTask.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
 import type { View } from '#mesh/View.js';
 import type { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
@@ -22,10 +19,7 @@
 interface DaemonRun {
   readonly clock: StallingClock;
   readonly store: SimulatedStore;
-  readonly presence: PresenceTask;
-  readonly ranges: RangeTask;
-  readonly lease: RangeLeaseTask;
-  readonly planner: PlannerTask;
+  readonly tasks: OwnershipTasks;
 }
 
 /** A VM with a backend server and the tasks of a daemon that decide on ownership of keys. */
@@ -73,15 +67,12 @@
   public see(view: View): void {
     const { daemon } = this;
     if (this.isCut) return;
-    daemon?.clock.run(() => {
-      daemon.ranges.post({ type: 'view', view });
-      daemon.planner.post({ type: 'view', view });
-    });
+    daemon?.clock.run(() => daemon.tasks.applyView(view));
   }
 
   public release(request: ReleaseRequest): void {
     const { daemon } = this;
-    daemon?.clock.run(() => daemon.ranges.post({ type: 'release', requests: [request] }));
+    daemon?.clock.run(() => daemon.tasks.ranges.post({ type: 'release', requests: [request] }));
   }
 
   public stall(durationMs: number): void {
@@ -106,7 +97,7 @@
     if (daemon === undefined) return;
     this.daemon = undefined;
     daemon.clock.end();
-    for (const task of [daemon.presence, daemon.ranges, daemon.lease, daemon.planner]) task.stop();
+    daemon.tasks.stop();
     this.clock.schedule(downMs, () => this.startDaemon());
   }
 
@@ -114,7 +105,7 @@
   public stopDaemon(downMs: number): void {
     const { daemon } = this;
     daemon?.clock.run(() => {
-      daemon.ranges.post({ type: 'stopping', reply: (isFree) => isFree && this.resign(daemon) });
+      daemon.tasks.ranges.post({ type: 'stopping', reply: (isFree) => isFree && this.resign(daemon) });
       daemon.clock.schedule(RESIGN_MS, () => this.restartDaemon(downMs));
     });
   }
@@ -136,7 +127,7 @@
     const tell = (): void => {
       const { daemon } = this;
       daemon?.clock.run(() =>
-        daemon.presence.post({ type: 'evidence', evidence: { kind: 'refused', incarnation } }),
+        daemon.tasks.presence.post({ type: 'evidence', evidence: { kind: 'refused', incarnation } }),
       );
     };
     this.clock.schedule(this.random.integer(downMs), tell);
@@ -146,7 +137,7 @@
   }
 
   private resign(daemon: DaemonRun): void {
-    daemon.lease.post({
+    daemon.tasks.lease.post({
       type: 'resign',
       reply: (value) => {
         for (const peer of this.listPeers()) peer.hearResignation(value);
@@ -156,7 +147,7 @@
 
   private hearResignation(value: unknown): void {
     const { daemon } = this;
-    daemon?.clock.run(() => daemon.planner.post({ type: 'resigned', value }));
+    daemon?.clock.run(() => daemon.tasks.planner.post({ type: 'resigned', value }));
   }
 
   private setPath(isCut: boolean, isLate: boolean): void {
@@ -175,7 +166,7 @@
       this.random,
       (announcement, reply) => {
         const { daemon } = this;
-        daemon?.clock.run(() => daemon.presence.post({ type: 'announced', announcement, reply }));
+        daemon?.clock.run(() => daemon.tasks.presence.post({ type: 'announced', announcement, reply }));
       },
     );
   }
@@ -184,58 +175,24 @@
     const clock = new StallingClock(this.clock);
     const store = new SimulatedStore(this.memory, clock, this.clock, this.random);
     const elapsed = new ElapsedClock(clock);
-    const place = { serverId: this.id, failureDomain: this.failureDomain, region: 'r', service: 's' };
-    const logger = new Logger(this.id);
-    const terms = defaultLeaseTerms;
     this.processes += 1;
-    const processId = `${this.id}-${this.processes}`;
-    const ranges: RangeTask = new RangeTask({
-      place,
-      terms,
-      announceEveryMs: 870,
-      store,
-      clock,
-      elapsed,
-      logger,
-      onGranted: () => undefined,
-      onKeyed: () => lease.post({ type: 'hold' }),
-      onFacts: (facts) => lease.post({ type: 'facts', facts }),
-    });
-    const lease: RangeLeaseTask = new RangeLeaseTask({
-      place,
-      processId,
-      terms,
-      store,
-      clock,
-      elapsed,
-      logger,
-      onLease: (held) => {
-        ranges.post({ type: 'lease', lease: held });
-        presence.post({ type: 'term', term: held.term });
-      },
-    });
-    const planner = new PlannerTask({
-      place,
-      terms,
-      store,
-      clock,
-      logger,
-      call: (address, method, params, reply) => this.call(clock, address, method, params, reply),
-    });
-    const presence: PresenceTask = new PresenceTask({
-      place,
-      processId,
+    const tasks = new OwnershipTasks({
+      place: { serverId: this.id, failureDomain: this.failureDomain, region: 'r', service: 's' },
+      processId: `${this.id}-${this.processes}`,
       address: this.id,
+      terms: defaultLeaseTerms,
       announceEveryMs: 870,
       store,
       clock,
-      logger,
+      elapsed,
+      createLogger: () => new Logger(this.id),
       isConfigured: () => true,
       onPresence: () => undefined,
-      onCheckIn: (checkIn) => ranges.post({ type: 'checkIn', checkIn }),
-      onEnded: (incarnation, proven) => ranges.post({ type: 'ended', incarnation, proven }),
+      onGranted: () => undefined,
+      onFacts: () => undefined,
+      call: (address, method, params, reply) => this.call(clock, address, method, params, reply),
     });
-    this.daemon = { clock, store, presence, ranges, lease, planner };
+    this.daemon = { clock, store, tasks };
     this.setPath(this.isCut, this.isLate);
   }
 
@@ -255,8 +212,8 @@
     clock.schedule(PING_TIMEOUT_MS, () => end(undefined));
     peer?.clock.run(() => {
       if (method === rpcMethods.release)
-        peer.ranges.post({ type: 'release', requests: [params as ReleaseRequest] });
-      peer.planner.post({
+        peer.tasks.ranges.post({ type: 'release', requests: [params as ReleaseRequest] });
+      peer.tasks.planner.post({
         type: 'asked',
         reply: (plans) => clock.run(() => end({ plans })),
       });
