Check received fields at the decoders, with errors that stay short

An entry among those of the instances with the address '10.0.0.1:99999' or 'nowhere', slots of Infinity (1e400 in JSON) or a term of 1e300 was decoded as it is. net.connect and http2.connect throw for such an address, in a constructor inside a task, so that each daemon which opened a connection to it ended, and ended again after its restart. Check-ins, lease records, range tables, resignations, calls, orders and results between daemons, the configuration and the settings had the same gap. A value that was refused could do the same: the library's codecs print the received value with JSON.stringify, which throws a RangeError for some thousand levels of lists, and logs a text of 1 MB as it is.

Cause: bare `string` and `number` of purify-ts, which let any text and any number pass.

The package `codec` has one codec for each kind of field (address, port, count, ordinal, duration, time left, measure, id, label) and objects, lists and optional fields whose errors name the field and describe the value in a few words. Timeouts end at 2^31 - 1 ms, as Node.js fires longer timers at once. Rows of keys stay within 0 to 65535. The time for which a backend server is still cold may be negative, and times need not be whole: refusing such a check-in would cost its keys. A check-in's state other than ready or draining is refused as before.

Ruled out: JSON.parse reads 100,000 levels of lists without an error; unknown fields of any depth are left out.

--- /dev/null
+++ b/packages/codec/src/CreateNullableCodec.ts
@@ -0,0 +1,9 @@
+import { Codec, Right } from 'purify-ts';
+
+/** Creates a codec for a value or null. */
+export function createNullableCodec<T>(codec: Codec<T>): Codec<T | null> {
+  return Codec.custom<T | null>({
+    decode: (value) => (value === null ? Right(null) : codec.decode(value)),
+    encode: (value): unknown => (value === null ? null : codec.encode(value)),
+  });
+}
--- a/packages/mesh/src/BalanceFactsCodec.ts
+++ b/packages/mesh/src/BalanceFactsCodec.ts
@@ -1,11 +1,17 @@
-import { boolean, Codec, number, string } from 'purify-ts';
+import { countCodec } from '#codec/CountCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { durationCodec } from '#codec/DurationCodec.js';
+import { flagCodec } from '#codec/FlagCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { measureCodec } from '#codec/MeasureCodec.js';
+import { slowdownCodec } from '#mesh/SlowdownCodec.js';
 
 /** Decodes the `BalanceFacts` of another daemon. */
-export const balanceFactsCodec = Codec.interface({
-  serverId: string,
-  workMsPerSecond: number,
-  slots: number,
-  waitMs: number,
-  baseSlowdown: number,
-  accepts: boolean,
+export const balanceFactsCodec = createObjectCodec({
+  serverId: idCodec,
+  workMsPerSecond: measureCodec,
+  slots: countCodec,
+  waitMs: durationCodec,
+  baseSlowdown: slowdownCodec,
+  accepts: flagCodec,
 });
--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -1,16 +1,36 @@
-import { array, boolean, Codec, number, string } from 'purify-ts';
+import type { Codec } from 'purify-ts';
 import type { CrashMark } from '#admission/CrashMark.js';
+import { createListCodec } from '#codec/CreateListCodec.js';
+import { createNumberCodec } from '#codec/CreateNumberCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { flagCodec } from '#codec/FlagCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { measureCodec } from '#codec/MeasureCodec.js';
 import { RouterError } from '#core/RouterError.js';
+import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
 import type { PeerCallLinks } from '#mesh/PeerCallLinks.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 
-const cancel = Codec.interface({ id: string });
+/** Marks in one call at most; more than a daemon keeps. */
+const MAX_MARKS = 10_000;
 
-const release = Codec.interface({ to: string, workMsPerSecond: number, share: number, speedup: number });
+const cancel = createObjectCodec({ id: headerTextCodec });
 
-const crashMark: Codec<CrashMark> = Codec.interface({ fingerprint: string, death: string, cleared: boolean });
+const release = createObjectCodec({
+  to: idCodec,
+  workMsPerSecond: measureCodec,
+  share: createNumberCodec(0, 1),
+  speedup: measureCodec,
+});
 
-const marks = Codec.interface({ marks: array(crashMark) });
+const crashMark: Codec<CrashMark> = createObjectCodec({
+  fingerprint: idCodec,
+  death: labelCodec,
+  cleared: flagCodec,
+});
+
+const marks = createObjectCodec({ marks: createListCodec(crashMark, MAX_MARKS) });
 
 /** Creates the handlers of the calls of other daemons. Malformed parameters are answered with an error. */
 export function createPeerCalls(
--- a/packages/mesh/src/DecodeOrder.ts
+++ b/packages/mesh/src/DecodeOrder.ts
@@ -1,6 +1,18 @@
-import { array, Codec, Left, nullable, number, oneOf, Right, string, type Either } from 'purify-ts';
+import { Left, Right, type Either } from 'purify-ts';
+import { countCodec } from '#codec/CountCodec.js';
+import { createIntegerCodec } from '#codec/CreateIntegerCodec.js';
+import { createListCodec } from '#codec/CreateListCodec.js';
+import { createNullableCodec } from '#codec/CreateNullableCodec.js';
+import { durationCodec } from '#codec/DurationCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { timeLeftCodec } from '#codec/TimeLeftCodec.js';
+import { keyCodec } from '#ranges/KeyCodec.js';
 import { decodeTuple } from '#mesh/DecodeTuple.js';
+import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
+import { headerValueCodec } from '#mesh/HeaderValueCodec.js';
 import type { HeaderPair } from '#mesh/HeaderPair.js';
+import { maxHeaders } from '#mesh/MaxHeaders.js';
 import type { Order } from '#mesh/Order.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 
@@ -17,17 +29,19 @@
   targetLatencyMs: number,
 ];
 
+const bitCodec = createIntegerCodec(0, 1);
+
 const kindDecoders = [
-  string,
-  string,
-  array(string),
-  number,
-  number,
-  string,
-  string,
-  number,
-  number,
-  number,
+  idCodec,
+  headerTextCodec,
+  createListCodec(headerTextCodec, maxHeaders),
+  createIntegerCodec(-1, maxHeaders),
+  bitCodec,
+  idCodec,
+  headerTextCodec,
+  bitCodec,
+  countCodec,
+  durationCodec,
 ] as const;
 
 type Detail = readonly [
@@ -41,8 +55,14 @@
   values: readonly (string | number)[],
 ];
 
-const value: Codec<string | number> = oneOf([string, number]);
-const detailDecoders = [string, nullable(number), number, number, string, array(value)] as const;
+const detailDecoders = [
+  headerTextCodec,
+  createNullableCodec(keyCodec),
+  timeLeftCodec,
+  timeLeftCodec,
+  labelCodec,
+  createListCodec(headerValueCodec, maxHeaders),
+] as const;
 
 /** Decodes an order that another daemon encoded. The error says which field is wrong. */
 export function decodeOrder(
--- a/packages/mesh/src/DecodeResult.ts
+++ b/packages/mesh/src/DecodeResult.ts
@@ -1,12 +1,26 @@
-import { array, Left, number, Right, string, type Either } from 'purify-ts';
+import { Left, Right, type Either } from 'purify-ts';
+import { createIntegerCodec } from '#codec/CreateIntegerCodec.js';
+import { createListCodec } from '#codec/CreateListCodec.js';
+import { durationCodec } from '#codec/DurationCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { measureCodec } from '#codec/MeasureCodec.js';
 import { decodeTuple } from '#mesh/DecodeTuple.js';
 import type { HeaderPair } from '#mesh/HeaderPair.js';
+import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
 import type { LoadReport } from '#mesh/LoadReport.js';
 import type { LossCode } from '#mesh/LossCode.js';
+import { maxHeaders } from '#mesh/MaxHeaders.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 
+const MAX_LOAD_FIGURES = 16;
+
+const headersCodec = createListCodec(headerTextCodec, maxHeaders);
+const loadCodec = createListCodec(measureCodec, MAX_LOAD_FIGURES);
+const statusCodec = createIntegerCodec(100, 999);
+const bitCodec = createIntegerCodec(0, 1);
+
 type Load = readonly number[];
 
 /** Decodes the result of an order that another daemon encoded. */
@@ -14,7 +28,7 @@
   { kind, detail }: Pick<RelayHead, 'kind' | 'detail'>,
   body: Buffer,
 ): Either<string, OrderResult> {
-  return decodeTuple<readonly [type: string]>(kind, [string]).chain(([type]) => {
+  return decodeTuple<readonly [type: string]>(kind, [idCodec]).chain(([type]) => {
     switch (type) {
       case 'answered':
         return decodeAnswer(kind, detail, body);
@@ -31,8 +45,8 @@
 function decodeAnswer(kind: string, detail: string, body: Buffer): Either<string, OrderResult> {
   type Kind = readonly [type: string, status: number, names: readonly string[]];
   type Detail = readonly [load: Load, values: readonly string[]];
-  return decodeTuple<Kind>(kind, [string, number, array(string)]).chain(([, status, names]) =>
-    decodeTuple<Detail>(detail, [array(number), array(string)]).chain(([load, values]) => {
+  return decodeTuple<Kind>(kind, [idCodec, statusCodec, headersCodec]).chain(([, status, names]) =>
+    decodeTuple<Detail>(detail, [loadCodec, headersCodec]).chain(([load, values]) => {
       if (names.length !== values.length) return Left('names and values of headers differ in number');
       const headers = names.map((name, index): HeaderPair => [name, values[index] ?? '']);
       return Right({ type: 'answered', answer: { status, headers, body }, load: decodeLoad(load) });
@@ -43,8 +57,8 @@
 function decodeRefusal(kind: string, detail: string): Either<string, OrderResult> {
   type Kind = readonly [type: string, code: RefusalCode, arrived: number];
   type Detail = readonly [load: Load, retryAfterMs: number];
-  return decodeTuple<Kind>(kind, [string, string, number]).chain(([, code, arrived]) =>
-    decodeTuple<Detail>(detail, [array(number), number]).map(([load, retryAfterMs]) => ({
+  return decodeTuple<Kind>(kind, [idCodec, idCodec, bitCodec]).chain(([, code, arrived]) =>
+    decodeTuple<Detail>(detail, [loadCodec, durationCodec]).map(([load, retryAfterMs]) => ({
       type: 'refused',
       code,
       retryAfterMs,
@@ -55,8 +69,8 @@
 }
 
 function decodeLoss(kind: string, detail: string): Either<string, OrderResult> {
-  return decodeTuple<readonly [type: string, code: LossCode]>(kind, [string, string]).chain(([, code]) =>
-    decodeTuple<readonly [load: Load]>(detail, [array(number)]).map(([load]) => ({
+  return decodeTuple<readonly [type: string, code: LossCode]>(kind, [idCodec, idCodec]).chain(([, code]) =>
+    decodeTuple<readonly [load: Load]>(detail, [loadCodec]).map(([load]) => ({
       type: 'lost',
       code,
       load: decodeLoad(load),
--- a/packages/mesh/src/LeaseRecordCodec.ts
+++ b/packages/mesh/src/LeaseRecordCodec.ts
@@ -1,15 +1,21 @@
-import { boolean, Codec, number, string } from 'purify-ts';
+import { countCodec } from '#codec/CountCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { flagCodec } from '#codec/FlagCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { measureCodec } from '#codec/MeasureCodec.js';
+import { ordinalCodec } from '#codec/OrdinalCodec.js';
 
 /** Decodes a stored `LeaseRecord`. */
-export const leaseRecordCodec = Codec.interface({
-  serverId: string,
-  service: string,
-  processId: string,
-  term: number,
-  incarnation: string,
-  revoked: boolean,
-  renewal: number,
-  workMsPerSecond: number,
-  slots: number,
-  accepts: boolean,
+export const leaseRecordCodec = createObjectCodec({
+  serverId: idCodec,
+  service: idCodec,
+  processId: labelCodec,
+  term: ordinalCodec,
+  incarnation: labelCodec,
+  revoked: flagCodec,
+  renewal: ordinalCodec,
+  workMsPerSecond: measureCodec,
+  slots: countCodec,
+  accepts: flagCodec,
 });
--- /dev/null
+++ b/packages/mesh/src/MaxHeaders.ts
@@ -0,0 +1,2 @@
+/** Headers of one message between daemons at most. */
+export const maxHeaders = 10_000;
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -1,4 +1,5 @@
-import { boolean, Codec } from 'purify-ts';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { flagCodec } from '#codec/FlagCodec.js';
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
 import { isTermEnded } from '#ranges/IsTermEnded.js';
@@ -41,7 +42,7 @@
 /** Time to the next step of a takeover, in milliseconds. */
 const STEP_MS = 50;
 
-const pingReply = Codec.interface({ plans: boolean });
+const pingReply = createObjectCodec({ plans: flagCodec });
 
 /**
  * Plans the keys of this daemon's service: takes over those of lost daemons, and asks busy owners to give keys away.
--- a/packages/mesh/src/RangeTableCodec.ts
+++ b/packages/mesh/src/RangeTableCodec.ts
@@ -1,39 +1,74 @@
-import { array, Codec, number, optional, Left, Right, string, tuple, type Either } from 'purify-ts';
+import { Codec, Left, Right, type Either } from 'purify-ts';
+import { createListCodec } from '#codec/CreateListCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { createOptionalCodec } from '#codec/CreateOptionalCodec.js';
+import { describeValue } from '#codec/DescribeValue.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { ordinalCodec } from '#codec/OrdinalCodec.js';
+import { keyCodec } from '#ranges/KeyCodec.js';
 import { keySpace } from '#ranges/KeySpace.js';
 import type { Owner } from '#ranges/Owner.js';
 import type { RangeRow } from '#ranges/RangeRow.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
 
+/** A table with a row for each key. */
+const MAX_ROWS = keySpace.to - keySpace.from + 1;
+
+type StoredOwner = readonly [serverId: string, term: number, incarnation: string];
+
+type StoredRow = readonly [from: number, owner: number, epoch: number, handover?: string];
+
 /**
  * The stored form. Each daemon reads the whole table at each change over a link of a few Mbit/s, so owners are written
  * once, and a row ends where the next one begins.
  */
-const storedTable = Codec.interface({
-  service: string,
-  lastEpoch: number,
-  fences: optional(number),
+const storedTable = createObjectCodec({
+  service: idCodec,
+  lastEpoch: ordinalCodec,
+  fences: createOptionalCodec(ordinalCodec),
   /** Id of the daemon, term of its lease, run of its backend server. */
-  owners: array(tuple([string, number, string])),
+  owners: createListCodec(
+    Codec.custom<StoredOwner>({ decode: decodeOwner, encode: (owner) => owner }),
+    MAX_ROWS,
+  ),
   /** First key, index of the owner, epoch, and the handover token unless it is empty. */
-  rows: array(unknownRow()),
+  rows: createListCodec(Codec.custom<StoredRow>({ decode: decodeRow, encode: (row) => row }), MAX_ROWS),
 });
 
-type StoredRow = readonly [from: number, owner: number, epoch: number, handover?: string];
-
 /** Encodes and decodes a `RangeTable` as it is stored. */
 export const rangeTableCodec: Codec<RangeTable> = Codec.custom({ decode: decodeTable, encode: encodeTable });
 
-function unknownRow(): Codec<StoredRow> {
-  return Codec.custom({ decode: decodeRow, encode: (row) => row });
+function decodeOwner(value: unknown): Either<string, StoredOwner> {
+  if (!Array.isArray(value)) return Left(`expected an owner, received ${describeValue(value)}`);
+  const [id, owned, run] = value as readonly unknown[];
+  return idCodec
+    .decode(id)
+    .chain((serverId) =>
+      ordinalCodec
+        .decode(owned)
+        .chain((term) =>
+          labelCodec.decode(run).map((incarnation): StoredOwner => [serverId, term, incarnation]),
+        ),
+    );
 }
 
 function decodeRow(value: unknown): Either<string, StoredRow> {
-  if (!Array.isArray(value)) return Left('a row is not a list');
-  const [from, owner, epoch, handover = ''] = value as readonly unknown[];
-  const isRow = Number.isInteger(from) && Number.isInteger(owner) && Number.isInteger(epoch);
-  return isRow && typeof handover === 'string'
-    ? Right([from as number, owner as number, epoch as number, handover])
-    : Left('a row is malformed');
+  if (!Array.isArray(value)) return Left(`expected a row, received ${describeValue(value)}`);
+  const [first, index, token, state = ''] = value as readonly unknown[];
+  return keyCodec
+    .decode(first)
+    .chain((from) =>
+      ordinalCodec
+        .decode(index)
+        .chain((owner) =>
+          ordinalCodec
+            .decode(token)
+            .chain((epoch) =>
+              labelCodec.decode(state).map((handover): StoredRow => [from, owner, epoch, handover]),
+            ),
+        ),
+    );
 }
 
 function decodeTable(value: unknown): Either<string, RangeTable> {
@@ -49,7 +84,7 @@
 function toRow(
   [from, owner, epoch, handover = '']: StoredRow,
   next: StoredRow | undefined,
-  owners: readonly (readonly [string, number, string])[],
+  owners: readonly StoredOwner[],
 ): RangeRow | undefined {
   const found = owners[owner];
   const to = next === undefined ? keySpace.to : next[0] - 1;
--- a/packages/mesh/src/ResignationCodec.ts
+++ b/packages/mesh/src/ResignationCodec.ts
@@ -1,4 +1,10 @@
-import { Codec, number, string } from 'purify-ts';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { ordinalCodec } from '#codec/OrdinalCodec.js';
 
 /** Decodes the `Resignation` of another daemon. */
-export const resignationCodec = Codec.interface({ serverId: string, term: number, processId: string });
+export const resignationCodec = createObjectCodec({
+  serverId: idCodec,
+  term: ordinalCodec,
+  processId: idCodec,
+});
--- a/packages/mesh/src/ServerEntryCodec.ts
+++ b/packages/mesh/src/ServerEntryCodec.ts
@@ -1,23 +1,22 @@
-import { Codec, enumeration, number, string } from 'purify-ts';
-
-enum State {
-  Absent = 'absent',
-  Ready = 'ready',
-  Draining = 'draining',
-  Gone = 'gone',
-}
+import { addressCodec } from '#codec/AddressCodec.js';
+import { countCodec } from '#codec/CountCodec.js';
+import { createChoiceCodec } from '#codec/CreateChoiceCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { idCodec } from '#codec/IdCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { ordinalCodec } from '#codec/OrdinalCodec.js';
 
 /** Decodes a published `ServerEntry`. */
-export const serverEntryCodec = Codec.interface({
-  serverId: string,
-  address: string,
-  failureDomain: string,
-  region: string,
-  service: string,
-  instanceId: string,
-  incarnation: string,
-  state: enumeration(State),
-  slots: number,
-  term: number,
-  processId: string,
+export const serverEntryCodec = createObjectCodec({
+  serverId: idCodec,
+  address: addressCodec,
+  failureDomain: labelCodec,
+  region: labelCodec,
+  service: idCodec,
+  instanceId: labelCodec,
+  incarnation: labelCodec,
+  state: createChoiceCodec(['absent', 'ready', 'draining', 'gone']),
+  slots: countCodec,
+  term: ordinalCodec,
+  processId: idCodec,
 });
--- /dev/null
+++ b/packages/mesh/test/OddNumbers.ts
@@ -0,0 +1,11 @@
+/** Values that JSON or another writer may give in place of a count. */
+export const oddNumbers: readonly unknown[] = Object.freeze([
+  JSON.parse('1e400'),
+  -1,
+  0.5,
+  1e300,
+  2 ** 53 + 1,
+  NaN,
+  null,
+  '4',
+]);
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -4,6 +4,7 @@
 
 const ORDER = [
   'core',
+  'codec',
   'chart',
   'catalogue',
   'settings',
@@ -32,6 +33,7 @@
   'cli',
 ];
 const PURE = [
+  'codec',
   'chart',
   'lease',
   'assignment',
