List the store past objects that cannot be read

A page of a list that held no readable object ended the list: the next page is asked for by the name of the last object, and there was none. The part read so far was returned as the whole list, and DirectoryTask took all other objects for deleted: a daemon forgot all instances behind two odd entries, until the next change of each. A single object that could not be read was dropped from the list, and so deleted from the view, where an entry that cannot be decoded leaves the earlier one. A `get` or a conflict with an object that cannot be read meant that there is none, so that a writer tried to create it at once, again and again.

Lists and changes now tell the objects that cannot be read by name (`unreadable`). DirectoryTask logs `objectIgnored` for each and keeps what it knew under that name. The latest revision of 100,000 changes is found without passing them all as arguments, which the stack may not hold. ESLint refuses the library's codecs that print values in all sources.

Ruled out: a watch with one odd event went on with the others before this change already, and advanced its revision; an event with the revision 1e400 was applied, and its revision Infinity became that of the collection.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,6 +47,39 @@
       '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
     },
   },
+  {
+    // The library's codecs print the received value, which may be huge, or nested too deeply to be printed at all.
+    files: ['packages/*/src/**', 'platform/src/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          name: 'purify-ts',
+          importNames: [
+            'array',
+            'boolean',
+            'date',
+            'enumeration',
+            'exactly',
+            'intersect',
+            'lazy',
+            'map',
+            'maybe',
+            'nonEmptyList',
+            'nullable',
+            'nullType',
+            'number',
+            'oneOf',
+            'optional',
+            'record',
+            'string',
+            'tuple',
+          ],
+          message: 'Use the codecs of packages/codec, whose errors stay short.',
+        },
+      ],
+    },
+  },
   {
     files: ['packages/*/test/**', 'platform/test/**'],
     rules: {
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -4,8 +4,10 @@
 import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
 import type { CollectionChange } from '#store/CollectionChange.js';
+import type { CollectionChanges } from '#store/CollectionChanges.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
+import type { UnreadableObject } from '#store/UnreadableObject.js';
 import { ChangeApplier } from '#mesh/ChangeApplier.js';
 import type { DirectoryMessage } from '#mesh/DirectoryMessage.js';
 import { emptyView } from '#mesh/EmptyView.js';
@@ -97,10 +99,7 @@
         this.noteListing(message.collection, message.listing);
         return;
       case 'changed':
-        this.noteReachable();
-        this.update(message.collection, { revision: message.changes.revision, failures: 0 });
-        this.apply(message.collection, message.changes.changes);
-        this.advance(message.collection, { type: 'changed' }, REST_MS[message.collection]);
+        this.noteChanges(message.collection, message.changes);
         return;
       case 'failed':
         this.noteFailure(message.collection, message.err);
@@ -129,7 +128,8 @@
   private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
     this.noteReachable();
     const before = this.find(collection).names;
-    const names = new Set(listing.items.map(({ name }) => name));
+    const names = new Set([...listing.items, ...listing.unreadable].map(({ name }) => name));
+    this.reportUnreadable(collection, listing.unreadable);
     const deleted = [...before]
       .filter((name) => !names.has(name))
       .map((name) => ({
@@ -142,6 +142,23 @@
     this.advance(collection, { type: 'listed' }, REST_MS[collection]);
   }
 
+  private noteChanges(
+    collection: WatchedCollection,
+    { changes, unreadable, revision }: CollectionChanges,
+  ): void {
+    this.noteReachable();
+    this.reportUnreadable(collection, unreadable);
+    this.update(collection, { revision, failures: 0 });
+    this.apply(collection, changes);
+    this.advance(collection, { type: 'changed' }, REST_MS[collection]);
+  }
+
+  /** An object that cannot be read any longer stays in the view as it was read last. */
+  private reportUnreadable(collection: WatchedCollection, objects: readonly UnreadableObject[]): void {
+    for (const { name, message } of objects)
+      this.logger.log('objectIgnored', { step: 'store', collection, name, message });
+  }
+
   private noteFailure(collection: WatchedCollection, err: RouterError): void {
     const { failures } = this.find(collection);
     const lost = err.fields.code === 'storeHistoryLost';
@@ -172,9 +189,9 @@
       if (deleted) next.delete(item.name);
       else next.add(item.name);
     }
-    const changedRevision = Math.max(
+    const changedRevision = changes.reduce(
+      (latest, { item }) => Math.max(latest, item.revision),
       this.find(collection).changedRevision,
-      ...changes.map(({ item }) => item.revision),
     );
     this.update(collection, { names: next, changedRevision });
     const complete = [...this.followers.values()].every(({ listed }) => listed);
--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -22,7 +22,8 @@
 
   public override list(collection: string): Result<CollectionListing> {
     if (this.trouble === 'down') return this.fail('storeUnreachable');
-    return Promise.resolve(Right({ items: [...this.find(collection).values()], revision: this.revision }));
+    const items = [...this.find(collection).values()];
+    return Promise.resolve(Right({ items, unreadable: [], revision: this.revision }));
   }
 
   public override get(collection: string, name: string): Result<CollectionItem | undefined> {
@@ -37,7 +38,7 @@
         this.waiters = [...this.waiters, resolve];
       });
     const changes = this.listAfter(collection, revision).map((item) => ({ item, deleted: false }));
-    return Right({ changes, revision: this.revision });
+    return Right({ changes, unreadable: [], revision: this.revision });
   }
 
   public override put(
