Report an address that cannot be connected to by the link's signal

A daemon ended when it opened a connection to a backend server at '10.0.0.1:99999' (ERR_SOCKET_BAD_PORT), or a session with a daemon at such an address or at an empty one (ERR_INVALID_URL): net.connect and http2.connect throw, in the constructors of ServerLink and PeerSession, within a message of their task. The empty address needs no odd entry: the planner and the balance call '' for a daemon that has left the view meanwhile.

`openSocket` and `openSession` return a socket or session that fails by its events, so that the tasks hear `closed` as of any address that cannot be reached: queued orders are refused as `noServer`, calls as `unreachable`.

A call of another daemon could end the process too: a batch with an item that is no object rejects in json-rpc-2.0, and an id of 100,000 levels throws when the answer is printed. Both are answered with 400 and logged. Errors of calls are logged (`callRefused`) and no longer printed with console.warn.

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -1,15 +1,10 @@
-import {
-  connect,
-  constants,
-  sensitiveHeaders,
-  type ClientHttp2Session,
-  type ClientHttp2Stream,
-} from 'node:http2';
+import { constants, sensitiveHeaders, type ClientHttp2Session, type ClientHttp2Stream } from 'node:http2';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBuffer } from '#core/BodyBuffer.js';
 import type { ByteBudget } from '#core/ByteBudget.js';
 import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
+import { openSession } from '#mesh/OpenSession.js';
 import { packBody } from '#mesh/PackBody.js';
 import { parseRevisions } from '#mesh/ParseRevisions.js';
 import { peerLinkChart } from '#mesh/PeerLinkChart.js';
@@ -53,7 +48,7 @@
     this.budget = budget;
     this.bornMs = now();
     this.heardMs = this.bornMs;
-    this.session = connect(`http://${address}`, {
+    this.session = openSession(address, {
       settings: { enablePush: false, initialWindowSize: WINDOW_BYTES },
     });
     this.session.on('connect', () => {
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -36,12 +36,15 @@
   private readonly server: Http2Server;
   /** Memory of the bodies that are being read on all sessions. */
   private readonly budget = new ByteBudget(maxBodiesBytes);
-  private readonly rpc = new JSONRPCServer();
+  private readonly rpc: JSONRPCServer;
   private readonly sessions = new Set<ServerHttp2Session>();
 
   public constructor(options: ReceiverOptions) {
     super();
     this.options = options;
+    this.rpc = new JSONRPCServer({
+      errorListener: (message) => options.logger.log('callRefused', { step: 'rpc', message }),
+    });
     for (const [method, handle] of Object.entries(options.calls)) this.rpc.addMethod(method, handle);
     this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
     this.server.on('session', (session) => {
@@ -125,14 +128,23 @@
   }
 
   private receiveCall(stream: ServerHttp2Stream, body: Buffer): void {
-    void this.rpc.receiveJSON(body.toString()).then((answer) => {
-      if (stream.destroyed) return;
-      stream.respond({ ':status': 200, 'amr-kind': 'call', 'amr-detail': '' });
-      stream.end(JSON.stringify(answer));
-    });
+    // A batch with an item that is no object is rejected, and an id may be nested too deeply to be sent back.
+    void this.rpc
+      .receiveJSON(body.toString())
+      .then((answer) => JSON.stringify(answer))
+      .then(
+        (text) => answerCall(stream, text),
+        (err: unknown) => this.refuseMalformed(stream, String(err)),
+      );
   }
 }
 
+function answerCall(stream: ServerHttp2Stream, text: string): void {
+  if (stream.destroyed) return;
+  stream.respond({ ':status': 200, 'amr-kind': 'call', 'amr-detail': '' });
+  stream.end(text);
+}
+
 function answerOrder(stream: ServerHttp2Stream, result: OrderResult, revisions: readonly number[]): void {
   if (stream.destroyed || stream.closed) return;
   const { kind, detail } = encodeResult(result);
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBuffer } from '#core/BodyBuffer.js';
@@ -10,6 +10,7 @@
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
+import { openSocket } from '#mesh/OpenSocket.js';
 import { pairHeaders } from '#mesh/PairHeaders.js';
 import type { ParserPosition } from '#mesh/ParserPosition.js';
 import type { Presence } from '#mesh/Presence.js';
@@ -74,13 +75,7 @@
     this.body = new BodyBuffer(maxBodyBytes, budget);
     this.signal = signal;
     this.listenToParser();
-    const colon = address.lastIndexOf(':');
-    this.socket = connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-      noDelay: true,
-      allowHalfOpen: true,
-    });
+    this.socket = openSocket(address);
     this.connectTimer = setTimeout(() => this.socket.destroy(), CONNECT_TIMEOUT_MS);
     this.socket.on('connect', () => this.noteConnected());
     this.socket.on('data', (chunk) => this.readBytes(chunk));
