--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -1,10 +1,11 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import type { ByteBudget } from '#core/ByteBudget.js';
 import { AnswerFault } from '#mesh/AnswerFault.js';
 import type { AnswerHead } from '#mesh/AnswerHead.js';
 import { AnswerReader } from '#mesh/AnswerReader.js';
 import type { BackendAnswer } from '#mesh/BackendAnswer.js';
+import { openSocket } from '#mesh/OpenSocket.js';
 import type { Presence } from '#mesh/Presence.js';
 import { serverLinkChart } from '#mesh/ServerLinkChart.js';
 import type { ServerLinkEvent } from '#mesh/ServerLinkEvent.js';
@@ -48,13 +49,7 @@
     this.incarnation = incarnation;
     this.reader = new AnswerReader(idHeader, budget, (head, body) => this.noteAnswer(head, body));
     this.signal = signal;
-    const colon = address.lastIndexOf(':');
-    this.socket = connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-      noDelay: true,
-      allowHalfOpen: true,
-    });
+    this.socket = openSocket(address);
     this.connectTimer = setTimeout(() => this.socket.destroy(), CONNECT_TIMEOUT_MS);
     this.socket.on('connect', () => this.noteConnected());
     this.socket.on('data', (chunk) => this.readBytes(chunk));
