Tell an earlier answer of a backend server by its order id

What callers see: a backend server that writes an earlier refusal once more, where the next answer is due, makes that order count as not run while it runs, and an earlier answer goes to the next caller.

Cause: `BackendTask` takes whatever comes next for the answer; undici only closes a connection on which bytes arrive while no order waits.

Change: an answer with another `amr-order-id` than that of the order breaks it off (`unknown`). The stand-in backend server repeats the id.

Ruled out, by tests that passed before: a refusal that comes twice at once, and one between two orders.

Before: `earlier refusal does not end the next order` gets `not run: backendShed` where `unknown: backendLost` is expected; `earlier answer is not passed to the next caller` gets head, data and end where `broken` is expected.

--- a/packages/proxy/src/AnswerHandler.ts
+++ b/packages/proxy/src/AnswerHandler.ts
@@ -17,6 +17,11 @@
     this.controller?.abort(new Error('cancelled'));
   }
 
+  /** Ends a request whose answer is not to be used; it counts as broken. */
+  public breakOff(reason: string): void {
+    this.controller?.abort(new Error(reason));
+  }
+
   public onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.cancelled) {
       controller.abort(new Error('cancelled'));
--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -234,6 +234,11 @@
     let refusal: string | undefined;
     const handler = new AnswerHandler({
       onHead: (status, headers, flow) => {
+        const answered = headers['amr-order-id'];
+        if (answered !== undefined && answered !== orderId) {
+          handler.breakOff('answer to another order');
+          return;
+        }
         const code = headers['amr-refused'];
         if (typeof code === 'string') {
           refusal = code;
--- a/packages/standin/src/BackendServer.ts
+++ b/packages/standin/src/BackendServer.ts
@@ -124,6 +124,8 @@
   }
 
   private async handleOrder(req: IncomingMessage, res: ServerResponse, body: Buffer): Promise<void> {
+    const orderId = req.headers['amr-order-id'];
+    if (orderId !== undefined) res.setHeader('amr-order-id', orderId);
     const refusal = this.findRefusal(req);
     if (refusal !== undefined) {
       res.writeHead(503, { 'amr-refused': refusal }).end();
