Test that an answer which breaks off is shorter than it says

Answers to callers are written whole with their length, in HTTP/1.0 and 1.1; the test ends the task while one of 7 MiB is on its way.

--- a/packages/mesh/test/caller.test.ts
+++ b/packages/mesh/test/caller.test.ts
@@ -1,5 +1,6 @@
 import { IncomingMessage, request } from 'node:http';
-import { Socket } from 'node:net';
+import { connect, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
@@ -11,9 +12,10 @@
 
 const MIB = 1024 * 1024;
 
-/** A `CallerTask` that answers each request with the length of its body. */
+/** A `CallerTask` that answers each request with the length of its body, or that to `/large` with a large answer. */
 async function start(t: { readonly teardown: (close: () => unknown) => void }): Promise<{
   readonly task: CallerTask;
+  readonly port: number;
   /** Sends a body whose last byte follows after `holdMs`, and resolves with the status and text of the answer. */
   readonly post: (bytes: number, holdMs?: number) => Promise<string>;
 }> {
@@ -24,10 +26,14 @@
     headers: testHeaders,
     clock: new SystemClock(),
     logger: new Logger('test'),
-    onRequest: (_exchange, { body }, reply) =>
+    onRequest: (_exchange, { body, target }, reply) =>
       reply({
         type: 'answer',
-        answer: { status: 200, headers: [], body: Buffer.from(String(body.length)) },
+        answer: {
+          status: 200,
+          headers: [],
+          body: target === '/large' ? Buffer.alloc(7 * MIB) : Buffer.from(String(body.length)),
+        },
       }),
     onLeft: () => undefined,
   });
@@ -42,7 +48,7 @@
       req.write(Buffer.alloc(bytes - 1));
       setTimeout(() => req.end(Buffer.alloc(1)), holdMs);
     });
-  return { task, post };
+  return { task, port, post };
 }
 
 t.test('body of several MiB is read', async (t) => {
@@ -117,3 +123,25 @@
   ]);
   t.end();
 });
+
+t.test('answer that breaks off is shorter than it says', async (t) => {
+  // Its caller would take a part of it for the whole.
+  for (const version of ['1.0', '1.1']) {
+    const { task, port } = await start(t);
+    const caller = connect(port, '127.0.0.1');
+    let text = '';
+    caller.on('data', (chunk) => (text += chunk.toString('latin1')));
+    caller.on('error', () => undefined);
+    caller.write(`GET /large HTTP/${version}\r\nHost: a\r\n\r\n`);
+    while (text === '') await sleep(1);
+    caller.pause();
+    task.stop();
+    await sleep(20);
+    caller.resume();
+    while (!caller.destroyed) await sleep(1);
+    const [head = '', body = ''] = text.split('\r\n\r\n');
+    t.match(head, /^HTTP\/1\.1 200 /);
+    t.match(head, new RegExp(`\r\ncontent-length: ${7 * MIB}$`, 'im'));
+    t.ok(body.length < 7 * MIB, `${body.length} bytes`);
+  }
+});
