End all processes of a fleet whose start failed

On a machine at load 38 a daemon of the test fleet was not ready within 20 s: the test failed, and the store, daemons and backend servers of that fleet went on running. Eight were found after a run of leave.test.ts with two such starts; they take processor time from later runs.

Fleet.stop ended only the members, and an instance became one after its backend server had started; the process that was not ready in time was not killed either, and startFleet did not stop the fleet. Fleet now keeps every start, ends also those under way through one abort signal, and startFleet stops the fleet if it does not come up.

--- a/packages/daemon/test/StartFleet.ts
+++ b/packages/daemon/test/StartFleet.ts
@@ -20,7 +20,12 @@
     timings: { leaseMs: 1_500, renewEveryMs: 300, spreadEveryMs: 150, shutdownMs: 15_000, ...timings },
     logs: process.env.KEEP_LOGS === undefined ? '' : 'amaranthrouter:*',
   });
-  await fleet.start();
-  await fleet.waitServing(30_000);
+  try {
+    await fleet.start();
+    await fleet.waitServing(30_000);
+  } catch (err) {
+    await fleet.stop();
+    throw err;
+  }
   return fleet;
 }
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -28,6 +28,9 @@
   private readonly backendEnds = new Map<string, readonly number[]>();
   private store: FleetProcess | undefined;
   private seeds: readonly string[] = [];
+  /** Every process that was started, also those of a start that failed. */
+  private readonly starts = new Set<Promise<FleetProcess>>();
+  private readonly ending = new AbortController();
 
   public constructor(private readonly options: FleetOptions) {}
 
@@ -201,12 +204,11 @@
     return [...this.members.values()].map(({ instance }) => instance);
   }
 
-  /** Ends all processes and removes their files. */
+  /** Ends all processes, also those that are still starting, and removes their files. */
   public async stop(): Promise<void> {
-    const processes = [...this.members.values()].flatMap(({ daemon, backend }) => [daemon, backend]);
-    if (this.store !== undefined) processes.push(this.store);
-    for (const each of processes) each.signal('SIGCONT');
-    for (const each of processes) each.signal('SIGKILL');
+    this.ending.abort();
+    const starts = await Promise.allSettled(this.starts);
+    const processes = starts.flatMap((start) => (start.status === 'fulfilled' ? [start.value] : []));
     await Promise.all(processes.map((each) => each.waitEnd()));
     if (process.env.KEEP_LOGS === undefined) rmSync(this.folder, { recursive: true, force: true });
     else process.stderr.write(`logs are kept in ${this.folder}\n`);
@@ -255,10 +257,7 @@
     const announceUrl = `http://127.0.0.1:${daemon.values.get('backend') ?? 0}/announce`;
     const { backendCommand } = this.options;
     if (backendCommand !== undefined) {
-      return FleetProcess.start(
-        backendCommand(announceUrl, service),
-        join(this.folder, `${serverId}-backend.log`),
-      );
+      return this.startProcess(backendCommand(announceUrl, service), `${serverId}-backend`);
     }
     const options = {
       service,
@@ -276,7 +275,14 @@
   }
 
   private run(args: readonly string[], name: string): Promise<FleetProcess> {
-    return FleetProcess.start([...this.options.command, ...args], join(this.folder, `${name}.log`));
+    return this.startProcess([...this.options.command, ...args], name);
+  }
+
+  private startProcess(command: readonly string[], name: string): Promise<FleetProcess> {
+    this.ending.signal.throwIfAborted();
+    const start = FleetProcess.start(command, join(this.folder, `${name}.log`), this.ending.signal);
+    this.starts.add(start);
+    return start;
   }
 
   private async readOverloads({ backend }: FleetMember): Promise<number> {
--- a/packages/load/src/FleetProcess.ts
+++ b/packages/load/src/FleetProcess.ts
@@ -14,17 +14,37 @@
     public readonly values: ReadonlyMap<string, number>,
   ) {}
 
-  /** Starts a process and resolves when it is ready; its log goes to `logFile`. */
-  public static start(command: readonly string[], logFile: string): Promise<FleetProcess> {
+  /**
+   * Starts a process and resolves when it is ready; its log goes to `logFile`. The process is killed if it is not ready
+   * in time, and when `ending` is aborted.
+   */
+  public static start(
+    command: readonly string[],
+    logFile: string,
+    ending?: AbortSignal,
+  ): Promise<FleetProcess> {
     const [program = process.execPath, ...args] = command;
-    const child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    const child = spawn(program, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      killSignal: 'SIGKILL',
+      ...(ending === undefined ? {} : { signal: ending }),
+    });
     child.stderr.pipe(createWriteStream(logFile, { flags: 'a' }));
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(
-        () => reject(new Error(`${command.join(' ')}: not ready in time`)),
-        READY_TIMEOUT_MS,
-      );
-      child.once('exit', (code) => reject(new Error(`${command.join(' ')}: exit code ${String(code)}`)));
+      let isLate = false;
+      const timer = setTimeout(() => {
+        isLate = true;
+        child.kill('SIGKILL');
+      }, READY_TIMEOUT_MS);
+      // An abort also emits an error; the exit follows it.
+      child.on('error', (err) => {
+        if (child.pid === undefined) reject(err);
+      });
+      child.once('exit', (code) => {
+        clearTimeout(timer);
+        const cause = isLate ? 'not ready in time' : `exit code ${String(code)}`;
+        reject(new Error(`${command.join(' ')}: ${cause}`));
+      });
       let text = '';
       child.stdout.setEncoding('utf8');
       child.stdout.on('data', (chunk: string) => {
