Begin work on a request only after a turn in which its end could show

Cause: a turn of the event loop reads a socket once, so that the end of a connection that lies behind a request in the buffer shows one turn later. Work on the request began with its last byte. Node 20 also accepts one connection in each turn (libuv 1.46; 50 connections waiting took 50 turns), so that the work of one stale request delayed the accept of the next.

Requests now wait in ArrivalQueue until the turn after the one that read them has read all sockets, the newest first. The end of the caller's side counts as leaving, as Node closes the connection then and no answer can follow. A daemon that ends waits for these requests too.

Ruled out: the socket's `destroyed` when the request event comes (the end is not read yet), and a wait of one setImmediate (it runs before the next read).

--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -5,6 +5,8 @@
 import { ByteBudget } from '#core/ByteBudget.js';
 import { Task } from '#core/Task.js';
 import type { CallerLimits } from '#routes/CallerLimits.js';
+import type { Arrival } from '#mesh/Arrival.js';
+import { ArrivalQueue } from '#mesh/ArrivalQueue.js';
 import type { CallerMessage } from '#mesh/CallerMessage.js';
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
@@ -44,6 +46,8 @@
   private readonly bySocket = new Map<Socket, ReadonlySet<number>>();
   /** Connections whose last answer is on its way; requests behind it are not read. */
   private readonly closing = new WeakSet<Socket>();
+  private readonly arrivals = new ArrivalQueue();
+  private cancelTurn: (() => void) | undefined;
   /** Memory of the bodies that are being read on all connections. */
   private readonly budget = new ByteBudget(maxBodiesBytes);
   private bodyLimit = maxBodyBytes;
@@ -60,9 +64,16 @@
       noDelay: true,
     });
     this.server.on('request', (req, res) => this.post({ type: 'request', req, res }));
-    this.server.on('connection', (socket: Socket) =>
-      socket.on('close', () => this.post({ type: 'closed', socket })),
-    );
+    this.server.on('connection', (socket: Socket) => {
+      // Nothing can be answered after the end of the caller's side, which shows some turns before the close.
+      socket.on('end', () => this.post({ type: 'closed', socket }));
+      socket.on('close', () => this.post({ type: 'closed', socket }));
+    });
+  }
+
+  /** Number of requests on which work has not begun. */
+  public get load(): number {
+    return this.arrivals.size;
   }
 
   /** Begins to listen; rejects if the address is in use. */
@@ -72,6 +83,7 @@
 
   public override stop(): void {
     super.stop();
+    this.cancelTurn?.();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -82,7 +94,11 @@
         this.begin(message.req, message.res);
         return;
       case 'read':
-        this.pass(message.exchange, message.body);
+        this.arrivals.add({ exchange: message.exchange, body: message.body });
+        this.scheduleTurn();
+        return;
+      case 'turn':
+        this.endTurn();
         return;
       case 'replied':
         this.reply(message.exchange, message.reply);
@@ -131,7 +147,25 @@
     this.post({ type: 'replied', exchange, reply });
   }
 
-  private pass(exchange: number, body: Buffer): void {
+  private endTurn(): void {
+    this.cancelTurn = undefined;
+    this.arrivals.endTurn();
+    for (;;) {
+      const arrival = this.arrivals.takeNewest();
+      if (arrival === undefined) break;
+      this.pass(arrival);
+    }
+    if (this.arrivals.size > 0) this.scheduleTurn();
+  }
+
+  /** Has the end of this turn of the event loop noted, or of the next one if its sockets were read. */
+  private scheduleTurn(): void {
+    if (this.cancelTurn !== undefined) return;
+    const immediate = setImmediate(() => this.post({ type: 'turn' }));
+    this.cancelTurn = () => clearImmediate(immediate);
+  }
+
+  private pass({ exchange, body }: Arrival): void {
     const found = this.open.get(exchange);
     if (found === undefined) return;
     const request = { ...found.request, body };
@@ -158,7 +192,7 @@
     this.bySocket.delete(socket);
     for (const exchange of exchanges) {
       this.open.delete(exchange);
-      this.options.onLeft(exchange);
+      if (!this.arrivals.remove(exchange)) this.options.onLeft(exchange);
     }
   }
 
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -267,7 +267,7 @@
     return new Promise((resolve) => {
       const check = (): void => {
         const nowMs = clock.monotonicMs();
-        const isEmpty = this.entry.load === 0 && this.server.load === 0;
+        const isEmpty = this.callers.load === 0 && this.entry.load === 0 && this.server.load === 0;
         if (nowMs >= latestMs || (isEmpty && nowMs >= earliestMs)) resolve();
         else clock.schedule(STOP_CHECK_MS, check);
       };
--- /dev/null
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -0,0 +1,75 @@
+import { Worker } from 'node:worker_threads';
+import { Logger } from '#core/Logger.js';
+import { RandomSource } from '#core/RandomSource.js';
+import { SystemClock } from '#core/SystemClock.js';
+import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { CallerTask } from '#mesh/CallerTask.js';
+import { EntryTask } from '#mesh/EntryTask.js';
+import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { createEntry } from './CreateEntry.js';
+import { createView } from './CreateView.js';
+import { findFreePort } from './FindFreePort.js';
+import { testHeaders } from './TestHeaders.js';
+
+interface Teardown {
+  readonly teardown: (close: () => unknown) => void;
+}
+
+interface SlowEntry {
+  /** Ids of the requests that were sent on, in this order. */
+  readonly sent: readonly string[];
+  /** Number of requests that were read and wait until work on them begins. */
+  readonly waiting: () => number;
+  /** Runs a program of this folder in a thread of its own, which receives `data`. */
+  readonly runThread: (file: string, data: object) => void;
+}
+
+/** Where callers reach a daemon that is busy for `workMs` with each request that it sends on, and has it answered at once. */
+export async function startSlowEntry(
+  t: Teardown,
+  workMs: number,
+  onSend: (id: string) => void = () => undefined,
+): Promise<SlowEntry> {
+  const port = await findFreePort();
+  const clock = new SystemClock();
+  const place = { serverId: 'own', failureDomain: 'd', region: 'r', service: 'c' };
+  const sent: string[] = [];
+  const entry = new EntryTask({
+    place,
+    clock,
+    logger: new Logger('test'),
+    metrics: new MetricsRecorder(),
+    chooser: new NearestLeastWait(place, new RandomSource(1)),
+    retryFraction: 0.2,
+    retryMinimum: 5,
+    send: ({ request }, _server, reply) => {
+      onSend(request.id);
+      sent.push(request.id);
+      const untilMs = performance.now() + workMs;
+      while (performance.now() < untilMs);
+      reply({
+        type: 'answered',
+        answer: { status: 200, headers: [], body: Buffer.alloc(0) },
+        load: undefined,
+      });
+    },
+    cancel: () => undefined,
+  });
+  entry.post({ type: 'view', view: createView([createEntry('a')]) });
+  const callers = new CallerTask({
+    host: '127.0.0.1',
+    port,
+    headers: testHeaders,
+    clock,
+    logger: new Logger('test'),
+    onRequest: (exchange, request, reply) => entry.post({ type: 'arrived', exchange, request, reply }),
+    onLeft: (exchange) => entry.post({ type: 'left', exchange }),
+  });
+  await callers.listen();
+  t.teardown(() => callers.stop());
+  const runThread = (file: string, data: object): void => {
+    const worker = new Worker(new URL(file, import.meta.url), { workerData: { ...data, port } });
+    t.teardown(() => worker.terminate());
+  };
+  return { sent, waiting: () => callers.load, runThread };
+}
