Measure how long requests wait before they are read, and count those dropped

A reader of the logs could not see that a daemon read requests seconds after they were sent: `tookMs` and the admission began with the read.

AcceptWatch follows the event loop: the delay of what is read now is the time since a turn in which no connection waited, less the 50 ms between two looks at an idle loop. A request counts as having arrived in the middle of that time, but not longer ago than half of its caller's deadline, as its caller is still there. So `tookMs`, the due time and the admission of the owner include the probable wait.

Requests that end before any work on them are counted in one line a second, `arrivalsDropped`, and in two counters. The metrics port has the histogram `amaranthrouter_read_delay_seconds`.

Ruled out: the whole delay as the age of each request. It refuses callers that came at its end, and an open connection proves that the deadline has not passed.

arrival.test.ts: 'time before a request is read counts', 'delay of reading ends only when no connection waits' and 'dropped requests are counted in one line a second' test what did not exist before.

--- a/packages/mesh/src/ArrivalMessage.ts
+++ b/packages/mesh/src/ArrivalMessage.ts
@@ -12,6 +12,8 @@
       readonly reply: (reply: CallerReply) => void;
     }
   | { readonly type: 'left'; readonly exchange: number }
+  /** Time to look whether anything waits to be read. */
+  | { readonly type: 'look' }
   /** A turn of the event loop has read the sockets. */
   | { readonly type: 'turn' }
   /** Passes requests on until a monotonic time. */
--- a/packages/mesh/src/ArrivalTask.ts
+++ b/packages/mesh/src/ArrivalTask.ts
@@ -6,6 +6,8 @@
 import type { ArrivalOptions } from '#mesh/ArrivalOptions.js';
 import { ArrivalQueue } from '#mesh/ArrivalQueue.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
+import { DropReport } from '#mesh/DropReport.js';
+import { estimateArrival } from '#mesh/EstimateArrival.js';
 
 /** Time for which connections are accepted and read at most before work goes on, in milliseconds. */
 const MAX_READ_MS = 20;
@@ -21,6 +23,8 @@
 
 const UNAVAILABLE = 503;
 
+const MICROS_PER_MS = 1_000;
+
 /**
  * Decides when the work on a caller's request begins: after the connections that wait were accepted and read, so that those
  * whose callers have left cost no work. Owns the requests that were read and on which no work has begun.
@@ -28,14 +32,18 @@
 export class ArrivalTask extends Task<ArrivalMessage> {
   private readonly options: ArrivalOptions;
   private readonly arrivals = new ArrivalQueue();
-  private readonly accepts = new AcceptWatch();
+  private readonly accepts: AcceptWatch;
+  private readonly drops: DropReport;
   /** Time since which work waits for connections to be accepted; undefined if none waits. */
   private readingMs: number | undefined;
   private cancelTurn: Cancel | undefined;
+  private cancelLook: Cancel | undefined;
 
   public constructor(options: ArrivalOptions) {
     super();
     this.options = options;
+    this.accepts = new AcceptWatch(this.now());
+    this.drops = new DropReport(options.logger, options.clock, options.metrics);
   }
 
   /** Number of requests on which no work has begun. */
@@ -43,9 +51,16 @@
     return this.arrivals.size;
   }
 
+  /** Begins to follow the delay of reading. */
+  public start(): void {
+    this.post({ type: 'look' });
+  }
+
   public override stop(): void {
     super.stop();
     this.cancelTurn?.();
+    this.cancelLook?.();
+    this.drops.stop();
   }
 
   protected override receive(message: ArrivalMessage): void {
@@ -59,6 +74,9 @@
       case 'left':
         this.noteLeft(message.exchange);
         return;
+      case 'look':
+        this.look();
+        return;
       case 'turn':
         this.endTurn();
         return;
@@ -68,12 +86,29 @@
   }
 
   private add({ exchange, request, reply }: ArrivalMessage & { readonly type: 'arrived' }): void {
-    this.arrivals.add({ exchange, request, reply, untilMs: this.now() + waitLimitMs(request) });
+    const nowMs = this.now();
+    const { arrivedMs: readMs, deadlineMs } = request;
+    const earliestMs = Math.min(readMs, nowMs - this.accepts.lagMs(nowMs));
+    const arrivedMs = estimateArrival(readMs, earliestMs, deadlineMs);
+    const untilMs = nowMs + waitLimitMs(request);
+    this.arrivals.add({ exchange, request: { ...request, arrivedMs }, reply, earliestMs, untilMs });
     this.scheduleTurn();
   }
 
   private noteLeft(exchange: number): void {
-    if (this.arrivals.remove(exchange) === undefined) this.options.onLeft(exchange);
+    const arrival = this.arrivals.remove(exchange);
+    if (arrival === undefined) {
+      this.options.onLeft(exchange);
+      return;
+    }
+    this.drops.noteLeft(this.noteDelay(arrival));
+  }
+
+  /** Looks whether anything waits to be read, so that a later delay is known to have begun after now. */
+  private look(): void {
+    this.accepts.startTurn(this.now());
+    this.scheduleTurn();
+    this.cancelLook = this.options.clock.schedule(this.accepts.lookMs, () => this.post({ type: 'look' }));
   }
 
   private endTurn(): void {
@@ -81,7 +116,7 @@
     const nowMs = this.now();
     this.arrivals.endTurn();
     const isDrained = this.accepts.endTurn();
-    this.accepts.startTurn();
+    this.accepts.startTurn(nowMs);
     const readingMs = this.readingMs ?? nowMs;
     const readsOn = this.arrivals.size > 0 && !isDrained && nowMs - readingMs < MAX_READ_MS;
     this.readingMs = readsOn ? readingMs : undefined;
@@ -98,6 +133,7 @@
   private work(untilMs: number): void {
     const arrival = this.now() < untilMs ? this.arrivals.takeNewest() : undefined;
     if (arrival !== undefined) {
+      this.noteDelay(arrival);
       this.options.onRequest(arrival.exchange, arrival.request, arrival.reply);
       this.post({ type: 'work', untilMs });
     } else if (this.arrivals.size > 0) {
@@ -105,9 +141,17 @@
     }
   }
 
-  private refuse({ request, reply }: Arrival): void {
-    const retryAfterMs = waitLimitMs(request);
-    reply({ type: 'refusal', status: UNAVAILABLE, code: 'busy', retryAfterMs });
+  private refuse(arrival: Arrival): void {
+    this.drops.noteRefused(this.noteDelay(arrival));
+    const retryAfterMs = waitLimitMs(arrival.request);
+    arrival.reply({ type: 'refusal', status: UNAVAILABLE, code: 'busy', retryAfterMs });
+  }
+
+  /** Records and returns the time for which a request may have waited. */
+  private noteDelay({ earliestMs }: Arrival): number {
+    const delayMs = this.now() - earliestMs;
+    this.options.delays.record(delayMs * MICROS_PER_MS);
+    return delayMs;
   }
 
   /** Has the next end of a turn noted: of this one if it reads sockets now, otherwise of the one that follows. */
--- a/packages/mesh/src/CallerRequest.ts
+++ b/packages/mesh/src/CallerRequest.ts
@@ -17,6 +17,6 @@
   readonly deadlineMs: number | undefined;
   /** Key of the request; undefined without one. */
   readonly key: number | undefined;
-  /** Monotonic time at which its head was read, in milliseconds. */
+  /** Monotonic time at which it arrived, as far as known, in milliseconds; at first that at which its head was read. */
   readonly arrivedMs: number;
 }
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -4,6 +4,7 @@
 import type { Task } from '#core/Task.js';
 import type { CrashMark } from '#admission/CrashMark.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
@@ -59,6 +60,7 @@
   private readonly logger = new Logger('mesh');
   private readonly life = new ChartCursor<DaemonLifeEvent>(daemonLifeChart);
   private readonly metrics = new MetricsRecorder();
+  private readonly delays = new PhaseRecorder();
   private readonly directory: DirectoryTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
@@ -190,6 +192,9 @@
     });
     this.arrivals = new ArrivalTask({
       clock,
+      logger: new Logger('callers'),
+      metrics: this.metrics,
+      delays: this.delays,
       onRequest: (exchange, request, reply) => this.entry.post({ type: 'arrived', exchange, request, reply }),
       onLeft: (exchange) => this.entry.post({ type: 'left', exchange }),
     });
@@ -204,7 +209,7 @@
       onLeft: (exchange) => this.arrivals.post({ type: 'left', exchange }),
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
-    this.metricsPort = new MetricsTask(this.metrics);
+    this.metricsPort = new MetricsTask(this.metrics, this.delays);
   }
 
   /** Listens and begins to read the store; rejects if an address is in use. */
@@ -218,6 +223,7 @@
     ]);
     this.directory.post({ type: 'subscribe', listener: (view) => this.noteView(view) });
     this.directory.start();
+    this.arrivals.start();
     this.logger.log('started', { server: this.options.place.serverId, process: this.options.processId });
   }
 
--- a/packages/mesh/src/MetricsTask.ts
+++ b/packages/mesh/src/MetricsTask.ts
@@ -1,7 +1,9 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { Task } from '#core/Task.js';
+import { formatHistogram } from '#metrics/FormatHistogram.js';
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import type { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { listenAt } from '#mesh/ListenAt.js';
 
 /** A request for the metrics. */
@@ -12,11 +14,14 @@
 /** Serves counters and histograms as text. Owns its port. */
 export class MetricsTask extends Task<MetricsMessage> {
   private readonly metrics: MetricsRecorder;
+  private readonly delays: PhaseRecorder;
   private readonly server: Server;
 
-  public constructor(metrics: MetricsRecorder) {
+  /** `delays` are the times from the arrival of requests until work on them begins. */
+  public constructor(metrics: MetricsRecorder, delays: PhaseRecorder) {
     super();
     this.metrics = metrics;
+    this.delays = delays;
     this.server = createServer((_req, res) => this.post({ res }));
   }
 
@@ -33,6 +38,11 @@
 
   protected override receive({ res }: MetricsMessage): void {
     res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' });
-    res.end(formatPrometheus(this.metrics.snapshotBuckets()));
+    const delays = formatHistogram(
+      'amaranthrouter_read_delay_seconds',
+      'Time from the arrival of a request until work on it begins.',
+      this.delays.buckets(),
+    );
+    res.end(`${formatPrometheus(this.metrics.snapshotBuckets())}${delays}`);
   }
 }
--- a/packages/mesh/test/ArrivalRun.ts
+++ b/packages/mesh/test/ArrivalRun.ts
@@ -1,13 +1,19 @@
 import { setImmediate } from 'node:timers/promises';
 import { ManualClock } from '#core/ManualClock.js';
+import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import { createOrder } from './CreateOrder.js';
+import { RecordingLogger } from './RecordingLogger.js';
 
 /** An `ArrivalTask` whose time a test moves on, with a caller's request for each exchange. */
 export class ArrivalRun {
   public readonly clock = new ManualClock();
+  public readonly logger = new RecordingLogger('test');
+  public readonly metrics = new MetricsRecorder();
+  public readonly delays = new PhaseRecorder();
   public readonly passed: CallerRequest[] = [];
   public readonly left: number[] = [];
   public readonly replies: CallerReply[] = [];
@@ -17,6 +23,9 @@
   public constructor(workMs: number) {
     this.task = new ArrivalTask({
       clock: this.clock,
+      logger: this.logger,
+      metrics: this.metrics,
+      delays: this.delays,
       onRequest: (_exchange, request) => {
         this.passed.push(request);
         this.clock.advance(workMs);
--- a/packages/mesh/test/StartSlowEntry.ts
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -3,6 +3,7 @@
 import { RandomSource } from '#core/RandomSource.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
@@ -61,6 +62,9 @@
   entry.post({ type: 'view', view: createView([createEntry('a')]) });
   const arrivals = new ArrivalTask({
     clock,
+    logger,
+    metrics,
+    delays: new PhaseRecorder(),
     onRequest: (exchange, request, reply) => entry.post({ type: 'arrived', exchange, request, reply }),
     onLeft: (exchange) => entry.post({ type: 'left', exchange }),
   });
@@ -74,6 +78,7 @@
     onRequest: (exchange, request, reply) => arrivals.post({ type: 'arrived', exchange, request, reply }),
     onLeft: (exchange) => arrivals.post({ type: 'left', exchange }),
   });
+  arrivals.start();
   await callers.listen();
   t.teardown(() => {
     callers.stop();
--- a/packages/mesh/test/arrival.test.ts
+++ b/packages/mesh/test/arrival.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { AcceptWatch } from '#mesh/AcceptWatch.js';
 import { ArrivalRun } from './ArrivalRun.js';
 
 const SOME_TURNS = 10;
@@ -71,3 +72,48 @@
   await run.turn(SOME_TURNS);
   t.equal(run.passed.length, 6);
 });
+
+t.test('time before a request is read counts', async (t) => {
+  // The admission took a request for new that had waited for seconds.
+  const run = new ArrivalRun(0);
+  run.task.start();
+  await run.turn(SOME_TURNS);
+  run.clock.advance(450);
+  run.arrive(1, 2_000);
+  run.arrive(2, 100);
+  await run.turn(SOME_TURNS);
+  const byId = new Map(run.passed.map(({ id, arrivedMs }) => [id, arrivedMs]));
+  t.equal(byId.get('1'), 250, 'half of the 400 ms that surely passed');
+  t.equal(byId.get('2'), 400, 'a caller that waits has not reached its deadline');
+  t.equal(run.delays.buckets().sumMicros, 800_000);
+  run.arrive(3);
+  await run.turn(SOME_TURNS);
+  t.equal(run.passed.at(-1)?.arrivedMs, 450);
+  run.task.stop();
+});
+
+t.test('delay of reading ends only when no connection waits', (t) => {
+  const watch = new AcceptWatch(0);
+  watch.startTurn(0);
+  watch.noteAccepted();
+  t.equal(watch.endTurn(), false);
+  t.equal(watch.lagMs(1_050), 1_000);
+  watch.startTurn(1_050);
+  t.equal(watch.endTurn(), true);
+  t.equal(watch.lagMs(1_060), 0);
+  t.end();
+});
+
+t.test('dropped requests are counted in one line a second', async (t) => {
+  // A line for each took processor time from those that could be served.
+  const run = new ArrivalRun(0);
+  for (let exchange = 1; exchange <= 50; exchange += 1) {
+    run.arrive(exchange);
+    run.task.post({ type: 'left', exchange });
+  }
+  await run.turn(SOME_TURNS);
+  t.same(run.logger.records, []);
+  run.clock.advance(1_000);
+  t.match(run.logger.records, [{ event: 'arrivalsDropped', fields: { left: 50, refused: 0 } }]);
+  t.equal(run.metrics.snapshotBuckets().counters.arrivalsLeft, 50);
+});
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -12,4 +12,6 @@
   | 'hedges'
   | 'held'
   | 'misdirected'
+  | 'arrivalsLeft'
+  | 'arrivalsRefused'
   | 'catalogueChanges';
--- a/packages/metrics/src/FormatPrometheus.ts
+++ b/packages/metrics/src/FormatPrometheus.ts
@@ -1,13 +1,9 @@
-import { bucketBoundsMs } from '#metrics/BucketBoundsMs.js';
+import { formatBuckets } from '#metrics/FormatBuckets.js';
 import type { MetricsSnapshot } from '#metrics/MetricsSnapshot.js';
-import type { PhaseBuckets } from '#metrics/PhaseBuckets.js';
 import { phases } from '#metrics/Phases.js';
 import { outcomes } from '#metrics/Outcomes.js';
 import type { SeriesSnapshot } from '#metrics/SeriesSnapshot.js';
 
-const MS_PER_SECOND = 1_000;
-const MICROS_PER_SECOND = 1_000_000;
-
 /** Formats a snapshot in the Prometheus text format, version 0.0.4. Labels are tenant, class, phase and outcome. */
 export function formatPrometheus(snapshot: MetricsSnapshot): string {
   const lines = [
@@ -49,20 +45,6 @@
   return [`# HELP ${name} Duration of the phases of requests.`, `# TYPE ${name} histogram`, ...lines];
 }
 
-function formatBuckets(name: string, labels: string, buckets: PhaseBuckets): readonly string[] {
-  const bounds = [...bucketBoundsMs.map((bound) => String(bound / MS_PER_SECOND)), '+Inf'];
-  let count = 0;
-  const lines = bounds.map((bound, index) => {
-    count += buckets.counts[index] ?? 0;
-    return `${name}_bucket{${labels},le="${bound}"} ${count}`;
-  });
-  return [
-    ...lines,
-    `${name}_sum{${labels}} ${buckets.sumMicros / MICROS_PER_SECOND}`,
-    `${name}_count{${labels}} ${count}`,
-  ];
-}
-
 function formatLabels(series: SeriesSnapshot): string {
   return `tenant="${escapeLabel(series.tenant)}",class="${escapeLabel(series.class)}"`;
 }
--- a/packages/metrics/test/metrics.test.ts
+++ b/packages/metrics/test/metrics.test.ts
@@ -1,7 +1,9 @@
 import t from 'tap';
+import { formatHistogram } from '#metrics/FormatHistogram.js';
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import { mergeSnapshots } from '#metrics/MergeSnapshots.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { summarizeSeries } from '#metrics/SummarizeSeries.js';
 
 t.test('percentiles within 1 %', async (t) => {
@@ -62,6 +64,15 @@
   t.same([merged.counters, merged.gauges], [{ retries: 4 }, { catalogueVersion: 8 }]);
 });
 
+t.test('histogram without labels has no empty braces', (t) => {
+  const recorder = new PhaseRecorder();
+  for (const ms of [3, 90]) recorder.record(ms * 1000);
+  const text = formatHistogram('delay_seconds', 'Delay.', recorder.buckets());
+  t.match(text, 'delay_seconds_bucket{le="0.005"} 1\n');
+  t.match(text, '\ndelay_seconds_sum 0.093\ndelay_seconds_count 2\n');
+  t.end();
+});
+
 t.test('Prometheus buckets are cumulative', (t) => {
   const recorder = new MetricsRecorder();
   for (const ms of [0.5, 3, 8, 90_000]) recorder.recordPhase('a"b', 'x', 'whole', ms * 1000);
