--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -60,9 +60,12 @@
       noDelay: true,
     });
     this.server.on('request', (req, res) => this.post({ type: 'request', req, res }));
-    this.server.on('connection', (socket: Socket) =>
-      socket.on('close', () => this.post({ type: 'closed', socket })),
-    );
+    this.server.on('connection', (socket: Socket) => {
+      options.onAccepted();
+      // Nothing can be answered after the end of the caller's side, which shows some turns before the close.
+      socket.on('end', () => this.post({ type: 'closed', socket }));
+      socket.on('close', () => this.post({ type: 'closed', socket }));
+    });
   }
 
   /** Begins to listen; rejects if the address is in use. */
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -4,9 +4,11 @@
 import type { Task } from '#core/Task.js';
 import type { CrashMark } from '#admission/CrashMark.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import { BalanceTask } from '#mesh/BalanceTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
 import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
@@ -55,6 +57,7 @@
   private readonly logger = new Logger('mesh');
   private readonly life = new ChartCursor<DaemonLifeEvent>(daemonLifeChart);
   private readonly metrics = new MetricsRecorder();
+  private readonly delays = new PhaseRecorder();
   private readonly directory: DirectoryTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
@@ -62,6 +65,7 @@
   private readonly balance: BalanceTask;
   private readonly relay: RelayTask;
   private readonly receiver: ReceiverTask;
+  private readonly arrivals: ArrivalTask;
   private readonly callers: CallerTask;
   private readonly readiness: ReadinessTask;
   private readonly metricsPort: MetricsTask;
@@ -147,16 +151,26 @@
         onMarks: (marks) => accept(this.server, { type: 'marks', marks }),
       }),
     });
+    this.arrivals = new ArrivalTask({
+      clock,
+      logger: new Logger('callers'),
+      metrics: this.metrics,
+      delays: this.delays,
+      onRequest: (exchange, request, reply) => this.entry.post({ type: 'arrived', exchange, request, reply }),
+      onLeft: (exchange) => this.entry.post({ type: 'left', exchange }),
+    });
     this.callers = new CallerTask({
       ...options.callers,
       headers: options.headers,
       clock,
       logger: new Logger('callers'),
-      onRequest: (exchange, request, reply) => this.entry.post({ type: 'arrived', exchange, request, reply }),
-      onLeft: (exchange) => this.entry.post({ type: 'left', exchange }),
+      onAccepted: () => this.arrivals.post({ type: 'accepted' }),
+      onRequest: (exchange, request, reply) =>
+        this.arrivals.post({ type: 'arrived', exchange, request, reply }),
+      onLeft: (exchange) => this.arrivals.post({ type: 'left', exchange }),
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
-    this.metricsPort = new MetricsTask(this.metrics);
+    this.metricsPort = new MetricsTask(this.metrics, this.delays);
   }
 
   /** Listens and begins to read the store; rejects if an address is in use. */
@@ -170,6 +184,7 @@
     ]);
     this.directory.post({ type: 'subscribe', listener: (view) => this.noteView(view) });
     this.directory.start();
+    this.arrivals.start();
     this.logger.log('started', { server: this.options.place.serverId, process: this.options.processId });
   }
 
@@ -233,7 +248,7 @@
     return new Promise((resolve) => {
       const check = (): void => {
         const nowMs = clock.monotonicMs();
-        const isEmpty = this.entry.load === 0 && this.server.load === 0;
+        const isEmpty = this.arrivals.load === 0 && this.entry.load === 0 && this.server.load === 0;
         if (nowMs >= latestMs || (isEmpty && nowMs >= earliestMs)) resolve();
         else clock.schedule(STOP_CHECK_MS, check);
       };
@@ -244,6 +259,7 @@
   private listTasks(): readonly { readonly stop: () => void }[] {
     return [
       this.callers,
+      this.arrivals,
       this.readiness,
       this.metricsPort,
       this.directory,
