Say what follows an error that nothing expected, and log it

A message whose handling threw ended the daemon without a log line, as did an error outside any task: all requests in flight were lost and the keys of its backend server were out until its restart. If the cause lay in what the daemon reads (an object of the store, a request that its caller repeats), it ended again and again.

Decision 0009 weighs the ways. Tasks of which each message concerns one request or connection log `messageFailed` (task, type of message, step, error, place) and go on; all others log it and end the process, as a lost message would leave them waiting for good or half updated. Errors outside any task and unhandled rejections are logged (`uncaught`), halt all tasks at once and end the process with status 1 within 300 ms, in both programs. ChangeApplier skips an object whose decoder throws (`objectFailed`).

Ruled out: going on in every task. DirectoryTask and RangeLeaseTask ask for their next message at the end of each, and would follow a list or renew a lease no further without any sign of it.

Tests: packages/core/test/task.test.ts (5, for the new classes) and 'decoder that throws leaves the watch followed' in directory.test.ts, which on the code before ends with the decoder's error "odd version".

--- a/packages/core/src/Task.ts
+++ b/packages/core/src/Task.ts
@@ -1,3 +1,8 @@
+import { EndOnFault } from '#core/EndOnFault.js';
+import type { FaultPolicy } from '#core/FaultPolicy.js';
+
+const endOnFault = new EndOnFault();
+
 /**
  * An activity that owns its sockets, timers and state, and is reached only by messages of type `M`.
  * Messages are handled one after another in the order in which they were posted.
@@ -6,6 +11,7 @@
   private mailbox: M[] = []; // eslint-disable-line no-restricted-syntax -- private queue of the hot path
   private scheduled = false;
   private stopped = false;
+  private faults: FaultPolicy = endOnFault;
 
   /** Adds a message to the mailbox; messages posted after `stop` are dropped. */
   public post(message: M): void {
@@ -27,6 +33,11 @@
     this.mailbox = [];
   }
 
+  /** Sets what follows a message whose handling threw; the process ends by default. */
+  public setFaultPolicy(policy: FaultPolicy): void {
+    this.faults = policy;
+  }
+
   /** Handles one message. */
   protected abstract receive(message: M): void;
 
@@ -36,7 +47,20 @@
     this.mailbox = [];
     for (const message of batch) {
       if (this.stopped) return;
+      this.receiveGuarded(message);
+    }
+  }
+
+  private receiveGuarded(message: M): void {
+    try {
       this.receive(message);
+    } catch (err) {
+      this.faults.note({ task: this.constructor.name, message: typeOf(message), err });
     }
   }
 }
+
+function typeOf(message: unknown): string {
+  const type: unknown = (message as { readonly type?: unknown } | null | undefined)?.type;
+  return typeof type === 'string' ? type : '';
+}
--- /dev/null
+++ b/packages/core/test/FaultyMain.ts
@@ -0,0 +1,34 @@
+import { endOnUncaught } from '#core/EndOnUncaught.js';
+import { Logger } from '#core/Logger.js';
+import { sendLogsTo } from '#core/SendLogsTo.js';
+import { Task } from '#core/Task.js';
+
+/** A program that fails in the way that its argument names, for tests of its end. */
+class FaultyTask extends Task<{ readonly type: string }> {
+  protected override receive({ type }: { readonly type: string }): void {
+    if (type === 'odd') throw new Error('cannot be handled');
+    process.stdout.write('handled after the fault\n');
+  }
+}
+
+const kind = process.argv[2] ?? '';
+const task = new FaultyTask();
+
+sendLogsTo((line) => process.stdout.write(line));
+endOnUncaught({
+  logger: new Logger('faulty'),
+  halt: () => {
+    task.stop();
+    if (kind === 'stalled') throw new Error('the end fails too');
+  },
+  flush: (done) => {
+    if (kind !== 'stalled') setTimeout(done, 50);
+  },
+});
+
+setInterval(() => task.post({ type: 'usual' }), 1_000);
+if (kind === 'rejection') void Promise.reject(new Error('not handled'));
+else {
+  task.post({ type: 'odd' });
+  queueMicrotask(() => task.post({ type: 'usual' }));
+}
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -6,6 +6,7 @@
 import type { DeliveryCounts } from '#delivery/DeliveryCounts.js';
 import type { ControlEvent } from '#control/ControlEvent.js';
 import type { Clock } from '#core/Clock.js';
+import { ContinueOnFault } from '#core/ContinueOnFault.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { BackendTask } from '#proxy/BackendTask.js';
 import { CallerPort } from '#proxy/CallerPort.js';
@@ -85,6 +86,8 @@
       (message) => this.hop.post(message),
       (message) => this.receipts.post(message),
     );
+    const policy = new ContinueOnFault();
+    for (const task of [this.entry, this.hop, this.forward, this.receipts]) task.setFaultPolicy(policy);
   }
 
   /** Opens the ports for callers and for announcements. */
--- a/packages/mesh/src/ChangeApplier.ts
+++ b/packages/mesh/src/ChangeApplier.ts
@@ -1,3 +1,4 @@
+import { describeFault } from '#core/DescribeFault.js';
 import type { Logger } from '#core/Logger.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
 import { RouteIndex } from '#routes/RouteIndex.js';
@@ -28,7 +29,22 @@
   }
 
   public apply(view: View, collection: WatchedCollection, changes: readonly CollectionChange[]): View {
-    return changes.reduce(this.appliers[collection], view);
+    return changes.reduce((before, change) => this.applyOne(before, collection, change), view);
+  }
+
+  /** An object that its decoder cannot cope with must not keep the others from the view. */
+  private applyOne(view: View, collection: WatchedCollection, change: CollectionChange): View {
+    try {
+      return this.appliers[collection](view, change);
+    } catch (err) {
+      this.logger.log('objectFailed', {
+        ...describeFault(err),
+        step: 'store',
+        collection,
+        name: change.item.name,
+      });
+      return view;
+    }
   }
 
   private applyRoutes(view: View, { item, deleted }: CollectionChange): View {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -1,4 +1,5 @@
 import { ChartCursor } from '#chart/ChartCursor.js';
+import { ContinueOnFault } from '#core/ContinueOnFault.js';
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
 import type { Task } from '#core/Task.js';
@@ -196,6 +197,7 @@
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
     this.metricsPort = new MetricsTask(this.metrics);
+    this.containFaults();
   }
 
   /** Listens and begins to read the store; rejects if an address is in use. */
@@ -222,6 +224,11 @@
     return this.presence.ask((reply) => ({ type: 'withdrawn', instanceId, bornMs, reply: () => reply() }));
   }
 
+  /** Ends all tasks at once: nothing is granted, sent or answered any more. */
+  public halt(): void {
+    for (const task of this.listTasks()) task.stop();
+  }
+
   /** Stops taking callers, waits for requests in flight within the grace time, and ends the tasks. */
   public async stop(): Promise<void> {
     if (!this.life.send({ type: 'stop' })) return;
@@ -240,10 +247,28 @@
     await this.resign();
     this.life.send({ type: 'emptied' });
     this.logger.log('stopped', { requests: this.entry.load, orders: this.server.load });
-    for (const task of this.listTasks()) task.stop();
+    this.halt();
     await this.options.store.close();
   }
 
+  /**
+   * Lets the tasks go on of which each message concerns one request or connection. The others keep ownership or a chain of
+   * calls, and end the process (docs/decisions/0009-fault-in-a-task.md).
+   */
+  private containFaults(): void {
+    const policy = new ContinueOnFault();
+    const tasks = [
+      this.callers,
+      this.entry,
+      this.server,
+      this.relay,
+      this.receiver,
+      this.readiness,
+      this.metricsPort,
+    ];
+    for (const task of tasks) task.setFaultPolicy(policy);
+  }
+
   /** Gives up the term of keys that the backend server holds no longer, so that others need not wait for its end. */
   private async resign(): Promise<void> {
     const isFree = await this.ranges.ask<boolean>((reply) => ({ type: 'stopping', reply }));
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -17,12 +17,24 @@
   }
 }
 
+/** Cannot cope with version 13. */
+class FaultyDecoder extends VersionDecoder {
+  public override decode(name: string, value: unknown): ReturnType<RouteDecoder['decode']> {
+    if (value === 13) throw new Error('odd version');
+    return super.decode(name, value);
+  }
+}
+
 class DirectoryRun {
   public readonly store = new MemoryCollectionStore();
   public readonly clock = new ManualClock();
-  public readonly task = new DirectoryTask(this.store, new VersionDecoder(), this.clock, new Logger('test'));
+  public readonly task: DirectoryTask;
   public views: View[] = [];
 
+  public constructor(decoder: RouteDecoder = new VersionDecoder()) {
+    this.task = new DirectoryTask(this.store, decoder, this.clock, new Logger('test'));
+  }
+
   public get view(): View {
     const view = this.views.at(-1);
     if (view === undefined) throw new Error('no view yet');
@@ -97,3 +109,16 @@
   await run.advance(0);
   t.equal(run.view.routes?.table.version, 5);
 });
+
+t.test('decoder that throws leaves the watch followed', async (t) => {
+  // The process ended, and ended again when it read the same object after its restart.
+  const run = new DirectoryRun(new FaultyDecoder());
+  run.store.set('routes', 'main', 13);
+  run.store.set('routes', 'next', 4);
+  await run.start();
+  t.equal(run.view.routes?.table.version, 4);
+  await run.advance(400);
+  run.store.set('routes', 'main', 5);
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 5);
+});
