End no daemon for a call between daemons that is cut off or odd

Whoever reaches the peer port of a daemon of the product could end its process: the rejection of a POST to /rpc whose body is cut off was not handled, and its signature is checked only after the body. A signed message that is no JSON-RPC (from another version, or a batch with an item that is no object) did the same by UDP and HTTP.

PeerTransport logs such messages (`messageMalformed`) and goes on; the connection of such a POST is closed.

Tests, on the code before: packages/rpc/test/malformed.test.ts fails 3 of 3 with "aborted", "number 5 is not iterable" and "Cannot read properties of null (reading 'method')". It passes now, with rpc.test.ts.

--- a/packages/rpc/src/PeerTransport.ts
+++ b/packages/rpc/src/PeerTransport.ts
@@ -21,6 +21,7 @@
 import { Left, Right, type Either } from 'purify-ts';
 import { Agent } from 'undici';
 import type { Cancel } from '#core/Cancel.js';
+import { describeFault } from '#core/DescribeFault.js';
 import { RouterError } from '#core/RouterError.js';
 import type { CallOptions } from '#rpc/CallOptions.js';
 import { computeMac } from '#rpc/ComputeMac.js';
@@ -79,12 +80,18 @@
     super();
     this.options = options;
     this.socket = createSocket('udp4');
-    this.socket.on('message', (datagram, source) => void this.receiveDatagram(datagram, source));
+    this.socket.on('message', (datagram, source) => {
+      this.receiveDatagram(datagram, source).catch((err: unknown) => this.noteMalformed(source.address, err));
+    });
     this.socket.on('error', (err) =>
       this.options.logger.log('udpError', { step: 'rpc', error: err.message }),
     );
     this.server = createServer((req, res) => {
-      if (req.url === '/rpc') void this.receivePost(req, res);
+      if (req.url === '/rpc')
+        this.receivePost(req, res).catch((err: unknown) => {
+          this.noteMalformed(req.socket.remoteAddress ?? '', err);
+          req.socket.destroy();
+        });
       else this.fallback(req, res);
     });
     this.rpcClient = new JSONRPCClient(
@@ -331,6 +338,11 @@
     this.options.logger.log('messageRejected', { step: 'rpc', peer });
   }
 
+  /** A message that was cut off, or that a peer signed and this daemon cannot read. */
+  private noteMalformed(peer: string, err: unknown): void {
+    this.options.logger.log('messageMalformed', { ...describeFault(err), step: 'rpc', peer });
+  }
+
   private classify(peer: PeerAddress, err: unknown): RouterError {
     const message = err instanceof Error ? err.message : String(err);
     return this.failure(message === 'Request timeout' ? 'peerSilent' : 'peerRefused', peer, message, err);
