Give the simulated fleet load, harsher faults and an audit of the table

Callers saw two backend servers hold the same keys; the simulated fleet did not find the cause, as nobody asked for keys and all moves were by share. The daemons now get demand (a hot key that changes, busy keys close together), measure it with the real BalanceTask, and are asked for moves by work. Each accepted write of the table is checked: it covers all keys, changes only rows of its writer or of ended terms, raises the epoch, and gives away no key that a backend server still uses. A run ends at the first violation.

Faults are now a class each: BasicFaults as before (the sequence of a seed is the same), LoadFaults, and HarshFaults with farewells, suspensions, clocks that differ by up to 2 % in rate, held-up announcements, splits between a backend server and its daemon, zones that are cut off, two daemons killed at once, lost store replies, and announcements of other writers.

--- a/packages/mesh/test/OwnershipRun.ts
+++ b/packages/mesh/test/OwnershipRun.ts
@@ -1,61 +1,81 @@
 import { ManualClock } from '#core/ManualClock.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { overlaps } from '#ranges/Overlaps.js';
-import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
+import { leaseRecordCodec } from '#mesh/LeaseRecordCodec.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
+import { AuditedStore } from './AuditedStore.js';
 import { createView } from './CreateView.js';
+import type { FaultPlan } from './FaultPlan.js';
+import { SimulatedDemand } from './SimulatedDemand.js';
 import { SimulatedVm } from './SimulatedVm.js';
+import { TableAudit } from './TableAudit.js';
 
 const STEP_MS = 5;
 const VIEW_EVERY_MS = 20;
 const FAULT_EVERY_MS = 400;
 
-/** Time that a process may get no processor time, in milliseconds. */
-const LONGEST_STALL_MS = 3_000;
-
-/** Time for which a daemon may be separated from the store: more than a lease lasts, in milliseconds. */
-const LONGEST_CUT_MS = 16_000;
+/** Time for which a failure domain may be out, in milliseconds. */
+const LONGEST_EVACUATION_MS = 16_000;
 
 const DOMAINS = 3;
 
+/** Factors by which work may take longer on a VM than usual. */
+const LEAST_SLOWDOWN = 0.6;
+const SLOWDOWN_SPREAD = 0.9;
+
+/** Added to a seed for conditions, so that the sequence of faults does not depend on them. */
+const CONDITIONS_SEED = 1_000_003;
+
+type CreatePlan = new (random: RandomSource) => FaultPlan;
+
 /** A fleet of one keyed service under seeded faults. Records each time at which two backend servers hold one key. */
 export class OwnershipRun {
-  public readonly violations: string[] = [];
   /** Number of steps at which some key was held. */
   public heldSteps = 0;
   private readonly clock = new ManualClock();
-  private readonly store = new MemoryCollectionStore();
+  private readonly audit: TableAudit = new TableAudit({
+    readLease: (id) => leaseRecordCodec.decode(this.store.read('leases', id)?.value).toMaybe().extract(),
+    listUsed: (id) => this.vms.find((vm) => vm.id === id)?.used ?? [],
+  });
+  private readonly store: AuditedStore = new AuditedStore(this.audit);
   private readonly random: RandomSource;
+  private readonly conditions: RandomSource;
+  private readonly faults: FaultPlan;
+  private readonly demand: SimulatedDemand;
   private readonly vms: readonly SimulatedVm[];
   private readonly known = new Set<string>();
   private readonly past: Holding[] = [];
+  private readonly overlapping: string[] = [];
   private evacuated: ReadonlySet<string> = new Set();
 
-  public constructor(seed: number, vms: number) {
+  public constructor(seed: number, vms: number, Plan: CreatePlan) {
     this.random = new RandomSource(seed);
-    this.vms = Array.from(
-      { length: vms },
-      (_, index) =>
-        new SimulatedVm(
-          `vm${index}`,
-          `domain${index % DOMAINS}`,
-          this.clock,
-          this.store,
-          this.random,
-          () => this.vms,
-        ),
-    );
+    this.conditions = new RandomSource(seed + CONDITIONS_SEED);
+    this.faults = new Plan(this.random);
+    this.demand = new SimulatedDemand(this.conditions);
+    const { clock, store, random } = this;
+    const world = { clock, store, random, listVms: () => this.vms };
+    this.vms = Array.from({ length: vms }, (_, index) => {
+      const clockRate = 1 + (this.conditions.fraction() - 0.5) * this.faults.clockSpread;
+      const slowdown = LEAST_SLOWDOWN + this.conditions.fraction() * SLOWDOWN_SPREAD;
+      return new SimulatedVm(`vm${index}`, `domain${index % DOMAINS}`, world, clockRate, slowdown);
+    });
+  }
+
+  public get violations(): readonly string[] {
+    return [...this.audit.violations, ...this.overlapping];
   }
 
-  /** Runs the fleet; faults begin once the keys are divided. */
+  /** Runs the fleet until something is violated; faults begin once the keys are divided. */
   public async run(durationMs: number, calmMs: number): Promise<void> {
-    for (let atMs = 0; atMs < durationMs; atMs += STEP_MS) {
+    for (let atMs = 0; atMs < durationMs && this.violations.length === 0; atMs += STEP_MS) {
       this.clock.advance(STEP_MS);
       await settle();
       if (atMs % VIEW_EVERY_MS === 0) this.showViews();
-      if (atMs > calmMs && atMs % FAULT_EVERY_MS === 0) this.injectFault();
+      if (atMs > calmMs && atMs % FAULT_EVERY_MS === 0)
+        this.faults.inject(this.vms, (failureDomain) => this.evacuate(failureDomain));
       this.check(atMs);
     }
   }
@@ -69,7 +89,7 @@
       (past) => past.id !== id && overlaps(past.row, row) && past.row.epoch >= row.epoch,
     );
     if (higher !== undefined)
-      this.violations.push(`${atMs} ms: ${name} after epoch ${higher.row.epoch} of ${higher.id}`);
+      this.overlapping.push(`${atMs} ms: ${name} after epoch ${higher.row.epoch} of ${higher.id}`);
     this.past.push({ id, row });
   }
 
@@ -79,45 +99,22 @@
       return item === undefined ? [] : [item.value as ServerEntry];
     });
     const item = this.store.read('ranges', 's');
+    const table = rangeTableCodec.decode(item?.value).toMaybe().extract();
     const tables =
-      item === undefined
-        ? []
-        : [
-            [
-              's',
-              { table: rangeTableCodec.decode(item.value).unsafeCoerce(), revision: item.revision },
-            ] as const,
-          ];
+      item === undefined || table === undefined ? [] : [['s', { table, revision: item.revision }] as const];
     const view = {
       ...createView(entries, {}, undefined, true),
       tables: new Map(tables),
       evacuated: this.evacuated,
     };
     for (const vm of this.vms) this.clock.schedule(this.random.integer(VIEW_EVERY_MS), () => vm.see(view));
-  }
-
-  private injectFault(): void {
-    const vm = this.random.pick(this.vms);
-    const other = this.random.pick(this.vms);
-    if (vm === undefined || other === undefined) return;
-    const kinds: readonly (() => void)[] = [
-      () => vm.release({ to: other.id, workMsPerSecond: 0, share: 0.5, speedup: 1 }),
-      () => vm.release({ to: other.id, workMsPerSecond: 0, share: 0.1, speedup: 1 }),
-      () => vm.stall(this.random.integer(LONGEST_STALL_MS)),
-      () => vm.cut(this.random.integer(LONGEST_CUT_MS)),
-      () => vm.delayWrites(2_000),
-      () => vm.restartDaemon(300 + this.random.integer(1_500)),
-      () => vm.restartServer(500 + this.random.integer(3_000)),
-      () => vm.drainServer(2_500, 500 + this.random.integer(3_000)),
-      () => vm.stopDaemon(300 + this.random.integer(1_500)),
-      () => this.evacuate(vm.failureDomain),
-    ];
-    this.random.pick(kinds)?.();
+    if (this.faults.hasDemand && table !== undefined)
+      this.demand.post(table, this.vms, this.clock.monotonicMs());
   }
 
   private evacuate(failureDomain: string): void {
     this.evacuated = new Set([failureDomain]);
-    this.clock.schedule(this.random.integer(LONGEST_CUT_MS), () => {
+    this.clock.schedule(this.random.integer(LONGEST_EVACUATION_MS), () => {
       this.evacuated = new Set();
     });
   }
@@ -130,7 +127,7 @@
     for (const [index, next] of sorted.entries()) {
       const before = sorted[index - 1];
       if (before === undefined || before.id === next.id || !overlaps(before.row, next.row)) continue;
-      this.violations.push(
+      this.overlapping.push(
         `${atMs} ms: ${before.id} ${before.row.from}-${before.row.to}@${before.row.epoch} and ${next.id} ${next.row.from}-${next.row.to}@${next.row.epoch}`,
       );
     }
--- a/packages/mesh/test/SimulatedServer.ts
+++ b/packages/mesh/test/SimulatedServer.ts
@@ -12,6 +12,9 @@
 const LONGEST_WORK_MS = 120;
 const LONGEST_PARTITION_MS = 6_000;
 
+/** Announcements that a partition may hold up together. */
+const HELD_UP = 6;
+
 /** Part by which the clock that measures grants runs slow. */
 const SLOW_CLOCK = 0.02;
 
@@ -20,8 +23,8 @@
 /** One run of a backend server that holds ranges of keys as the daemon beside it grants them. */
 export class SimulatedServer {
   public readonly incarnation: string;
+  public readonly bornMs: number;
   private readonly serverId: string;
-  private readonly bornMs: number;
   private readonly clock: ManualClock;
   private readonly random: RandomSource;
   private readonly announce: Announce;
@@ -31,6 +34,7 @@
   private released: readonly ReleasedRow[] = [];
   private endMs = 0;
   private sequence = 0;
+  private recent: readonly Announcement[] = [];
   private isUp = true;
   private isDraining = false;
 
@@ -77,6 +81,14 @@
     );
   }
 
+  /** Lets its recent announcements arrive once more in any order, as a partition may have held them up. */
+  public repeat(): void {
+    for (const announcement of this.recent)
+      this.clock.schedule(this.random.integer(LONGEST_PARTITION_MS), () =>
+        this.announce(announcement, () => undefined),
+      );
+  }
+
   private scheduleAnnouncement(): void {
     if (!this.isUp) return;
     this.send();
@@ -87,6 +99,7 @@
     if (!this.isUp) return;
     const sentMs = this.clock.monotonicMs();
     const announcement = this.describe();
+    this.recent = [...this.recent, announcement].slice(-HELD_UP);
     this.clock.schedule(this.random.integer(LONGEST_DELAY_MS), () =>
       this.announce(announcement, (reply) => {
         this.clock.schedule(this.random.integer(LONGEST_DELAY_MS), () =>
--- a/packages/mesh/test/SimulatedStore.ts
+++ b/packages/mesh/test/SimulatedStore.ts
@@ -2,12 +2,13 @@
 import type { Clock } from '#core/Clock.js';
 import { RouterError } from '#core/RouterError.js';
 import type { RandomSource } from '#core/RandomSource.js';
-import type { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import type { CollectionChanges } from '#store/CollectionChanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import { CollectionStore } from '#store/CollectionStore.js';
+import type { AuditedStore } from './AuditedStore.js';
+import type { StorePath } from './StorePath.js';
 
 type Result<T> = Promise<Either<RouterError, T>>;
 
@@ -16,17 +17,23 @@
 
 /** The path from one daemon to the store: delays calls, and loses them or carries writes out late. */
 export class SimulatedStore extends CollectionStore {
-  public isCut = false;
-  /** Whether writes are carried out seconds after their call failed. */
-  public isLate = false;
-  private readonly store: MemoryCollectionStore;
+  public path: StorePath = 'open';
+  private readonly writer: string;
+  private readonly store: AuditedStore;
   private readonly clock: Clock;
   private readonly storeClock: Clock;
   private readonly random: RandomSource;
 
-  /** `clock` is that of the daemon, `storeClock` goes on after the daemon was killed. */
-  public constructor(store: MemoryCollectionStore, clock: Clock, storeClock: Clock, random: RandomSource) {
+  /** `clock` is that of the daemon of `writer`, `storeClock` goes on after the daemon was killed. */
+  public constructor(
+    writer: string,
+    store: AuditedStore,
+    clock: Clock,
+    storeClock: Clock,
+    random: RandomSource,
+  ) {
     super();
+    this.writer = writer;
     this.store = store;
     this.clock = clock;
     this.storeClock = storeClock;
@@ -45,15 +52,20 @@
     return Promise.resolve(this.fail('storeUnreachable'));
   }
 
-  public override put(
+  public override async put(
     collection: string,
     name: string,
     value: unknown,
     ifRevision: number,
   ): Result<CollectionPutResult> {
-    const put = (): Result<CollectionPutResult> => this.store.put(collection, name, value, ifRevision);
-    if (!this.isLate || this.isCut) return this.call(put, 'storeReplyLost');
-    this.storeClock.schedule(1_000 + this.random.integer(5_000), () => void put());
+    const put = (): Result<CollectionPutResult> =>
+      this.store.putAs(this.writer, collection, name, value, ifRevision);
+    if (this.path === 'late') {
+      this.storeClock.schedule(1_000 + this.random.integer(5_000), () => void put());
+      return this.timeOut('storeReplyLost');
+    }
+    if (this.path !== 'mute') return this.call(put, 'storeReplyLost');
+    await put();
     return this.timeOut('storeReplyLost');
   }
 
@@ -70,7 +82,7 @@
   }
 
   private isReachable(): boolean {
-    return !this.isCut;
+    return this.path !== 'cut';
   }
 
   private async timeOut<T>(code: string): Result<T> {
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -1,9 +1,11 @@
 import { Logger } from '#core/Logger.js';
-import type { ManualClock } from '#core/ManualClock.js';
-import type { RandomSource } from '#core/RandomSource.js';
 import { defaultLeaseTerms } from '#ranges/DefaultLeaseTerms.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
+import type { Announcement } from '#mesh/Announcement.js';
+import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import { BalanceTask } from '#mesh/BalanceTask.js';
 import type { HeldRow } from '#mesh/HeldRow.js';
+import type { LeaseFacts } from '#mesh/LeaseFacts.js';
 import { PlannerTask } from '#mesh/PlannerTask.js';
 import { PresenceTask } from '#mesh/PresenceTask.js';
 import { RangeLeaseTask } from '#mesh/RangeLeaseTask.js';
@@ -11,13 +13,19 @@
 import { RangeTask } from '#mesh/RangeTask.js';
 import type { ReleaseRequest } from '#mesh/ReleaseRequest.js';
 import type { View } from '#mesh/View.js';
-import type { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import { SimulatedServer } from './SimulatedServer.js';
 import { SimulatedStore } from './SimulatedStore.js';
+import type { SimulatedWorld } from './SimulatedWorld.js';
 import { StallingClock } from './StallingClock.js';
+import type { StorePath } from './StorePath.js';
 
 const PING_TIMEOUT_MS = 300;
 const RESIGN_MS = 150;
+const MS_PER_SECOND = 1_000;
+
+/** Part of the slots that may be busy without a wait, and the wait of orders if all are, in milliseconds. */
+const FREE_USE = 0.5;
+const WAIT_AT_FULL_USE_MS = 400;
 
 interface DaemonRun {
   readonly clock: StallingClock;
@@ -26,36 +34,40 @@
   readonly ranges: RangeTask;
   readonly lease: RangeLeaseTask;
   readonly planner: PlannerTask;
+  readonly balance: BalanceTask;
 }
 
 /** A VM with a backend server and the tasks of a daemon that decide on ownership of keys. */
 export class SimulatedVm {
   public readonly id: string;
   public readonly failureDomain: string;
-  private readonly clock: ManualClock;
-  private readonly memory: MemoryCollectionStore;
-  private readonly random: RandomSource;
-  private readonly listPeers: () => readonly SimulatedVm[];
+  private readonly world: SimulatedWorld;
+  /** Rate of the clocks of its daemon. */
+  private readonly clockRate: number;
+  /** Factor by which work takes longer than usual on this VM. */
+  private readonly slowdown: number;
   private daemon: DaemonRun | undefined;
   private server: SimulatedServer;
   private processes = 0;
-  private isCut = false;
-  private isLate = false;
+  private storePath: StorePath = 'open';
+  /** Whether calls between this daemon and others fail. */
+  private isApart = false;
+  /** Whether announcements do not reach the daemon. */
+  private isSplit = false;
+  private refusesUntilMs = 0;
 
   public constructor(
     id: string,
     failureDomain: string,
-    clock: ManualClock,
-    memory: MemoryCollectionStore,
-    random: RandomSource,
-    listPeers: () => readonly SimulatedVm[],
+    world: SimulatedWorld,
+    clockRate: number,
+    slowdown: number,
   ) {
     this.id = id;
     this.failureDomain = failureDomain;
-    this.clock = clock;
-    this.memory = memory;
-    this.random = random;
-    this.listPeers = listPeers;
+    this.world = world;
+    this.clockRate = clockRate;
+    this.slowdown = slowdown;
     this.startDaemon();
     this.server = this.startServer();
   }
@@ -72,10 +84,11 @@
 
   public see(view: View): void {
     const { daemon } = this;
-    if (this.isCut) return;
+    if (this.storePath === 'cut') return;
     daemon?.clock.run(() => {
       daemon.ranges.post({ type: 'view', view });
       daemon.planner.post({ type: 'view', view });
+      daemon.balance.post({ type: 'view', view });
     });
   }
 
@@ -88,16 +101,71 @@
     this.daemon?.clock.stall(durationMs);
   }
 
-  /** Separates the daemon from the store. */
-  public cut(durationMs: number): void {
-    this.setPath(true, this.isLate);
-    this.clock.schedule(durationMs, () => this.setPath(false, this.isLate));
+  /** Suspends the VM with its daemon. */
+  public suspend(durationMs: number): void {
+    this.daemon?.clock.suspend(durationMs);
+  }
+
+  /** Posts the work of a request for a key to the daemon. */
+  public demand(key: number, workMs: number): void {
+    const { daemon } = this;
+    daemon?.clock.run(() => daemon.ranges.post({ type: 'demanded', key, workMs }));
+  }
+
+  /** Changes the daemon's path to the store for some time. */
+  public setPath(path: StorePath, durationMs: number): void {
+    this.takePath(path);
+    this.world.clock.schedule(durationMs, () => this.takePath('open'));
+  }
+
+  /** Separates the daemon from other daemons. */
+  public separate(durationMs: number): void {
+    this.isApart = true;
+    this.world.clock.schedule(durationMs, () => {
+      this.isApart = false;
+    });
+  }
+
+  /** Separates the backend server from the daemon; announcements arrive late if they are not lost. */
+  public split(durationMs: number): void {
+    this.isSplit = true;
+    const { server } = this;
+    this.world.clock.schedule(durationMs, () => {
+      this.isSplit = false;
+      if (this.world.random.integer(2) === 0) server.repeat();
+    });
+  }
+
+  /** Lets the backend server take no new connections for some time while it goes on. */
+  public refuseConnections(durationMs: number): void {
+    this.refusesUntilMs = this.world.clock.monotonicMs() + durationMs;
+    this.probe();
+  }
+
+  /** Lets recent announcements of the present run arrive once more. */
+  public repeatAnnouncements(): void {
+    this.server.repeat();
+  }
+
+  /** Sends the farewell of the present run, which goes on, after a delay. */
+  public withdraw(delayMs: number): void {
+    const { bornMs } = this.server;
+    this.world.clock.schedule(delayMs, () => {
+      const { daemon } = this;
+      daemon?.clock.run(() =>
+        daemon.presence.post({
+          type: 'withdrawn',
+          instanceId: this.id,
+          bornMs,
+          reply: () => undefined,
+        }),
+      );
+    });
   }
 
-  /** Lets the store carry writes of the daemon out late. */
-  public delayWrites(durationMs: number): void {
-    this.setPath(this.isCut, true);
-    this.clock.schedule(durationMs, () => this.setPath(this.isCut, false));
+  /** Lets another writer announce itself to the daemon. */
+  public forge(announcement: Announcement): void {
+    this.deliver(announcement, () => undefined);
   }
 
   /** Kills the daemon and starts it again. */
@@ -106,8 +174,8 @@
     if (daemon === undefined) return;
     this.daemon = undefined;
     daemon.clock.end();
-    for (const task of [daemon.presence, daemon.ranges, daemon.lease, daemon.planner]) task.stop();
-    this.clock.schedule(downMs, () => this.startDaemon());
+    for (const task of listTasks(daemon)) task.stop();
+    this.world.clock.schedule(downMs, () => this.startDaemon());
   }
 
   /** Stops the daemon in order and starts it again. */
@@ -123,33 +191,37 @@
   public drainServer(drainMs: number, downMs: number): void {
     const { server } = this;
     server.drain();
-    this.clock.schedule(drainMs, () => {
+    this.world.clock.schedule(drainMs, () => {
       if (this.server === server) this.restartServer(downMs);
     });
   }
 
   /** Crashes the backend server and starts it again; its port refuses connections meanwhile. */
   public restartServer(downMs: number): void {
-    const { incarnation, isRunning } = this.server;
-    if (!isRunning) return;
-    this.server.crash();
-    const tell = (): void => {
-      const { daemon } = this;
-      daemon?.clock.run(() =>
-        daemon.presence.post({ type: 'evidence', evidence: { kind: 'refused', incarnation } }),
-      );
-    };
-    this.clock.schedule(this.random.integer(downMs), tell);
-    this.clock.schedule(downMs, () => {
+    const { server } = this;
+    if (!server.isRunning) return;
+    server.crash();
+    this.world.clock.schedule(this.world.random.integer(downMs), () => this.probe());
+    this.world.clock.schedule(downMs, () => {
       this.server = this.startServer();
     });
   }
 
+  /** Opens a connection to the backend server and tells the daemon how that ended. */
+  private probe(): void {
+    const { incarnation, isRunning } = this.server;
+    const { daemon } = this;
+    const isRefused = !isRunning || this.world.clock.monotonicMs() < this.refusesUntilMs;
+    if (daemon === undefined || (!isRefused && !this.isSplit)) return;
+    const kind = isRefused && !this.isSplit ? 'refused' : 'silent';
+    daemon.clock.run(() => daemon.presence.post({ type: 'evidence', evidence: { kind, incarnation } }));
+  }
+
   private resign(daemon: DaemonRun): void {
     daemon.lease.post({
       type: 'resign',
       reply: (value) => {
-        for (const peer of this.listPeers()) peer.hearResignation(value);
+        for (const peer of this.world.listVms()) peer.hearResignation(value);
       },
     });
   }
@@ -159,30 +231,29 @@
     daemon?.clock.run(() => daemon.planner.post({ type: 'resigned', value }));
   }
 
-  private setPath(isCut: boolean, isLate: boolean): void {
-    this.isCut = isCut;
-    this.isLate = isLate;
-    if (this.daemon === undefined) return;
-    this.daemon.store.isCut = isCut;
-    this.daemon.store.isLate = isLate;
+  private takePath(path: StorePath): void {
+    this.storePath = path;
+    if (this.daemon !== undefined) this.daemon.store.path = path;
   }
 
   private startServer(): SimulatedServer {
-    return new SimulatedServer(
-      this.id,
-      this.clock.monotonicMs(),
-      this.clock,
-      this.random,
-      (announcement, reply) => {
-        const { daemon } = this;
-        daemon?.clock.run(() => daemon.presence.post({ type: 'announced', announcement, reply }));
-      },
+    const { clock, random } = this.world;
+    return new SimulatedServer(this.id, clock.monotonicMs(), clock, random, (announcement, reply) =>
+      this.deliver(announcement, (value) => {
+        if (!this.isSplit) reply(value);
+      }),
     );
   }
 
+  private deliver(announcement: Announcement, reply: (reply: AnnouncementReply) => void): void {
+    const { daemon } = this;
+    if (this.isSplit) return;
+    daemon?.clock.run(() => daemon.presence.post({ type: 'announced', announcement, reply }));
+  }
+
   private startDaemon(): void {
-    const clock = new StallingClock(this.clock);
-    const store = new SimulatedStore(this.memory, clock, this.clock, this.random);
+    const clock = new StallingClock(this.world.clock, this.clockRate);
+    const store = new SimulatedStore(this.id, this.world.store, clock, this.world.clock, this.world.random);
     const elapsed = new ElapsedClock(clock);
     const place = { serverId: this.id, failureDomain: this.failureDomain, region: 'r', service: 's' };
     const logger = new Logger(this.id);
@@ -199,7 +270,10 @@
       logger,
       onGranted: () => undefined,
       onKeyed: () => lease.post({ type: 'hold' }),
-      onFacts: (facts) => lease.post({ type: 'facts', facts }),
+      onFacts: (facts) => {
+        lease.post({ type: 'facts', facts });
+        this.reportLoad(balance, facts);
+      },
     });
     const lease: RangeLeaseTask = new RangeLeaseTask({
       place,
@@ -222,6 +296,13 @@
       logger,
       call: (address, method, params, reply) => this.call(clock, address, method, params, reply),
     });
+    const balance = new BalanceTask({
+      place,
+      clock,
+      logger,
+      call: (address, method, params, reply) => this.call(clock, address, method, params, reply),
+      onRelease: (requests) => ranges.post({ type: 'release', requests }),
+    });
     const presence: PresenceTask = new PresenceTask({
       place,
       processId,
@@ -230,13 +311,28 @@
       store,
       clock,
       logger,
-      isConfigured: () => true,
+      isConfigured: (service) => service === 's',
       onPresence: () => undefined,
       onCheckIn: (checkIn) => ranges.post({ type: 'checkIn', checkIn }),
       onEnded: (incarnation, proven) => ranges.post({ type: 'ended', incarnation, proven }),
     });
-    this.daemon = { clock, store, presence, ranges, lease, planner };
-    this.setPath(this.isCut, this.isLate);
+    this.daemon = { clock, store, presence, ranges, lease, planner, balance };
+    this.takePath(this.storePath);
+  }
+
+  /** Reports the load of the backend server, which waits the longer the busier its slots are. */
+  private reportLoad(balance: BalanceTask, facts: LeaseFacts): void {
+    const use = facts.workMsPerSecond / (facts.slots * MS_PER_SECOND);
+    const load = {
+      running: 0,
+      queued: 0,
+      slots: facts.slots,
+      waitMs: Math.max(0, use - FREE_USE) * WAIT_AT_FULL_USE_MS,
+      serviceMs: 1,
+      slowdown: this.slowdown,
+    };
+    balance.post({ type: 'load', load, baseSlowdown: this.slowdown });
+    balance.post({ type: 'facts', facts });
   }
 
   private call(
@@ -246,20 +342,30 @@
     params: unknown,
     reply: (result: unknown) => void,
   ): void {
-    const peer = this.listPeers().find(({ id }) => id === address)?.daemon;
+    const vm = this.world.listVms().find(({ id }) => id === address);
+    const peer = this.isApart || vm?.isApart === true ? undefined : vm?.daemon;
     let isOpen = true;
     const end = (result: unknown): void => {
       if (isOpen) reply(result);
       isOpen = false;
     };
     clock.schedule(PING_TIMEOUT_MS, () => end(undefined));
+    const answer = (result: unknown): void => clock.run(() => end(result));
     peer?.clock.run(() => {
       if (method === rpcMethods.release)
         peer.ranges.post({ type: 'release', requests: [params as ReleaseRequest] });
-      peer.planner.post({
-        type: 'asked',
-        reply: (plans) => clock.run(() => end({ plans })),
-      });
+      if (method === rpcMethods.load) peer.balance.post({ type: 'asked', reply: answer });
+      else peer.planner.post({ type: 'asked', reply: (plans) => answer({ plans }) });
     });
   }
 }
+
+function listTasks({
+  presence,
+  ranges,
+  lease,
+  planner,
+  balance,
+}: DaemonRun): readonly { readonly stop: () => void }[] {
+  return [presence, ranges, lease, planner, balance];
+}
--- /dev/null
+++ b/packages/mesh/test/TableAudit.ts
@@ -0,0 +1,75 @@
+import { isTermEnded } from '#ranges/IsTermEnded.js';
+import { keySpace } from '#ranges/KeySpace.js';
+import { overlaps } from '#ranges/Overlaps.js';
+import type { RangeRow } from '#ranges/RangeRow.js';
+import type { RangeTable } from '#ranges/RangeTable.js';
+import type { HeldRow } from '#mesh/HeldRow.js';
+import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+
+/** What a write of the table is checked against, at the moment at which the store carries it out. */
+interface AuditFacts {
+  readonly readLease: (serverId: string) => LeaseRecord | undefined;
+  /** Keys that the backend server of a VM holds or still works on. */
+  readonly listUsed: (serverId: string) => readonly HeldRow[];
+}
+
+/** Checks each accepted write of the table of key ranges. */
+export class TableAudit {
+  public readonly violations: string[] = [];
+  private readonly facts: AuditFacts;
+
+  public constructor(facts: AuditFacts) {
+    this.facts = facts;
+  }
+
+  /** Notes a write; `after` is undefined if it cannot be decoded. */
+  public noteWrite(writer: string, before: RangeTable | undefined, after: RangeTable | undefined): void {
+    if (after === undefined) {
+      this.violations.push(`${writer} writes a table that cannot be decoded`);
+      return;
+    }
+    this.checkCover(writer, after);
+    for (const row of before?.rows ?? []) {
+      const changed = after.rows.filter((next) => overlaps(row, next) && !isSameRow(row, next));
+      for (const next of changed) this.checkChange(writer, row, next, before?.lastEpoch ?? 0);
+    }
+  }
+
+  private checkCover(writer: string, { rows }: RangeTable): void {
+    const ends = rows.map(({ to }) => to);
+    const isWhole =
+      rows.every(({ from, to }, index) => from === (ends[index - 1] ?? -1) + 1 && to >= from) &&
+      ends.at(-1) === keySpace.to;
+    if (!isWhole)
+      this.violations.push(
+        `${writer} leaves keys out: ${rows.map(({ from, to }) => `${from}-${to}`).join(' ')}`,
+      );
+  }
+
+  private checkChange(writer: string, row: RangeRow, next: RangeRow, lastEpoch: number): void {
+    const change = `${describe(row)} to ${describe(next)}`;
+    const isEnded = isTermEnded(row.term, this.facts.readLease(row.serverId));
+    if (row.serverId !== writer && !isEnded)
+      this.violations.push(`${writer} changes a row of another: ${change}`);
+    if (next.epoch <= lastEpoch) this.violations.push(`${writer} does not raise the epoch: ${change}`);
+    if (next.serverId === row.serverId) return;
+    const used = this.facts
+      .listUsed(row.serverId)
+      .find((held) => overlaps(held, row) && overlaps(held, next));
+    if (used !== undefined)
+      this.violations.push(`${writer} gives away keys in use (${used.from}-${used.to}): ${change}`);
+  }
+}
+
+function isSameRow(left: RangeRow, right: RangeRow): boolean {
+  return (
+    left.serverId === right.serverId &&
+    left.epoch === right.epoch &&
+    left.term === right.term &&
+    left.incarnation === right.incarnation
+  );
+}
+
+function describe({ from, to, serverId, term, incarnation, epoch }: RangeRow): string {
+  return `${from}-${to} ${serverId}:${term} ${incarnation} @${epoch}`;
+}
--- a/packages/mesh/test/ownership.test.ts
+++ b/packages/mesh/test/ownership.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { BasicFaults } from './BasicFaults.js';
 import { OwnershipRun } from './OwnershipRun.js';
 
 const VMS = 5;
@@ -10,7 +11,7 @@
 
 for (const seed of SEEDS)
   t.test(`no key has two holders, seed ${seed}`, async (t) => {
-    const run = new OwnershipRun(seed, VMS);
+    const run = new OwnershipRun(seed, VMS, BasicFaults);
     await run.run(RUN_MS, CALM_MS);
     t.same(run.violations.slice(0, 3), []);
     t.ok(run.heldSteps > 10_000, 'keys are held most of the time');
