Take a refused connection as proof of an end only after silence

Two backend servers would hold the same keys if a port refuses a connection while its server lives: the daemon took it as proof that the run had ended and gave its keys away, though the run held them by a grant of up to 7.14 s. A server that leaves may well close its port first and finish its requests.

What Node reports was tried on loopback: a server that resets connections beyond its limit shows as ECONNRESET or as a connection that opens and closes, never as ECONNREFUSED (200 and 50 connections); a process that closed its listener and keeps a connection open shows as ECONNREFUSED. So a full server is not the cause, and the port does not prove the end.

The end is proven by a second refused connection, once two announcements have failed to come since the last one and one since the first refusal, and never for a run that had begun to leave. Until then the server counts as silent. Waiting out the grant in all cases would cost callers up to 7.3 s for each crash; this costs 1.7 s after the last announcement.

presence 'refused connection alone proves no end', 'refusal after silence proves the end', 'refusal after a stall of the daemon is looked at again' and 'refusal of a leaving run proves nothing' fail without the change: ended with proven=true for false, or no probe. server 'reset connection is not taken for refused' passes before and after.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -168,6 +168,7 @@
       isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? false,
       onPresence: (presence) => this.server.post({ type: 'presence', presence }),
       onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
+      onDoubt: () => this.server.post({ type: 'probe' }),
       onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
     });
     this.receiver = new ReceiverTask({
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -4,6 +4,7 @@
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
+import type { Refusal } from '#mesh/Refusal.js';
 
 /** Messages of `PresenceTask`. */
 export type PresenceMessage =
@@ -20,6 +21,8 @@
       readonly reply: () => void;
     }
   | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
+  /** A run that refused a connection may have been silent for long enough. */
+  | { readonly type: 'confirm'; readonly refusal: Refusal }
   /** Term of the lease under which this daemon grants keys. */
   | { readonly type: 'term'; readonly term: number }
   | { readonly type: 'publish' }
--- a/packages/mesh/src/PresenceOptions.ts
+++ b/packages/mesh/src/PresenceOptions.ts
@@ -21,6 +21,8 @@
   readonly isConfigured: (service: string) => boolean;
   /** Asks for the keys that an announcing backend server may hold. */
   readonly onCheckIn: (checkIn: CheckIn) => void;
+  /** Asks for a connection to a silent backend server that refused one before. */
+  readonly onDoubt: () => void;
   /** Told that a run of the backend server ended; `proven` if its process is known to be gone. */
   readonly onEnded: (incarnation: string, proven: boolean) => void;
 }
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -13,6 +13,7 @@
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
 import type { PresenceMessage } from '#mesh/PresenceMessage.js';
 import type { PresenceOptions } from '#mesh/PresenceOptions.js';
+import type { Refusal } from '#mesh/Refusal.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 
 /** Changes within this time are published together, in milliseconds. */
@@ -43,8 +44,7 @@
   private published: ServerEntry | undefined;
   private pending: ServerEntry | undefined;
   private revision = 0;
-  /** Run whose port refused a connection last, so that it was taken for ended. */
-  private refusedIncarnation = '';
+  private refusal: Refusal | undefined;
   private cancelPublish: Cancel | undefined;
 
   public constructor(options: PresenceOptions) {
@@ -69,6 +69,9 @@
       case 'evidence':
         this.noteEvidence(message.evidence);
         return;
+      case 'confirm':
+        this.confirm(message.refusal);
+        return;
       case 'term':
         this.term = message.term;
         this.schedulePublish(GATHER_MS);
@@ -98,8 +101,9 @@
       reply({ accepted: incarnation === this.run?.incarnation, grant: undefined });
       return;
     }
-    if (incarnation === this.refusedIncarnation)
+    if (incarnation === this.refusal?.incarnation)
       this.options.logger.log('refusalRefuted', { incarnation, sequence: announcement.sequence });
+    this.refusal = undefined;
     if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplaced(this.run);
     const before = this.run;
     const nowMs = this.options.clock.monotonicMs();
@@ -167,13 +171,35 @@
     const silentMs = this.options.clock.monotonicMs() - run.heardMs;
     const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
     if (kind === 'silent' && !missed) return;
-    if (kind === 'refused') this.refusedIncarnation = incarnation;
-    this.options.onEnded(incarnation, kind === 'refused');
+    const proven = kind === 'refused' && this.isConfirmed(run);
+    this.options.onEnded(incarnation, proven);
     if (!this.cursor.send({ type: 'died' })) return;
     this.options.logger.log('serverDied', { incarnation, evidence: kind, silentMs: Math.round(silentMs) });
     this.tell(run);
   }
 
+  /**
+   * Whether a refused connection proves the end of a run: only if it refused one before and has announced nothing since, as
+   * a living server can lack a listener for a moment. A leaving one may close its port while it works on its last requests.
+   */
+  private isConfirmed({ incarnation, heardMs, leavingMs }: Run): boolean {
+    if (leavingMs !== undefined) return false;
+    if (this.refusal !== undefined) return this.refusal.isSilent;
+    const { announceEveryMs, clock } = this.options;
+    const silentMs = clock.monotonicMs() - heardMs;
+    const waitMs = Math.max(MISSED_ANNOUNCEMENTS * announceEveryMs - silentMs, announceEveryMs);
+    const refusal: Refusal = { incarnation, isSilent: false };
+    this.refusal = refusal;
+    clock.schedule(waitMs, () => this.post({ type: 'confirm', refusal }));
+    return false;
+  }
+
+  private confirm(refusal: Refusal): void {
+    if (refusal !== this.refusal) return;
+    this.refusal = { ...refusal, isSilent: true };
+    this.options.onDoubt();
+  }
+
   private tell(before: Run | undefined): void {
     const presence = this.describe();
     this.options.onPresence(presence);
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -314,6 +314,7 @@
       isConfigured: (service) => service === 's',
       onPresence: () => undefined,
       onCheckIn: (checkIn) => ranges.post({ type: 'checkIn', checkIn }),
+      onDoubt: () => this.probe(),
       onEnded: (incarnation, proven) => ranges.post({ type: 'ended', incarnation, proven }),
     });
     this.daemon = { clock, store, presence, ranges, lease, planner, balance };
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -23,6 +23,8 @@
 class PresenceRun {
   public readonly clock = new ManualClock();
   public readonly ended: (readonly [incarnation: string, proven: boolean])[] = [];
+  /** Connections that were asked for to see whether the backend server refuses them. */
+  public probes = 0;
   public readonly task = new PresenceTask({
     place: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
     processId: 'p',
@@ -35,12 +37,26 @@
     onPresence: () => undefined,
     onCheckIn: ({ reply }) => reply({ rows: [], holdMs: 1_000 }),
     onEnded: (incarnation, proven) => this.ended.push([incarnation, proven]),
+    onDoubt: () => {
+      this.probes += 1;
+    },
   });
 
   public announce(change: Partial<Announcement> = {}): Promise<AnnouncementReply> {
     const changed = { ...announcement, ...change };
     return this.task.ask((reply) => ({ type: 'announced', announcement: changed, reply }));
   }
+
+  /** Tells that a connection to the run of the announcement was refused. */
+  public async refuse(): Promise<void> {
+    this.task.post({ type: 'evidence', evidence: { kind: 'refused', incarnation: 'i/5000' } });
+    await Promise.resolve();
+  }
+
+  public async advance(ms: number): Promise<void> {
+    this.clock.advance(ms);
+    await Promise.resolve();
+  }
 }
 
 t.test('unknown service replaces no server', async (t) => {
@@ -96,3 +112,52 @@
   await run.announce({ sequence: 5 });
   t.same(run.ended, [['i/5000', false]]);
 });
+
+t.test('refused connection alone proves no end', async (t) => {
+  // A living server without a listener lost its keys at once, while it held them by its last grant.
+  const run = new PresenceRun();
+  await run.announce();
+  await run.refuse();
+  await run.refuse();
+  t.same(run.ended.at(-1), ['i/5000', false]);
+  await run.advance(1_000);
+  await run.announce({ sequence: 4 });
+  await run.advance(1_000);
+  await run.refuse();
+  t.same(run.ended.at(-1), ['i/5000', false], 'it announced itself since the first refusal');
+});
+
+t.test('refusal after silence proves the end', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  await run.advance(500);
+  await run.refuse();
+  await run.advance(1_200);
+  t.equal(run.probes, 0);
+  await run.advance(200);
+  t.equal(run.probes, 1, 'no announcement for two intervals');
+  await run.refuse();
+  t.same(run.ended.at(-1), ['i/5000', true]);
+});
+
+t.test('refusal after a stall of the daemon is looked at again', async (t) => {
+  // Its announcements were waiting to be read while it took the server for silent.
+  const run = new PresenceRun();
+  await run.announce();
+  await run.advance(5_000);
+  await run.refuse();
+  t.same(run.ended.at(-1), ['i/5000', false]);
+  await run.announce({ sequence: 4 });
+  await run.advance(1_000);
+  t.equal(run.probes, 0);
+});
+
+t.test('refusal of a leaving run proves nothing', async (t) => {
+  // A server that leaves may close its port and still work on its keys.
+  const run = new PresenceRun();
+  await run.announce({ draining: true });
+  await run.refuse();
+  await run.advance(2_000);
+  await run.refuse();
+  t.same(run.ended.at(-1), ['i/5000', false]);
+});
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -1,3 +1,4 @@
+import { createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
 import { emptyView } from '#mesh/EmptyView.js';
@@ -5,6 +6,7 @@
 import { RouteIndex } from '#routes/RouteIndex.js';
 import { createOrder } from './CreateOrder.js';
 import { formatAnswer } from './FormatAnswer.js';
+import { listenOnFreePort } from './ListenOnFreePort.js';
 import { startServerTask } from './StartServerTask.js';
 
 const keyedView: View = {
@@ -303,6 +305,16 @@
   );
 });
 
+t.test('reset connection is not taken for refused', async (t) => {
+  // A server resets connections beyond its limit while it lives and holds its keys.
+  const { run, announce, evidence } = await startServerTask(t, () => undefined);
+  const full = createServer((socket) => socket.resetAndDestroy());
+  t.teardown(() => full.close());
+  announce({ address: `127.0.0.1:${await listenOnFreePort(full)}` });
+  t.match(await run(createOrder('1')), { type: 'refused', code: 'noServer' });
+  t.same([...new Set(evidence.map(({ kind }) => kind))], ['silent']);
+});
+
 t.test('bytes behind an answer close the connection', async (t) => {
   // What came in one read with an answer stayed in the parser, and became part of the answer to the next order.
   const { run, server } = await startServerTask(t, ({ id, socket }) =>
