Free no keys by what was released before the daemon started

Two backend servers could hold the same keys after a restart of a daemon: if announcements of its live backend server that had been held up arrive before any later one, their statement of a release frees the keys at once, though the former run of the daemon may have granted them again since. Announcements that list no release were already waited out.

For two announcement intervals after its start a daemon now takes such statements for the handover token only. By then a backend server that can reach it has announced itself, and older announcements are outdated by their sequence.

rangeTask 'outdated released rows free no inherited keys' fails without the change (lastEpoch is not 1). 'keys move only after a later announcement' and 'evacuation empties the server' now begin once the daemon has run for two intervals; they pass so before the change as well.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -76,7 +76,8 @@
   public constructor(options: RangeOptions) {
     super();
     this.options = options;
-    this.releases = new ReleaseLedger(options.logger);
+    const { logger, clock, announceEveryMs } = options;
+    this.releases = new ReleaseLedger(logger, clock.monotonicMs(), announceEveryMs);
     this.loads = new KeyLoads(options.elapsed.nowMs());
     this.heldReply = new HeldReply(options.announceEveryMs);
     this.grants = new GrantHorizon(options.clock, options.terms);
--- a/packages/mesh/src/ReleaseLedger.ts
+++ b/packages/mesh/src/ReleaseLedger.ts
@@ -9,14 +9,20 @@
 import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 import { settleReleases } from '#mesh/SettleReleases.js';
 
+/** A backend server that can reach this daemon has done so once it could announce itself this many times. */
+const LIVE_ANNOUNCEMENTS = 2;
+
 /** The releases of keys that are under way at one run of a backend server. */
 export class ReleaseLedger {
   private readonly logger: Logger;
+  /** Monotonic time until which announcements may be outdated ones that a former run of the daemon missed. */
+  private readonly liveFromMs: number;
   private releases: readonly PendingRelease[] = [];
   private released: readonly ReleasedRow[] = [];
 
-  public constructor(logger: Logger) {
+  public constructor(logger: Logger, nowMs: number, announceEveryMs: number) {
     this.logger = logger;
+    this.liveFromMs = nowMs + LIVE_ANNOUNCEMENTS * announceEveryMs;
   }
 
   public get isEmpty(): boolean {
@@ -68,7 +74,8 @@
     const told = this.releases.filter(({ step }) => step === 'told');
     const news = released.filter((row) => told.some((release) => overlaps(row, release)));
     this.released = [...this.released, ...news];
-    this.replace(advanceReleases(this.releases, holds, this.released, nowMs), 'announced');
+    const proofs = nowMs < this.liveFromMs ? [] : this.released;
+    this.replace(advanceReleases(this.releases, holds, proofs, nowMs), 'announced');
   }
 
   /** Notes that no grant can be in force any more. */
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -13,6 +13,9 @@
 /** Time after which no grant of a former run of the daemon is in force, in milliseconds. */
 const INHERITED_MS = 7_500;
 
+/** Time after which a live backend server has announced itself, in milliseconds. */
+const LIVE_MS = 1_800;
+
 const whole = { from: 0, to: 32_767, epoch: 1 };
 
 function start(t: { readonly teardown: (close: () => unknown) => void }): RangeRun {
@@ -57,6 +60,7 @@
   const run = start(t);
   await run.view(servers, table);
   await run.lease(1, 60_000);
+  await run.advance(LIVE_MS);
   await run.checkIn([]);
   run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
   await run.settle();
@@ -119,6 +123,7 @@
   const there = [createEntry('a'), createEntry('b', { failureDomain: 'e' })];
   await run.view(there, table);
   await run.lease(1, 60_000);
+  await run.advance(LIVE_MS);
   await run.checkIn([]);
   await run.view(there, table, ['d']);
   t.match(await run.checkIn([whole]), { rows: [] });
@@ -297,6 +302,19 @@
   t.equal(run.table().lastEpoch, 1);
 });
 
+t.test('outdated released rows free no inherited keys', async (t) => {
+  // Held-up announcements told of a release before the live run was granted the keys again by the former daemon.
+  const run = start(t);
+  const released = [{ from: 16_384, to: 32_767, handover: 'h' }];
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([], released);
+  run.task.post({ type: 'release', requests: [{ to: 'b', workMsPerSecond: 0, share: 0.5, speedup: 1 }] });
+  await run.checkIn([], released);
+  await run.checkIn([], released);
+  t.equal(run.table().lastEpoch, 1);
+});
+
 t.test('statement of an earlier release frees nothing', async (t) => {
   // Keys that came back and were released anew were free by the statement of their first release.
   const run = start(t);
