Let holders renew after a store outage before their keys are taken over

After an outage of the store that is longer than a lease, the first daemon that reads the leases again finds those of all others unchanged for too long. It revoked them one by one, 50 ms apart, and gave their keys to the few that had renewed already, so that one backend server could receive far more than its part; daemons whose call was still timing out came back a moment later without keys.

Once a listing of the leases has failed, leases count as ended only 2.5 s after the first one that succeeds: a call of a daemon fails after 1.5 s at most and is repeated after 0.5 s. Resigned terms are taken over at once as before. Waiting for a number of receivers was weighed and left out: a loss of two failure domains would then be waited out for nothing.

planner 'holders may renew after an outage of the store' fails without the change (0 rows of b for 1, twice).

--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -1,5 +1,6 @@
-import { boolean, Codec } from 'purify-ts';
+import { boolean, Codec, type Either } from 'purify-ts';
 import type { Cancel } from '#core/Cancel.js';
+import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
 import { isTermEnded } from '#ranges/IsTermEnded.js';
 import { LeaseWatch } from '#ranges/LeaseWatch.js';
@@ -9,6 +10,7 @@
 import { splitAmong } from '#ranges/SplitAmong.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
+import type { CollectionListing } from '#store/CollectionListing.js';
 import { collections } from '#mesh/Collections.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { LeaseEntry } from '#mesh/LeaseEntry.js';
@@ -38,6 +40,9 @@
 /** An election or plan that has not ended after this time is given up, in milliseconds. */
 const LONGEST_PLAN_MS = 10_000;
 
+/** Time in which holders renew their leases once the store can be read again, in milliseconds. */
+const RETURN_MS = 2_500;
+
 /** Time to the next step of a takeover, in milliseconds. */
 const STEP_MS = 50;
 
@@ -56,6 +61,8 @@
   /** Monotonic time of the last election that began here, and of the last listing of leases that succeeded. */
   private electedMs = 0;
   private listedMs = -Infinity;
+  /** Monotonic time since which each listing of leases has succeeded. */
+  private readableSinceMs: number | undefined;
   private joining = false;
   private readonly resignations = new Map<string, Resignation>();
   private cancelTick: Cancel = () => undefined;
@@ -93,13 +100,7 @@
         this.noteResignation(message.value);
         return;
       case 'listed':
-        message.result.caseOf({
-          Left: () => this.finish(),
-          Right: ({ items }) => {
-            this.listedMs = this.options.clock.monotonicMs();
-            this.plan(message.table, items);
-          },
-        });
+        this.noteListing(message.table, message.result);
         return;
       case 'revoked':
       case 'written':
@@ -171,6 +172,20 @@
       .then((result) => this.post({ type: 'listed', table, result }));
   }
 
+  private noteListing(table: TableView, result: Either<RouterError, CollectionListing>): void {
+    result.caseOf({
+      Left: () => {
+        this.readableSinceMs = undefined;
+        this.finish();
+      },
+      Right: ({ items }) => {
+        this.listedMs = this.options.clock.monotonicMs();
+        this.readableSinceMs ??= this.listedMs;
+        this.plan(table, items);
+      },
+    });
+  }
+
   private plan(table: TableView, items: readonly CollectionItem[]): void {
     const leases = this.readLeases(items);
     const owners = new Set(table.table.rows.map(({ serverId }) => serverId));
@@ -239,10 +254,12 @@
     leases: ReadonlyMap<string, LeaseEntry>,
     nowMs: number,
   ): boolean {
+    // Holders that could not reach the store either renew soon; they would lose their keys to the first that did.
+    const haveReturned = nowMs - (this.readableSinceMs ?? nowMs) >= RETURN_MS;
     const ended = [...owners].find(
       (id) =>
         leases.get(id)?.record.revoked !== true &&
-        (this.watch.hasEnded(id, nowMs) || this.hasResigned(id, leases.get(id))),
+        ((haveReturned && this.watch.hasEnded(id, nowMs)) || this.hasResigned(id, leases.get(id))),
     );
     if (ended === undefined) return false;
     const lease = leases.get(ended);
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -154,3 +154,28 @@
   await run.pass(6_000, ['a']);
   t.notOk(run.calls.includes('release'), 'no owner is asked to give keys to it');
 });
+
+t.test('holders may renew after an outage of the store', async (t) => {
+  // The first daemon that could read the store again took the keys of those that renewed a moment later.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.pass(6_000, ['a', 'b']);
+  run.store.trouble = 'down';
+  await run.pass(15_000, []);
+  run.store.trouble = 'none';
+  await run.pass(4_000, ['a']);
+  t.equal(run.rowsOf('b'), 1, 'its renewal may be under way');
+  await run.pass(3_000, ['a', 'b']);
+  t.equal(run.rowsOf('b'), 1);
+});
+
+t.test('holder lost in an outage of the store is taken over', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.pass(6_000, ['a', 'b']);
+  run.store.trouble = 'down';
+  await run.pass(15_000, []);
+  run.store.trouble = 'none';
+  await run.pass(9_000, ['a']);
+  t.equal(run.rowsOf('b'), 0);
+});
