--- a/packages/mesh/src/OwnershipOptions.ts
+++ b/packages/mesh/src/OwnershipOptions.ts
@@ -24,6 +24,7 @@
   readonly createLogger: (component: string) => Logger;
   readonly isConfigured: PresenceOptions['isConfigured'];
   readonly onPresence: PresenceOptions['onPresence'];
+  readonly onDoubt: PresenceOptions['onDoubt'];
   readonly onGranted: RangeOptions['onGranted'];
   readonly onFacts: RangeOptions['onFacts'];
   readonly call: PlannerOptions['call'];
