Run no late copy of an order that was refused when sent again

What callers would see: an order that may run once runs at two instances. Its session breaks and it is sent again; the second copy is refused (full, draining, moving), so that the order is offered to another server; then the first copy arrives after all, as TCP repeats what a cut link held back, and runs too. In the same way, the refusal that is kept of an earlier offer was given as the result of a later one whose copy was still under way.

Cause: a refusal says that nothing of the order runs here, but copies on earlier sessions were not counted in. The ledger recognises a second copy only while the first runs or after it ran.

Change: the copies of an order are numbered. The ledger remembers the number of a copy that was sent again as long as it keeps results (8 s); one with a lower number does not run. A copy that is sent again after a refusal is a new offer. Copies of older daemons have the number 0 and are treated as before. `EntryTask` counts the copies; nothing else changes there.

--- a/packages/mesh/src/CreateOrder.ts
+++ b/packages/mesh/src/CreateOrder.ts
@@ -2,9 +2,9 @@
 import type { Order } from '#mesh/Order.js';
 import { returnMs } from '#mesh/ReturnMs.js';
 
-/** Creates the order of an exchange. `resumes` is the run of the daemon that already received it, or empty. */
+/** Creates the latest copy of an exchange's order. `resumes` is the run of the daemon that already received it, or empty. */
 export function createOrder(exchange: MeshExchange, callerService: string, resumes: string): Order {
-  const { request, route, service, dueMs } = exchange;
+  const { request, route, service, dueMs, copies } = exchange;
   return {
     request,
     service,
@@ -15,5 +15,6 @@
     targetMs: request.arrivedMs + route.targetLatencyMs - returnMs,
     dueMs,
     resumes,
+    copy: copies,
   };
 }
--- a/packages/mesh/src/DecodeOrder.ts
+++ b/packages/mesh/src/DecodeOrder.ts
@@ -3,6 +3,7 @@
 import { createIntegerCodec } from '#codec/CreateIntegerCodec.js';
 import { createListCodec } from '#codec/CreateListCodec.js';
 import { createNullableCodec } from '#codec/CreateNullableCodec.js';
+import { createOptionalCodec } from '#codec/CreateOptionalCodec.js';
 import { durationCodec } from '#codec/DurationCodec.js';
 import { idCodec } from '#codec/IdCodec.js';
 import { labelCodec } from '#codec/LabelCodec.js';
@@ -53,6 +54,8 @@
   resumes: string,
   /** 0 stands for the host. */
   values: readonly (string | number)[],
+  /** Missing from older daemons. */
+  copy?: number,
 ];
 
 const detailDecoders = [
@@ -62,6 +65,7 @@
   timeLeftCodec,
   labelCodec,
   createListCodec(headerValueCodec, maxHeaders),
+  createOptionalCodec(countCodec),
 ] as const;
 
 /** Decodes an order that another daemon encoded. The error says which field is wrong. */
@@ -78,7 +82,7 @@
 function build(kind: Kind, detail: Detail, body: Buffer, nowMs: number): Either<string, Order> {
   const [method, host, names, idIndex, hasBody, service, callerService] = kind;
   const [, , , , , , , idempotent, priority, targetLatencyMs] = kind;
-  const [target, key, leftMs, targetLeftMs, resumes, values] = detail;
+  const [target, key, leftMs, targetLeftMs, resumes, values, copy = 0] = detail;
   if (names.length !== values.length) return Left('names and values of headers differ in number');
   const headers = names.map((name, index): HeaderPair => [name, textOf(values[index], host)]);
   return Right({
@@ -102,6 +106,7 @@
     targetMs: nowMs + targetLeftMs,
     dueMs: nowMs + leftMs,
     resumes,
+    copy,
   });
 }
 
--- a/packages/mesh/src/EncodeOrder.ts
+++ b/packages/mesh/src/EncodeOrder.ts
@@ -24,6 +24,7 @@
     Math.floor(order.targetMs - nowMs),
     order.resumes,
     request.headers.map(([, value]) => (value === request.host ? 0 : value)),
+    order.copy,
   ];
   return { kind: encodeAscii(kind), detail: encodeAscii(detail) };
 }
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -147,6 +147,7 @@
       cancelWait: () => undefined,
       offer: undefined,
       offers: 0,
+      copies: 0,
       arrivals: 0,
       tried: new Set(),
       mayHaveRun: false,
@@ -217,8 +218,9 @@
   private offer(exchange: MeshExchange, server: ServerEntry, resumed: number): void {
     const offer = { number: exchange.offers + 1, server, sentMs: this.now(), resumed };
     exchange.cursor.send({ type: 'offered' });
-    this.exchanges.set(exchange.number, { ...exchange, offer, offers: offer.number });
-    const order = createOrder(exchange, this.options.place.service, resumed > 0 ? server.processId : '');
+    const next = { ...exchange, offer, offers: offer.number, copies: exchange.copies + 1 };
+    this.exchanges.set(exchange.number, next);
+    const order = createOrder(next, this.options.place.service, resumed > 0 ? server.processId : '');
     this.options.chooser.noteSent(server.serverId);
     this.options.send(order, server, (result) =>
       this.post({ type: 'result', exchange: exchange.number, offer: offer.number, result }),
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -23,6 +23,8 @@
   /** The offer that is under way. */
   readonly offer: Offer | undefined;
   readonly offers: number;
+  /** Copies of its order that were sent. */
+  readonly copies: number;
   /** Times that the request reached a backend server, also if that refused it. */
   readonly arrivals: number;
   /** Servers that are not offered it again. */
--- a/packages/mesh/src/Order.ts
+++ b/packages/mesh/src/Order.ts
@@ -16,4 +16,6 @@
   readonly dueMs: number;
   /** Run of the daemon that already received this order; only that run may continue it. Empty for a new order. */
   readonly resumes: string;
+  /** Number of this copy among those that the sending daemon sent to any server for the same caller's request. */
+  readonly copy: number;
 }
--- a/packages/mesh/src/OrderLedger.ts
+++ b/packages/mesh/src/OrderLedger.ts
@@ -1,7 +1,7 @@
 import type { OrderReply } from '#mesh/OrderReply.js';
 import type { OrderResult } from '#mesh/OrderResult.js';
 
-/** Results are kept this long for a sender that lost its session, in milliseconds. */
+/** Results are kept this long for a sender that lost its session, and late copies awaited, in milliseconds. */
 const KEEP_MS = 8_000;
 
 /** Results that are kept at most. */
@@ -13,6 +13,11 @@
 /** Takes the place of an answer that is no longer kept. */
 const FORGOTTEN: OrderResult = { type: 'lost', code: 'connectionLost', load: undefined };
 
+interface Copy {
+  readonly copy: number;
+  readonly sentMs: number;
+}
+
 interface Account {
   readonly replies: readonly OrderReply[];
   readonly result: OrderResult | undefined;
@@ -22,6 +27,8 @@
 /** Orders that this run of the daemon received, by request id, so that none runs twice for being sent again. */
 export class OrderLedger {
   private readonly accounts = new Map<string, Account>();
+  /** The latest copies of orders that were sent again, by request id, the oldest first. */
+  private readonly sentAgain = new Map<string, Copy>();
   /** Bytes of the bodies that are kept, by request id, the oldest first. */
   private readonly bodies = new Map<string, number>();
   private bodyBytes = 0;
@@ -36,6 +43,18 @@
     return this.accounts.get(id)?.result?.type === 'refused';
   }
 
+  /** Notes that an order was sent again, so that earlier copies of it may still be under way. */
+  public noteSentAgain(id: string, copy: number, nowMs: number): void {
+    if (this.isLate(id, copy)) return;
+    this.sentAgain.delete(id);
+    this.sentAgain.set(id, { copy, sentMs: nowMs });
+  }
+
+  /** Whether a copy of an order comes after a later one. Its sender no longer waits for it. */
+  public isLate(id: string, copy: number): boolean {
+    return copy < (this.sentAgain.get(id)?.copy ?? 0);
+  }
+
   /** Opens the account of an order that begins now. */
   public open(id: string, reply: OrderReply, nowMs: number): void {
     this.remove(id);
@@ -62,6 +81,10 @@
 
   /** Forgets results that are old or too many. */
   public expire(nowMs: number): void {
+    for (const [id, { sentMs }] of this.sentAgain) {
+      if (nowMs - sentMs < KEEP_MS) break;
+      this.sentAgain.delete(id);
+    }
     for (const [id, { result, changedMs }] of this.accounts) {
       const excess = this.accounts.size > MAX_KEPT;
       if (!excess && nowMs - changedMs < KEEP_MS) return;
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -129,16 +129,22 @@
 
   private accept(order: Order, reply: OrderReply): void {
     const { id } = order.request;
-    const isRepeat = order.resumes !== '' || (!order.idempotent && !this.ledger.wasRefused(id));
-    if (this.ledger.has(id) && isRepeat) {
+    const isSentAgain = order.resumes !== '';
+    // A refusal speaks of its own offer only; the one that is sent again may be a later one.
+    if (this.ledger.has(id) && !this.ledger.wasRefused(id) && (isSentAgain || !order.idempotent)) {
       this.ledger.join(id, reply);
       return;
     }
-    if (order.resumes !== '' && order.resumes !== this.options.processId) {
+    if (isSentAgain && order.resumes !== this.options.processId) {
       reply({ type: 'lost', code: 'peerRestarted', load: undefined });
       return;
     }
+    if (!order.idempotent && this.ledger.isLate(id, order.copy)) {
+      reply(this.outcomes.refuse(order, 'tooLate', false));
+      return;
+    }
     const nowMs = this.now();
+    if (isSentAgain) this.ledger.noteSentAgain(id, order.copy, nowMs);
     const isShort = this.starts.noteArrival(order, nowMs);
     const queued = { order, queuedMs: nowMs, serviceMs: this.times.expect(order), isShort };
     const admission = checkAdmission(order, this.state, this.options, nowMs);
--- a/packages/mesh/test/CreateOrder.ts
+++ b/packages/mesh/test/CreateOrder.ts
@@ -26,6 +26,7 @@
     targetMs: performance.now() + 300,
     dueMs: performance.now() + 2_000,
     resumes: '',
+    copy: 1,
     ...change,
   };
 }
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -66,7 +66,7 @@
 }
 
 t.test('order survives its encoding', (t) => {
-  const order = createOrder('ä1', { idempotent: false, resumes: 'p' }, 77);
+  const order = createOrder('ä1', { idempotent: false, resumes: 'p', copy: 3 }, 77);
   const nowMs = clock.monotonicMs();
   const read = decodeOrder(encodeOrder(order, nowMs), order.request.body, nowMs).unsafeCoerce();
   t.same(read.request.headers, order.request.headers);
@@ -74,6 +74,7 @@
   t.equal(read.request.key, 77);
   t.equal(read.idempotent, false);
   t.equal(read.resumes, 'p');
+  t.equal(read.copy, 3);
   t.ok(Math.abs(read.dueMs - order.dueMs) <= 1);
   t.end();
 });
