Start the relay of a test in one function

relay.test.ts created its RelayTask in three places, and twice wrote what listenOnFreePort does. The checks are the same; the one of a bad answer now sends a revision with its order, which its peer does not read. The tests of the file pass.

--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -22,6 +22,7 @@
 import { createOrder } from './CreateOrder.js';
 import { RecordingLogger } from './RecordingLogger.js';
 import { findFreePort } from './FindFreePort.js';
+import { listenOnFreePort } from './ListenOnFreePort.js';
 
 interface Teardown {
   readonly teardown: (close: () => unknown) => void;
@@ -33,6 +34,18 @@
 const logger = new Logger('test');
 const hints: (readonly number[])[] = [];
 
+function startRelay(t: Teardown, log: Logger = logger): RelayTask {
+  const relay = new RelayTask({
+    clock,
+    logger: log,
+    revisions: () => [3],
+    onHint: (revisions) => hints.push(revisions),
+    onReach: () => undefined,
+  });
+  t.teardown(() => relay.stop());
+  return relay;
+}
+
 async function startPair(
   t: Teardown,
   onOrder: (order: Order, reply: OrderReply) => void,
@@ -48,18 +61,9 @@
     revisions: () => [7],
     onHint: (revisions) => hints.push(revisions),
   });
-  const relay = new RelayTask({
-    clock,
-    logger,
-    revisions: () => [3],
-    onHint: (revisions) => hints.push(revisions),
-    onReach: () => undefined,
-  });
   await receiver.listen();
-  t.teardown(() => {
-    relay.stop();
-    receiver.stop();
-  });
+  t.teardown(() => receiver.stop());
+  const relay = startRelay(t);
   const send = (order: Order): Promise<OrderResult> =>
     relay.ask((reply) => ({ type: 'order', order, address: `127.0.0.1:${port}`, reply }));
   return { send, receiver };
@@ -180,21 +184,10 @@
     stream.on('drain', write);
     write();
   });
-  await new Promise<void>((resolve) => peer.listen(0, '127.0.0.1', resolve));
-  const { port } = peer.address() as { readonly port: number };
-  const address = `127.0.0.1:${port}`;
+  const address = `127.0.0.1:${await listenOnFreePort(peer)}`;
+  t.teardown(() => peer.close());
   const log = new RecordingLogger('test');
-  const relay = new RelayTask({
-    clock,
-    logger: log,
-    revisions: () => [],
-    onHint: () => undefined,
-    onReach: () => undefined,
-  });
-  t.teardown(() => {
-    relay.stop();
-    peer.close();
-  });
+  const relay = startRelay(t, log);
   const order = createOrder('1');
   const result = await relay.ask<OrderResult>((reply) => ({ type: 'order', order, address, reply }));
   t.match(result, { type: 'lost', code: 'badAnswer' });
@@ -204,14 +197,7 @@
 });
 
 t.test('daemon that is not there got nothing', async (t) => {
-  const relay = new RelayTask({
-    clock,
-    logger,
-    revisions: () => [3],
-    onHint: (revisions) => hints.push(revisions),
-    onReach: () => undefined,
-  });
-  t.teardown(() => relay.stop());
+  const relay = startRelay(t);
   const address = `127.0.0.1:${await findFreePort()}`;
   const result = await relay.ask<OrderResult>((reply) => ({
     type: 'order',
@@ -233,9 +219,8 @@
     sockets.push(socket);
     socket.resetAndDestroy();
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const port = await listenOnFreePort(server);
   t.teardown(() => server.close());
-  const { port } = server.address() as { readonly port: number };
   let closed = 0;
   for (let index = 0; index < 20; index += 1) {
     const session = new PeerSession(
