Refuse late requests only after the work on those that are ready

Cause: late requests were refused before work began. After a process had stood still for a while, a request was refused that would have been the next one. Requests are now refused after the time for work is over, and only those that were ready. The queue also forgets the numbers of requests that ended before work on them began; under overload without pause they stayed in memory.

arrival.test.ts 'stall alone refuses nobody' fails without the change (0 requests passed on instead of 1, and 1 refusal). CallerLoadMain notes the time of leaving when the connection is closed rather than before.

--- a/packages/mesh/src/ArrivalQueue.ts
+++ b/packages/mesh/src/ArrivalQueue.ts
@@ -9,7 +9,7 @@
   /** Requests read in the present turn, and in the one before. */
   private fresh: number[] = []; // eslint-disable-line no-restricted-syntax -- private queues of the hot path
   private settling: readonly number[] = [];
-  private readonly ready: number[] = []; // eslint-disable-line no-restricted-syntax -- as above
+  private ready: number[] = []; // eslint-disable-line no-restricted-syntax -- as above
 
   public get size(): number {
     return this.waiting.size;
@@ -35,10 +35,13 @@
     this.fresh = [];
   }
 
-  /** Removes and returns the requests that have waited too long. */
+  /** Removes and returns the ready requests that have waited too long. */
   public removeLate(nowMs: number): readonly Arrival[] {
-    const late = [...this.waiting.values()].filter(({ untilMs }) => untilMs < nowMs);
+    const late = this.ready
+      .flatMap((exchange) => this.waiting.get(exchange) ?? [])
+      .filter(({ untilMs }) => untilMs < nowMs);
     for (const { exchange } of late) this.waiting.delete(exchange);
+    this.ready = this.ready.filter((exchange) => this.waiting.has(exchange));
     return late;
   }
 
--- a/packages/mesh/src/ArrivalTask.ts
+++ b/packages/mesh/src/ArrivalTask.ts
@@ -121,24 +121,26 @@
     const readsOn = this.arrivals.size > 0 && !isDrained && nowMs - readingMs < MAX_READ_MS;
     this.readingMs = readsOn ? readingMs : undefined;
     if (readsOn) this.scheduleTurn();
-    else this.startWork(nowMs);
-  }
-
-  private startWork(nowMs: number): void {
-    for (const arrival of this.arrivals.removeLate(nowMs)) this.refuse(arrival);
-    this.work(nowMs + MAX_WORK_MS);
+    else this.work(nowMs + MAX_WORK_MS);
   }
 
   /** Passes one request on. The tasks that work on it run before the next one is passed on. */
   private work(untilMs: number): void {
-    const arrival = this.now() < untilMs ? this.arrivals.takeNewest() : undefined;
-    if (arrival !== undefined) {
-      this.noteDelay(arrival);
-      this.options.onRequest(arrival.exchange, arrival.request, arrival.reply);
-      this.post({ type: 'work', untilMs });
-    } else if (this.arrivals.size > 0) {
-      this.scheduleTurn();
+    const nowMs = this.now();
+    const arrival = nowMs < untilMs ? this.arrivals.takeNewest() : undefined;
+    if (arrival === undefined) {
+      this.endWork(nowMs);
+      return;
     }
+    this.noteDelay(arrival);
+    this.options.onRequest(arrival.exchange, arrival.request, arrival.reply);
+    this.post({ type: 'work', untilMs });
+  }
+
+  /** Refuses late requests only now, as there may have been time for all of them after a stall of the process. */
+  private endWork(nowMs: number): void {
+    for (const arrival of this.arrivals.removeLate(nowMs)) this.refuse(arrival);
+    if (this.arrivals.size > 0) this.scheduleTurn();
   }
 
   private refuse(arrival: Arrival): void {
--- a/packages/mesh/test/CallerLoadMain.ts
+++ b/packages/mesh/test/CallerLoadMain.ts
@@ -34,7 +34,9 @@
     next();
   };
   const leave = (): void => {
-    load.leftMs[id] = Date.now();
+    socket.once('close', () => {
+      load.leftMs[id] = Date.now();
+    });
     retry(request, attempt, 0);
   };
   const timer = setTimeout(() => finish(leave), DEADLINE_MS);
--- a/packages/mesh/test/arrival.test.ts
+++ b/packages/mesh/test/arrival.test.ts
@@ -64,6 +64,17 @@
   t.equal(run.task.load, 0);
 });
 
+t.test('stall alone refuses nobody', async (t) => {
+  // A request was refused as late after the process had stood still, though nothing else waited.
+  const run = new ArrivalRun(0);
+  run.arrive(1, 400);
+  await run.turn(1);
+  run.clock.advance(300);
+  await run.turn(SOME_TURNS);
+  t.equal(run.passed.length, 1);
+  t.equal(run.replies.length, 0);
+});
+
 t.test('work pauses for the sockets', async (t) => {
   const run = new ArrivalRun(15);
   for (let exchange = 1; exchange <= 6; exchange += 1) run.arrive(exchange);
