--- a/packages/mesh/test/OwnershipRun.ts
+++ b/packages/mesh/test/OwnershipRun.ts
@@ -48,6 +48,7 @@
   private readonly known = new Set<string>();
   private readonly past: Holding[] = [];
   private readonly overlapping: string[] = [];
+  private checked: readonly Holding[] = [];
   private evacuated: ReadonlySet<string> = new Set();
 
   public constructor(seed: number, vms: number, Plan: CreatePlan) {
@@ -122,6 +123,8 @@
   private check(atMs: number): void {
     const used = this.vms.flatMap(({ id, used: rows }) => rows.map((row) => ({ id, row })));
     if (this.vms.some(({ held }) => held.length > 0)) this.heldSteps += 1;
+    if (isSameUse(used, this.checked)) return;
+    this.checked = used;
     for (const holding of used) this.noteEpoch(holding, atMs);
     const sorted = used.toSorted((left, right) => left.row.from - right.row.from);
     for (const [index, next] of sorted.entries()) {
@@ -139,6 +142,10 @@
   readonly row: HeldRow;
 }
 
+function isSameUse(left: readonly Holding[], right: readonly Holding[]): boolean {
+  return left.length === right.length && left.every(({ row }, index) => row === right[index]?.row);
+}
+
 async function settle(): Promise<void> {
   for (let index = 0; index < 12; index += 1) await Promise.resolve();
 }
