--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -76,9 +76,10 @@
     return [...this.server.held, ...this.server.working];
   }
 
+  /** Shows the daemon what the store holds, unless it cannot read it now. */
   public see(view: View): void {
     const { daemon } = this;
-    if (this.storePath === 'cut') return;
+    if (this.storePath === 'cut' || daemon?.clock.isAway === true) return;
     daemon?.clock.run(() => {
       daemon.tasks.applyView(view);
       daemon.balance.post({ type: 'view', view });
