Check the objects of the product's store and addresses of datagrams

In the product's own protocols an object of another writer ended each daemon that read it: the value of `intent` or `catalogue` was taken apart unchecked ("Cannot destructure property 'intent' of 'object.value' as it is null"), within a message of SpreadTask. An ETag that is no number gave the version NaN, which no later version exceeds, and marks that are no list were handed on. A datagram to a member with the port 99999 threw in the task that sent it (ERR_SOCKET_BAD_PORT).

SpreadTask ignores such an object with a log line (`objectIgnored`), and keeps the one before. HttpObjectStore reports `storeAnswerInvalid`; a write whose version cannot be read counts as a lost reply. A datagram that cannot be sent is lost.

Not checked yet: cells (`ReadCell`), kept catalogues (`CatalogueHistory`), and the parameters of signed calls, which only daemons of the fleet can send.

Tests, on the code before: 'odd object in the store ends no daemon' (spread.test.ts) fails with the message above, 'odd answer of the store is a failed call' (store.test.ts) as the answer was accepted, 'message to an odd address ends no process' (rpc/test/malformed.test.ts) with ERR_SOCKET_BAD_PORT. They pass now.

--- a/packages/control/src/SpreadTask.ts
+++ b/packages/control/src/SpreadTask.ts
@@ -22,6 +22,7 @@
 import { selectBusiest } from '#control/SelectBusiest.js';
 import type { ShardLoads } from '#control/ShardLoads.js';
 import type { SharedObject } from '#control/SharedObject.js';
+import { sharedObjectCodecs } from '#control/SharedObjectCodecs.js';
 import type { SpreadMessage } from '#control/SpreadMessage.js';
 import type { TaskLinks } from '#control/TaskLinks.js';
 import { toVersioned } from '#control/ToVersioned.js';
@@ -129,7 +130,7 @@
 
   /** Versions only rise; an older one can still arrive from a peer or from a slow call. */
   private adopt(object: SharedObject): void {
-    if (object.version <= this.versionOf(object.name)) return;
+    if (!this.isReadable(object) || object.version <= this.versionOf(object.name)) return;
     if (object.name === 'catalogue' && !this.noteCatalogue(object)) return;
     this.objects = new Map([...this.objects, [object.name, object]]);
     this.context.logger.log('adopted', { step: 'spread', object: object.name, version: object.version });
@@ -138,6 +139,15 @@
     for (let count = 0; count < EAGER_PEERS; count += 1) void this.sendDigest(this.pickPeer());
   }
 
+  /** Another writer may have left any value in the store. */
+  private isReadable(object: SharedObject): boolean {
+    const decoded = sharedObjectCodecs[object.name].decode(object);
+    decoded.ifLeft((message) =>
+      this.context.logger.log('objectIgnored', { step: 'spread', name: object.name, message }),
+    );
+    return decoded.isRight();
+  }
+
   /** Checks a catalogue and keeps the patch that leads to it. Returns false for one that cannot be decoded. */
   private noteCatalogue(object: SharedObject): boolean {
     const after = toVersioned(object);
--- a/packages/control/test/Fleet.ts
+++ b/packages/control/test/Fleet.ts
@@ -44,8 +44,8 @@
   /** Daemons whose lease must not lapse, and the lapses seen. */
   public holders: string[] = [];
   public readonly lapses: string[] = [];
+  public storePort = 0;
   private readonly timings: Timings;
-  private storePort = 0;
   private readonly seeds: string[] = [];
 
   public constructor(t: Teardown, timings: Partial<Timings> = {}) {
--- a/packages/control/test/spread.test.ts
+++ b/packages/control/test/spread.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { sharedObjectCodecs } from '#control/SharedObjectCodecs.js';
 import { Fleet } from './Fleet.js';
 
 t.test('an accepted catalogue reaches all daemons', async (t) => {
@@ -91,3 +92,35 @@
   await fleet.waitFor('version 2', () => fleet.live().every((one) => one.catalogueVersions.includes(2)));
   t.strictSame(fleet.conflicts, []);
 });
+
+t.test('odd object in the store ends no daemon', async (t) => {
+  // Its value was taken apart without a check.
+  const fleet = new Fleet(t);
+  await fleet.start(3);
+  await fleet.get('s0').plane.putCatalogue(Fleet.catalogue(), 'ana', 0);
+  await fleet.waitFor('version 1', () => fleet.live().every((one) => one.catalogueVersions.includes(1)));
+  const url = `http://127.0.0.1:${fleet.storePort}/objects`;
+  const write = async (name: string, version: number, value: unknown): Promise<void> => {
+    const condition = version === 0 ? { 'if-none-match': '*' } : { 'if-match': `"${version}"` };
+    const body = JSON.stringify({ marks: [], value });
+    const res = await fetch(`${url}/${name}`, { method: 'PUT', headers: condition, body });
+    t.ok(res.ok, `${name} ${version}`);
+  };
+  for (const [index, value] of [null, 5, {}, { author: 'x', intent: { withdrawals: 5 } }].entries()) {
+    await write('intent', index, value);
+    await write('catalogue', index + 1, value);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+  }
+  await write('catalogue', 5, { author: 'ana', catalogue: Fleet.catalogue() });
+  await fleet.waitFor('version 6', () => fleet.live().every((one) => one.catalogueVersions.includes(6)));
+  t.same([...new Set(fleet.get('s0').catalogueVersions)], [1, 6]);
+});
+
+t.test('intent of today is readable', (t) => {
+  // Its time in Unix milliseconds was above the bound of measures, so that no withdrawal took effect.
+  const withdrawal = { kind: 'vm', name: 'a', author: 'ana', sinceMs: Date.now() + 0.5 };
+  const intent = { withdrawals: [withdrawal], confirmedLost: ['b'] };
+  const object = { name: 'intent', version: 3, value: { author: 'ana', timeMs: Date.now(), intent } };
+  t.equal(sharedObjectCodecs.intent.decode(object).isRight(), true);
+  t.end();
+});
--- a/packages/rpc/src/PeerTransport.ts
+++ b/packages/rpc/src/PeerTransport.ts
@@ -200,7 +200,12 @@
       datagramsSent: datagramsSent + 1,
       bytesSent: bytesSent + datagram.length,
     };
-    this.socket.send(datagram, port, host, () => undefined);
+    try {
+      this.socket.send(datagram, port, host, () => undefined);
+    } catch (err) {
+      // The port of an odd address; a datagram may get lost at any time.
+      this.noteMalformed(`${host}:${port}`, err);
+    }
   }
 
   private async receiveDatagram(datagram: Buffer, source: RemoteInfo): Promise<void> {
--- a/packages/rpc/test/malformed.test.ts
+++ b/packages/rpc/test/malformed.test.ts
@@ -92,3 +92,12 @@
   await waitForMalformed(peer, texts.length);
   t.match(await calls(peer), { params: [1] });
 });
+
+t.test('message to an odd address ends no process', async (t) => {
+  const { transport, logger } = await open(t);
+  const odd = { serverId: 'c', host: HOST, peerPort: 99_999, udpPort: 99_999 };
+  transport.notify(odd, 'echo', []);
+  t.match(logger.records, [{ event: 'messageMalformed', fields: { peer: `${HOST}:99999` } }]);
+  for (const channel of ['udp', 'http'] as const)
+    t.ok((await transport.call(odd, 'echo', [], { channel, timeoutMs: 50 })).isLeft(), channel);
+});
--- a/packages/store/src/HttpObjectStore.ts
+++ b/packages/store/src/HttpObjectStore.ts
@@ -1,5 +1,9 @@
-import { Left, Right, type Either } from 'purify-ts';
+import { Either, Left, Right, unknown } from 'purify-ts';
 import { Agent, type Dispatcher } from 'undici';
+import { createListCodec } from '#codec/CreateListCodec.js';
+import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { labelCodec } from '#codec/LabelCodec.js';
+import { ordinalCodec } from '#codec/OrdinalCodec.js';
 import type { Clock } from '#core/Clock.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import { RouterError } from '#core/RouterError.js';
@@ -46,6 +50,11 @@
   readonly reserve?: number;
 }
 
+/** Marks that one object keeps at most, with room for more than are kept today. */
+const MAX_MARKS = 10_000;
+
+const bodyCodec = createObjectCodec({ marks: createListCodec(labelCodec, MAX_MARKS), value: unknown });
+
 interface Body {
   readonly marks: readonly string[];
   readonly value: unknown;
@@ -166,7 +175,11 @@
 
   private parsePut(name: string, answer: Answer): Either<RouterError, PutResult> {
     if (answer.status === 200 || answer.status === 201) {
-      return Right({ type: 'accepted', version: answer.version });
+      // The write was carried out, and a later read tells its version.
+      return ordinalCodec.decode(answer.version).bimap(
+        (message) => this.failure('storeReplyLost', `version of ${name}: ${message}`),
+        (version) => ({ type: 'accepted', version }),
+      );
     }
     if (answer.status !== 412) return Left(this.refusal(answer));
     if (answer.version === 0) return Right({ type: 'conflict', current: undefined });
@@ -174,12 +187,13 @@
   }
 
   private parseObject(name: string, answer: Answer): Either<RouterError, StoreObject> {
-    try {
-      const { marks, value } = JSON.parse(answer.text) as Body;
-      return Right({ name, version: answer.version, marks, value });
-    } catch (err) {
-      return Left(this.failure('storeAnswerInvalid', `object ${name} is not valid JSON`, err));
-    }
+    return Either.encase((): unknown => JSON.parse(answer.text))
+      .mapLeft(({ message }) => message)
+      .chain((body) => bodyCodec.decode(body))
+      .chain(({ marks, value }) =>
+        ordinalCodec.decode(answer.version).map((version) => ({ name, version, marks, value })),
+      )
+      .mapLeft((message) => this.failure('storeAnswerInvalid', `object ${name}: ${message}`));
   }
 
   private refusal(answer: Answer): RouterError {
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import t from 'tap';
 import { ManualClock } from '#core/ManualClock.js';
 import { RandomSource } from '#core/RandomSource.js';
@@ -143,3 +145,37 @@
   }
   t.ok(written);
 });
+
+t.test('odd answer of the store is a failed call', async (t) => {
+  // A version that was no number was higher than all others, and marks that were no list ended the reader.
+  let [body, etag] = ['', ''];
+  const server = createServer((_, res) => res.writeHead(200, { etag }).end(body));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const store = new HttpObjectStore({
+    url: `http://127.0.0.1:${port}`,
+    clock: new SystemClock(),
+    random: new RandomSource(1),
+  });
+  t.teardown(async () => {
+    await store.close();
+    server.close();
+  });
+  const good = '{"marks":["a"],"value":1}';
+  for (const [nextBody, nextEtag] of [
+    ['null', '"1"'],
+    ['{"value":1}', '"1"'],
+    ['{"marks":[5],"value":1}', '"1"'],
+    [good, '"x"'],
+    [good, '"1e400"'],
+    [good, '"-1"'],
+  ] as const) {
+    [body, etag] = [nextBody, nextEtag];
+    const read = (await store.get('a')).swap().unsafeCoerce();
+    t.equal(read.fields.code, 'storeAnswerInvalid', `${body} ${etag}`);
+  }
+  const put = await store.put({ name: 'a', value: 1, ifVersion: 0, marks: [] });
+  t.equal(put.swap().unsafeCoerce().fields.code, 'storeReplyLost');
+  [body, etag] = [good, '"7"'];
+  t.match((await store.get('a')).unsafeCoerce(), { version: 7, marks: ['a'], value: 1 });
+});
