--- a/packages/control/src/SharedObjectCodecs.ts
+++ b/packages/control/src/SharedObjectCodecs.ts
@@ -4,8 +4,8 @@
 import { createObjectCodec } from '#codec/CreateObjectCodec.js';
 import { idCodec } from '#codec/IdCodec.js';
 import { labelCodec } from '#codec/LabelCodec.js';
-import { measureCodec } from '#codec/MeasureCodec.js';
 import { ordinalCodec } from '#codec/OrdinalCodec.js';
+import { wallTimeCodec } from '#codec/WallTimeCodec.js';
 
 /** Withdrawals or lost servers at most; above the number of servers of a fleet. */
 const MAX_ENTRIES = 100_000;
@@ -14,8 +14,7 @@
   kind: createChoiceCodec(['failureDomain', 'vm', 'server']),
   name: labelCodec,
   author: labelCodec,
-  /** Wall-clock time, which need not be whole. */
-  sinceMs: measureCodec,
+  sinceMs: wallTimeCodec,
 });
 
 const intent = createObjectCodec({
--- a/packages/control/test/spread.test.ts
+++ b/packages/control/test/spread.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { sharedObjectCodecs } from '#control/SharedObjectCodecs.js';
 import { Fleet } from './Fleet.js';
 
 t.test('an accepted catalogue reaches all daemons', async (t) => {
@@ -114,3 +115,12 @@
   await fleet.waitFor('version 6', () => fleet.live().every((one) => one.catalogueVersions.includes(6)));
   t.same([...new Set(fleet.get('s0').catalogueVersions)], [1, 6]);
 });
+
+t.test('intent of today is readable', (t) => {
+  // Its time in Unix milliseconds was above the bound of measures, so that no withdrawal took effect.
+  const withdrawal = { kind: 'vm', name: 'a', author: 'ana', sinceMs: Date.now() + 0.5 };
+  const intent = { withdrawals: [withdrawal], confirmedLost: ['b'] };
+  const object = { name: 'intent', version: 3, value: { author: 'ana', timeMs: Date.now(), intent } };
+  t.equal(sharedObjectCodecs.intent.decode(object).isRight(), true);
+  t.end();
+});
