Read leases by the server they name, and let none hold up the others

What callers would see: keys of a living owner taken over (two holders until it reads the table), or keys of a lost owner that nobody takes over while the planner calls the store 20 times a second.

Cause: a lease record was believed by the name of its object. A record of another server with a higher term passed for the end of the holder's term. A record that cannot be read counted as absent, so that its revocation met a conflict; the conflict counted as progress, and the next plan, 50 ms later, chose the same owner again.

Change: a record counts only under the name of its own server; one that cannot be read keeps its revision and ends by it after the time of a lease; an owner whose revocation met a conflict goes behind the others; after a conflict on the table the next plan waits 300 ms for it to arrive.

Evidence: planner 'record of another server under this name takes nothing over' (0 rows for 1), 'lease that cannot be read ends like any other' (1 row for 0) and 'lease that cannot be revoked holds up no other' (1 row for 0) failed before.

--- /dev/null
+++ b/packages/mesh/src/CreateEmptyLease.ts
@@ -0,0 +1,17 @@
+import type { LeaseRecord } from '#mesh/LeaseRecord.js';
+
+/** Creates the record of a daemon whose own is missing or cannot be read: no term of it is known. */
+export function createEmptyLease(serverId: string, service: string): LeaseRecord {
+  return {
+    serverId,
+    service,
+    processId: '',
+    term: 0,
+    revoked: false,
+    renewal: 0,
+    incarnation: '',
+    workMsPerSecond: 0,
+    slots: 1,
+    accepts: false,
+  };
+}
--- a/packages/mesh/src/PlannerMessage.ts
+++ b/packages/mesh/src/PlannerMessage.ts
@@ -21,5 +21,9 @@
       readonly table: TableView;
       readonly result: Either<RouterError, CollectionListing>;
     }
-  | { readonly type: 'revoked'; readonly result: Either<RouterError, CollectionPutResult> }
+  | {
+      readonly type: 'revoked';
+      readonly serverId: string;
+      readonly result: Either<RouterError, CollectionPutResult>;
+    }
   | { readonly type: 'written'; readonly result: Either<RouterError, CollectionPutResult> };
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -14,14 +14,16 @@
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import { collections } from '#mesh/Collections.js';
+import { createEmptyLease } from '#mesh/CreateEmptyLease.js';
 import { emptyView } from '#mesh/EmptyView.js';
 import type { LeaseEntry } from '#mesh/LeaseEntry.js';
-import { leaseRecordCodec } from '#mesh/LeaseRecordCodec.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { PlannerMessage } from '#mesh/PlannerMessage.js';
 import type { PlannerOptions } from '#mesh/PlannerOptions.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
+import { readLease } from '#mesh/ReadLease.js';
 import type { Resignation } from '#mesh/Resignation.js';
 import { resignationCodec } from '#mesh/ResignationCodec.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
@@ -49,6 +51,9 @@
 /** Time to the next step of a takeover, in milliseconds. */
 const STEP_MS = 50;
 
+/** Time for the table that another daemon wrote to reach this one, in milliseconds. */
+const CONFLICT_MS = 300;
+
 const pingReply = createObjectCodec({ plans: flagCodec });
 
 /**
@@ -67,6 +72,8 @@
   /** Monotonic time since which each listing of leases has succeeded. */
   private readableSinceMs: number | undefined;
   private joining = false;
+  /** Owners whose revocation met another record than the one that was read; the others go first. */
+  private unrevoked: ReadonlySet<string> = new Set();
   private readonly resignations = new Map<string, Resignation>();
   private cancelTick: Cancel = () => undefined;
 
@@ -106,9 +113,11 @@
         this.noteListing(message.table, message.result);
         return;
       case 'revoked':
+        this.noteRevoked(message.serverId, message.result);
+        return;
       case 'written':
         this.finish();
-        if (message.result.isRight()) this.schedule(STEP_MS);
+        message.result.ifRight(({ type }) => this.schedule(type === 'accepted' ? STEP_MS : CONFLICT_MS));
     }
   }
 
@@ -201,21 +210,22 @@
     this.balance(owners, leases, nowMs);
   }
 
+  /** Reads the leases of this service. One that cannot be read holds nothing, but ends by its revision like any other. */
   private readLeases(items: readonly CollectionItem[]): ReadonlyMap<string, LeaseEntry> {
-    const entries = items.flatMap((item): readonly (readonly [string, LeaseEntry])[] => {
-      const decoded = leaseRecordCodec.decode(item.value);
-      if (decoded.isLeft()) {
-        this.options.logger.log('leaseMalformed', {
-          step: 'lease',
-          name: item.name,
-          message: decoded.extract(),
-        });
-        return [];
-      }
-      const record = decoded.unsafeCoerce();
-      return record.service === this.service ? [[item.name, { record, revision: item.revision }]] : [];
+    const entries = items.map((item): LeaseEntry & { readonly name: string } => {
+      const { name, revision } = item;
+      const record = readLease(item).caseOf({
+        Left: (message) => {
+          this.options.logger.log('leaseMalformed', { step: 'lease', name, message });
+          return createEmptyLease(name, this.service);
+        },
+        Right: (read) => read,
+      });
+      return { name, record, revision };
     });
-    return new Map(entries);
+    return new Map(
+      entries.filter(({ record }) => record.service === this.service).map((entry) => [entry.name, entry]),
+    );
   }
 
   /** Gives the keys of ended terms to the others. */
@@ -260,15 +270,19 @@
   ): boolean {
     // Holders that could not reach the store either renew soon; they would lose their keys to the first that did.
     const haveReturned = nowMs - (this.readableSinceMs ?? nowMs) >= RETURN_MS;
-    const ended = [...owners].find(
+    const allEnded = [...owners].filter(
       (id) =>
         leases.get(id)?.record.revoked !== true &&
         ((haveReturned && this.watch.hasEnded(id, nowMs)) || this.hasResigned(id, leases.get(id))),
     );
-    if (ended === undefined) return false;
+    const ended = allEnded.find((id) => !this.unrevoked.has(id));
+    if (ended === undefined) {
+      this.unrevoked = new Set();
+      return false;
+    }
     const lease = leases.get(ended);
     const term = this.termInTable(ended);
-    const record = lease?.record ?? { ...EMPTY_RECORD, serverId: ended, service: this.service };
+    const record = lease?.record ?? createEmptyLease(ended, this.service);
     this.options.logger.log('leaseRevoke', {
       step: 'takeover',
       peer: ended,
@@ -282,10 +296,18 @@
         { ...record, term: Math.max(record.term, term), revoked: true },
         lease?.revision ?? 0,
       )
-      .then((result) => this.post({ type: 'revoked', result }));
+      .then((result) => this.post({ type: 'revoked', serverId: ended, result }));
     return true;
   }
 
+  private noteRevoked(serverId: string, result: Either<RouterError, CollectionPutResult>): void {
+    this.finish();
+    result.ifRight(({ type }) => {
+      if (type === 'conflict') this.unrevoked = new Set([...this.unrevoked, serverId]);
+      this.schedule(STEP_MS);
+    });
+  }
+
   private termInTable(serverId: string): number {
     const rows = this.view.tables.get(this.service)?.table.rows ?? [];
     return Math.max(0, ...rows.filter((row) => row.serverId === serverId).map(({ term }) => term));
@@ -331,13 +353,3 @@
 function isPlanning(reply: unknown): boolean {
   return pingReply.decode(reply).caseOf({ Left: () => false, Right: ({ plans }) => plans });
 }
-
-const EMPTY_RECORD = {
-  processId: '',
-  term: 0,
-  renewal: 0,
-  incarnation: '',
-  workMsPerSecond: 0,
-  slots: 1,
-  accepts: false,
-};
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -75,7 +75,14 @@
   }
 
   public showTable(shown: RangeTable): void {
-    const { revision } = this.store.set('ranges', 's', rangeTableCodec.encode(shown));
+    this.store.set('ranges', 's', rangeTableCodec.encode(shown));
+    this.showStored();
+  }
+
+  /** Shows the table as it is in the store. */
+  public showStored(): void {
+    const { value, revision } = this.store.read('ranges', 's')!;
+    const shown = rangeTableCodec.decode(value).unsafeCoerce();
     const tables = new Map([['s', { table: shown, revision }]]);
     this.task.post({ type: 'view', view: { ...createView(servers, {}, undefined, true), tables } });
   }
@@ -179,3 +186,36 @@
   await run.pass(9_000, ['a']);
   t.equal(run.rowsOf('b'), 0);
 });
+
+t.test('record of another server under this name takes nothing over', async (t) => {
+  // A higher term in it passed for the end of the living holder's term.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.set('leases', 'b', lease('z', { term: 7 }));
+  await run.pass(6_000, ['a']);
+  t.equal(run.rowsOf('b'), 1);
+});
+
+t.test('lease that cannot be read ends like any other', async (t) => {
+  // Its revocation failed, and was repeated every 50 ms.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.set('leases', 'b', { serverId: 'b', service: 's' });
+  await run.pass(30_000, ['a']);
+  t.equal(run.rowsOf('b'), 0);
+});
+
+t.test('lease that cannot be revoked holds up no other', async (t) => {
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.set('leases', 'b', lease('b', { service: 'other' }));
+  const owners = ['b', 'c'].map((serverId) => ({ serverId, term: 1, incarnation: `${serverId}/1` }));
+  run.store.set('leases', 'c', lease('c'));
+  run.showTable(createRangeTable('s', owners));
+  for (let passed = 0; passed < 30_000; passed += 3_000) {
+    await run.pass(3_000, ['a']);
+    run.showStored();
+  }
+  t.equal(run.rowsOf('c'), 0);
+  t.ok(run.store.puts < 20, `${run.store.puts} conditional writes`);
+});
--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -16,6 +16,8 @@
   public isSilent = false;
   /** Number of accepted writes. */
   public writes = 0;
+  /** Number of conditional writes that were asked for. */
+  public puts = 0;
   private readonly collections = new Map<string, Map<string, CollectionItem>>();
   private revision = 1;
   private waiters: readonly (() => void)[] = [];
@@ -47,6 +49,7 @@
     value: unknown,
     ifRevision: number,
   ): Result<CollectionPutResult> {
+    this.puts += 1;
     if (this.trouble === 'down') return this.fail('storeUnreachable');
     const current = this.find(collection).get(name);
     if ((current?.revision ?? 0) !== ifRevision) return Promise.resolve(Right({ type: 'conflict', current }));
