Pause after a conflict with a table that cannot be read

A table of key ranges that another writer replaced by an odd object made each daemon with a change to write call the store without a pause: 700 conditional writes in the test without the clock moving, 8 before them.

Evidence: rangeTask 'table that cannot be read is not written in a loop' failed (708 writes for 8) and passes.

--- a/packages/mesh/src/SettleTable.ts
+++ b/packages/mesh/src/SettleTable.ts
@@ -22,12 +22,23 @@
   const put = await store.put(collections.ranges, next.service, rangeTableCodec.encode(next), ifRevision);
   if (put.isRight()) {
     const result = put.unsafeCoerce();
-    return result.type === 'accepted' ? result.item : result.current;
+    if (result.type === 'accepted') return result.item;
+    // A caller that cannot adopt what stands there would write again at once.
+    if (!isReadable(result.current)) await pause(clock);
+    return result.current;
   }
   put.ifLeft((err) => logger.log('tableNotWritten', { step: 'store', code: err.fields.code }));
   for (;;) {
-    await new Promise<void>((resolve) => clock.schedule(RETRY_MS, resolve));
+    await pause(clock);
     const read = await store.get(collections.ranges, next.service);
     if (read.isRight()) return read.unsafeCoerce();
   }
 }
+
+function isReadable(item: CollectionItem | undefined): boolean {
+  return item !== undefined && rangeTableCodec.decode(item.value).isRight();
+}
+
+function pause(clock: Clock): Promise<void> {
+  return new Promise((resolve) => clock.schedule(RETRY_MS, resolve));
+}
