Test the end of an order with a part of its answer, and seeds with load

'answers share a limit and small ones pass' no longer shows that an order whose answer has begun ends when it is due; a test of its own does. The simulated fleet plays seeds 16 and 301 with load: with the former KeyLoads.cutEnd in place of the present one, a cut does not end on both (thrown after 100,000 buckets; one row smaller than a bucket each).

--- a/packages/mesh/test/limits.test.ts
+++ b/packages/mesh/test/limits.test.ts
@@ -146,6 +146,17 @@
   t.equal(open.length, 4);
 });
 
+t.test('order with a part of its answer ends when it is due', async (t) => {
+  // It would hold a slot and the memory of the part until the connection closes.
+  const { run } = await startServerTask(t, ({ id, socket }) => {
+    if (id === 'small') socket.write(formatAnswer(id));
+    else socket.write(`${head(id, 'Content-Length: 100')}part`);
+  });
+  const result = await run(createOrder('1', { dueMs: performance.now() + 300 }));
+  t.match(result, { type: 'lost', code: 'timeout' });
+  t.match(await run(createOrder('small')), { type: 'answered' });
+});
+
 t.test('answers that ended leave room for others', async (t) => {
   const { run } = await startServerTask(t, ({ id, socket }) => {
     socket.write(head(id, 'X-Unframed: 1'));
--- a/packages/mesh/test/ownership.test.ts
+++ b/packages/mesh/test/ownership.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { BasicFaults } from './BasicFaults.js';
 import { HarshFaults } from './HarshFaults.js';
+import { LoadFaults } from './LoadFaults.js';
 import { OwnershipRun } from './OwnershipRun.js';
 
 const VMS = 5;
@@ -8,6 +9,8 @@
 const CALM_MS = 6_000;
 
 const PLANS = [
+  // On both, the cut of a row that is smaller than a bucket of loads did not end.
+  { name: 'load', Plan: LoadFaults, seeds: [16, 301] },
   { name: 'basic', Plan: BasicFaults, seeds: [1, 2, 33, 60, 65, 87] },
   { name: 'harsh', Plan: HarshFaults, seeds: [301, 302] },
 ];
