--- a/packages/admin/src/AdminBackend.ts
+++ b/packages/admin/src/AdminBackend.ts
@@ -62,11 +62,11 @@
 
   public abstract listMoves(page: PageRequest): Promise<Page<ShardMove>>;
 
-  /** Held requests; those of one tenant unless `tenant` is empty. */
-  public abstract listHeld(tenant: string, page: PageRequest): Promise<Page<HeldRequest>>;
+  /** Held requests; those of one team unless `team` is empty. */
+  public abstract listHeld(team: string, page: PageRequest): Promise<Page<HeldRequest>>;
 
-  /** Lifts a hold; of one tenant unless `tenant` is empty. Resolves with whether there was one. */
-  public abstract liftHeld(id: string, tenant: string): Promise<boolean>;
+  /** Lifts a hold; of one team unless `team` is empty. Resolves with whether there was one. */
+  public abstract liftHeld(id: string, team: string): Promise<boolean>;
 
   public abstract readMetrics(scope: MetricsScope): Promise<MetricsSnapshot>;
 
--- a/packages/admin/src/ExplainQuestion.ts
+++ b/packages/admin/src/ExplainQuestion.ts
@@ -1,6 +1,6 @@
 /** A request as an operator describes it. */
 export interface ExplainQuestion {
-  readonly tenant: string;
+  readonly team: string;
   readonly service: string;
   readonly class: string;
   /** Empty for a request without a key. */
--- a/packages/admin/src/FleetRoutes.ts
+++ b/packages/admin/src/FleetRoutes.ts
@@ -28,7 +28,7 @@
   ),
   listRoute('/admin/v1/moves', 'listMoves', 'owner', [], (backend, _, page) => backend.listMoves(page)),
   listRoute('/admin/v1/held', 'listHeld', 'owner', [], (backend, call, page) =>
-    backend.listHeld(visibleTenant(call), page),
+    backend.listHeld(visibleTeam(call), page),
   ),
   {
     method: 'DELETE',
@@ -50,15 +50,15 @@
 
 type Handled = EitherAsync<RouterError, AdminReply>;
 
-// Rival tenants share the fleet, so an owner sees its own held requests only.
-function visibleTenant({ author }: AdminCall): string {
+// Rival teams share the fleet, so an owner sees its own held requests only.
+function visibleTeam({ author }: AdminCall): string {
   return author.operator ? '' : author.name;
 }
 
 function liftHeld(backend: AdminBackend, call: AdminCall): Handled {
   return handleAsync(async (use) => {
     const { id = '' } = call.params;
-    const lifted = await backend.liftHeld(id, visibleTenant(call));
+    const lifted = await backend.liftHeld(id, visibleTeam(call));
     if (!lifted) return use(Left(new AdminError(404, 'notHeld', `request "${id}" is not held`)));
     return { status: 200, body: { id }, change: { event: 'heldLifted', fields: { id } } };
   });
--- a/packages/admin/src/HeldRequest.ts
+++ b/packages/admin/src/HeldRequest.ts
@@ -2,7 +2,7 @@
 export interface HeldRequest {
   /** Fingerprint of the request. */
   readonly id: string;
-  readonly tenant: string;
+  readonly team: string;
   readonly service: string;
   readonly class: string;
   /** Servers that failed while they ran it. */
--- a/packages/admin/src/ReadExplainQuestion.ts
+++ b/packages/admin/src/ReadExplainQuestion.ts
@@ -10,9 +10,9 @@
 const validate = new Ajv({ useDefaults: true }).compile<ExplainQuestion>({
   type: 'object',
   additionalProperties: false,
-  required: ['tenant', 'service', 'class'],
+  required: ['team', 'service', 'class'],
   properties: {
-    tenant: { type: 'string' },
+    team: { type: 'string' },
     service: { type: 'string' },
     class: { type: 'string' },
     key: { type: 'string', maxLength: MAX_KEY_LENGTH, default: '' },
@@ -28,7 +28,7 @@
       const message = `the question is invalid: ${error?.instancePath ?? ''} ${error?.message ?? ''}`;
       return Left(new AdminError(400, 'badQuestion', message));
     }
-    if (call.author.operator || body.tenant === call.author.name) return Right(body);
-    return Left(new AdminError(403, 'notPermitted', 'only an operator may ask about another tenant'));
+    if (call.author.operator || body.team === call.author.name) return Right(body);
+    return Left(new AdminError(403, 'notPermitted', 'only an operator may ask about another team'));
   });
 }
--- a/packages/admin/src/StatusRoutes.ts
+++ b/packages/admin/src/StatusRoutes.ts
@@ -54,13 +54,13 @@
   }));
 }
 
-// Rival tenants share the fleet, so an owner sees its own series only.
+// Rival teams share the fleet, so an owner sees its own series only.
 function readStats(backend: AdminBackend, call: AdminCall): Handled {
   return handleAsync(async (use) => {
     const scope = await use(readScope(call));
     const { series, counters, gauges } = await backend.readMetrics(scope);
     const { operator, name } = call.author;
-    const visible = series.filter((each) => operator || each.tenant === name);
+    const visible = series.filter((each) => operator || each.team === name);
     return { status: 200, body: { scope, series: visible.map(summarizeSeries), counters, gauges } };
   });
 }
@@ -89,8 +89,8 @@
     const inForce = await backend.readCatalogueInForce();
     if (inForce === undefined)
       return use(Left(new AdminError(404, 'noCatalogue', 'no catalogue is in force')));
-    const { tenant, service, class: className } = question;
-    const entry = findEntry(indexCatalogue(inForce), tenant, service, className) ?? null;
+    const { team, service, class: className } = question;
+    const entry = findEntry(indexCatalogue(inForce), team, service, className) ?? null;
     const daemons = await backend.explain(question, page);
     return { status: 200, body: { catalogueVersion: inForce.version, entry, daemons } };
   });
--- a/packages/admin/test/FakeAdminBackend.ts
+++ b/packages/admin/test/FakeAdminBackend.ts
@@ -36,9 +36,9 @@
     author: 'operators',
     intent: { withdrawals: [], confirmedLost: [] },
   };
-  public held: readonly HeldRequest[] = ['alpha', 'beta'].map((tenant) => ({
-    id: `held-${tenant}`,
-    tenant,
+  public held: readonly HeldRequest[] = ['alpha', 'beta'].map((team) => ({
+    id: `held-${team}`,
+    team,
     service: 'badges',
     class: 'badgeCheck',
     servers: ['badges-1', 'badges-2'],
@@ -173,17 +173,17 @@
     return this.reach(cut([{ ...move, reason: 'drain', sinceMs: 5 }], page));
   }
 
-  public override listHeld(tenant: string, page: PageRequest): Promise<Page<HeldRequest>> {
+  public override listHeld(team: string, page: PageRequest): Promise<Page<HeldRequest>> {
     return this.reach(
       cut(
-        this.held.filter((each) => tenant === '' || each.tenant === tenant),
+        this.held.filter((each) => team === '' || each.team === team),
         page,
       ),
     );
   }
 
-  public override liftHeld(id: string, tenant: string): Promise<boolean> {
-    const kept = this.held.filter((each) => each.id !== id || (tenant !== '' && each.tenant !== tenant));
+  public override liftHeld(id: string, team: string): Promise<boolean> {
+    const kept = this.held.filter((each) => each.id !== id || (team !== '' && each.team !== team));
     const lifted = kept.length < this.held.length;
     this.held = kept;
     return this.reach(lifted);
@@ -191,9 +191,9 @@
 
   public override readMetrics(): Promise<MetricsSnapshot> {
     const recorder = new MetricsRecorder();
-    for (const tenant of ['alpha', 'beta']) {
-      recorder.recordPhase(tenant, 'badgeCheck', 'whole', 8000);
-      recorder.countOutcome(tenant, 'badgeCheck', 'delivered');
+    for (const team of ['alpha', 'beta']) {
+      recorder.recordPhase(team, 'badgeCheck', 'whole', 8000);
+      recorder.countOutcome(team, 'badgeCheck', 'delivered');
     }
     recorder.count('storeCalls', 4);
     return recorder.snapshot();
--- a/packages/admin/test/admin.test.ts
+++ b/packages/admin/test/admin.test.ts
@@ -86,7 +86,7 @@
     const valid = ajv.validate(`api#/components/schemas/${schema}`, answer.body);
     t.ok(valid, `${schema}: ${ajv.errorsText()}`);
   };
-  const question = { tenant: 'alpha', service: 'badges', class: 'badgeCheck', key: 'k' };
+  const question = { team: 'alpha', service: 'badges', class: 'badgeCheck', key: 'k' };
   check('VersionedCatalogue', await call(url, 'GET', CATALOGUE));
   check('HistoryPage', await call(url, 'GET', `${CATALOGUE}/history`));
   check('VersionedCatalogue', await call(url, 'GET', `${CATALOGUE}/history/7`));
@@ -149,15 +149,15 @@
 t.test('owner reading the traffic of a rival', async (t) => {
   const { url } = await startAdmin(t);
   const held = await call(url, 'GET', '/admin/v1/held', { as: 'alpha' });
-  t.match(held.body, { items: [{ tenant: 'alpha' }] });
+  t.match(held.body, { items: [{ team: 'alpha' }] });
   t.equal((held.body.items as unknown[]).length, 1);
   const stats = await call(url, 'GET', '/admin/v1/stats', { as: 'alpha' });
   t.same(
-    (stats.body.series as { tenant: string }[]).map((each) => each.tenant),
+    (stats.body.series as { team: string }[]).map((each) => each.team),
     ['alpha'],
   );
   t.match(await call(url, 'DELETE', '/admin/v1/held/held-beta', { as: 'alpha' }), { status: 404 });
-  const body = { tenant: 'beta', service: 'badges', class: 'badgeCheck' };
+  const body = { team: 'beta', service: 'badges', class: 'badgeCheck' };
   t.match(await call(url, 'POST', '/admin/v1/explain', { as: 'alpha', body }), { status: 403 });
 });
 
@@ -274,7 +274,7 @@
 t.test('scrape', async (t) => {
   const { url } = await startAdmin(t);
   const answer = await call(url, 'GET', '/metrics');
-  t.match(answer.body.text, /amaranthrouter_requests_total\{tenant="alpha",class="badgeCheck"/);
+  t.match(answer.body.text, /amaranthrouter_requests_total\{team="alpha",class="badgeCheck"/);
 });
 
 t.test('port in use is reported', async (t) => {
--- a/packages/admission/src/BackendQueue.ts
+++ b/packages/admission/src/BackendQueue.ts
@@ -147,7 +147,7 @@
     return results;
   }
 
-  /** Refuses the request that would start last, so that a flood of one tenant displaces only itself. */
+  /** Refuses the request that would start last, so that a flood of one team displaces only itself. */
   private dropLast(): readonly QueueResult[] {
     const last = this.order.last();
     return last === undefined ? [] : [this.giveUp(last)];
--- a/packages/admission/src/CrashMark.ts
+++ b/packages/admission/src/CrashMark.ts
@@ -3,7 +3,7 @@
  * the daemons of a cell; merging one again, or in another order, gives the same result, since cleared is final.
  */
 export interface CrashMark {
-  /** Hash of tenant, class, service, key, method, path and body. */
+  /** Hash of team, class, service, key, method, path and body. */
   readonly fingerprint: string;
   /** Names one death: server id and incarnation of the backend server that died. */
   readonly death: string;
--- a/packages/admission/src/MeasureOverload.ts
+++ b/packages/admission/src/MeasureOverload.ts
@@ -13,9 +13,9 @@
 const SEED = Number(process.env.SEED ?? DEFAULT_SEED);
 
 const STREAMS: readonly OverloadStream[] = [
-  { tenant: 'urgent', priority: 0, share: 1, load: 0.2 },
-  { tenant: 'steady', priority: 5, share: 1, load: 0.3 },
-  { tenant: 'flood', priority: 5, share: 1, load: 2 },
+  { team: 'urgent', priority: 0, share: 1, load: 0.2 },
+  { team: 'steady', priority: 5, share: 1, load: 0.3 },
+  { team: 'flood', priority: 5, share: 1, load: 2 },
 ];
 
 const ORDERS = [
@@ -30,9 +30,9 @@
 console.log(`seed ${SEED}, 6 slots, mean service 5 ms, deadline 100 ms, 30 s, ${JSON.stringify(STREAMS)}`);
 console.log('order | stream | on time % | late % | refused % | used % of capacity | target');
 for (const { name, order } of ORDERS) {
-  for (const { tenant, onTime, late, refused, used } of simulateOverload(SEED, STREAMS, order)) {
+  for (const { team, onTime, late, refused, used } of simulateOverload(SEED, STREAMS, order)) {
     const verdict = onTime >= TARGET_ON_TIME ? 'met' : 'missed';
-    const cells = [name, tenant, ...[onTime, late, refused, used].map(percent)];
-    console.log([...cells, tenant === 'flood' ? '-' : verdict].join(' | '));
+    const cells = [name, team, ...[onTime, late, refused, used].map(percent)];
+    console.log([...cells, team === 'flood' ? '-' : verdict].join(' | '));
   }
 }
--- a/packages/admission/src/OverloadResult.ts
+++ b/packages/admission/src/OverloadResult.ts
@@ -1,6 +1,6 @@
 /** What became of the requests of one stream, as parts of all of them, and its latency in milliseconds. */
 export interface OverloadResult {
-  readonly tenant: string;
+  readonly team: string;
   readonly onTime: number;
   readonly late: number;
   readonly refused: number;
--- a/packages/admission/src/SimulateOverload.ts
+++ b/packages/admission/src/SimulateOverload.ts
@@ -78,9 +78,9 @@
       this.count += 1;
       stream.requests += 1;
       this.pending.set(id, { stream, arrivedMs: nowMs, serviceMs: this.exponential(MEAN_SERVICE_MS) });
-      const { tenant, priority, share } = stream.stream;
+      const { team, priority, share } = stream.stream;
       const deadlineMs = nowMs + DEADLINE_MS;
-      const request = { id, tenant, class: tenant, priority, share, deadlineMs, exclusive: false };
+      const request = { id, team, class: team, priority, share, deadlineMs, exclusive: false };
       this.apply(this.queue.arrive(request, nowMs), nowMs);
     }
   }
@@ -117,7 +117,7 @@
 function summarize(stream: Stream): OverloadResult {
   const { requests } = stream;
   return {
-    tenant: stream.stream.tenant,
+    team: stream.stream.team,
     onTime: stream.onTime / requests,
     late: stream.late / requests,
     refused: stream.refused / requests,
--- a/packages/admission/test/queue.test.ts
+++ b/packages/admission/test/queue.test.ts
@@ -11,7 +11,7 @@
 t.comment(`seed ${SEED}`);
 
 function request(id: string, fields: Partial<QueuedRequest> = {}): QueuedRequest {
-  const plain = { tenant: 'a', class: 'c', priority: 5, share: 1, deadlineMs: 1e9, exclusive: false };
+  const plain = { team: 'a', class: 'c', priority: 5, share: 1, deadlineMs: 1e9, exclusive: false };
   return { id, ...plain, ...fields };
 }
 
@@ -69,11 +69,11 @@
   t.end();
 });
 
-// Guards against a tenant that takes the slots of others by sending more.
+// Guards against a team that takes the slots of others by sending more.
 t.test('weighted fair order', (t) => {
   const queue = createBusyQueue();
   for (let index = 0; index < 12; index += 1) queue.arrive(request(`a${index}`), 0);
-  for (let index = 0; index < 8; index += 1) queue.arrive(request(`b${index}`, { tenant: 'b', share: 2 }), 0);
+  for (let index = 0; index < 8; index += 1) queue.arrive(request(`b${index}`, { team: 'b', share: 2 }), 0);
   const order = runAll(queue, 'first');
   const ofB = order.slice(0, 9).filter((id) => id.startsWith('b')).length;
   t.equal(order.length, 20);
@@ -88,14 +88,14 @@
   let id = 'first';
   for (let nowMs = 10; nowMs <= 200; nowMs += 10) [id = ''] = started(queue.finish(id, nowMs));
   t.equal(id, 'a19', 'the idle share of others is lent');
-  for (let index = 0; index < 20; index += 1) queue.arrive(request(`b${index}`, { tenant: 'b' }), 200);
+  for (let index = 0; index < 20; index += 1) queue.arrive(request(`b${index}`, { team: 'b' }), 200);
   const next = runAll(queue, id, 200).slice(0, 10);
   const ofB = next.filter((name) => name.startsWith('b')).length;
   t.ok(ofB >= 5 && ofB <= 6, `${ofB} of 10 after its return`);
   t.end();
 });
 
-// Guards against a tenant with slow requests that gets more slot time than its share.
+// Guards against a team with slow requests that gets more slot time than its share.
 t.test('fair by service time', (t) => {
   const queue = createQueue(1);
   const used = { a: 0, b: 0 };
@@ -103,13 +103,13 @@
   let running: string | undefined;
   let nowMs = 0;
   for (let index = 0; index < 400; index += 1) {
-    for (const tenant of ['a', 'b'] as const) {
-      const result = started(queue.arrive(request(`${tenant}${index}`, { tenant, class: tenant }), nowMs));
+    for (const team of ['a', 'b'] as const) {
+      const result = started(queue.arrive(request(`${team}${index}`, { team, class: team }), nowMs));
       running ??= result[0];
     }
-    const tenant = running!.startsWith('a') ? 'a' : 'b';
-    nowMs += costs[tenant];
-    used[tenant] += costs[tenant];
+    const team = running!.startsWith('a') ? 'a' : 'b';
+    nowMs += costs[team];
+    used[team] += costs[team];
     [running] = started(queue.finish(running!, nowMs));
   }
   t.ok(Math.abs(used.a - used.b) <= 80, `${used.a} ms and ${used.b} ms`);
@@ -163,7 +163,7 @@
   const queue = createQueue(3);
   queue.arrive(request('a'), 0);
   t.same(queue.arrive(request('alone', { exclusive: true }), 0), []);
-  t.same(queue.arrive(request('b', { tenant: 'b', priority: 6 }), 0), [], 'nothing overtakes it');
+  t.same(queue.arrive(request('b', { team: 'b', priority: 6 }), 0), [], 'nothing overtakes it');
   t.same(started(queue.finish('a', 1)), ['alone']);
   t.same(queue.arrive(request('c'), 1), []);
   t.same(started(queue.finish('alone', 2)), ['c', 'b']);
@@ -177,12 +177,12 @@
   t.end();
 });
 
-// Guards against a flood of one tenant that fills the queue for all.
+// Guards against a flood of one team that fills the queue for all.
 t.test('full queue gives up the last', (t) => {
   const queue = createBusyQueue(3);
   for (const id of ['a1', 'a2', 'a3']) queue.arrive(request(id), 0);
   t.match(queue.arrive(request('a4'), 0), [{ kind: 'refuse', id: 'a4' }]);
-  t.match(queue.arrive(request('b1', { tenant: 'b' }), 0), [{ kind: 'refuse', id: 'a3' }]);
+  t.match(queue.arrive(request('b1', { team: 'b' }), 0), [{ kind: 'refuse', id: 'a3' }]);
   t.match(queue.arrive(request('urgent', { priority: 0 }), 0), [{ kind: 'refuse', id: 'a2' }]);
   t.end();
 });
@@ -205,7 +205,7 @@
 t.test('each request ends once', (t) => {
   const step = fc.record({
     kind: fc.constantFrom('arrive', 'arrive', 'arrive', 'finish', 'finish', 'expire', 'cancel', 'limit'),
-    tenant: fc.constantFrom('a', 'b', 'c'),
+    team: fc.constantFrom('a', 'b', 'c'),
     priority: fc.nat(2),
     share: fc.integer({ min: 1, max: 3 }),
     budgetMs: fc.integer({ min: 1, max: 200 }),
--- a/packages/balance/src/DecideHedge.ts
+++ b/packages/balance/src/DecideHedge.ts
@@ -8,5 +8,5 @@
   const dueMs = facts.sentMs + facts.p95Ms;
   if (dueMs >= facts.deadlineMs || nowMs >= facts.deadlineMs) return { kind: 'none' };
   if (nowMs < dueMs) return { kind: 'wait', delayMs: dueMs - nowMs };
-  return { kind: budget.spend(facts.tenant, facts.class, nowMs) ? 'hedge' : 'none' };
+  return { kind: budget.spend(facts.team, facts.class, nowMs) ? 'hedge' : 'none' };
 }
--- a/packages/balance/src/DecideRetry.ts
+++ b/packages/balance/src/DecideRetry.ts
@@ -20,6 +20,6 @@
   const jitterMs = random.fraction() * FIRST_DELAY_MS * 2 ** (facts.attempts - 1);
   const delayMs = (facts.retryAfterMs ?? 0) + jitterMs;
   if (nowMs + delayMs + facts.expectedMs > facts.deadlineMs) return { kind: 'giveUp', reason: 'deadline' };
-  if (!budget.spend(facts.tenant, facts.class, nowMs)) return { kind: 'giveUp', reason: 'budget' };
+  if (!budget.spend(facts.team, facts.class, nowMs)) return { kind: 'giveUp', reason: 'budget' };
   return { kind: 'retry', delayMs };
 }
--- a/packages/balance/src/HedgeFacts.ts
+++ b/packages/balance/src/HedgeFacts.ts
@@ -1,6 +1,6 @@
 /** What the decision on a hedging request depends on. Times are monotonic, in milliseconds. */
 export interface HedgeFacts {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   /** Whether the class may be repeated. */
   readonly repeatable: boolean;
--- a/packages/balance/src/RetryBudget.ts
+++ b/packages/balance/src/RetryBudget.ts
@@ -1,7 +1,7 @@
 /** Duration of one of the two windows whose requests count as recent, in milliseconds. */
 const WINDOW_MS = 5_000;
 
-/** Tenants and classes that are counted at most; the oldest is forgotten. */
+/** Teams and classes that are counted at most; the oldest is forgotten. */
 const MAX_ROWS = 10_000;
 
 class Use {
@@ -28,7 +28,7 @@
 }
 
 /**
- * Bounds retries and hedges of each tenant and class to a fraction of its recent requests, so that retries cannot
+ * Bounds retries and hedges of each team and class to a fraction of its recent requests, so that retries cannot
  * multiply an overload. Times are monotonic, in milliseconds.
  */
 export class RetryBudget {
@@ -43,26 +43,26 @@
   }
 
   /** Counts a request of a caller; retries are not counted. */
-  public noteRequest(tenant: string, requestClass: string, nowMs: number): void {
-    this.findUse(tenant, requestClass, nowMs).requests += 1;
+  public noteRequest(team: string, requestClass: string, nowMs: number): void {
+    this.findUse(team, requestClass, nowMs).requests += 1;
   }
 
   /** Whether the budget allows one more retry. */
-  public allows(tenant: string, requestClass: string, nowMs: number): boolean {
-    const use = this.findUse(tenant, requestClass, nowMs);
+  public allows(team: string, requestClass: string, nowMs: number): boolean {
+    const use = this.findUse(team, requestClass, nowMs);
     const limit = Math.max(this.minimum, this.fraction * (use.requests + use.lastRequests));
     return use.retries + use.lastRetries + 1 <= limit;
   }
 
   /** Takes one retry from the budget if it allows one. */
-  public spend(tenant: string, requestClass: string, nowMs: number): boolean {
-    if (!this.allows(tenant, requestClass, nowMs)) return false;
-    this.findUse(tenant, requestClass, nowMs).retries += 1;
+  public spend(team: string, requestClass: string, nowMs: number): boolean {
+    if (!this.allows(team, requestClass, nowMs)) return false;
+    this.findUse(team, requestClass, nowMs).retries += 1;
     return true;
   }
 
-  private findUse(tenant: string, requestClass: string, nowMs: number): Use {
-    const key = `${tenant}\n${requestClass}`;
+  private findUse(team: string, requestClass: string, nowMs: number): Use {
+    const key = `${team}\n${requestClass}`;
     const use = this.rows.get(key) ?? this.addUse(key, nowMs);
     use.turn(nowMs);
     return use;
--- a/packages/balance/src/RetryFacts.ts
+++ b/packages/balance/src/RetryFacts.ts
@@ -2,7 +2,7 @@
 
 /** What the decision on a retry depends on. Times are monotonic, in milliseconds. */
 export interface RetryFacts {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   /** Whether the class may be repeated. */
   readonly repeatable: boolean;
--- a/packages/balance/src/SimulateStraggler.ts
+++ b/packages/balance/src/SimulateStraggler.ts
@@ -117,7 +117,7 @@
   /** Sends a second attempt if the budget allows it; the request ends with the first attempt that ends. */
   private hedge(request: SlowRequest, nowMs: number): void {
     const { daemon, sentMs, finishMs, p95Ms } = request;
-    const facts = { tenant: '', class: '', repeatable: true, deadlineMs: Infinity, hedges: 0 };
+    const facts = { team: '', class: '', repeatable: true, deadlineMs: Infinity, hedges: 0 };
     const { kind } = decideHedge({ ...facts, sentMs, p95Ms }, daemon.budget, nowMs);
     if (kind !== 'hedge') {
       this.record(sentMs, finishMs);
--- a/packages/balance/test/balance.test.ts
+++ b/packages/balance/test/balance.test.ts
@@ -251,7 +251,7 @@
 });
 
 const RETRY: RetryFacts = {
-  tenant: 'a',
+  team: 'a',
   class: 'c',
   repeatable: true,
   ran: 'unknown',
@@ -313,7 +313,7 @@
 // Guards against a hedge of an order, and against hedges that double the load.
 t.test('hedge rules', (t) => {
   const facts: HedgeFacts = {
-    tenant: 'a',
+    team: 'a',
     class: 'c',
     repeatable: true,
     sentMs: 0,
--- a/packages/catalogue/src/Entry.ts
+++ b/packages/catalogue/src/Entry.ts
@@ -1,8 +1,8 @@
 import type { EntryLimits } from '#catalogue/EntryLimits.js';
 
-/** The rules for one class of traffic of one tenant to one service. */
+/** The rules for one class of traffic of one team to one service. */
 export interface Entry {
-  /** Name of the owning tenant. */
+  /** Name of the owning team. */
   readonly owner: string;
   readonly service: string;
   readonly class: string;
--- a/packages/catalogue/src/Owner.ts
+++ b/packages/catalogue/src/Owner.ts
@@ -1,6 +1,6 @@
-/** A tenant that owns catalogue entries and may change them. */
+/** A team that owns catalogue entries and may change them. */
 export interface Owner {
-  /** Name of the tenant, as in the header `amr-tenant`. */
+  /** Name of the team, as in the header `amr-team`. */
   readonly name: string;
   /** SHA-256 digests, in hex, of the tokens that prove this owner to the administration API. */
   readonly tokenHashes: readonly string[];
--- a/packages/catalogue/test/generated.test.ts
+++ b/packages/catalogue/test/generated.test.ts
@@ -68,7 +68,7 @@
   t.end();
 });
 
-t.test('tenant changes more than its entries', (t) => {
+t.test('team changes more than its entries', (t) => {
   check(
     fc.property(anyCatalogue, (after) => {
       const others = diffCatalogues(BASE, after).filter((change) => change.owner !== 'storefront');
--- a/packages/cli/src/ExplainCommand.ts
+++ b/packages/cli/src/ExplainCommand.ts
@@ -17,15 +17,15 @@
 
 /** Shows the entry that applies to a request and what each daemon would do with it. */
 export class ExplainCommand extends AdminCommand {
-  public override readonly usage = 'explain <tenant> <service> <class> [key]';
+  public override readonly usage = 'explain <team> <service> <class> [key]';
   public override readonly summary = 'Show which entry applies to a request and what each daemon would do';
   public override readonly options = [{ usage: '--deadline-ms <n>', summary: 'Deadline of the request' }];
   public override readonly examples = ['explain soko-permits badges badgeCheck KE-004711'];
 
   protected override async runWith(client: AdminClient, call: CommandCall): Promise<ExitCode> {
-    const [tenant = '', service = '', className = '', key = ''] = call.args;
+    const [team = '', service = '', className = '', key = ''] = call.args;
     const deadlineMs = readCount(call.options, 'deadlineMs', 0);
-    const question = JSON.stringify({ tenant, service, class: className, key, deadlineMs });
+    const question = JSON.stringify({ team, service, class: className, key, deadlineMs });
     const request = { method: 'POST', body: question } as const;
     const { body } = await client.send<Explanation>('/admin/v1/explain', request);
     this.print(call, body, () => formatExplanation(body));
--- a/packages/cli/src/HeldCommand.ts
+++ b/packages/cli/src/HeldCommand.ts
@@ -27,14 +27,14 @@
     const items = await client.list<HeldRequest>('/admin/v1/held');
     const rows = items.map((each) => [
       each.id,
-      each.tenant,
+      each.team,
       each.service,
       each.class,
       each.servers.join(' '),
       new Date(each.sinceMs).toISOString(),
     ]);
     this.print(call, items, () =>
-      formatTable(['id', 'tenant', 'service', 'class', 'servers lost', 'since'], rows),
+      formatTable(['id', 'team', 'service', 'class', 'servers lost', 'since'], rows),
     );
     return exitCodes.done;
   }
--- a/packages/cli/src/StatsCommand.ts
+++ b/packages/cli/src/StatsCommand.ts
@@ -6,16 +6,16 @@
 import { exitCodes } from '#cli/ExitCodes.js';
 import { formatTable } from '#cli/FormatTable.js';
 
-const HEADINGS = ['tenant', 'class', 'delivered', 'late', 'refused', 'failed', 'unknown', 'p50 ms', 'p99 ms'];
+const HEADINGS = ['team', 'class', 'delivered', 'late', 'refused', 'failed', 'unknown', 'p50 ms', 'p99 ms'];
 
 interface Stats {
   readonly series: readonly SeriesSummary[];
 }
 
-/** Shows outcomes and latency per tenant and class. */
+/** Shows outcomes and latency per team and class. */
 export class StatsCommand extends AdminCommand {
   public override readonly usage = 'stats';
-  public override readonly summary = 'Show outcomes and latency per tenant and class';
+  public override readonly summary = 'Show outcomes and latency per team and class';
   public override readonly options = [
     { usage: '--scope <scope>', summary: 'daemon (default), cells or fleet' },
   ];
@@ -30,8 +30,8 @@
   }
 }
 
-function formatSeries({ tenant, class: className, outcomes, phases }: SeriesSummary): readonly unknown[] {
+function formatSeries({ team, class: className, outcomes, phases }: SeriesSummary): readonly unknown[] {
   const { delivered = 0, late = 0, refused = 0, failed = 0, unknown = 0 } = outcomes;
   const counts = [delivered, late, refused, failed, unknown];
-  return [tenant, className, ...counts, phases.whole?.p50Ms, phases.whole?.p99Ms];
+  return [team, className, ...counts, phases.whole?.p50Ms, phases.whole?.p99Ms];
 }
--- a/packages/core/src/LogFields.ts
+++ b/packages/core/src/LogFields.ts
@@ -1,6 +1,6 @@
 import type { Step } from '#core/Step.js';
 
-/** Values of one log line. Request bodies and keys of tenants are never logged. */
+/** Values of one log line. Request bodies and keys of teams are never logged. */
 export interface LogFields {
   readonly step?: Step;
   readonly peer?: string;
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -122,8 +122,8 @@
   public async shutDown(): Promise<void> {
     this.logger.log('shutdownStarted', { step: 'shutdown' });
     await Promise.race([this.wait(this.settings.timings.shutdownMs), this.leave()]);
-    for (const { tenant, class: requestClass, received, inFlight } of await this.path.readCounts())
-      this.logger.log('counts', { step: 'shutdown', tenant, class: requestClass, received, inFlight });
+    for (const { team, class: requestClass, received, inFlight } of await this.path.readCounts())
+      this.logger.log('counts', { step: 'shutdown', team, class: requestClass, received, inFlight });
     this.logger.log('shutdownEnded', { step: 'shutdown' });
     await this.stop();
   }
@@ -164,8 +164,8 @@
   private buildPath(): RequestPath {
     return new RequestPath(this.settings, this.clock, this.random.integer(0x7fff_ffff), {
       onEnd: (end) => this.measure.noteEnd(end),
-      onReceipt: (tenant, requestClass, outcome, wholeMs) =>
-        this.measure.noteOutcome(tenant, requestClass, outcome, wholeMs),
+      onReceipt: (team, requestClass, outcome, wholeMs) =>
+        this.measure.noteOutcome(team, requestClass, outcome, wholeMs),
       onCellNeeded: (service, index) => this.fetchCell(service, index),
       onQuotaAsk: (holder, ask) => void this.askQuota(holder, ask),
       onLoad: (requestsPerSecond) => this.reportLoad(Object.fromEntries(requestsPerSecond)),
--- a/packages/daemon/src/DaemonAdminBackend.ts
+++ b/packages/daemon/src/DaemonAdminBackend.ts
@@ -148,14 +148,14 @@
     return cutPage(moves, ({ service, shardId }) => `${service}/${shardId}`, page);
   }
 
-  public override async listHeld(tenant: string, page: PageRequest): Promise<Page<HeldRequest>> {
-    const held = (await this.readHeld()).filter((each) => tenant === '' || each.tenant === tenant);
+  public override async listHeld(team: string, page: PageRequest): Promise<Page<HeldRequest>> {
+    const held = (await this.readHeld()).filter((each) => team === '' || each.team === team);
     return cutPage(held, ({ id }) => id, page);
   }
 
-  public override async liftHeld(id: string, tenant: string): Promise<boolean> {
+  public override async liftHeld(id: string, team: string): Promise<boolean> {
     const held = (await this.readHeld()).find((each) => each.id === id);
-    if (held === undefined || (tenant !== '' && held.tenant !== tenant)) return false;
+    if (held === undefined || (team !== '' && held.team !== team)) return false;
     const cells = await this.links.cells.readAll();
     // Every member that holds the request must let it run, so the datagrams between them are not relied on.
     const members = cells
--- a/packages/daemon/src/ExplainRequest.ts
+++ b/packages/daemon/src/ExplainRequest.ts
@@ -68,13 +68,13 @@
   return { serverId, decision: 'serve', code: '', reason, to: [] };
 }
 
-function createHead({ tenant, service, class: requestClass, key, deadlineMs }: ExplainQuestion): RequestHead {
+function createHead({ team, service, class: requestClass, key, deadlineMs }: ExplainQuestion): RequestHead {
   return {
     requestId: 'explain',
     method: 'GET',
     service,
     path: '/',
-    tenant,
+    team,
     class: requestClass,
     key,
     deadlineMs,
--- a/packages/daemon/src/LocalAdmin.ts
+++ b/packages/daemon/src/LocalAdmin.ts
@@ -148,9 +148,9 @@
     const rows = await owner.ask<readonly MarkedRequest[]>((reply) => ({ type: 'held', reply }));
     return rows
       .filter(({ state }) => state === 'held')
-      .map(({ fingerprint, tenant, service, class: requestClass, deaths, sinceMs }) => ({
+      .map(({ fingerprint, team, service, class: requestClass, deaths, sinceMs }) => ({
         id: fingerprint,
-        tenant,
+        team,
         service,
         class: requestClass,
         servers: [...new Set(deaths.map((death) => death.slice(0, death.lastIndexOf('/'))))],
--- a/packages/daemon/src/MeasureRequests.ts
+++ b/packages/daemon/src/MeasureRequests.ts
@@ -11,23 +11,23 @@
 
   /** Records the end of a request at the entry. */
   public noteEnd(end: EntryEnd): void {
-    const { tenant, class: requestClass, outcome, wholeMs, code, retries } = end;
-    this.noteOutcome(tenant, requestClass, outcome, wholeMs);
+    const { team, class: requestClass, outcome, wholeMs, code, retries } = end;
+    this.noteOutcome(team, requestClass, outcome, wholeMs);
     if (retries > 0) this.metrics.count('retries', retries);
     if (code === 'quarantined') this.metrics.count('held');
   }
 
   /** Records the outcome of a request, `wholeMs` after its arrival. */
-  public noteOutcome(tenant: string, requestClass: string, outcome: Outcome, wholeMs: number): void {
+  public noteOutcome(team: string, requestClass: string, outcome: Outcome, wholeMs: number): void {
     const micros = wholeMs * MICROS_PER_MS;
-    this.metrics.countOutcome(tenant, requestClass, outcome);
-    this.metrics.recordPhase(tenant, requestClass, 'whole', micros);
-    if (outcome === 'delivered') this.metrics.recordPhase(tenant, requestClass, 'deliveredInTime', micros);
+    this.metrics.countOutcome(team, requestClass, outcome);
+    this.metrics.recordPhase(team, requestClass, 'whole', micros);
+    if (outcome === 'delivered') this.metrics.recordPhase(team, requestClass, 'deliveredInTime', micros);
   }
 
   /** Records an order that the backend server answered. */
-  public noteAnswered({ tenant, class: requestClass, queueMs, backendMs }: OrderTimes): void {
-    this.metrics.recordPhase(tenant, requestClass, 'queue', queueMs * MICROS_PER_MS);
-    this.metrics.recordPhase(tenant, requestClass, 'backend', backendMs * MICROS_PER_MS);
+  public noteAnswered({ team, class: requestClass, queueMs, backendMs }: OrderTimes): void {
+    this.metrics.recordPhase(team, requestClass, 'queue', queueMs * MICROS_PER_MS);
+    this.metrics.recordPhase(team, requestClass, 'backend', backendMs * MICROS_PER_MS);
   }
 }
--- a/packages/daemon/src/MergeInSteps.ts
+++ b/packages/daemon/src/MergeInSteps.ts
@@ -6,19 +6,19 @@
 import type { SeriesSnapshot } from '#metrics/SeriesSnapshot.js';
 
 /**
- * Merges the snapshots of several daemons as `mergeSnapshots` does, one tenant and class at a time, and lets other work
+ * Merges the snapshots of several daemons as `mergeSnapshots` does, one team and class at a time, and lets other work
  * run in between: merging 3 daemons at once takes 234 to 451 ms.
  */
 export async function mergeInSteps(
   snapshots: readonly MetricsSnapshot[],
-  maxTenants: number = defaultMetricsLimits.tenants,
+  maxTeams: number = defaultMetricsLimits.teams,
 ): Promise<MetricsSnapshot> {
   const all = snapshots.flatMap(({ series }) => series);
-  const kept = pickTenants(all, maxTenants);
-  const labelled = all.map((each) => (kept.has(each.tenant) ? each : { ...each, tenant: otherLabel }));
+  const kept = pickTeams(all, maxTeams);
+  const labelled = all.map((each) => (kept.has(each.team) ? each : { ...each, team: otherLabel }));
   const groups = new Map<string, readonly SeriesSnapshot[]>();
   for (const each of labelled) {
-    const key = `${each.tenant}/${each.class}`;
+    const key = `${each.team}/${each.class}`;
     groups.set(key, [...(groups.get(key) ?? []), each]);
   }
   let series: readonly SeriesSnapshot[] = [];
@@ -31,12 +31,12 @@
   return { ...totals, series };
 }
 
-function pickTenants(series: readonly SeriesSnapshot[], maxTenants: number): ReadonlySet<string> {
+function pickTeams(series: readonly SeriesSnapshot[], maxTeams: number): ReadonlySet<string> {
   const totals = new Map<string, number>();
-  for (const { tenant, outcomes } of series) {
+  for (const { team, outcomes } of series) {
     const count = Object.values(outcomes).reduce((sum, each) => sum + each, 0);
-    if (tenant !== otherLabel) totals.set(tenant, (totals.get(tenant) ?? 0) + count);
+    if (team !== otherLabel) totals.set(team, (totals.get(team) ?? 0) + count);
   }
   const byTotal = [...totals].sort(([, left], [, right]) => right - left);
-  return new Set(byTotal.slice(0, maxTenants).map(([tenant]) => tenant));
+  return new Set(byTotal.slice(0, maxTeams).map(([team]) => team));
 }
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -173,7 +173,7 @@
       task.stop();
   }
 
-  /** Resolves with the counts of the requests that arrived at this daemon, by tenant and class. */
+  /** Resolves with the counts of the requests that arrived at this daemon, by team and class. */
   public readCounts(): Promise<readonly DeliveryCounts[]> {
     return this.entry.ask<readonly DeliveryCounts[]>((reply) => ({ type: 'counts', reply }));
   }
--- a/packages/daemon/test/CreateCatalogue.ts
+++ b/packages/daemon/test/CreateCatalogue.ts
@@ -13,7 +13,7 @@
   interRegionBytesPerSecond: 0,
 };
 
-/** Catalogue with the keyed service `badges` of the tenant `alpha`; the operator's token is `token-operators`. */
+/** Catalogue with the keyed service `badges` of the team `alpha`; the operator's token is `token-operators`. */
 export function createCatalogue(): Catalogue {
   const owners = ['operators', 'alpha'].map((name) => ({
     name,
--- a/packages/daemon/test/SendRequest.ts
+++ b/packages/daemon/test/SendRequest.ts
@@ -20,7 +20,7 @@
   headers: Readonly<Record<string, string>> = {},
 ): Promise<CallerResult> {
   const answer = await request(`${fleet.callerUrl(serverId)}/v1/badges/${path}`, {
-    headers: { 'amr-tenant': 'alpha', 'amr-class': 'look', 'amr-key': key, ...headers },
+    headers: { 'amr-team': 'alpha', 'amr-class': 'look', 'amr-key': key, ...headers },
   });
   const body = Buffer.from(await answer.body.arrayBuffer());
   if (answer.statusCode < 400) return { status: answer.statusCode, error: '', ran: '', bytes: body.length };
--- a/packages/daemon/test/leave.test.ts
+++ b/packages/daemon/test/leave.test.ts
@@ -116,7 +116,7 @@
     (await callAdmin(fleet, id, '/admin/v1/held')).body.items as readonly Record<string, unknown>[];
   const held = await listHeld('d1');
   t.equal(died.length, 2, `died: ${died.join(' ')}`);
-  t.match(held, [{ tenant: 'alpha', service: 'badges', class: 'look' }]);
+  t.match(held, [{ team: 'alpha', service: 'badges', class: 'look' }]);
   t.same(held[0]!.servers, [...new Set(died)]);
   const lifted = await callAdmin(fleet, 'd2', `/admin/v1/held/${String(held[0]!.id)}`, { method: 'DELETE' });
   t.equal(lifted.status, 200, JSON.stringify(lifted.body));
--- a/packages/daemon/test/parts.test.ts
+++ b/packages/daemon/test/parts.test.ts
@@ -47,10 +47,10 @@
   const snapshots = await Promise.all(
     [1, 2, 3].map((factor) => {
       const recorder = new MetricsRecorder();
-      for (let tenant = 0; tenant < 6; tenant += 1) {
-        for (let count = 0; count < factor * (tenant + 1); count += 1) {
-          recorder.countOutcome(`t${tenant}`, 'c', 'delivered');
-          recorder.recordPhase(`t${tenant}`, 'c', 'whole', 1_000 * factor);
+      for (let team = 0; team < 6; team += 1) {
+        for (let count = 0; count < factor * (team + 1); count += 1) {
+          recorder.countOutcome(`t${team}`, 'c', 'delivered');
+          recorder.recordPhase(`t${team}`, 'c', 'whole', 1_000 * factor);
         }
       }
       recorder.count('storeCalls', factor);
@@ -58,11 +58,11 @@
       return recorder.snapshot();
     }),
   );
-  const byTenant = (left: { readonly tenant: string }, right: { readonly tenant: string }): number =>
-    left.tenant.localeCompare(right.tenant);
+  const byTeam = (left: { readonly team: string }, right: { readonly team: string }): number =>
+    left.team.localeCompare(right.team);
   const expected = mergeSnapshots(snapshots, 4);
   const merged = await mergeInSteps(snapshots, 4);
-  t.same([...merged.series].sort(byTenant), [...expected.series].sort(byTenant));
+  t.same([...merged.series].sort(byTeam), [...expected.series].sort(byTeam));
   t.same(merged.counters, { storeCalls: 6 });
   t.same(merged.gauges, { ownedShards: 3 });
 });
@@ -86,7 +86,7 @@
   const [entry] = catalogue.entries;
   const cells = new Map([['badges/0', { ...createCell('badges', 0), members }]]);
   const index = indexCatalogue({ version: 1, author: '', catalogue });
-  const head = { requestId: '', method: 'GET', service: 'badges', path: '/', tenant: 'alpha', class: 'look' };
+  const head = { requestId: '', method: 'GET', service: 'badges', path: '/', team: 'alpha', class: 'look' };
   const facts = {
     head: { ...head, key: '', deadlineMs: 0, idempotencyKey: '', epoch: '', contentLength: 0, headers: {} },
     checked: { entry: entry!, service: service!, needsOwnership: false },
--- a/packages/delivery/src/DeliveryCounts.ts
+++ b/packages/delivery/src/DeliveryCounts.ts
@@ -1,8 +1,8 @@
 import type { Outcome } from '#delivery/Outcome.js';
 
-/** Counts of one tenant and class since the daemon started; admitted = received - refused. */
+/** Counts of one team and class since the daemon started; admitted = received - refused. */
 export interface DeliveryCounts {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   readonly received: number;
   readonly admitted: number;
--- a/packages/delivery/src/DeliveryMismatch.ts
+++ b/packages/delivery/src/DeliveryMismatch.ts
@@ -1,6 +1,6 @@
-/** A tenant and class whose counts do not add up. */
+/** A team and class whose counts do not add up. */
 export interface DeliveryMismatch {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   /** In flight by the counts: admitted requests without an outcome. */
   readonly counted: number;
--- a/packages/delivery/src/ReceiptResult.ts
+++ b/packages/delivery/src/ReceiptResult.ts
@@ -4,7 +4,7 @@
 
 /**
  * Result of a receipt. `counted`: the first valid one; the caller counts `outcome` now. `repeated`: the outcome was
- * counted before. `refused`: unknown id or another tenant; nothing is counted.
+ * counted before. `refused`: unknown id or another team; nothing is counted.
  */
 export type ReceiptResult =
   | { readonly kind: 'counted'; readonly outcome: Outcome; readonly receipt: PendingReceipt }
--- a/packages/delivery/src/ReceiptTable.ts
+++ b/packages/delivery/src/ReceiptTable.ts
@@ -19,7 +19,7 @@
 };
 
 interface EndedReceipt {
-  readonly tenant: string;
+  readonly team: string;
   readonly outcome: Outcome;
 }
 
@@ -58,12 +58,12 @@
     return dropped;
   }
 
-  /** Judges a receipt for `bytes` bytes from `tenant`. */
-  public confirm(id: string, tenant: string, bytes: number, nowMs: number): ReceiptResult {
+  /** Judges a receipt for `bytes` bytes from `team`. */
+  public confirm(id: string, team: string, bytes: number, nowMs: number): ReceiptResult {
     const receipt = this.pending.get(id);
-    if (receipt === undefined) return this.findEnded(id, tenant);
-    // The id of another tenant's receipt is answered like an unknown one, so that ids cannot be tested.
-    if (receipt.tenant !== tenant) return { kind: 'refused', error: NOT_FOUND };
+    if (receipt === undefined) return this.findEnded(id, team);
+    // The id of another team's receipt is answered like an unknown one, so that ids cannot be tested.
+    if (receipt.team !== team) return { kind: 'refused', error: NOT_FOUND };
     const facts = { deadlineMs: receipt.deadlineMs, sentBytes: receipt.expectedBytes };
     const outcome = this.evidence.judgeReceipt(facts, bytes, nowMs);
     this.end(receipt, outcome);
@@ -94,7 +94,7 @@
     this.pending.delete(receipt.id);
     this.leaveGroup(receipt);
     if (this.ended.size >= this.maxPending) this.forgetOldestEnded();
-    this.ended.set(receipt.id, { tenant: receipt.tenant, outcome });
+    this.ended.set(receipt.id, { team: receipt.team, outcome });
   }
 
   private leaveGroup(receipt: PendingReceipt): void {
@@ -109,9 +109,9 @@
     this.ended = new Map();
   }
 
-  private findEnded(id: string, tenant: string): ReceiptResult {
+  private findEnded(id: string, team: string): ReceiptResult {
     const ended = this.ended.get(id) ?? this.endedBefore.get(id);
-    if (ended?.tenant !== tenant) return { kind: 'refused', error: NOT_FOUND };
+    if (ended?.team !== team) return { kind: 'refused', error: NOT_FOUND };
     return { kind: 'repeated', outcome: ended.outcome };
   }
 
--- a/packages/delivery/test/delivery.test.ts
+++ b/packages/delivery/test/delivery.test.ts
@@ -38,7 +38,7 @@
 }
 
 function receipt(id: string, fields: Partial<PendingReceipt> = {}): PendingReceipt {
-  return { id, tenant: 'a', class: 'c', expectedBytes: 42, deadlineMs: 1_000, ...fields };
+  return { id, team: 'a', class: 'c', expectedBytes: 42, deadlineMs: 1_000, ...fields };
 }
 
 // Guards against counting a response as delivered that was sent after the deadline or to a closed socket.
@@ -127,13 +127,13 @@
   const key = DeliveryLedger.rowKey('a', 'c');
   t.match(ledger.counts(), [{ received: 5, admitted: 4, inFlight: 2, outcomes: { refused: 1 } }]);
   t.same(ledger.reconcile(new Map([[key, 2]])), []);
-  t.same(ledger.reconcile(new Map([[key, 1]])), [{ tenant: 'a', class: 'c', counted: 2, actual: 1 }]);
+  t.same(ledger.reconcile(new Map([[key, 1]])), [{ team: 'a', class: 'c', counted: 2, actual: 1 }]);
   for (const outcome of ['late', 'late', 'late'] as const) ledger.end('a', 'c', outcome);
-  t.same(ledger.reconcile(), [{ tenant: 'a', class: 'c', counted: -1, actual: 0 }]);
+  t.same(ledger.reconcile(), [{ team: 'a', class: 'c', counted: -1, actual: 0 }]);
   t.end();
 });
 
-// Guards against receipts that another tenant, a truncated response, a repeat or a late caller turns into a delivery.
+// Guards against receipts that another team, a truncated response, a repeat or a late caller turns into a delivery.
 t.test('receipts', (t) => {
   const table = new ReceiptTable(100, 500);
   for (const id of ['good', 'short', 'late', 'never']) table.expect(receipt(id));
--- a/packages/load/src/CheckResponses.ts
+++ b/packages/load/src/CheckResponses.ts
@@ -2,7 +2,7 @@
 import type { SendEvent } from '#load/SendEvent.js';
 import type { Violation } from '#load/Violation.js';
 
-/** Checks that each response belongs to an attempt of the same tenant, arrived once, and has the right, whole body. */
+/** Checks that each response belongs to an attempt of the same team, arrived once, and has the right, whole body. */
 export function checkResponses(
   sends: readonly SendEvent[],
   responses: readonly ResponseEvent[],
@@ -12,11 +12,11 @@
   return responses.flatMap((response) => {
     const name = `${response.requestId}#${response.attempt}`;
     const found: Violation[] = []; // eslint-disable-line no-restricted-syntax -- local result
-    const tenant = sent.get(name)?.tenant;
-    if (tenant !== response.tenant)
+    const team = sent.get(name)?.team;
+    if (team !== response.team)
       found.push({
         rule: 'foreignResponse',
-        message: `${name} of ${tenant ?? 'nobody'} went to ${response.tenant}`,
+        message: `${name} of ${team ?? 'nobody'} went to ${response.team}`,
       });
     if (!response.isContentRight)
       found.push({
--- a/packages/load/src/CreateContent.ts
+++ b/packages/load/src/CreateContent.ts
@@ -28,6 +28,6 @@
   const { part, key, requestId } = call;
   const bodyHash = createHash('sha256').update(createBody(call)).digest('hex');
   const id = part.repeatable ? '' : requestId;
-  const parts = [part.service, `/${createPath(call)}`, part.tenant, part.class, key, id, bodyHash];
+  const parts = [part.service, `/${createPath(call)}`, part.team, part.class, key, id, bodyHash];
   return createAnswerBody(parts, ANSWER_BYTES);
 }
--- a/packages/load/src/CreateMix.ts
+++ b/packages/load/src/CreateMix.ts
@@ -8,7 +8,7 @@
   return catalogue.entries.map((entry) => {
     const service = catalogue.services.find(({ name }) => name === entry.service);
     return {
-      tenant: entry.owner,
+      team: entry.owner,
       class: entry.class,
       service: entry.service,
       weight: entry.limits.share,
--- a/packages/load/src/Demo.ts
+++ b/packages/load/src/Demo.ts
@@ -174,7 +174,7 @@
       return [name, ...[ok, late, refused, failed, unknown, corrupt].map(String), at(50), at(99), at(99.9)];
     });
     const header = [
-      'tenant/class',
+      'team/class',
       'ok',
       'late',
       'refused',
--- a/packages/load/src/LoadClass.ts
+++ b/packages/load/src/LoadClass.ts
@@ -1,6 +1,6 @@
 /** One part of the request mix. */
 export interface LoadClass {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   readonly service: string;
   /** Share of the mix relative to the other parts. */
--- a/packages/load/src/LoadGenerator.ts
+++ b/packages/load/src/LoadGenerator.ts
@@ -186,7 +186,7 @@
       type: 'send',
       requestId,
       attempt,
-      tenant: part.tenant,
+      team: part.team,
       repeatable: part.repeatable,
       atMs: this.clock.wallMs(),
     });
@@ -260,7 +260,7 @@
       type: 'response',
       requestId: call.requestId,
       attempt: call.attempt,
-      tenant: call.part.tenant,
+      team: call.part.team,
       status: answer.status,
       ran: answer.ran,
       isContentRight,
@@ -289,7 +289,7 @@
     const sent = {
       method: 'POST' as const,
       path: delivery.startsWith('/') ? delivery : `/v1/-/receipts/${delivery}`,
-      headers: { 'content-type': 'application/json', 'amr-tenant': part.tenant },
+      headers: { 'content-type': 'application/json', 'amr-team': part.team },
       body: JSON.stringify({ bytes: answer.body.length }),
     };
     try {
@@ -308,7 +308,7 @@
   }
 
   private count(call: Call, outcome: CallOutcome, nowMs: number): void {
-    const name = `${call.part.tenant}/${call.part.class}`;
+    const name = `${call.part.team}/${call.part.class}`;
     const counts = this.outcomes.get(name) ?? NO_OUTCOMES;
     this.outcomes.set(name, { ...counts, [outcome]: counts[outcome] + 1 });
     if (outcome !== 'ok' && outcome !== 'late') return;
@@ -353,7 +353,7 @@
 function createHeaders(call: Call, remainingMs: number): Readonly<Record<string, string>> {
   const { part, key, epoch, requestId } = call;
   return {
-    'amr-tenant': part.tenant,
+    'amr-team': part.team,
     'amr-class': part.class,
     'amr-deadline-ms': String(remainingMs),
     ...(key === '' ? {} : { 'amr-key': key }),
@@ -363,7 +363,7 @@
 }
 
 function nameKey(part: LoadClass, key: string): string {
-  return `${part.service}/${part.tenant}/${part.class}/${key}`;
+  return `${part.service}/${part.team}/${part.class}/${key}`;
 }
 
 function createHistogram(): Histogram {
--- a/packages/load/src/LoadReport.ts
+++ b/packages/load/src/LoadReport.ts
@@ -11,8 +11,8 @@
   readonly unfinished: number;
   readonly durationMs: number;
   readonly receipts: { readonly accepted: number; readonly refused: number };
-  /** Outcomes by `tenant/class`. */
+  /** Outcomes by `team/class`. */
   readonly outcomes: ReadonlyMap<string, Readonly<Record<CallOutcome, number>>>;
-  /** Time from the intended send to the end of the response, in microseconds, by `tenant/class`; good responses only. */
+  /** Time from the intended send to the end of the response, in microseconds, by `team/class`; good responses only. */
   readonly latencies: ReadonlyMap<string, Histogram>;
 }
--- a/packages/load/src/OrderEvent.ts
+++ b/packages/load/src/OrderEvent.ts
@@ -2,7 +2,7 @@
 export interface OrderEvent {
   readonly type: 'order';
   readonly requestId: string;
-  readonly tenant: string;
+  readonly team: string;
   /** Empty for services without keys. */
   readonly key: string;
   /** Value of `idempotency-key`; empty for requests that may be repeated. */
--- a/packages/load/src/OverheadMeasurement.ts
+++ b/packages/load/src/OverheadMeasurement.ts
@@ -11,7 +11,7 @@
 import { Measurement } from '#load/Measurement.js';
 import type { MeasurementResult } from '#load/MeasurementResult.js';
 
-const TENANT = 'tenant';
+const TEAM = 'team';
 const DURATION_MS = 4000;
 const WARM_UP_MS = 2000;
 const CONNECTIONS = 32;
@@ -141,7 +141,7 @@
   const options: LoopOptions = {
     url: variant.url,
     path: `/v1/${variant.service}/x`,
-    headers: { 'amr-tenant': TENANT, 'amr-class': 'read', 'amr-deadline-ms': '2000' },
+    headers: { 'amr-team': TEAM, 'amr-class': 'read', 'amr-deadline-ms': '2000' },
     keys: variant.keys,
     connections: CONNECTIONS,
     durationMs,
@@ -171,7 +171,7 @@
 
 function createCatalogue(): Catalogue {
   const entry = (service: string): Entry => ({
-    owner: TENANT,
+    owner: TEAM,
     service,
     class: 'read',
     repeatable: true,
@@ -185,7 +185,7 @@
       { name: 'open', keyed: false, cells: 1, orderGraceMs: 0 },
       { name: 'owned', keyed: true, cells: 1, orderGraceMs: 0 },
     ],
-    owners: [{ name: TENANT, tokenHashes: [], operator: false }],
+    owners: [{ name: TEAM, tokenHashes: [], operator: false }],
     entries: [entry('open'), entry('owned')],
   };
 }
--- a/packages/load/src/ResponseEvent.ts
+++ b/packages/load/src/ResponseEvent.ts
@@ -5,8 +5,8 @@
   readonly type: 'response';
   readonly requestId: string;
   readonly attempt: number;
-  /** Tenant on whose connection the response arrived. */
-  readonly tenant: string;
+  /** Team on whose connection the response arrived. */
+  readonly team: string;
   readonly status: number;
   readonly ran: Ran;
   /** Whether the body is, byte for byte, the one that this request has to get; true for refusals. */
--- a/packages/load/src/RunFaultPlan.ts
+++ b/packages/load/src/RunFaultPlan.ts
@@ -125,7 +125,7 @@
   history: HistoryRecorder,
 ): Pick<FaultRunResult, 'ids' | 'mostRuns' | 'repeats'> {
   const marked = orders.filter(({ idempotencyKey }) => idempotencyKey !== '');
-  const groups = groupBy(marked, ({ tenant, idempotencyKey }) => `${tenant}/${idempotencyKey}`);
+  const groups = groupBy(marked, ({ team, idempotencyKey }) => `${team}/${idempotencyKey}`);
   const isRepeat = (event: HistoryEvent): boolean =>
     event.type === 'send' && !event.repeatable && event.attempt > 1;
   return {
--- a/packages/load/src/SendEvent.ts
+++ b/packages/load/src/SendEvent.ts
@@ -3,7 +3,7 @@
   readonly type: 'send';
   readonly requestId: string;
   readonly attempt: number;
-  readonly tenant: string;
+  readonly team: string;
   readonly repeatable: boolean;
   readonly atMs: number;
 }
--- a/packages/load/src/ToOrderEvent.ts
+++ b/packages/load/src/ToOrderEvent.ts
@@ -6,14 +6,14 @@
 
 /** Converts the record of a stand-in backend server to an event of a history; a key is named with its placement. */
 export function toOrderEvent(record: RunRecord, index: CatalogueIndex): OrderEvent {
-  const { requestId, service, tenant, id, serverId, token, startMs, endMs } = record;
-  const entry = findEntry(index, tenant, service, record.class);
+  const { requestId, service, team, id, serverId, token, startMs, endMs } = record;
+  const entry = findEntry(index, team, service, record.class);
   const placement = formatPlacement(entry?.homeRegions ?? []);
   const key = token === 0 ? '' : `${service}/${placement}/${record.key}`;
   return {
     type: 'order',
     requestId,
-    tenant,
+    team,
     key,
     idempotencyKey: id,
     serverId,
--- a/packages/load/test/generator.test.ts
+++ b/packages/load/test/generator.test.ts
@@ -17,7 +17,7 @@
 import type { LoadSettings } from '#load/LoadSettings.js';
 
 const PART: LoadClass = {
-  tenant: 'agents',
+  team: 'agents',
   class: 'levy',
   service: 'permits',
   weight: 1,
--- a/packages/load/test/history.test.ts
+++ b/packages/load/test/history.test.ts
@@ -10,7 +10,7 @@
   type: 'send',
   requestId,
   attempt,
-  tenant: 'agents',
+  team: 'agents',
   repeatable: false,
   atMs,
 });
@@ -18,7 +18,7 @@
   type: 'response',
   requestId,
   attempt: 1,
-  tenant: 'agents',
+  team: 'agents',
   status: 200,
   ran: 'ran',
   isContentRight: true,
@@ -28,7 +28,7 @@
 const order = (requestId: string, changes: Partial<OrderEvent> = {}): OrderEvent => ({
   type: 'order',
   requestId,
-  tenant: 'agents',
+  team: 'agents',
   key: 'k',
   idempotencyKey: requestId,
   serverId: 's1',
@@ -97,7 +97,7 @@
     rulesOf(send('a'), order('a', repeatable), order('a', { ...repeatable, startMs: 30, endMs: 40 })),
     [],
   );
-  t.same(rulesOf(send('a'), order('a'), order('a', { tenant: 'other', startMs: 30, endMs: 40 })), []);
+  t.same(rulesOf(send('a'), order('a'), order('a', { team: 'other', startMs: 30, endMs: 40 })), []);
   t.end();
 });
 
@@ -111,7 +111,7 @@
 });
 
 t.test('a response at the wrong caller is found', (t) => {
-  t.same(rulesOf(send('a'), respond('a', { tenant: 'rivals' })), ['foreignResponse']);
+  t.same(rulesOf(send('a'), respond('a', { team: 'rivals' })), ['foreignResponse']);
   t.same(rulesOf(respond('a')), ['foreignResponse']);
   t.same(rulesOf(send('a'), respond('a')), []);
   t.end();
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -1,4 +1,4 @@
-/** Events of a daemon that are counted without regard to tenants. The set is fixed, so that labels stay bounded. */
+/** Events of a daemon that are counted without regard to teams. The set is fixed, so that labels stay bounded. */
 export type CounterName =
   | 'storeCalls'
   | 'storeFailures'
--- a/packages/metrics/src/FormatPrometheus.ts
+++ b/packages/metrics/src/FormatPrometheus.ts
@@ -4,7 +4,7 @@
 import { outcomes } from '#metrics/Outcomes.js';
 import type { SeriesSnapshot } from '#metrics/SeriesSnapshot.js';
 
-/** Formats a snapshot in the Prometheus text format, version 0.0.4. Labels are tenant, class, phase and outcome. */
+/** Formats a snapshot in the Prometheus text format, version 0.0.4. Labels are team, class, phase and outcome. */
 export function formatPrometheus(snapshot: MetricsSnapshot): string {
   const lines = [
     ...formatOutcomes(snapshot.series),
@@ -46,7 +46,7 @@
 }
 
 function formatLabels(series: SeriesSnapshot): string {
-  return `tenant="${escapeLabel(series.tenant)}",class="${escapeLabel(series.class)}"`;
+  return `team="${escapeLabel(series.team)}",class="${escapeLabel(series.class)}"`;
 }
 
 function escapeLabel(text: string): string {
--- a/packages/metrics/src/MergeSnapshots.ts
+++ b/packages/metrics/src/MergeSnapshots.ts
@@ -4,30 +4,28 @@
 import { Series } from '#metrics/Series.js';
 
 interface Group {
-  readonly tenant: string;
+  readonly team: string;
   readonly className: string;
   readonly series: Series;
 }
 
 /**
  * Merges the snapshots of several daemons: histograms and counters are added, of gauges the greatest value is kept.
- * Above `maxTenants`, the tenants with the fewest requests are added to `other`.
+ * Above `maxTeams`, the teams with the fewest requests are added to `other`.
  */
 export function mergeSnapshots(
   snapshots: readonly MetricsSnapshot[],
-  maxTenants: number = defaultMetricsLimits.tenants,
+  maxTeams: number = defaultMetricsLimits.teams,
 ): MetricsSnapshot {
   const groups = groupSeries(snapshots);
-  const kept = pickTenants(groups, maxTenants);
+  const kept = pickTeams(groups, maxTeams);
   const merged = new Map<string, Group>();
   for (const group of groups) {
-    const tenant = kept.has(group.tenant) ? group.tenant : otherLabel;
-    addGroup(merged, { ...group, tenant });
+    const team = kept.has(group.team) ? group.team : otherLabel;
+    addGroup(merged, { ...group, team });
   }
   return {
-    series: [...merged.values()].map(({ tenant, className, series }) =>
-      series.snapshot(tenant, className, true),
-    ),
+    series: [...merged.values()].map(({ team, className, series }) => series.snapshot(team, className, true)),
     counters: combine(
       snapshots.map((snapshot) => snapshot.counters),
       (left, right) => left + right,
@@ -44,24 +42,24 @@
   for (const snapshot of snapshots.flatMap((each) => each.series)) {
     const series = new Series();
     series.addSnapshot(snapshot);
-    addGroup(groups, { tenant: snapshot.tenant, className: snapshot.class, series });
+    addGroup(groups, { team: snapshot.team, className: snapshot.class, series });
   }
   return [...groups.values()];
 }
 
 function addGroup(groups: Map<string, Group>, group: Group): void {
-  const key = `${group.tenant}/${group.className}`;
+  const key = `${group.team}/${group.className}`;
   const existing = groups.get(key);
   if (existing === undefined) groups.set(key, group);
   else existing.series.add(group.series);
 }
 
-function pickTenants(groups: readonly Group[], maxTenants: number): ReadonlySet<string> {
+function pickTeams(groups: readonly Group[], maxTeams: number): ReadonlySet<string> {
   const totals = new Map<string, number>();
-  for (const { tenant, series } of groups)
-    if (tenant !== otherLabel) totals.set(tenant, (totals.get(tenant) ?? 0) + series.total());
+  for (const { team, series } of groups)
+    if (team !== otherLabel) totals.set(team, (totals.get(team) ?? 0) + series.total());
   const byTotal = [...totals].sort(([, left], [, right]) => right - left);
-  return new Set(byTotal.slice(0, maxTenants).map(([tenant]) => tenant));
+  return new Set(byTotal.slice(0, maxTeams).map(([team]) => team));
 }
 
 function combine<T extends Readonly<Partial<Record<string, number>>>>(
--- a/packages/metrics/src/MetricsLimits.ts
+++ b/packages/metrics/src/MetricsLimits.ts
@@ -1,7 +1,7 @@
 /** Bounds of the label sets that one daemon keeps. */
 export interface MetricsLimits {
-  /** Tenants with series of their own. */
-  readonly tenants: number;
-  /** Classes of one tenant with series of their own. */
+  /** Teams with series of their own. */
+  readonly teams: number;
+  /** Classes of one team with series of their own. */
   readonly classes: number;
 }
--- a/packages/metrics/src/MetricsRecorder.ts
+++ b/packages/metrics/src/MetricsRecorder.ts
@@ -10,17 +10,17 @@
 import { Series } from '#metrics/Series.js';
 import type { SeriesSnapshot } from '#metrics/SeriesSnapshot.js';
 
-interface TenantSeries {
+interface TeamSeries {
   usedAt: number; // eslint-disable-line no-restricted-syntax -- set for each request
   readonly classes: Map<string, Series>;
 }
 
 /**
  * Measurements of one task. Recording a value takes less than a microsecond. Above the limit, the series of the least
- * recently used tenant are added to those of the tenant `other`, so that totals stay right.
+ * recently used team are added to those of the team `other`, so that totals stay right.
  */
 export class MetricsRecorder {
-  private readonly tenants = new Map<string, TenantSeries>();
+  private readonly teams = new Map<string, TeamSeries>();
   private readonly counters = new Map<CounterName, number>();
   private readonly gauges = new Map<GaugeName, number>();
   private readonly limits: MetricsLimits;
@@ -31,13 +31,13 @@
   }
 
   /** Records the duration of a phase in microseconds. */
-  public recordPhase(tenant: string, className: string, phase: Phase, micros: number): void {
-    this.findSeries(tenant, className).record(phase, micros);
+  public recordPhase(team: string, className: string, phase: Phase, micros: number): void {
+    this.findSeries(team, className).record(phase, micros);
   }
 
   /** Counts the outcome of one request. */
-  public countOutcome(tenant: string, className: string, outcome: Outcome): void {
-    this.findSeries(tenant, className).count(outcome, 1);
+  public countOutcome(team: string, className: string, outcome: Outcome): void {
+    this.findSeries(team, className).count(outcome, 1);
   }
 
   /** Adds to a counter of the daemon. */
@@ -74,11 +74,11 @@
   }
 
   private listSeries(): readonly ((withHistograms: boolean) => SeriesSnapshot)[] {
-    return [...this.tenants].flatMap(([tenant, { classes }]) =>
+    return [...this.teams].flatMap(([team, { classes }]) =>
       [...classes].map(
         ([className, each]) =>
           (withHistograms: boolean) =>
-            each.snapshot(tenant, className, withHistograms),
+            each.snapshot(team, className, withHistograms),
       ),
     );
   }
@@ -87,39 +87,39 @@
     return { counters: Object.fromEntries(this.counters), gauges: Object.fromEntries(this.gauges) };
   }
 
-  private findSeries(tenant: string, className: string): Series {
-    const found = this.tenants.get(tenant) ?? this.addTenant(tenant);
+  private findSeries(team: string, className: string): Series {
+    const found = this.teams.get(team) ?? this.addTeam(team);
     this.uses += 1;
     found.usedAt = this.uses;
     return found.classes.get(className) ?? this.addClass(found, className);
   }
 
-  private addClass(tenant: TenantSeries, className: string): Series {
-    const name = tenant.classes.size < this.limits.classes ? className : otherLabel;
-    const existing = tenant.classes.get(name);
+  private addClass(team: TeamSeries, className: string): Series {
+    const name = team.classes.size < this.limits.classes ? className : otherLabel;
+    const existing = team.classes.get(name);
     if (existing !== undefined) return existing;
     const series = new Series();
-    tenant.classes.set(name, series);
+    team.classes.set(name, series);
     return series;
   }
 
-  private addTenant(name: string): TenantSeries {
-    const named = this.tenants.size - (this.tenants.has(otherLabel) ? 1 : 0);
-    if (name !== otherLabel && named >= this.limits.tenants) this.foldOldest();
-    const added: TenantSeries = { usedAt: 0, classes: new Map() };
-    this.tenants.set(name, added);
+  private addTeam(name: string): TeamSeries {
+    const named = this.teams.size - (this.teams.has(otherLabel) ? 1 : 0);
+    if (name !== otherLabel && named >= this.limits.teams) this.foldOldest();
+    const added: TeamSeries = { usedAt: 0, classes: new Map() };
+    this.teams.set(name, added);
     return added;
   }
 
   private foldOldest(): void {
-    const candidates = [...this.tenants].filter(([name]) => name !== otherLabel);
+    const candidates = [...this.teams].filter(([name]) => name !== otherLabel);
     const first = candidates[0];
     if (first === undefined) return;
     const [name, oldest] = candidates.reduce((left, right) =>
       right[1].usedAt < left[1].usedAt ? right : left,
     );
-    this.tenants.delete(name);
-    const other = this.tenants.get(otherLabel) ?? this.addTenant(otherLabel);
+    this.teams.delete(name);
+    const other = this.teams.get(otherLabel) ?? this.addTeam(otherLabel);
     for (const [className, series] of oldest.classes) {
       const target = other.classes.get(className) ?? this.addClass(other, className);
       target.add(series);
--- a/packages/metrics/src/OtherLabel.ts
+++ b/packages/metrics/src/OtherLabel.ts
@@ -1,2 +1,2 @@
-/** Label of the tenants or classes that have no series of their own. */
+/** Label of the teams or classes that have no series of their own. */
 export const otherLabel = 'other';
--- a/packages/metrics/src/Series.ts
+++ b/packages/metrics/src/Series.ts
@@ -5,7 +5,7 @@
 import { phases } from '#metrics/Phases.js';
 import type { SeriesSnapshot } from '#metrics/SeriesSnapshot.js';
 
-/** Mutable measurements of one tenant and class. Private to the recorder of one task. */
+/** Mutable measurements of one team and class. Private to the recorder of one task. */
 export class Series {
   private readonly recorders = new Map<Phase, PhaseRecorder>();
   private readonly counts = new Map<Outcome, number>();
@@ -43,10 +43,10 @@
   }
 
   /** Returns a read-only copy, with encoded histograms only if asked for, as encoding takes about 0.1 ms each. */
-  public snapshot(tenant: string, className: string, withHistograms: boolean): SeriesSnapshot {
+  public snapshot(team: string, className: string, withHistograms: boolean): SeriesSnapshot {
     const encoded = withHistograms ? [...this.recorders] : [];
     return {
-      tenant,
+      team,
       class: className,
       outcomes: Object.fromEntries([...this.counts].filter(([, count]) => count > 0)),
       buckets: Object.fromEntries([...this.recorders].map(([phase, each]) => [phase, each.buckets()])),
--- a/packages/metrics/src/SeriesSnapshot.ts
+++ b/packages/metrics/src/SeriesSnapshot.ts
@@ -2,9 +2,9 @@
 import type { Phase } from '#metrics/Phase.js';
 import type { PhaseBuckets } from '#metrics/PhaseBuckets.js';
 
-/** Measurements of one tenant and class. */
+/** Measurements of one team and class. */
 export interface SeriesSnapshot {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   readonly outcomes: Readonly<Partial<Record<Outcome, number>>>;
   /** Counts for Prometheus; phases without values are left out. */
--- a/packages/metrics/src/SummarizeSeries.ts
+++ b/packages/metrics/src/SummarizeSeries.ts
@@ -13,7 +13,7 @@
     return text === undefined ? [] : [[phase, summarizePhase(text)] as const];
   });
   return {
-    tenant: series.tenant,
+    team: series.team,
     class: series.class,
     outcomes: series.outcomes,
     phases: Object.fromEntries(summaries),
--- a/packages/metrics/test/metrics.test.ts
+++ b/packages/metrics/test/metrics.test.ts
@@ -23,10 +23,10 @@
   t.ok(queue.maxMs <= 606_000);
 });
 
-t.test('unbounded tenants fold into other', async (t) => {
-  const recorder = new MetricsRecorder({ tenants: 2, classes: 2 });
-  for (const tenant of ['a', 'b', 'a', 'c', 'd']) recorder.countOutcome(tenant, 'x', 'delivered');
-  const counts = (await recorder.snapshot()).series.map((each) => [each.tenant, each.outcomes.delivered]);
+t.test('unbounded teams fold into other', async (t) => {
+  const recorder = new MetricsRecorder({ teams: 2, classes: 2 });
+  for (const team of ['a', 'b', 'a', 'c', 'd']) recorder.countOutcome(team, 'x', 'delivered');
+  const counts = (await recorder.snapshot()).series.map((each) => [each.team, each.outcomes.delivered]);
   t.same(counts.sort(), [
     ['c', 1],
     ['d', 1],
@@ -35,7 +35,7 @@
 });
 
 t.test('unbounded classes fold into other', async (t) => {
-  const recorder = new MetricsRecorder({ tenants: 2, classes: 2 });
+  const recorder = new MetricsRecorder({ teams: 2, classes: 2 });
   for (const name of ['x', 'y', 'z', 'w']) recorder.countOutcome('a', name, 'late');
   t.same(
     (await recorder.snapshot()).series.map((each) => [each.class, each.outcomes.late]),
@@ -58,8 +58,8 @@
   }
   const merged = mergeSnapshots(await Promise.all(recorders.map((recorder) => recorder.snapshot())), 1);
   const [shared, other] = merged.series;
-  t.match(shared, { tenant: 'a', outcomes: { delivered: 2 } });
-  t.match(other, { tenant: 'other', outcomes: { refused: 2 } });
+  t.match(shared, { team: 'a', outcomes: { delivered: 2 } });
+  t.match(other, { team: 'other', outcomes: { refused: 2 } });
   t.equal(summarizeSeries(shared!).phases.whole?.count, 2);
   t.same([merged.counters, merged.gauges], [{ retries: 4 }, { catalogueVersion: 8 }]);
 });
@@ -80,7 +80,7 @@
   recorder.count('storeCalls', 3);
   recorder.setGauge('ownedShards', 9);
   const text = formatPrometheus(recorder.snapshotBuckets());
-  const labels = 'tenant="a\\"b",class="x"';
+  const labels = 'team="a\\"b",class="x"';
   t.match(text, `amaranthrouter_requests_total{${labels},outcome="delivered"} 1`);
   t.match(text, `amaranthrouter_phase_seconds_bucket{${labels},phase="whole",le="0.001"} 1`);
   t.match(text, `amaranthrouter_phase_seconds_bucket{${labels},phase="whole",le="0.01"} 3`);
--- a/packages/once/src/OnceRecord.ts
+++ b/packages/once/src/OnceRecord.ts
@@ -1,6 +1,6 @@
 /** What an owner remembers of one request that may not be repeated. */
 export interface OnceRecord {
-  readonly tenant: string;
+  readonly team: string;
   /** Value of the header `idempotency-key`. */
   readonly id: string;
   /** Admission window in which the request was admitted. */
--- a/packages/once/src/OnceTable.ts
+++ b/packages/once/src/OnceTable.ts
@@ -38,7 +38,7 @@
     if (old?.token === token) return;
     const shard = new ShardMemory(shardId, token, token, 0);
     const running = old?.records().filter(({ state }) => state === 'running') ?? [];
-    for (const record of running) shard.set(recordKey(record.tenant, record.id), { ...record, window: 0 });
+    for (const record of running) shard.set(recordKey(record.team, record.id), { ...record, window: 0 });
     this.replaceShard(shardId, shard);
   }
 
@@ -52,7 +52,7 @@
   public restoreShard(records: ShardRecords): void {
     const { shardId, token, knownSince, window } = records;
     const shard = new ShardMemory(shardId, token, knownSince, window);
-    for (const record of records.records) shard.set(recordKey(record.tenant, record.id), record);
+    for (const record of records.records) shard.set(recordKey(record.team, record.id), record);
     this.replaceShard(shardId, shard);
   }
 
@@ -95,7 +95,7 @@
    */
   public admit(
     shardId: string,
-    tenant: string,
+    team: string,
     id: string,
     epoch: string | undefined,
     nowMs: number,
@@ -103,23 +103,23 @@
     const shard = this.findShard(shardId);
     this.change(shard, () => shard.turnIfDue(nowMs, this.limits.horizonMs));
     if (id === '' || id.length > MAX_ID_LENGTH) return refuse(notRun('idMalformed', 400));
-    const record = shard.get(recordKey(tenant, id));
+    const record = shard.get(recordKey(team, id));
     if (record !== undefined) return { kind: 'repeat', record };
     const error = this.checkEpoch(shard, epoch) ?? this.makeRoom(nowMs);
     if (error !== undefined) return refuse(error);
-    this.change(shard, () => shard.set(recordKey(tenant, id), startRecord(tenant, id, shard.window)));
+    this.change(shard, () => shard.set(recordKey(team, id), startRecord(team, id, shard.window)));
     return { kind: 'run' };
   }
 
   /** Records the body hash of a running request as soon as its body was read to the end. */
-  public setBodyHash(shardId: string, tenant: string, id: string, bodyHash: string): void {
-    this.update(shardId, tenant, id, (record) => ({ ...record, bodyHash }));
+  public setBodyHash(shardId: string, team: string, id: string, bodyHash: string): void {
+    this.update(shardId, team, id, (record) => ({ ...record, bodyHash }));
   }
 
   /** Records the answer of a running request and returns its record for the repeats that wait. */
-  public complete(shardId: string, tenant: string, id: string, answer: OnceAnswer): OnceRecord | undefined {
+  public complete(shardId: string, team: string, id: string, answer: OnceAnswer): OnceRecord | undefined {
     const kept = answer.complete && answer.answer.length <= this.limits.maxAnswerLength;
-    return this.update(shardId, tenant, id, (record) => ({
+    return this.update(shardId, team, id, (record) => ({
       ...record,
       state: 'answered',
       bodyHash: answer.bodyHash === '' ? record.bodyHash : answer.bodyHash,
@@ -131,14 +131,14 @@
   }
 
   /** Records the end of a running request without an answer. An id that did not run is forgotten. */
-  public fail(shardId: string, tenant: string, id: string, ran: 'not run' | 'unknown'): void {
-    if (ran === 'not run') this.forget(shardId, recordKey(tenant, id));
-    else this.update(shardId, tenant, id, endAsUnknown);
+  public fail(shardId: string, team: string, id: string, ran: 'not run' | 'unknown'): void {
+    if (ran === 'not run') this.forget(shardId, recordKey(team, id));
+    else this.update(shardId, team, id, endAsUnknown);
   }
 
   /** Returns what is known of an id. */
-  public lookUp(shardId: string, tenant: string, id: string): OnceLookUp {
-    const record = this.shards.get(shardId)?.get(recordKey(tenant, id));
+  public lookUp(shardId: string, team: string, id: string): OnceLookUp {
+    const record = this.shards.get(shardId)?.get(recordKey(team, id));
     if (record === undefined) return { kind: 'absent' };
     if (record.state === 'running') return { kind: 'running', record };
     if (record.state === 'unknown') return { kind: 'unknown', error: UNKNOWN_OUTCOME };
@@ -185,12 +185,12 @@
 
   private update(
     shardId: string,
-    tenant: string,
+    team: string,
     id: string,
     change: (record: OnceRecord) => OnceRecord,
   ): OnceRecord | undefined {
     const shard = this.shards.get(shardId);
-    const key = recordKey(tenant, id);
+    const key = recordKey(team, id);
     const record = shard?.get(key);
     if (shard === undefined || record?.state !== 'running') return undefined;
     const changed = change(record);
@@ -255,13 +255,13 @@
 }
 
 /** Header values contain no line feed, so the key is unambiguous. */
-function recordKey(tenant: string, id: string): string {
-  return `${tenant}\n${id}`;
+function recordKey(team: string, id: string): string {
+  return `${team}\n${id}`;
 }
 
-function startRecord(tenant: string, id: string, window: number): OnceRecord {
+function startRecord(team: string, id: string, window: number): OnceRecord {
   return {
-    tenant,
+    team,
     id,
     window,
     bodyHash: '',
--- a/packages/once/src/ShardMemory.ts
+++ b/packages/once/src/ShardMemory.ts
@@ -101,7 +101,7 @@
 function estimateBytes(record: OnceRecord): number {
   return (
     RECORD_OVERHEAD_BYTES +
-    record.tenant.length +
+    record.team.length +
     2 * record.id.length +
     record.bodyHash.length +
     record.contentType.length +
--- a/packages/once/test/once.test.ts
+++ b/packages/once/test/once.test.ts
@@ -39,7 +39,7 @@
   t.equal(codeOf(table.admit('s', 'a', 'id', '7-1', 0)), 'epochOfFuture/not run');
   t.equal(codeOf(table.admit('s', 'a', 'id', '7-0', 0)), 'run');
   t.equal(codeOf(table.admit('s', 'a', 'id', '7-0', 0)), 'repeat');
-  t.equal(codeOf(table.admit('s', 'b', 'id', '7-0', 0)), 'run', 'ids of tenants are apart');
+  t.equal(codeOf(table.admit('s', 'b', 'id', '7-0', 0)), 'run', 'ids of teams are apart');
   t.equal(codeOf(table.admit('s', 'a', 'x'.repeat(256), '7-0', 0)), 'idMalformed/not run');
   t.end();
 });
--- a/packages/proxy/src/BackendTask.ts
+++ b/packages/proxy/src/BackendTask.ts
@@ -214,7 +214,7 @@
     const headers: Record<string, string> = { ...head.headers };
     headers['amr-order-id'] = orderId;
     headers['amr-deadline-at'] = String(Math.floor(this.toWallMs(backendOrder.deadlineAtMs)));
-    headers['amr-tenant'] = head.tenant;
+    headers['amr-team'] = head.team;
     headers['amr-class'] = head.class;
     if (head.key !== '') headers['amr-key'] = head.key;
     if (head.idempotencyKey !== '') headers['idempotency-key'] = head.idempotencyKey;
--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -92,8 +92,8 @@
       parseReceipt(body).caseOf({
         Left: (fields) => writeRefusal(res, fields),
         Right: (bytes) => {
-          const tenant = String(req.headers['amr-tenant'] ?? '');
-          this.postToReceipts({ type: 'confirm', id, tenant, bytes, res });
+          const team = String(req.headers['amr-team'] ?? '');
+          this.postToReceipts({ type: 'confirm', id, team, bytes, res });
         },
       }),
     );
--- a/packages/proxy/src/CheckRequest.ts
+++ b/packages/proxy/src/CheckRequest.ts
@@ -22,7 +22,7 @@
     return refuse('noCatalogue', 'catalogue', 503, { retryAfterMs: CATALOGUE_RETRY_MS });
   const service = index.services.get(head.service);
   if (service === undefined) return refuse('unknownService', 'catalogue', 404);
-  const entry = findEntry(index, head.tenant, head.service, head.class);
+  const entry = findEntry(index, head.team, head.service, head.class);
   if (entry === undefined) return refuse('noEntry', 'catalogue', 403);
   if (entry.homeRegions.length > 0 && !entry.homeRegions.includes(region)) {
     const at = listAddresses(view, head.service, entry.homeRegions);
--- a/packages/proxy/src/CrashWatch.ts
+++ b/packages/proxy/src/CrashWatch.ts
@@ -12,9 +12,9 @@
 /** Orders that were lost within this time before a death was noticed count as in flight at the death. */
 const DEATH_WINDOW_MS = 2000;
 
-type Origin = Pick<RequestMark, 'tenant' | 'service' | 'class'>;
+type Origin = Pick<RequestMark, 'team' | 'service' | 'class'>;
 
-const FORGOTTEN: Origin = { tenant: '', service: '', class: '' };
+const FORGOTTEN: Origin = { team: '', service: '', class: '' };
 
 interface LostOrder {
   readonly order: Order;
@@ -72,7 +72,7 @@
 
   /** Merges marks of other daemons. */
   public merge(marks: readonly RequestMark[], nowMs: number): void {
-    for (const mark of marks) if (mark.tenant !== '') this.remember(mark.fingerprint, mark);
+    for (const mark of marks) if (mark.team !== '') this.remember(mark.fingerprint, mark);
     this.quarantine.merge(marks, nowMs);
   }
 
@@ -99,16 +99,16 @@
     return marks.map((mark) => ({ ...mark, ...(this.origins.get(mark.fingerprint) ?? FORGOTTEN) }));
   }
 
-  private remember(fingerprint: string, { tenant, service, class: requestClass }: Origin): void {
+  private remember(fingerprint: string, { team, service, class: requestClass }: Origin): void {
     this.origins.delete(fingerprint);
-    this.origins.set(fingerprint, { tenant, service, class: requestClass });
+    this.origins.set(fingerprint, { team, service, class: requestClass });
     const [oldest] = this.origins.keys();
     if (this.origins.size > MAX_ENTRIES && oldest !== undefined) this.origins.delete(oldest);
   }
 }
 
 function originOf({ entry }: Order): Origin {
-  return { tenant: entry.owner, service: entry.service, class: entry.class };
+  return { team: entry.owner, service: entry.service, class: entry.class };
 }
 
 function fingerprintOf(order: Order): string {
--- a/packages/proxy/src/CreateHopHeaders.ts
+++ b/packages/proxy/src/CreateHopHeaders.ts
@@ -6,7 +6,7 @@
     ...head.headers,
     'amr-hop-from': from,
     'amr-request-id': head.requestId,
-    'amr-tenant': head.tenant,
+    'amr-team': head.team,
     'amr-class': head.class,
     ...(head.key === '' ? {} : { 'amr-key': head.key }),
     'amr-deadline-ms': String(head.deadlineMs),
--- a/packages/proxy/src/CreateQueuedRequest.ts
+++ b/packages/proxy/src/CreateQueuedRequest.ts
@@ -6,7 +6,7 @@
   const { priority, share } = order.entry.limits;
   return {
     id: order.orderId,
-    tenant: order.head.tenant,
+    team: order.head.team,
     class: order.head.class,
     priority,
     share,
--- a/packages/proxy/src/EntryEnd.ts
+++ b/packages/proxy/src/EntryEnd.ts
@@ -2,7 +2,7 @@
 
 /** End of one request of a caller, for histograms and counters. */
 export interface EntryEnd {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   readonly service: string;
   readonly outcome: Outcome;
--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -349,7 +349,7 @@
     if (checked.entry.evidence === 'receipt') {
       const { owner, class: requestClass } = checked.entry;
       const expectedBytes = this.exchanges.noteReceiptDue(id);
-      const receipt = { id, tenant: owner, class: requestClass, expectedBytes, deadlineMs: deadlineAtMs };
+      const receipt = { id, team: owner, class: requestClass, expectedBytes, deadlineMs: deadlineAtMs };
       this.outcomes.expectReceipt(id, startedMs);
       this.links.postToReceipts({ type: 'expect', receipt });
     }
--- a/packages/proxy/src/FormatHopFields.ts
+++ b/packages/proxy/src/FormatHopFields.ts
@@ -9,7 +9,7 @@
     head.method,
     head.service,
     head.path,
-    head.tenant,
+    head.team,
     head.class,
     head.key,
     head.deadlineMs,
--- a/packages/proxy/src/InterRegionMeter.ts
+++ b/packages/proxy/src/InterRegionMeter.ts
@@ -50,13 +50,13 @@
     this.addTotal(exchange.checked.entry.owner, bytes);
   }
 
-  /** Bytes between regions so far, by tenant. */
+  /** Bytes between regions so far, by team. */
   public readTotals(): ReadonlyMap<string, number> {
     return this.totals;
   }
 
-  private addTotal(tenant: string, bytes: number): void {
-    this.totals.set(tenant, (this.totals.get(tenant) ?? 0) + bytes);
+  private addTotal(team: string, bytes: number): void {
+    this.totals.set(team, (this.totals.get(team) ?? 0) + bytes);
   }
 
   private findBucket(exchange: Exchange, nowMs: number): TokenBucket {
--- a/packages/proxy/src/OnceGate.ts
+++ b/packages/proxy/src/OnceGate.ts
@@ -56,15 +56,9 @@
 
   /** Returns whether the order may run. Otherwise it was refused, or is answered like its original. */
   public admit(order: Order, shardId: string): boolean {
-    const { tenant, idempotencyKey, epoch } = order.head;
+    const { team, idempotencyKey, epoch } = order.head;
     const nowMs = this.clock.monotonicMs();
-    const decision = this.table.admit(
-      shardId,
-      tenant,
-      idempotencyKey,
-      epoch === '' ? undefined : epoch,
-      nowMs,
-    );
+    const decision = this.table.admit(shardId, team, idempotencyKey, epoch === '' ? undefined : epoch, nowMs);
     if (decision.kind === 'run') return true;
     if (decision.kind === 'refuse') {
       this.reject(order, { ...decision.error, epoch: this.currentEpoch(shardId) });
@@ -89,7 +83,7 @@
       this.hashing.delete(orderId);
       this.answer({ ...repeat, bodyHash });
     } else if (order !== undefined) {
-      this.table.setBodyHash(shardId, order.head.tenant, order.head.idempotencyKey, bodyHash);
+      this.table.setBodyHash(shardId, order.head.team, order.head.idempotencyKey, bodyHash);
     }
   }
 
@@ -105,12 +99,12 @@
 
   /** Records the end of an admitted order and answers its repeats. */
   public end(order: Order, shardId: string, event: OrderEvent): void {
-    const { tenant, idempotencyKey } = order.head;
+    const { team, idempotencyKey } = order.head;
     const capture = this.captures.get(order.orderId);
     this.captures.delete(order.orderId);
     if (event.type === 'end' && capture !== undefined) {
-      this.table.complete(shardId, tenant, idempotencyKey, capture.finish());
-    } else this.table.fail(shardId, tenant, idempotencyKey, event.type === 'refused' ? 'not run' : 'unknown');
+      this.table.complete(shardId, team, idempotencyKey, capture.finish());
+    } else this.table.fail(shardId, team, idempotencyKey, event.type === 'refused' ? 'not run' : 'unknown');
     const key = formatRepeatKey(shardId, order);
     const waiting = this.repeats.get(key) ?? [];
     this.repeats.delete(key);
@@ -153,7 +147,7 @@
 
   private answer(repeat: Repeat): void {
     const { order, shardId, bodyHash } = repeat;
-    const found = this.table.lookUp(shardId, order.head.tenant, order.head.idempotencyKey);
+    const found = this.table.lookUp(shardId, order.head.team, order.head.idempotencyKey);
     if (found.kind === 'absent') {
       this.reject(order, {
         code: 'originalNotRun',
@@ -199,5 +193,5 @@
 }
 
 function formatRepeatKey(shardId: string, { head }: Order): string {
-  return [shardId, head.tenant, head.idempotencyKey].join('\n');
+  return [shardId, head.team, head.idempotencyKey].join('\n');
 }
--- a/packages/proxy/src/OrderTimes.ts
+++ b/packages/proxy/src/OrderTimes.ts
@@ -1,6 +1,6 @@
 /** Durations of an order that the backend server answered, for histograms. */
 export interface OrderTimes {
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   /** Time from its arrival at the owner to its start, in milliseconds. */
   readonly queueMs: number;
--- a/packages/proxy/src/OutcomeCounts.ts
+++ b/packages/proxy/src/OutcomeCounts.ts
@@ -20,8 +20,8 @@
   ) {}
 
   /** Counts the arrival of a request. */
-  public begin(tenant: string, requestClass: string): void {
-    this.ledger.begin(tenant, requestClass);
+  public begin(team: string, requestClass: string): void {
+    this.ledger.begin(team, requestClass);
   }
 
   /** Counts a request that was not admitted; `startedMs` is its arrival. */
@@ -45,14 +45,14 @@
 
   /** Counts the outcome of an answer that needed a receipt. */
   public countReceipt(receipt: PendingReceipt, outcome: Outcome): void {
-    this.ledger.end(receipt.tenant, receipt.class, outcome);
+    this.ledger.end(receipt.team, receipt.class, outcome);
     const nowMs = this.clock.monotonicMs();
     const wholeMs = nowMs - (this.receiptStarts.get(receipt.id) ?? nowMs);
     this.receiptStarts.delete(receipt.id);
-    this.listener.onReceipt(receipt.tenant, receipt.class, outcome, wholeMs);
+    this.listener.onReceipt(receipt.team, receipt.class, outcome, wholeMs);
   }
 
-  /** Counts so far, by tenant and class. */
+  /** Counts so far, by team and class. */
   public counts(): readonly DeliveryCounts[] {
     return this.ledger.counts();
   }
@@ -70,7 +70,7 @@
     this.ledger.end(owner, requestClass, outcome);
     const wholeMs = nowMs - startedMs;
     const orderMs = nowMs - attemptStartedMs;
-    const end = { tenant: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
+    const end = { team: owner, class: requestClass, service, outcome, code, retries, wholeMs, orderMs };
     this.listener.onEnd(end);
   }
 }
--- a/packages/proxy/src/OwnerTask.ts
+++ b/packages/proxy/src/OwnerTask.ts
@@ -239,9 +239,9 @@
   }
 
   private noteAnswered({ order, arrivedMs }: OwnedOrder, serviceMs: number, nowMs: number): void {
-    const { owner: tenant, class: requestClass } = order.entry;
+    const { owner: team, class: requestClass } = order.entry;
     const queueMs = Math.max(0, nowMs - serviceMs - arrivedMs);
-    this.listener.onAnswered({ tenant, class: requestClass, queueMs, backendMs: serviceMs });
+    this.listener.onAnswered({ team, class: requestClass, queueMs, backendMs: serviceMs });
     this.crashes.noteAnswered(order, nowMs);
   }
 
--- a/packages/proxy/src/ParseRequestHead.ts
+++ b/packages/proxy/src/ParseRequestHead.ts
@@ -35,7 +35,7 @@
     method,
     service: match[1] ?? '',
     path: match[2] ?? '/',
-    tenant: text('amr-tenant'),
+    team: text('amr-team'),
     class: text('amr-class'),
     key: text('amr-key'),
     deadlineMs: Number(text('amr-deadline-ms') || '0'),
@@ -47,7 +47,7 @@
 }
 
 function findFault(headers: IncomingHttpHeaders, text: (name: string) => string): string | undefined {
-  if (!NAME_PATTERN.test(text('amr-tenant'))) return 'badTenant';
+  if (!NAME_PATTERN.test(text('amr-team'))) return 'badTeam';
   if (!NAME_PATTERN.test(text('amr-class'))) return 'badClass';
   if (text('amr-key').length > KEY_MAX_LENGTH) return 'badKey';
   const deadline = text('amr-deadline-ms');
--- a/packages/proxy/src/ReceiptMessage.ts
+++ b/packages/proxy/src/ReceiptMessage.ts
@@ -7,7 +7,7 @@
   | {
       readonly type: 'confirm';
       readonly id: string;
-      readonly tenant: string;
+      readonly team: string;
       readonly bytes: number;
       readonly res: ServerResponse;
     }
--- a/packages/proxy/src/ReceiptTask.ts
+++ b/packages/proxy/src/ReceiptTask.ts
@@ -45,8 +45,8 @@
     for (const receipt of receipts) this.onEnd(receipt, 'sentUnconfirmed');
   }
 
-  private confirm({ id, tenant, bytes, res }: Extract<ReceiptMessage, { readonly type: 'confirm' }>): void {
-    const result = this.table.confirm(id, tenant, bytes, this.clock.monotonicMs());
+  private confirm({ id, team, bytes, res }: Extract<ReceiptMessage, { readonly type: 'confirm' }>): void {
+    const result = this.table.confirm(id, team, bytes, this.clock.monotonicMs());
     if (result.kind === 'refused') {
       writeRefusal(res, result.error);
       return;
--- a/packages/proxy/src/RequestHead.ts
+++ b/packages/proxy/src/RequestHead.ts
@@ -6,7 +6,7 @@
   readonly service: string;
   /** Path and query for the backend server, starting with `/`. */
   readonly path: string;
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   /** Key of the request; empty without one. */
   readonly key: string;
--- a/packages/proxy/src/RetryPlanner.ts
+++ b/packages/proxy/src/RetryPlanner.ts
@@ -11,7 +11,7 @@
 /** Time that one attempt needs at least, for deciding whether a retry can still be in time. */
 const EXPECTED_ATTEMPT_MS = 1;
 
-/** Decides on the retries of an entry task, within one budget for each tenant and class. */
+/** Decides on the retries of an entry task, within one budget for each team and class. */
 export class RetryPlanner {
   private readonly budget = new RetryBudget(RETRY_FRACTION, RETRY_MINIMUM);
 
@@ -21,8 +21,8 @@
   ) {}
 
   /** Counts a request of a caller, which adds to the budget. */
-  public noteRequest(tenant: string, requestClass: string, nowMs: number): void {
-    this.budget.noteRequest(tenant, requestClass, nowMs);
+  public noteRequest(team: string, requestClass: string, nowMs: number): void {
+    this.budget.noteRequest(team, requestClass, nowMs);
   }
 
   /** Returns the delay of the next attempt in milliseconds, or undefined if the fault is final. */
@@ -31,7 +31,7 @@
     if (!Buffer.isBuffer(attempt.body) || !mayRetryFault(fields)) return undefined;
     const { entry } = exchange.checked;
     const facts = {
-      tenant: entry.owner,
+      team: entry.owner,
       class: entry.class,
       repeatable: entry.repeatable,
       ran: fields.ran,
--- a/packages/proxy/test/CreateTestCatalogue.ts
+++ b/packages/proxy/test/CreateTestCatalogue.ts
@@ -15,7 +15,7 @@
 
 /**
  * Creates a catalogue of the keyed service `badges` with the classes `look` (repeatable), `pay` (not repeatable),
- * `proof` (repeatable, with receipts) and `home` (served in the region `r2` only) of the tenant `alpha`.
+ * `proof` (repeatable, with receipts) and `home` (served in the region `r2` only) of the team `alpha`.
  */
 export function createTestCatalogue(limits: Partial<EntryLimits> = {}): VersionedCatalogue {
   const entry = {
--- a/packages/proxy/test/PostOrder.ts
+++ b/packages/proxy/test/PostOrder.ts
@@ -18,7 +18,7 @@
     method: 'POST',
     service: 'badges',
     path: '/x',
-    tenant: 'alpha',
+    team: 'alpha',
     class: requestClass,
     key: 'k',
     deadlineMs: 15_000,
--- a/packages/proxy/test/QuotaFleet.ts
+++ b/packages/proxy/test/QuotaFleet.ts
@@ -133,6 +133,6 @@
   const req = new IncomingMessage(new Socket());
   req.method = 'GET';
   req.url = '/v1/badges/x';
-  req.headers = { 'amr-tenant': 'alpha', 'amr-class': 'look', 'amr-key': 'k' };
+  req.headers = { 'amr-team': 'alpha', 'amr-class': 'look', 'amr-key': 'k' };
   return { req, res: new ServerResponse(req) };
 }
--- a/packages/proxy/test/RawCaller.ts
+++ b/packages/proxy/test/RawCaller.ts
@@ -17,7 +17,7 @@
 
   /** Writes the head of a request of the class `look` with the key `k`, followed by `body`. */
   public send(line: string, headers: readonly string[] = [], body = ''): void {
-    const common = ['host: x', 'amr-tenant: alpha', 'amr-class: look', 'amr-key: k'];
+    const common = ['host: x', 'amr-team: alpha', 'amr-class: look', 'amr-key: k'];
     this.socket.write([line, ...common, ...headers, '', body].join('\r\n'));
   }
 
--- a/packages/proxy/test/SendOrder.ts
+++ b/packages/proxy/test/SendOrder.ts
@@ -20,7 +20,7 @@
 ): Promise<CallerAnswer> {
   const answer = await request(`http://127.0.0.1:${port}${path}`, {
     method: body === '' ? 'GET' : 'POST',
-    headers: { 'amr-tenant': 'alpha', 'amr-class': 'look', 'amr-key': 'k', ...headers },
+    headers: { 'amr-team': 'alpha', 'amr-class': 'look', 'amr-key': 'k', ...headers },
     body: body === '' ? null : body,
   });
   const text = await answer.body.text();
--- a/packages/proxy/test/TestNode.ts
+++ b/packages/proxy/test/TestNode.ts
@@ -102,7 +102,7 @@
     return this.path.owner.ask((reply) => ({ type: 'report', reply }));
   }
 
-  /** Counts of one class of the tenant `alpha`. */
+  /** Counts of one class of the team `alpha`. */
   public async counts(requestClass: string): Promise<DeliveryCounts | undefined> {
     const all = await this.path.entry.ask<readonly DeliveryCounts[]>((reply) => ({ type: 'counts', reply }));
     return all.find((counts) => counts.class === requestClass);
--- a/packages/proxy/test/cutAnswer.test.ts
+++ b/packages/proxy/test/cutAnswer.test.ts
@@ -69,7 +69,7 @@
   caller.on('data', (chunk) => events.push(chunk.toString().includes('part') ? 'part' : 'other'));
   caller.on('end', () => events.push('end'));
   caller.on('error', () => events.push('error'));
-  caller.write('GET /v1/badges/x HTTP/1.0\r\namr-tenant: alpha\r\namr-class: look\r\namr-key: k\r\n\r\n');
+  caller.write('GET /v1/badges/x HTTP/1.0\r\namr-team: alpha\r\namr-class: look\r\namr-key: k\r\n\r\n');
   await waitUntil('the connection closes', () => caller.destroyed);
   t.same(events, ['part', 'error']);
 });
--- a/packages/proxy/test/hop.test.ts
+++ b/packages/proxy/test/hop.test.ts
@@ -13,7 +13,7 @@
   method: 'GET',
   service: 'badges',
   path: '/x',
-  tenant: 'alpha',
+  team: 'alpha',
   class: 'look',
   key: 'k',
   deadlineMs: 5_000,
--- a/packages/proxy/test/refuse.test.ts
+++ b/packages/proxy/test/refuse.test.ts
@@ -59,7 +59,7 @@
   // A request without a catalogue entry has no limits and no home regions, so that it must not run.
   const node = await startOwner(t);
   const unknown = { status: 403, error: 'noEntry', ran: 'not run' };
-  t.match(await sendOrder(node.port, { 'amr-tenant': 'beta' }), unknown);
+  t.match(await sendOrder(node.port, { 'amr-team': 'beta' }), unknown);
   t.match(await sendOrder(node.port, { 'amr-class': 'other' }), unknown);
   t.match(await sendOrder(node.port, {}, '', '/v1/other/x'), { status: 404, error: 'unknownService' });
   t.equal(node.backend.runs.length, 0);
@@ -73,7 +73,7 @@
   // The caller sends no byte of the body; a refusal that waited for it would never come.
   const home = new RawCaller(node.port);
   home.socket.write(
-    'POST /v1/badges/x HTTP/1.1\r\nhost: x\r\namr-tenant: alpha\r\namr-class: home\r\namr-key: k\r\ncontent-length: 10\r\n\r\n',
+    'POST /v1/badges/x HTTP/1.1\r\nhost: x\r\namr-team: alpha\r\namr-class: home\r\namr-key: k\r\ncontent-length: 10\r\n\r\n',
   );
   const text = await home.waitClosed();
   t.match(text, /^HTTP\/1\.1 421 /);
--- a/packages/standin/src/BackendServer.ts
+++ b/packages/standin/src/BackendServer.ts
@@ -163,7 +163,7 @@
       requestId: /[?&]rid=([A-Za-z0-9_.-]+)/.exec(req.url ?? '')?.[1] ?? '',
       serverId: this.serverId,
       service: this.options.service,
-      tenant: text('amr-tenant'),
+      team: text('amr-team'),
       class: text('amr-class'),
       key: text('amr-key'),
       id: text('idempotency-key'),
@@ -202,7 +202,7 @@
     const parts = [
       this.options.service,
       req.url ?? '',
-      text('amr-tenant'),
+      text('amr-team'),
       text('amr-class'),
       text('amr-key'),
       text('idempotency-key'),
--- a/packages/standin/src/RunRecord.ts
+++ b/packages/standin/src/RunRecord.ts
@@ -6,7 +6,7 @@
   readonly requestId: string;
   readonly serverId: string;
   readonly service: string;
-  readonly tenant: string;
+  readonly team: string;
   readonly class: string;
   readonly key: string;
   readonly id: string;
