--- /dev/null
+++ b/packages/daemon/test/crash.test.ts
@@ -0,0 +1,62 @@
+import t from 'tap';
+import { callAdmin } from './CallAdmin.js';
+import { sendRequest } from './SendRequest.js';
+import { startFleet } from './StartFleet.js';
+import { waitFor } from './WaitFor.js';
+
+t.test('crashing request is held', async (t) => {
+  // A request that its caller repeats would otherwise bring down one backend server after the other.
+  const fleet = await startFleet(3);
+  t.teardown(() => fleet.stop());
+  const ids = ['d1', 'd2', 'd3'];
+  const died: string[] = [];
+  const watchBackend = async (id: string): Promise<void> => {
+    await fleet.waitBackendEnd(id);
+    died.push(id);
+  };
+  for (const id of ids) void watchBackend(id);
+  // The owner is looked up for each try: shards move to a daemon that started late.
+  const sendCrash = async (): ReturnType<typeof sendRequest> => {
+    const owners = await callAdmin(fleet, 'd1', '/admin/v1/owners?service=badges&key=k');
+    const owner = (owners.body.items as readonly { readonly serverId: string }[])[0]!.serverId;
+    return sendRequest(fleet, owner, 'k', 'crash');
+  };
+  for (let death = 0; death < 2; death += 1) {
+    // The request is repeated, as its caller would do, until it has reached a backend server.
+    await waitFor('a backend server died', async () => {
+      await sendCrash();
+      return died.length > death;
+    });
+    const id = died[death]!;
+    await fleet.restartBackend(id);
+    void watchBackend(id);
+    await waitFor(
+      'the daemon has its new backend server',
+      async () => (await callAdmin(fleet, id, '/admin/v1/status')).body.service === 'badges',
+    );
+  }
+  await waitFor('the request is held', async () => (await sendCrash()).error === 'quarantined');
+  const listHeld = async (id: string): Promise<readonly Record<string, unknown>[]> =>
+    (await callAdmin(fleet, id, '/admin/v1/held')).body.items as readonly Record<string, unknown>[];
+  const held = await listHeld('d1');
+  t.equal(died.length, 2, `died: ${died.join(' ')}`);
+  t.match(held, [{ team: 'alpha', service: 'badges', class: 'look' }]);
+  t.same(held[0]!.servers, [...new Set(died)]);
+  const lifted = await callAdmin(fleet, 'd2', `/admin/v1/held/${String(held[0]!.id)}`, { method: 'DELETE' });
+  t.equal(lifted.status, 200, JSON.stringify(lifted.body));
+  for (const id of ids)
+    await waitFor(`no hold is left at ${id}`, async () => (await listHeld(id)).length === 0);
+  t.not((await sendCrash()).error, 'quarantined');
+});
+
+t.test('forged hop is refused', async (t) => {
+  // Whoever could forge the head of a forwarded request would pass the entry's checks and limits.
+  const fleet = await startFleet(3);
+  t.teardown(() => fleet.stop());
+  const forged = { 'amr-hop': `${Date.now()}.00ff`, 'amr-hop-from': 'd2', 'amr-request-id': 'd2-1' };
+  for (const id of ['d1', 'd2', 'd3']) {
+    const result = await sendRequest(fleet, id, 'k', 'look?rid=forged', forged);
+    t.match(result, { status: 403, error: 'hopRejected', ran: 'not run' });
+  }
+  t.notOk(fleet.readRecords().some(({ requestId }) => requestId === 'forged'));
+});
