CallerTask: bound the time and memory of request bodies, and answer malformed ones

Callers saw: a body that stalled was awaited for ever; a body above the limit was read to its end, an endless one without end, before the 413; bytes after a body gave 400 to a request that ran; a malformed chunk got a bare 400; at a stop a response under way was cut, since the request counted as ended once its response was handed to Node.js. Only bodies that were being read counted towards the memory limit, so that requests that waited with bodies of 8 MiB were not bounded, nor those up to 256 KiB at all.

Cause: the exchange on a caller's connection had no state of its own. It is now a chart (callerExchange.json): a request is refused as soon as its body cannot be used, the rest of the body is discarded for 2 s, and it is open until its response is written. A body stays charged to the budget until the reply, at the receiving daemon until its stream closes.

Ruled out: requestTimeout of Node.js, which knows no deadline of a request and closes the connection in place of an answer while a response is due.

--- a/packages/core/src/BodyBuffer.ts
+++ b/packages/core/src/BodyBuffer.ts
@@ -1,8 +1,6 @@
 import type { BodyFault } from '#core/BodyFault.js';
-import type { ByteBudget } from '#core/ByteBudget.js';
-
-/** Bodies up to this size are not charged to the budget, so that a few huge bodies cannot block the many small ones. */
-const UNCHARGED_BYTES = 256 * 1024;
+import type { BodyBudget } from '#core/BodyBudget.js';
+import { HeldBody } from '#core/HeldBody.js';
 
 const EMPTY = Buffer.alloc(0);
 
@@ -12,12 +10,12 @@
  */
 export class BodyBuffer {
   private readonly maxBytes: number;
-  private readonly budget: ByteBudget;
+  private readonly budget: BodyBudget;
   private bytes = EMPTY;
   private length = 0;
   private chargedBytes = 0;
 
-  public constructor(maxBytes: number, budget: ByteBudget) {
+  public constructor(maxBytes: number, budget: BodyBudget) {
     this.maxBytes = maxBytes;
     this.budget = budget;
   }
@@ -34,15 +32,23 @@
 
   /** Returns the whole body and starts an empty one. */
   public take(): Buffer {
-    const isFull = this.length === this.bytes.length;
-    const body = isFull ? this.bytes : Buffer.from(this.bytes.subarray(0, this.length));
+    const body = this.copyWhole();
     this.discard();
     return body;
   }
 
+  /** Like `take`, but the memory of the body stays charged until it is released. */
+  public hold(): HeldBody {
+    const bytes = this.copyWhole();
+    this.budget.resize(this.chargedBytes, bytes.length);
+    this.chargedBytes = 0;
+    this.discard();
+    return new HeldBody(bytes, this.budget);
+  }
+
   /** Frees the memory of the body and starts an empty one. */
   public discard(): void {
-    this.budget.release(this.chargedBytes);
+    this.budget.resize(this.chargedBytes, 0);
     this.chargedBytes = 0;
     this.bytes = EMPTY;
     this.length = 0;
@@ -50,12 +56,16 @@
 
   private grow(needed: number): boolean {
     const capacity = Math.min(this.maxBytes, Math.max(needed, this.bytes.length * 2));
-    const charge = Math.max(0, capacity - UNCHARGED_BYTES);
-    if (!this.budget.take(charge - this.chargedBytes)) return false;
-    this.chargedBytes = charge;
+    if (!this.budget.resize(this.chargedBytes, capacity)) return false;
+    this.chargedBytes = capacity;
     const grown = Buffer.allocUnsafe(capacity);
     this.bytes.copy(grown, 0, 0, this.length);
     this.bytes = grown;
     return true;
   }
+
+  private copyWhole(): Buffer {
+    const isFull = this.length === this.bytes.length;
+    return isFull ? this.bytes : Buffer.from(this.bytes.subarray(0, this.length));
+  }
 }
--- /dev/null
+++ b/packages/mesh/src/CallerExchangeEvent.ts
@@ -0,0 +1,4 @@
+/** Events of `callerExchangeChart`. */
+export interface CallerExchangeEvent {
+  readonly type: 'read' | 'refused' | 'replied' | 'flushed' | 'bodyEnded' | 'closed';
+}
--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -1,15 +1,26 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '#routes/CallerLimits.js';
+import type { CallerBodyFault } from '#mesh/CallerBodyFault.js';
+import type { CallerBodySignal } from '#mesh/CallerBodySignal.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 
 /** HTTP events, replies and settings that `CallerTask` handles. */
 export type CallerMessage =
   | { readonly type: 'request'; readonly req: IncomingMessage; readonly res: ServerResponse }
-  /** The body of a request was read. */
-  | { readonly type: 'read'; readonly exchange: number; readonly body: Buffer }
+  | { readonly type: 'body'; readonly exchange: number; readonly signal: CallerBodySignal }
+  /** The body of a request cannot be awaited any longer. */
+  | { readonly type: 'refuse'; readonly exchange: number; readonly fault: CallerBodyFault }
+  /** The rest of a refused request's body did not arrive in time. */
+  | { readonly type: 'discardExpired'; readonly exchange: number }
   | { readonly type: 'replied'; readonly exchange: number; readonly reply: CallerReply }
+  /** The last byte of a response was handed to the operating system. */
+  | { readonly type: 'flushed'; readonly exchange: number }
+  /** Bytes on a connection break the protocol; `code` is the error code of Node.js. */
+  | { readonly type: 'malformed'; readonly socket: Socket; readonly code: string }
   | { readonly type: 'closed'; readonly socket: Socket }
   | { readonly type: 'limits'; readonly limits: CallerLimits }
   /** The daemon shuts down: connections are closed after their last response. */
-  | { readonly type: 'stopping' };
+  | { readonly type: 'stopping' }
+  /** Requests whose body has not arrived are refused, and so are new ones. */
+  | { readonly type: 'refusing' };
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -1,7 +1,7 @@
 import { constants, sensitiveHeaders, type ClientHttp2Session, type ClientHttp2Stream } from 'node:http2';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBuffer } from '#core/BodyBuffer.js';
-import type { ByteBudget } from '#core/ByteBudget.js';
+import type { BodyBudget } from '#core/BodyBudget.js';
 import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { openSession } from '#mesh/OpenSession.js';
@@ -31,7 +31,7 @@
   private readonly session: ClientHttp2Session;
   private readonly cursor = new ChartCursor<PeerLinkEvent>(peerLinkChart);
   private readonly now: () => number;
-  private readonly budget: ByteBudget;
+  private readonly budget: BodyBudget;
   private readonly createdMs: number;
   private calls = 0;
   private receivedMs: number;
@@ -42,7 +42,7 @@
   public constructor(
     address: string,
     now: () => number,
-    budget: ByteBudget,
+    budget: BodyBudget,
     onClose: (failed: boolean) => void,
   ) {
     this.now = now;
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -8,7 +8,9 @@
 } from 'node:http2';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { BodyBuffer } from '#core/BodyBuffer.js';
-import { ByteBudget } from '#core/ByteBudget.js';
+import type { BodyFault } from '#core/BodyFault.js';
+import { BodyBudget } from '#core/BodyBudget.js';
+import type { HeldBody } from '#core/HeldBody.js';
 import { Task } from '#core/Task.js';
 import { decodeBackendRequest } from '#mesh/DecodeBackendRequest.js';
 import { describeBodyFault } from '#mesh/DescribeBodyFault.js';
@@ -35,8 +37,8 @@
 export class ReceiverTask extends Task<ReceiverMessage> {
   private readonly options: ReceiverOptions;
   private readonly server: Http2Server;
-  /** Memory budget of the bodies that are being read on all sessions. */
-  private readonly budget = new ByteBudget(maxBodiesBytes);
+  /** Memory budget of the bodies on all open streams. */
+  private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
   private readonly sessions = new Set<ServerHttp2Session>();
 
@@ -82,44 +84,60 @@
   }
 
   protected override receive(message: ReceiverMessage): void {
-    const { stream, path, head, encoding, length } = message;
+    const { stream, head, encoding, length } = message;
     this.options.onHint(head.revisions);
     // A close event follows each error. A request continues without its stream.
     stream.on('error', () => undefined);
-    this.collectBody(stream, (bytes) => {
+    this.collectBody(stream, (held) => {
+      const { bytes } = held;
       if (bytes.length !== (length ?? bytes.length)) {
         this.refuseMalformed(stream, `the body has ${bytes.length} of ${length} bytes`);
         return;
       }
       unpackBody(bytes, encoding).caseOf({
         Left: (reason) => this.refuseMalformed(stream, reason),
-        Right: (body) => {
-          if (path === relayPaths.requests) this.receiveRequest(stream, head, body);
-          else this.receiveCall(stream, body);
-        },
+        Right: (body) => this.receiveUnpacked(message, held, body),
       });
     });
   }
 
-  private collectBody(stream: ServerHttp2Stream, done: (body: Buffer) => void): void {
+  private receiveUnpacked({ stream, path, head }: ReceiverMessage, held: HeldBody, body: Buffer): void {
+    const unpacked = held.replace(body);
+    if (unpacked === undefined) {
+      this.refuseBody(stream, 'overBudget');
+      return;
+    }
+    // The request continues if its stream is closed; its sender sends the body again.
+    stream.on('close', () => unpacked.release());
+    if (path === relayPaths.requests) this.receiveRequest(stream, head, body);
+    else this.receiveCall(stream, body);
+  }
+
+  private collectBody(stream: ServerHttp2Stream, done: (body: HeldBody) => void): void {
     const body = new BodyBuffer(maxBodyBytes, this.budget);
-    const peer = stream.session?.socket.remoteAddress ?? '';
     let isRefused = false;
     stream.on('data', (chunk: Buffer) => {
       const fault = isRefused ? undefined : body.add(chunk);
       if (fault === undefined) return;
       isRefused = true;
-      const reason = describeBodyFault(fault);
-      this.options.logger.log('messageTooLarge', { step: 'rpc', peer, reason });
-      // This error code tells the sender that the request was not processed.
-      stream.close(constants.NGHTTP2_REFUSED_STREAM);
+      this.refuseBody(stream, fault);
     });
     stream.on('end', () => {
-      if (!isRefused) done(body.take());
+      if (isRefused) return;
+      const held = body.hold();
+      stream.on('close', () => held.release());
+      done(held);
     });
     stream.on('close', () => body.discard());
   }
 
+  private refuseBody(stream: ServerHttp2Stream, fault: BodyFault): void {
+    const peer = stream.session?.socket.remoteAddress ?? '';
+    this.options.logger.log('messageTooLarge', { step: 'rpc', peer, reason: describeBodyFault(fault) });
+    // This error code tells the sender that the request was not processed.
+    stream.close(constants.NGHTTP2_REFUSED_STREAM);
+  }
+
   private receiveRequest(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
     decodeBackendRequest(head, body, this.options.clock.monotonicMs()).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -1,5 +1,5 @@
 import type { Cancel } from '#core/Cancel.js';
-import { ByteBudget } from '#core/ByteBudget.js';
+import { BodyBudget } from '#core/BodyBudget.js';
 import { Task } from '#core/Task.js';
 import { decodeBackendResult } from '#mesh/DecodeBackendResult.js';
 import { encodeBackendRequest } from '#mesh/EncodeBackendRequest.js';
@@ -31,7 +31,7 @@
 export class RelayTask extends Task<RelayMessage> {
   private readonly options: RelayOptions;
   /** Memory budget of the response bodies that are being read on all sessions. */
-  private readonly budget = new ByteBudget(maxBodiesBytes);
+  private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly sessions = new Map<string, PeerSession>();
   private readonly backoffs = new Map<string, Backoff>();
   private nextCallId = 1;
--- a/packages/mesh/src/ResponseReader.ts
+++ b/packages/mesh/src/ResponseReader.ts
@@ -1,6 +1,6 @@
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 import { BodyBuffer } from '#core/BodyBuffer.js';
-import type { ByteBudget } from '#core/ByteBudget.js';
+import type { BodyBudget } from '#core/BodyBudget.js';
 import { MalformedResponseError } from '#mesh/MalformedResponseError.js';
 import type { BackendResponseHead } from '#mesh/BackendResponseHead.js';
 import { createResponseParser } from '#mesh/CreateResponseParser.js';
@@ -51,7 +51,7 @@
   /** The memory of bodies is accounted to `budget`. `onResponse` receives each complete response. */
   public constructor(
     idHeader: string,
-    budget: ByteBudget,
+    budget: BodyBudget,
     onResponse: (head: BackendResponseHead, body: Buffer) => void,
   ) {
     this.idHeader = idHeader;
--- a/packages/mesh/src/ServerLink.ts
+++ b/packages/mesh/src/ServerLink.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { ChartCursor } from '#chart/ChartCursor.js';
-import type { ByteBudget } from '#core/ByteBudget.js';
+import type { BodyBudget } from '#core/BodyBudget.js';
 import { MalformedResponseError } from '#mesh/MalformedResponseError.js';
 import type { BackendResponseHead } from '#mesh/BackendResponseHead.js';
 import { ResponseReader } from '#mesh/ResponseReader.js';
@@ -44,7 +44,7 @@
   public constructor(
     { address, incarnation }: Pick<Presence, 'address' | 'incarnation'>,
     idHeader: string,
-    budget: ByteBudget,
+    budget: BodyBudget,
     signal: (signal: ServerLinkSignal) => void,
   ) {
     this.incarnation = incarnation;
--- a/packages/mesh/src/ServerLinks.ts
+++ b/packages/mesh/src/ServerLinks.ts
@@ -1,4 +1,4 @@
-import { ByteBudget } from '#core/ByteBudget.js';
+import { BodyBudget } from '#core/BodyBudget.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import type { Presence } from '#mesh/Presence.js';
 import { ServerLink } from '#mesh/ServerLink.js';
@@ -9,7 +9,7 @@
   private readonly idHeader: string;
   private readonly signal: (link: ServerLink, signal: ServerLinkSignal) => void;
   /** Memory budget of the response bodies that are being read on all connections. */
-  private readonly budget = new ByteBudget(maxBodiesBytes);
+  private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly links = new Set<ServerLink>();
 
   public constructor(idHeader: string, signal: (link: ServerLink, signal: ServerLinkSignal) => void) {
--- a/packages/mesh/test/oddPeer.test.ts
+++ b/packages/mesh/test/oddPeer.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { ByteBudget } from '#core/ByteBudget.js';
+import { BodyBudget } from '#core/BodyBudget.js';
 import { SystemClock } from '#core/SystemClock.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
 import { PeerSession } from '#mesh/PeerSession.js';
@@ -41,7 +41,7 @@
   // Guards against an exception of the constructor, which ended the process.
   for (const address of ['10.0.0.1:99999', '10.0.0.1:-1', ':x', 'a']) {
     const signal = await new Promise<ServerLinkSignal>((resolve) => {
-      const link = new ServerLink({ address, incarnation: 'i' }, 'x', new ByteBudget(0), resolve);
+      const link = new ServerLink({ address, incarnation: 'i' }, 'x', new BodyBudget(0), resolve);
       t.equal(link.state, 'connecting');
     });
     t.match(signal, { type: 'closed', refused: false, neverOpened: true }, address);
@@ -58,7 +58,7 @@
   // Guards against an exception of the constructor, which ended the process.
   for (const address of INVALID_ADDRESSES) {
     const failed = await new Promise<boolean>((resolve) => {
-      new PeerSession(address, () => clock.monotonicMs(), new ByteBudget(0), resolve);
+      new PeerSession(address, () => clock.monotonicMs(), new BodyBudget(0), resolve);
     });
     t.equal(failed, true, address);
   }
@@ -98,7 +98,7 @@
   const session = new PeerSession(
     `127.0.0.1:${port}`,
     () => clock.monotonicMs(),
-    new ByteBudget(1024 * 1024),
+    new BodyBudget(1024 * 1024),
     () => undefined,
   );
   t.teardown(() => {
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -3,7 +3,7 @@
 import { deflateRawSync } from 'node:zlib';
 import { randomBytes } from 'node:crypto';
 import t from 'tap';
-import { ByteBudget } from '#core/ByteBudget.js';
+import { BodyBudget } from '#core/BodyBudget.js';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
@@ -250,7 +250,7 @@
     const session = new PeerSession(
       `127.0.0.1:${port}`,
       () => clock.monotonicMs(),
-      new ByteBudget(0),
+      new BodyBudget(0),
       () => {
         closed += 1;
       },
--- a/packages/mesh/test/running.test.ts
+++ b/packages/mesh/test/running.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { ByteBudget } from '#core/ByteBudget.js';
+import { BodyBudget } from '#core/BodyBudget.js';
 import { RunningBackendRequests } from '#mesh/RunningBackendRequests.js';
 import { ServerLink } from '#mesh/ServerLink.js';
 import { createTestRequest } from './CreateTestRequest.js';
@@ -8,7 +8,7 @@
   const link = new ServerLink(
     { address: '127.0.0.1:1', incarnation: 'i/1' },
     'X-Request-Id',
-    new ByteBudget(0),
+    new BodyBudget(0),
     () => undefined,
   );
   link.destroy();
