MeshNode: requests that outlast a planned stop get a reply

Reported by operators, and shown here: of 8 requests of 4 s that a daemon accepted in the notice time of a planned stop, three ran and were cut without a reply when the process ended (platform/test/stop.test.ts on, two of its checks failed).

Cause: requests kept their own deadline during a shutdown, and the end of the process closed all connections at once. Requests that arrive after the stop signal are now due before the process ends, so that a server which cannot answer by then refuses them as not run. What is open at the end gets 504, or 503 if it has not run; queued requests are refused; the last replies are written before the end, and the port is closed before that.

Ruled out: a shorter notice time, as callers are sent here until they see that the daemon is not ready.

--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -23,4 +23,6 @@
   /** The daemon shuts down: connections are closed after their last response. */
   | { readonly type: 'stopping' }
   /** Requests whose body has not arrived are refused, and so are new ones. */
-  | { readonly type: 'refusing' };
+  | { readonly type: 'refusing' }
+  /** The process ends: no more connections are accepted. */
+  | { readonly type: 'ending' };
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -135,6 +135,9 @@
       case 'refusing':
         this.refusing = true;
         for (const { number } of this.exchanges.values()) this.refuseBody(number, 'stopping');
+        return;
+      case 'ending':
+        this.server.close();
     }
   }
 
--- a/packages/mesh/src/EntryMessage.ts
+++ b/packages/mesh/src/EntryMessage.ts
@@ -21,8 +21,12 @@
       readonly attempt: number;
       readonly result: BackendResult;
     }
-  /** The daemon shuts down: new requests are refused. */
+  /** The daemon shuts down: requests that arrive from now on are due by `untilMs`, in monotonic time. */
+  | { readonly type: 'leaving'; readonly untilMs: number }
+  /** New requests are refused. */
   | { readonly type: 'stopping' }
+  /** The process ends: open requests get their final replies. */
+  | { readonly type: 'ending' }
   /** The deadline of the exchange is reached. */
   | { readonly type: 'due'; readonly exchange: number }
   /** The delay before the request is sent to the owner of its key again is over. */
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -1,13 +1,14 @@
 import { RetryBudget } from '#balance/RetryBudget.js';
-import { ChartCursor } from '#chart/ChartCursor.js';
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
+import { computeDueMs } from '#mesh/ComputeDueMs.js';
 import { createBackendRequest } from '#mesh/CreateBackendRequest.js';
+import { createEntryRefusal } from '#mesh/CreateEntryRefusal.js';
+import { createExchange } from '#mesh/CreateExchange.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
-import { meshExchangeChart } from '#mesh/MeshExchangeChart.js';
 import { findRangeOwner } from '#mesh/FindRangeOwner.js';
 import { findOwnerWait } from '#mesh/FindOwnerWait.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
@@ -15,17 +16,10 @@
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import { RequestRecorder } from '#mesh/RequestRecorder.js';
-import { responseMarginMs } from '#mesh/ResponseMarginMs.js';
 import { ServerDirectory } from '#mesh/ServerDirectory.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
-/** Subtracted from a route's timeout, so that the response is not late. */
-const TIMEOUT_MARGIN_MS = 5;
-
-/** Deadline of requests without one. */
-const DEFAULT_DEADLINE_MS = 30_000;
-
 /** `Retry-After` time while the daemon has no configuration. */
 const NO_ROUTES_RETRY_MS = 300;
 
@@ -38,9 +32,7 @@
 /** Number of times an attempt whose session was lost is resent to the same daemon. */
 const MAX_RESENDS = 3;
 
-/** Longest `Retry-After` time, as a fraction of the time left until the deadline. */
-const MAX_RETRY_FRACTION = 0.3;
-/** Shortest `Retry-After` time, and least time before the deadline that a retry needs. */
+/** Least time before the deadline that a retry needs. */
 const MIN_RETRY_MS = 60;
 
 /** Refusals after which no other server is tried. */
@@ -63,6 +55,8 @@
   private readonly splits = new SplitChooser();
   private readonly retries: RetryBudget;
   private stopping = false;
+  /** Latest deadline of a new request: monotonic time, in milliseconds. */
+  private lastDueMs = Infinity;
   private readonly recorder: RequestRecorder;
   private readonly directory: ServerDirectory;
 
@@ -91,7 +85,7 @@
         this.noteResult(message.exchange, message.attempt, message.result);
         return;
       case 'due':
-        this.noteDue(message.exchange);
+        this.endUnfinished(message.exchange, 'timeout');
         return;
       case 'waited':
         this.resumeWaiting(message.exchange, 'retried');
@@ -102,6 +96,12 @@
       case 'stopping':
         this.stopping = true;
         return;
+      case 'leaving':
+        this.lastDueMs = message.untilMs;
+        return;
+      case 'ending':
+        for (const { number } of this.exchanges.values()) this.endUnfinished(number, 'stopping');
+        return;
       case 'reach':
         this.directory.noteReachability(message.address, message.reachable, message.untilMs);
     }
@@ -136,31 +136,12 @@
     }
     const nowMs = this.now();
     this.retries.noteRequest(service, '', nowMs);
-    const deadlineMs = request.arrivedMs + (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - responseMarginMs;
-    const dueMs = Math.min(deadlineMs, request.arrivedMs + route.timeoutMs - TIMEOUT_MARGIN_MS);
+    const dueMs = Math.min(computeDueMs(request, route), this.lastDueMs);
     const cancelDue = this.options.clock.schedule(dueMs - nowMs, () => this.post({ type: 'due', exchange }));
-    this.exchanges.set(exchange, {
-      number: exchange,
-      request,
-      route,
-      service,
-      dueMs,
-      cursor: new ChartCursor(meshExchangeChart),
-      reply,
-      cancelDue,
-      cancelWait: () => undefined,
-      attempt: undefined,
-      offers: 0,
-      copies: 0,
-      arrivals: 0,
-      tried: new Set(),
-      mayHaveRun: false,
-      failure: undefined,
-      lastRefusal: undefined,
-      retryAfterMs: 0,
-      waitingMs: undefined,
-      tableRevision: 0,
-    });
+    this.exchanges.set(
+      exchange,
+      createExchange({ number: exchange, request, route, service, dueMs, reply, cancelDue }),
+    );
     this.choose(exchange);
   }
 
@@ -321,24 +302,12 @@
       this.finish(exchange, { type: 'answer', response: exchange.failure }, 'failed');
       return;
     }
-    if (exchange.mayHaveRun) {
-      this.finish(
-        exchange,
-        { type: 'refusal', status: BAD_GATEWAY, code: 'lost', retryAfterMs: 0 },
-        'failed',
-      );
-      return;
-    }
-    const leftMs = exchange.dueMs - this.now();
-    const retryAfterMs = Math.min(
-      Math.max(MIN_RETRY_MS, exchange.retryAfterMs),
-      Math.max(0, leftMs * MAX_RETRY_FRACTION),
-    );
-    const code = exchange.lastRefusal ?? 'noServer';
-    this.finish(exchange, { type: 'refusal', status: UNAVAILABLE, code, retryAfterMs }, 'refused');
+    const outcome = exchange.mayHaveRun ? 'failed' : 'refused';
+    this.finish(exchange, createEntryRefusal(exchange, this.now()), outcome);
   }
 
-  private noteDue(number: number): void {
+  /** Ends a request that has no result yet. While an attempt is under way, it may have run. */
+  private endUnfinished(number: number, code: 'timeout' | 'stopping'): void {
     const exchange = this.exchanges.get(number);
     if (exchange === undefined) return;
     if (exchange.attempt === undefined) {
@@ -346,11 +315,7 @@
       return;
     }
     this.options.cancel(exchange.request.id, exchange.attempt.server);
-    this.finish(
-      exchange,
-      { type: 'refusal', status: GATEWAY_TIMEOUT, code: 'timeout', retryAfterMs: 0 },
-      'unknown',
-    );
+    this.finish(exchange, { type: 'refusal', status: GATEWAY_TIMEOUT, code, retryAfterMs: 0 }, 'unknown');
   }
 
   private noteLeft(number: number): void {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -43,6 +43,9 @@
 /** Time for a resignation to reach the other daemons. */
 const RESIGNATION_DELIVERY_MS = 150;
 
+/** Time to write the last replies, and to refuse requests on connections that are still open, in milliseconds. */
+const LAST_REPLIES_MS = 150;
+
 const STOP_CHECK_INTERVAL_MS = 50;
 
 /** Fraction of the allowed retries that one daemon uses, as each daemon counts its own. */
@@ -227,15 +230,22 @@
     this.logger.log('stopping', { requests: this.entry.load, orders: this.server.load });
     this.readiness.post({ type: 'ready', ready: false });
     this.callers.post({ type: 'stopping' });
+    const endMs = startMs + graceMs - STOP_MARGIN_MS;
+    this.entry.post({ type: 'leaving', untilMs: endMs });
     this.server.post({ type: 'probe' });
     // Callers and other daemons may keep sending requests; if these were accepted, the daemon would never
     // become idle.
     clock.schedule(LEAVE_NOTICE_MS, () => {
       this.server.post({ type: 'stopping' });
       this.entry.post({ type: 'stopping' });
+      this.callers.post({ type: 'refusing' });
     });
-    await this.waitUntilEmpty(startMs + LEAVE_NOTICE_MS, startMs + graceMs - STOP_MARGIN_MS);
-    await this.resign();
+    await this.waitUntilEmpty(startMs + LEAVE_NOTICE_MS, endMs);
+    const lastMs = clock.monotonicMs() + LAST_REPLIES_MS;
+    this.callers.post({ type: 'ending' });
+    this.server.post({ type: 'ending' });
+    this.entry.post({ type: 'ending' });
+    await Promise.all([this.resign(), this.waitUntilEmpty(lastMs, lastMs)]);
     this.life.send({ type: 'emptied' });
     this.logger.log('stopped', { requests: this.entry.load, orders: this.server.load });
     this.halt();
@@ -288,7 +298,8 @@
     return new Promise((resolve) => {
       const check = (): void => {
         const nowMs = clock.monotonicMs();
-        const isEmpty = this.arrivals.load === 0 && this.entry.load === 0 && this.server.load === 0;
+        const tasks = [this.callers, this.arrivals, this.entry, this.server];
+        const isEmpty = tasks.every(({ load }) => load === 0);
         if (nowMs >= latestMs || (isEmpty && nowMs >= earliestMs)) resolve();
         else clock.schedule(STOP_CHECK_INTERVAL_MS, check);
       };
--- a/packages/mesh/src/ServerMessage.ts
+++ b/packages/mesh/src/ServerMessage.ts
@@ -18,6 +18,8 @@
   | { readonly type: 'signal'; readonly link: ServerLink; readonly signal: ServerLinkSignal }
   /** The daemon stops and accepts no new requests. */
   | { readonly type: 'stopping' }
+  /** The process ends: queued requests are refused. */
+  | { readonly type: 'ending' }
   /** Opens a connection to find out whether the backend server's process still runs. */
   | { readonly type: 'probe' }
   | { readonly type: 'tick' };
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -117,6 +117,9 @@
       case 'stopping':
         this.state = { ...this.state, stopping: true };
         break;
+      case 'ending':
+        this.outcomes.refuseAll(this.queue.removeAll(), 'stopping');
+        break;
       case 'probe':
         if (this.state.presence.address !== '') this.links.open(this.state.presence);
         break;
