Proxy: interim responses are not taken for the final one

Callers saw: a backend server that sends an interim response (103) before its response; the caller got the status 103 as the head of its response and a broken connection. A server that sent interim responses without end had the same effect.

Cause: undici reports interim responses to a dispatch handler like the final one, and ResponseHandler passed the first on as the head. It now ignores them; a request whose server sends nothing else ends at its deadline.

--- a/packages/proxy/src/ResponseHandler.ts
+++ b/packages/proxy/src/ResponseHandler.ts
@@ -1,6 +1,8 @@
 import type { Dispatcher } from 'undici';
 import type { ResponseListener } from '#proxy/ResponseListener.js';
 
+const FIRST_FINAL_STATUS = 200;
+
 /**
  * Translates the undici callbacks of one request for its listener, and notes whether a byte of it may have been sent.
  */
@@ -37,6 +39,8 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>, // eslint-disable-line no-restricted-syntax -- signature of undici
   ): void {
+    // Undici also reports interim responses, which are no head of the response.
+    if (status < FIRST_FINAL_STATUS) return;
     this.listener.onHead(status, headers, {
       pause: () => controller.pause(),
       resume: () => controller.resume(),
