EntryTask: attempts that are given up end for the chooser, and a full fleet is not asked server by server

Causes: an exchange that ended by its timeout or as its caller left never told the chooser, so the attempt counted as in flight for ever and the server was avoided more with each one, until all daemons sent to the few servers without such attempts; a silent server was never marked as failing. A full fleet was asked up to four times for each request. A request that waited to be read began its deadline anew at the daemon beside the server.

An attempt that is given up is now a result for the chooser; two refusals as full end the request; a message between daemons carries the wall clock of its sender, and the receiver subtracts the delay over the quickest recent message of the session (TransitMeter).

--- a/packages/mesh/src/CreateExchange.ts
+++ b/packages/mesh/src/CreateExchange.ts
@@ -21,6 +21,7 @@
     mayHaveRun: false,
     failure: undefined,
     lastRefusal: undefined,
+    fullRefusals: 0,
     retryAfterMs: 0,
     waitingMs: undefined,
     tableRevision: 0,
--- a/packages/mesh/src/DecodeBackendRequest.ts
+++ b/packages/mesh/src/DecodeBackendRequest.ts
@@ -56,6 +56,8 @@
   values: readonly (string | number)[],
   /** Absent in requests of older daemons. */
   copy?: number,
+  /** Wall clock of the sender when it sent the request, in milliseconds; absent in requests of older daemons. */
+  sentWallMs?: number,
 ];
 
 const detailDecoders = [
@@ -66,20 +68,30 @@
   labelCodec,
   createListCodec(headerValueCodec, maxHeaders),
   createOptionalCodec(countCodec),
+  createOptionalCodec(createIntegerCodec(0, Number.MAX_SAFE_INTEGER)),
 ] as const;
 
-/** Decodes a request from another daemon. The error names the faulty item. */
+/**
+ * Decodes a request from another daemon. `measureTransitMs` returns how long it was under way, from the wall clock of
+ * its sender. The error names the faulty item.
+ */
 export function decodeBackendRequest(
   head: Pick<RelayHead, 'kind' | 'detail'>,
   body: Buffer,
   nowMs: number,
+  measureTransitMs: (sentWallMs: number) => number,
 ): Either<string, BackendRequest> {
   return decodeTuple<Kind>(head.kind, kindDecoders).chain((kind) =>
-    decodeTuple<Detail>(head.detail, detailDecoders).chain((detail) => build(kind, detail, body, nowMs)),
+    decodeTuple<Detail>(head.detail, detailDecoders).chain((detail) => {
+      const [, , , , , , , sentWallMs] = detail;
+      const transitMs = sentWallMs === undefined ? 0 : measureTransitMs(sentWallMs);
+      return build(kind, detail, body, nowMs - transitMs);
+    }),
   );
 }
 
-function build(kind: Kind, detail: Detail, body: Buffer, nowMs: number): Either<string, BackendRequest> {
+/** `sentMs` is the monotonic time of this process at which the request was sent. */
+function build(kind: Kind, detail: Detail, body: Buffer, sentMs: number): Either<string, BackendRequest> {
   const [method, host, names, idIndex, hasBody, service, callerService] = kind;
   const [, , , , , , , idempotent, priority, targetLatencyMs] = kind;
   const [target, key, leftMs, targetLeftMs, resumes, values, copy = 0] = detail;
@@ -96,15 +108,15 @@
       hasBody: hasBody === 1,
       deadlineMs: leftMs,
       key: key ?? undefined,
-      arrivedMs: nowMs,
+      arrivedMs: sentMs,
     },
     service,
     callerService,
     idempotent: idempotent === 1,
     priority,
     targetLatencyMs,
-    targetMs: nowMs + targetLeftMs,
-    dueMs: nowMs + leftMs,
+    targetMs: sentMs + targetLeftMs,
+    dueMs: sentMs + leftMs,
     resumes,
     copy,
   });
--- a/packages/mesh/src/EncodeBackendRequest.ts
+++ b/packages/mesh/src/EncodeBackendRequest.ts
@@ -4,11 +4,12 @@
 
 /**
  * Encodes a request for another daemon as JSON in printable ASCII, except for its body, which is sent
- * separately.
+ * separately. `nowMs` is monotonic time, `sentWallMs` the wall clock.
  */
 export function encodeBackendRequest(
   backendRequest: BackendRequest,
   nowMs: number,
+  sentWallMs: number,
 ): Omit<RelayHead, 'revisions'> {
   const { callerRequest } = backendRequest;
   const kind = [
@@ -31,6 +32,7 @@
     backendRequest.resumes,
     callerRequest.headers.map(([, value]) => (value === callerRequest.host ? 0 : value)),
     backendRequest.copy,
+    Math.floor(sentWallMs),
   ];
   return { kind: encodeAscii(kind), detail: encodeAscii(detail) };
 }
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -3,6 +3,7 @@
   createServer,
   sensitiveHeaders,
   type Http2Server,
+  type Http2Session,
   type ServerHttp2Session,
   type ServerHttp2Stream,
 } from 'node:http2';
@@ -26,6 +27,7 @@
 import { readBodyLength } from '#mesh/ReadBodyLength.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
+import { TransitMeter } from '#mesh/TransitMeter.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
 
 /** Flow-control window, large enough for most request bodies, in bytes. */
@@ -41,6 +43,7 @@
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
   private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly transits = new WeakMap<Http2Session, TransitMeter>();
 
   public constructor(options: ReceiverOptions) {
     super();
@@ -139,13 +142,25 @@
   }
 
   private receiveRequest(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
-    decodeBackendRequest(head, body, this.options.clock.monotonicMs()).caseOf({
+    const { clock } = this.options;
+    const nowMs = clock.monotonicMs();
+    const measureTransitMs = (sentWallMs: number): number =>
+      this.findTransitMeter(stream).measureMs(sentWallMs, clock.wallMs(), nowMs);
+    decodeBackendRequest(head, body, nowMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
       Right: (request) =>
         this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions())),
     });
   }
 
+  private findTransitMeter({ session }: ServerHttp2Stream): TransitMeter {
+    const known = session === undefined ? undefined : this.transits.get(session);
+    if (known !== undefined) return known;
+    const meter = new TransitMeter();
+    if (session !== undefined) this.transits.set(session, meter);
+    return meter;
+  }
+
   private refuseMalformed(stream: ServerHttp2Stream, message: string): void {
     this.options.logger.log('messageMalformed', { step: 'parse', message });
     if (!stream.destroyed && !stream.closed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -75,7 +75,10 @@
       reply({ type: 'refused', code: 'unreachable', retryAfterMs: 0, load: undefined, arrived: false });
       return;
     }
-    const head = { ...encodeBackendRequest(backendRequest, this.now()), revisions: this.options.revisions() };
+    const head = {
+      ...encodeBackendRequest(backendRequest, this.now(), this.options.clock.wallMs()),
+      revisions: this.options.revisions(),
+    };
     session.send(relayPaths.requests, head, backendRequest.callerRequest.body, (result) => {
       if (result.ok) this.options.onHint(result.head.revisions);
       else this.logFault(address, backendRequest.callerRequest.id, result.fault);
--- /dev/null
+++ b/packages/mesh/test/chooser.test.ts
@@ -0,0 +1,70 @@
+import t from 'tap';
+import { createEntry } from './CreateEntry.js';
+import { createView } from './CreateView.js';
+import { EntryRun } from './EntryRun.js';
+import type { BackendResult } from '#mesh/BackendResult.js';
+
+/** Far more than the time in which failures are forgotten. */
+const FORGET_MS = 60_000;
+
+const near = createEntry('a');
+const far = createEntry('b', { failureDomain: 'x' });
+
+const full: BackendResult = {
+  type: 'refused',
+  code: 'full',
+  retryAfterMs: 100,
+  load: undefined,
+  arrived: false,
+};
+
+function listServers(run: EntryRun): readonly string[] {
+  return run.sent.map(({ server }) => server.serverId);
+}
+
+t.test('request that timed out is not in flight for ever', async (t) => {
+  // Each timeout added to the load that the entry daemon assumed, until it never used the server again.
+  const run = new EntryRun(createView([near, far]));
+  for (let index = 0; index < 30; index += 1) {
+    await run.arrive(String(index));
+    await run.advance(1_000);
+    await run.advance(FORGET_MS);
+  }
+  t.ok(
+    listServers(run).every((id) => id === 'a'),
+    listServers(run).join(),
+  );
+});
+
+t.test('request of a caller that left is not in flight for ever', async (t) => {
+  const run = new EntryRun(createView([near, far]));
+  for (let index = 0; index < 30; index += 1) {
+    const exchange = await run.arrive(String(index));
+    run.task.post({ type: 'left', exchange });
+    await run.settle();
+  }
+  t.ok(
+    listServers(run).every((id) => id === 'a'),
+    listServers(run).join(),
+  );
+});
+
+t.test('server whose requests time out is avoided', async (t) => {
+  const run = new EntryRun(createView([near, far]));
+  for (let index = 0; index < 3; index += 1) {
+    await run.arrive(String(index));
+    await run.advance(1_000);
+  }
+  await run.arrive('next');
+  t.equal(listServers(run).at(-1), 'b');
+});
+
+t.test('full fleet is not asked server by server', async (t) => {
+  // Four refusals a request took the processor time that the daemons needed for the requests which they ran.
+  const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const run = new EntryRun(createView(names.map((name) => createEntry(name))));
+  await run.arrive('1');
+  while (run.replies.length === 0) await run.complete(full);
+  t.match(run.replies, [{ status: 503, code: 'full' }]);
+  t.equal(run.sent.length, 2);
+});
--- a/packages/mesh/test/malformed.test.ts
+++ b/packages/mesh/test/malformed.test.ts
@@ -186,7 +186,9 @@
       ? [kind.with(index, odd as never), detail]
       : [kind, detail.with(index, odd as never)];
     const [first, second] = parts.map((part) => JSON.stringify(part)) as [string, string];
-    return decodeBackendRequest({ kind: first, detail: second }, Buffer.alloc(0), 0).swap().orDefault('');
+    return decodeBackendRequest({ kind: first, detail: second }, Buffer.alloc(0), 0, () => 0)
+      .swap()
+      .orDefault('');
   };
   t.equal(explainRequest(0, 'GET', true), '');
   for (const [index, odd, isKind] of [
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -76,9 +76,10 @@
   const request = createTestRequest('ä1', { idempotent: false, resumes: 'p', copy: 3 }, 77);
   const nowMs = clock.monotonicMs();
   const read = decodeBackendRequest(
-    encodeBackendRequest(request, nowMs),
+    encodeBackendRequest(request, nowMs, 0),
     request.callerRequest.body,
     nowMs,
+    () => 0,
   ).unsafeCoerce();
   t.same(read.callerRequest.headers, request.callerRequest.headers);
   t.equal(read.callerRequest.id, 'ä1');
@@ -91,8 +92,11 @@
 });
 
 t.test('error names the malformed part of a request', (t) => {
-  t.match(decodeBackendRequest({ kind: 'x', detail: '[]' }, Buffer.alloc(0), 0).extract(), /JSON/);
-  t.match(decodeBackendRequest({ kind: '[1]', detail: '[]' }, Buffer.alloc(0), 0).extract(), /item 0/);
+  t.match(decodeBackendRequest({ kind: 'x', detail: '[]' }, Buffer.alloc(0), 0, () => 0).extract(), /JSON/);
+  t.match(
+    decodeBackendRequest({ kind: '[1]', detail: '[]' }, Buffer.alloc(0), 0, () => 0).extract(),
+    /item 0/,
+  );
   t.end();
 });
 
--- a/packages/mesh/test/relayCut.test.ts
+++ b/packages/mesh/test/relayCut.test.ts
@@ -31,7 +31,7 @@
     ...plain,
     callerRequest: { ...plain.callerRequest, method: 'POST', hasBody: true, body: BODY },
   };
-  const { kind, detail } = encodeBackendRequest(request, performance.now());
+  const { kind, detail } = encodeBackendRequest(request, performance.now(), Date.now());
   const stream = session.request({
     ':method': 'POST',
     ':path': relayPaths.requests,
