TransitMeter: both clocks, so that neither a step nor a suspension counts as a delay

With the wall clock alone a step of 3 s on one VM had its requests refused as late for up to 10 s, and a window of 10 s lost its base while a daemon was without processor time for longer.

--- a/packages/mesh/src/DecodeBackendRequest.ts
+++ b/packages/mesh/src/DecodeBackendRequest.ts
@@ -15,6 +15,7 @@
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { maxHeaders } from '#mesh/MaxHeaders.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
+import type { ClockReading } from '#mesh/ClockReading.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 
 type Kind = readonly [
@@ -56,8 +57,8 @@
   values: readonly (string | number)[],
   /** Absent in requests of older daemons. */
   copy?: number,
-  /** Wall clock of the sender when it sent the request, in milliseconds; absent in requests of older daemons. */
-  sentWallMs?: number,
+  /** Monotonic and wall clock of the sender when it sent the request; absent in requests of older daemons. */
+  sentAt?: readonly number[],
 ];
 
 const detailDecoders = [
@@ -68,23 +69,24 @@
   labelCodec,
   createListCodec(headerValueCodec, maxHeaders),
   createOptionalCodec(countCodec),
-  createOptionalCodec(createIntegerCodec(0, Number.MAX_SAFE_INTEGER)),
+  createOptionalCodec(createListCodec(createIntegerCodec(0, Number.MAX_SAFE_INTEGER), 2)),
 ] as const;
 
 /**
- * Decodes a request from another daemon. `measureTransitMs` returns how long it was under way, from the wall clock of
- * its sender. The error names the faulty item.
+ * Decodes a request from another daemon. `measureTransitMs` returns how long it was under way, from the clocks of its
+ * sender. The error names the faulty item.
  */
 export function decodeBackendRequest(
   head: Pick<RelayHead, 'kind' | 'detail'>,
   body: Buffer,
   nowMs: number,
-  measureTransitMs: (sentWallMs: number) => number,
+  measureTransitMs: (sent: ClockReading) => number,
 ): Either<string, BackendRequest> {
   return decodeTuple<Kind>(head.kind, kindDecoders).chain((kind) =>
     decodeTuple<Detail>(head.detail, detailDecoders).chain((detail) => {
-      const [, , , , , , , sentWallMs] = detail;
-      const transitMs = sentWallMs === undefined ? 0 : measureTransitMs(sentWallMs);
+      const [, , , , , , , [monotonicMs, wallMs] = []] = detail;
+      const isTimed = monotonicMs !== undefined && wallMs !== undefined;
+      const transitMs = isTimed ? measureTransitMs({ monotonicMs, wallMs }) : 0;
       return build(kind, detail, body, nowMs - transitMs);
     }),
   );
--- a/packages/mesh/src/EncodeBackendRequest.ts
+++ b/packages/mesh/src/EncodeBackendRequest.ts
@@ -1,15 +1,15 @@
 import { encodeAscii } from '#mesh/EncodeAscii.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
+import type { ClockReading } from '#mesh/ClockReading.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 
 /**
  * Encodes a request for another daemon as JSON in printable ASCII, except for its body, which is sent
- * separately. `nowMs` is monotonic time, `sentWallMs` the wall clock.
+ * separately.
  */
 export function encodeBackendRequest(
   backendRequest: BackendRequest,
-  nowMs: number,
-  sentWallMs: number,
+  now: ClockReading,
 ): Omit<RelayHead, 'revisions'> {
   const { callerRequest } = backendRequest;
   const kind = [
@@ -27,12 +27,12 @@
   const detail = [
     callerRequest.target,
     callerRequest.key ?? null,
-    Math.floor(backendRequest.dueMs - nowMs),
-    Math.floor(backendRequest.targetMs - nowMs),
+    Math.floor(backendRequest.dueMs - now.monotonicMs),
+    Math.floor(backendRequest.targetMs - now.monotonicMs),
     backendRequest.resumes,
     callerRequest.headers.map(([, value]) => (value === callerRequest.host ? 0 : value)),
     backendRequest.copy,
-    Math.floor(sentWallMs),
+    [Math.floor(now.monotonicMs), Math.floor(now.wallMs)],
   ];
   return { kind: encodeAscii(kind), detail: encodeAscii(detail) };
 }
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -20,6 +20,8 @@
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
+import type { ClockReading } from '#mesh/ClockReading.js';
+import { readClocks } from '#mesh/ReadClocks.js';
 import type { ReceiverMessage } from '#mesh/ReceiverMessage.js';
 import type { ReceiverOptions } from '#mesh/ReceiverOptions.js';
 import { packBody } from '#mesh/PackBody.js';
@@ -142,11 +144,10 @@
   }
 
   private receiveRequest(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
-    const { clock } = this.options;
-    const nowMs = clock.monotonicMs();
-    const measureTransitMs = (sentWallMs: number): number =>
-      this.findTransitMeter(stream).measureMs(sentWallMs, clock.wallMs(), nowMs);
-    decodeBackendRequest(head, body, nowMs, measureTransitMs).caseOf({
+    const now = readClocks(this.options.clock);
+    const measureTransitMs = (sent: ClockReading): number =>
+      this.findTransitMeter(stream).measureMs(sent, now);
+    decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
       Right: (request) =>
         this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions())),
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -11,6 +11,7 @@
 import { PeerSession } from '#mesh/PeerSession.js';
 import type { RelayMessage } from '#mesh/RelayMessage.js';
 import type { RelayOptions } from '#mesh/RelayOptions.js';
+import { readClocks } from '#mesh/ReadClocks.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
 
 const CHECK_INTERVAL_MS = 50;
@@ -76,7 +77,7 @@
       return;
     }
     const head = {
-      ...encodeBackendRequest(backendRequest, this.now(), this.options.clock.wallMs()),
+      ...encodeBackendRequest(backendRequest, readClocks(this.options.clock)),
       revisions: this.options.revisions(),
     };
     session.send(relayPaths.requests, head, backendRequest.callerRequest.body, (result) => {
--- a/packages/mesh/src/WindowedMinimum.ts
+++ b/packages/mesh/src/WindowedMinimum.ts
@@ -1,15 +1,20 @@
-/** Duration of one of the two windows that are kept, in milliseconds. */
+/** Default duration of one of the two windows that are kept, in milliseconds. */
 const WINDOW_MS = 5_000;
 
-/** Minimum of the values noted within the last 5 to 10 seconds. Times are monotonic, in milliseconds. */
+/** Minimum of the values noted within the last one to two windows. Times are monotonic, in milliseconds. */
 export class WindowedMinimum {
+  private readonly windowMs: number;
   private sinceMs = -Infinity;
   private current = Infinity;
   private previous = Infinity;
 
+  public constructor(windowMs = WINDOW_MS) {
+    this.windowMs = windowMs;
+  }
+
   /** Notes a value. */
   public note(value: number, nowMs: number): void {
-    if (nowMs - this.sinceMs >= WINDOW_MS) {
+    if (nowMs - this.sinceMs >= this.windowMs) {
       this.previous = this.current;
       this.current = Infinity;
       this.sinceMs = nowMs;
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -76,7 +76,7 @@
   const request = createTestRequest('ä1', { idempotent: false, resumes: 'p', copy: 3 }, 77);
   const nowMs = clock.monotonicMs();
   const read = decodeBackendRequest(
-    encodeBackendRequest(request, nowMs, 0),
+    encodeBackendRequest(request, { monotonicMs: nowMs, wallMs: 0 }),
     request.callerRequest.body,
     nowMs,
     () => 0,
--- a/packages/mesh/test/relayCut.test.ts
+++ b/packages/mesh/test/relayCut.test.ts
@@ -2,10 +2,12 @@
 import { connect, constants, type ClientHttp2Session, type ClientHttp2Stream } from 'node:http2';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
+import { SystemClock } from '#core/SystemClock.js';
 import { encodeBackendRequest } from '#mesh/EncodeBackendRequest.js';
 import { encodeBackendResult } from '#mesh/EncodeBackendResult.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
+import { readClocks } from '#mesh/ReadClocks.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
 import { createTestRequest } from './CreateTestRequest.js';
 import { startPeer } from './StartPeer.js';
@@ -31,7 +33,7 @@
     ...plain,
     callerRequest: { ...plain.callerRequest, method: 'POST', hasBody: true, body: BODY },
   };
-  const { kind, detail } = encodeBackendRequest(request, performance.now(), Date.now());
+  const { kind, detail } = encodeBackendRequest(request, readClocks(new SystemClock()));
   const stream = session.request({
     ':method': 'POST',
     ':path': relayPaths.requests,
--- a/packages/mesh/test/transit.test.ts
+++ b/packages/mesh/test/transit.test.ts
@@ -4,41 +4,77 @@
 import { TransitMeter } from '#mesh/TransitMeter.js';
 import { createTestRequest } from './CreateTestRequest.js';
 
-/** Difference between the wall clocks of the two VMs. */
-const CLOCK_OFFSET_MS = 40_000;
+/** Differences between the clocks of the two VMs. */
+const WALL_OFFSET_MS = 40_000;
+const MONOTONIC_OFFSET_MS = 7_000_000;
 
 const TRANSIT_MS = 20;
 
-t.test('request that waited to be read keeps its deadline', (t) => {
-  // A daemon without processor time read requests 13 s late and ran them, as their time began anew.
-  const meter = new TransitMeter();
-  const receive = (sentMs: number, waitedMs: number): number | undefined => {
-    const request = createTestRequest('1', { dueMs: sentMs + 1_000, targetMs: sentMs + 300 });
+/** Delivers messages of one peer, and measures their delays. */
+class Peer {
+  public readonly meter = new TransitMeter();
+  private wallStepMs = 0;
+  private suspendedMs = 0;
+
+  /** Sets the wall clock of the peer back. */
+  public stepBack(ms: number): void {
+    this.wallStepMs -= ms;
+  }
+
+  /** Suspends the peer, whose monotonic clock then lags. */
+  public suspend(ms: number): void {
+    this.suspendedMs += ms;
+  }
+
+  /** Returns the measured delay of a message that waited for `waitedMs` to be read. */
+  public send(sentMs: number, waitedMs: number): number {
+    const sent = {
+      monotonicMs: sentMs + MONOTONIC_OFFSET_MS - this.suspendedMs,
+      wallMs: sentMs + WALL_OFFSET_MS + this.wallStepMs,
+    };
     const nowMs = sentMs + TRANSIT_MS + waitedMs;
-    const head = encodeBackendRequest(request, sentMs, sentMs + CLOCK_OFFSET_MS);
-    const measure = (sentWallMs: number): number => meter.measureMs(sentWallMs, nowMs, nowMs);
-    return decodeBackendRequest(head, Buffer.alloc(0), nowMs, measure)
-      .map(({ dueMs }) => dueMs - sentMs)
-      .extract() as number;
-  };
-  t.equal(receive(100, 0), 1_000 + TRANSIT_MS);
-  t.equal(receive(200, 5), 1_000 + TRANSIT_MS);
-  t.equal(receive(1_000, 700), 1_000 + TRANSIT_MS);
-  t.equal(receive(1_100, 4_000), 1_000 + TRANSIT_MS);
+    return this.meter.measureMs(sent, { monotonicMs: nowMs, wallMs: nowMs });
+  }
+}
+
+t.test('time that a message waits to be read is measured', (t) => {
+  const peer = new Peer();
+  t.equal(peer.send(0, 0), 0);
+  t.equal(peer.send(1_000, 700), 700);
+  t.equal(peer.send(2_000, 0), 0);
+  for (let sentMs = 3_000; sentMs < 28_000; sentMs += 500) t.equal(peer.send(sentMs, 13_000), 13_000);
+  t.end();
+});
+
+t.test('step of the wall clock is no delay', (t) => {
+  const peer = new Peer();
+  peer.send(0, 0);
+  peer.stepBack(3_000);
+  t.equal(peer.send(1_000, 0), 0);
+  t.equal(peer.send(2_000, 400), 400);
   t.end();
 });
 
-t.test('step of a clock is forgotten', (t) => {
-  const meter = new TransitMeter();
-  meter.measureMs(0, 0, 0);
-  t.equal(meter.measureMs(1_000, 4_000, 1_000), 3_000);
-  for (let nowMs = 2_000; nowMs <= 12_000; nowMs += 500) meter.measureMs(nowMs, nowMs + 3_000, nowMs);
-  t.equal(meter.measureMs(13_000, 16_000, 13_000), 0);
+t.test('suspension of the peer is no delay', (t) => {
+  const peer = new Peer();
+  peer.send(0, 0);
+  peer.suspend(4_000);
+  t.equal(peer.send(5_000, 0), 0);
+  t.end();
+});
+
+t.test('request that waited to be read keeps its deadline', (t) => {
+  // A daemon without processor time read requests 13 s late and ran them, as their time began anew.
+  const request = createTestRequest('1', { dueMs: 1_000, targetMs: 300 });
+  const head = encodeBackendRequest(request, { monotonicMs: 0, wallMs: 0 });
+  const decoded = decodeBackendRequest(head, Buffer.alloc(0), 14_000, () => 13_000).unsafeCoerce();
+  t.equal(decoded.dueMs, 2_000);
+  t.equal(decoded.targetMs, 1_300);
   t.end();
 });
 
 t.test('request of an older daemon is decoded', (t) => {
-  const { kind, detail } = encodeBackendRequest(createTestRequest('1'), 0, 0);
+  const { kind, detail } = encodeBackendRequest(createTestRequest('1'), { monotonicMs: 0, wallMs: 0 });
   const withoutTime = JSON.stringify((JSON.parse(detail) as readonly unknown[]).slice(0, -1));
   const decoded = decodeBackendRequest({ kind, detail: withoutTime }, Buffer.alloc(0), 0, () => 99);
   t.ok(decoded.isRight());
