ReceiverTask: delays are known by peer, and requests for 30 s after their end

Causes: the delay was measured by session, so that the first message of a new session, which may be the copy that waited, was its own base; and a request was known for as long as its response was kept. The delay is now measured by the address of the peer, and a request is known for 30 s, its response for 8 s as before.

Ruled out: a retention without a measured delay, as a daemon may be without processor time for any time.

Tests: transit.test.ts 'delay of the first message on a new session is known', requestTable.test.ts 'request is known when its copy is read long after'.

--- a/packages/mesh/src/BackendRequestTable.ts
+++ b/packages/mesh/src/BackendRequestTable.ts
@@ -2,10 +2,13 @@
 import type { BackendResult } from '#mesh/BackendResult.js';
 
 /**
- * How long a result is kept for a sender that lost its session, and for which late copies of a request are
- * expected.
+ * How long a request is known after its end, and for which late copies of it are expected. A daemon without processor
+ * time reads a copy many seconds after it was sent.
  */
-const RETENTION_MS = 8_000;
+const RETENTION_MS = 30_000;
+
+/** How long a response is kept for a sender that lost its session, in milliseconds. */
+const BODY_RETENTION_MS = 8_000;
 
 /** Number of results that are kept. */
 const MAX_RESULTS = 20_000;
@@ -85,8 +88,9 @@
     for (const reply of state.replies) reply(result);
   }
 
-  /** Drops results that are older than `RETENTION_MS` or exceed `MAX_RESULTS`. */
+  /** Drops responses and results that are too old, and those that exceed `MAX_RESULTS`. */
   public expire(nowMs: number): void {
+    this.expireBodies(nowMs);
     for (const [id, { sentMs }] of this.resends) {
       if (nowMs - sentMs < RETENTION_MS) break;
       this.resends.delete(id);
@@ -98,6 +102,14 @@
     }
   }
 
+  private expireBodies(nowMs: number): void {
+    for (const id of this.bodySizes.keys()) {
+      const changedMs = this.states.get(id)?.changedMs ?? -Infinity;
+      if (nowMs - changedMs < BODY_RETENTION_MS) return;
+      this.dropBody(id);
+    }
+  }
+
   private storeBody(id: string, bytes: number): void {
     this.bodySizes.set(id, bytes);
     this.bodyBytes += bytes;
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -3,7 +3,6 @@
   createServer,
   sensitiveHeaders,
   type Http2Server,
-  type Http2Session,
   type ServerHttp2Session,
   type ServerHttp2Stream,
 } from 'node:http2';
@@ -29,7 +28,7 @@
 import { readBodyLength } from '#mesh/ReadBodyLength.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 import { relayPaths } from '#mesh/RelayPaths.js';
-import { TransitMeter } from '#mesh/TransitMeter.js';
+import { TransitMeters } from '#mesh/TransitMeters.js';
 import { unpackBody } from '#mesh/UnpackBody.js';
 
 /** Flow-control window, large enough for most request bodies, in bytes. */
@@ -45,7 +44,7 @@
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
   private readonly sessions = new Set<ServerHttp2Session>();
-  private readonly transits = new WeakMap<Http2Session, TransitMeter>();
+  private readonly transits = new TransitMeters();
 
   public constructor(options: ReceiverOptions) {
     super();
@@ -145,8 +144,8 @@
 
   private receiveRequest(stream: ServerHttp2Stream, head: RelayHead, body: Buffer): void {
     const now = readClocks(this.options.clock);
-    const measureTransitMs = (sent: ClockReading): number =>
-      this.findTransitMeter(stream).measureMs(sent, now);
+    const peer = stream.session?.socket.remoteAddress ?? '';
+    const measureTransitMs = (sent: ClockReading): number => this.transits.measureMs(peer, sent, now);
     decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
       Right: (request) =>
@@ -154,14 +153,6 @@
     });
   }
 
-  private findTransitMeter({ session }: ServerHttp2Stream): TransitMeter {
-    const known = session === undefined ? undefined : this.transits.get(session);
-    if (known !== undefined) return known;
-    const meter = new TransitMeter();
-    if (session !== undefined) this.transits.set(session, meter);
-    return meter;
-  }
-
   private refuseMalformed(stream: ServerHttp2Stream, message: string): void {
     this.options.logger.log('messageMalformed', { step: 'parse', message });
     if (!stream.destroyed && !stream.closed) stream.respond({ ':status': BAD_REQUEST }, { endStream: true });
--- a/packages/mesh/test/requestTable.test.ts
+++ b/packages/mesh/test/requestTable.test.ts
@@ -55,3 +55,17 @@
   t.equal(join(table, '1')?.type, 'lost');
   t.end();
 });
+
+t.test('request is known when its copy is read long after', (t) => {
+  // A daemon without processor time read the copy 8 s after the end of the request, and ran it once more.
+  const table = new BackendRequestTable();
+  table.open('1', () => undefined, 0);
+  table.close('1', createResult(10), 100);
+  table.expire(20_000);
+  t.equal(table.has('1'), true);
+  t.equal(table.wasRefused('1'), false);
+  t.same(join(table, '1')?.type, 'lost', 'its response is no longer kept');
+  table.expire(31_000);
+  t.equal(table.has('1'), false);
+  t.end();
+});
--- a/packages/mesh/test/transit.test.ts
+++ b/packages/mesh/test/transit.test.ts
@@ -1,8 +1,13 @@
+import { connect } from 'node:http2';
 import t from 'tap';
+import { SystemClock } from '#core/SystemClock.js';
 import { decodeBackendRequest } from '#mesh/DecodeBackendRequest.js';
 import { encodeBackendRequest } from '#mesh/EncodeBackendRequest.js';
+import { readClocks } from '#mesh/ReadClocks.js';
+import { relayPaths } from '#mesh/RelayPaths.js';
 import { TransitMeter } from '#mesh/TransitMeter.js';
 import { createTestRequest } from './CreateTestRequest.js';
+import { startReceiver } from './StartReceiver.js';
 
 /** Differences between the clocks of the two VMs. */
 const WALL_OFFSET_MS = 40_000;
@@ -73,6 +78,33 @@
   t.end();
 });
 
+t.test('delay of the first message on a new session is known', async (t) => {
+  // A copy that is sent again comes on a new session, and its delay was taken for the usual one.
+  const received: number[] = [];
+  const { address } = await startReceiver(t, ({ dueMs }, reply) => {
+    received.push(dueMs - performance.now());
+    reply({ type: 'lost', code: 'timeout', load: undefined });
+  });
+  for (const ageMs of [0, 5_000]) {
+    const now = readClocks(new SystemClock());
+    const sent = { monotonicMs: now.monotonicMs - ageMs, wallMs: now.wallMs - ageMs };
+    const request = createTestRequest('1', { dueMs: sent.monotonicMs + 20_000 });
+    const session = connect(`http://${address}`);
+    const { kind, detail } = encodeBackendRequest(request, sent);
+    const stream = session.request({
+      ':method': 'POST',
+      ':path': relayPaths.requests,
+      'amr-kind': kind,
+      'amr-detail': detail,
+    });
+    await new Promise((resolve) => stream.on('close', resolve).resume().end());
+    session.destroy();
+  }
+  const [first = 0, second = 0] = received;
+  t.ok(first > 15_000, `${first} ms left`);
+  t.ok(second < 15_500, `${second} ms left`);
+});
+
 t.test('request of an older daemon is decoded', (t) => {
   const { kind, detail } = encodeBackendRequest(createTestRequest('1'), { monotonicMs: 0, wallMs: 0 });
   const withoutTime = JSON.stringify((JSON.parse(detail) as readonly unknown[]).slice(0, -1));
