CallerTask: a body that completes while its request is refused ends the exchange

The refusal by a timeout or a stop and the last bytes of the body may be handled in this order in one batch; the exchange then stayed open until the discard timeout and its connection was destroyed.

--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -22,7 +22,7 @@
   | { readonly type: 'limits'; readonly limits: CallerLimits }
   /** The daemon shuts down: connections are closed after their last response. */
   | { readonly type: 'stopping' }
-  /** Requests whose body has not arrived are refused, and so are new ones. */
+  /** Requests whose body has not arrived are refused, and so are new ones with a body. */
   | { readonly type: 'refusing' }
   /** The process ends: no more connections are accepted. */
   | { readonly type: 'ending' };
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -189,6 +189,7 @@
     const exchange = this.exchanges.get(number);
     if (exchange?.cursor.send({ type: 'read' }) !== true) {
       body.release();
+      this.noteDiscarded(number);
       return;
     }
     exchange.cancelTimer();
--- a/packages/mesh/test/callerBody.test.ts
+++ b/packages/mesh/test/callerBody.test.ts
@@ -1,6 +1,8 @@
 import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
+import { BodyBudget } from '#core/BodyBudget.js';
+import { HeldBody } from '#core/HeldBody.js';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
@@ -216,3 +218,15 @@
   t.ok(late.socket.destroyed, 'the connection is closed after the body');
   t.equal(run.forwarded.length, 1);
 });
+
+t.test('body that completes while its request is refused does not keep the request open', async (t) => {
+  const run = await start(t);
+  run.send(post('Content-Length: 10', '12345'));
+  await until(() => run.task.load === 1);
+  const body = new HeldBody(Buffer.alloc(10), new BodyBudget(MIB));
+  run.task.post({ type: 'refuse', exchange: 1, fault: 'timeout' });
+  run.task.post({ type: 'body', exchange: 1, signal: { type: 'complete', body } });
+  await sleep(10);
+  t.equal(run.task.load, 0);
+  t.equal(run.forwarded.length, 0);
+});
