--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -30,7 +30,7 @@
 const MAX_ATTEMPTS = 4;
 
 /** Number of servers without capacity after which a request is refused. */
-const MAX_FULL_REFUSALS = 2;
+const MAX_FULL_REFUSALS = 3;
 
 /** Number of times an attempt whose session was lost is resent to the same daemon. */
 const MAX_RESENDS = 3;
@@ -268,7 +268,7 @@
 
   /**
    * Whether no server has capacity, as far as is known: the owner of the key, the only server that may run the request,
-   * or the two that were expected to have the most. Asking more servers of a full fleet delays the reply, and takes the
+   * or the three that were expected to have the most. Asking more servers of a full fleet delays the reply, and takes the
    * processor time that the daemons need for the requests which they run.
    */
   private isFull({ service, lastRefusal, fullRefusals }: MeshExchange): boolean {
