--- a/packages/mesh/src/CreateExchange.ts
+++ b/packages/mesh/src/CreateExchange.ts
@@ -21,7 +21,6 @@
     mayHaveRun: false,
     failure: undefined,
     lastRefusal: undefined,
-    fullRefusals: 0,
     retryAfterMs: 0,
     waitingMs: undefined,
     tableRevision: 0,
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -29,9 +29,6 @@
 /** Number of attempts after which a request is refused. */
 const MAX_ATTEMPTS = 4;
 
-/** Number of servers without capacity after which a request is refused. */
-const MAX_FULL_REFUSALS = 3;
-
 /** Number of times an attempt whose session was lost is resent to the same daemon. */
 const MAX_RESENDS = 3;
 
@@ -201,12 +198,7 @@
     if (exchange?.cursor.send({ type }) !== true) return;
     exchange.cancelWait();
     // The owner may have been granted the key in the meantime, so the request is sent to it again.
-    this.exchanges.set(number, {
-      ...exchange,
-      tried: new Set(),
-      offers: Math.min(exchange.offers, 1),
-      fullRefusals: 0,
-    });
+    this.exchanges.set(number, { ...exchange, tried: new Set(), offers: Math.min(exchange.offers, 1) });
     this.choose(number);
   }
 
@@ -258,22 +250,19 @@
   private noteRefused(exchange: MeshExchange, result: BackendResult & { readonly type: 'refused' }): void {
     exchange.cursor.send({ type: 'refused' });
     const retryAfterMs = Math.max(exchange.retryAfterMs, result.retryAfterMs);
-    const fullRefusals = exchange.fullRefusals + (result.code === 'full' ? 1 : 0);
-    const next = { ...exchange, lastRefusal: result.code, retryAfterMs, fullRefusals };
+    const next = { ...exchange, lastRefusal: result.code, retryAfterMs };
     this.exchanges.set(exchange.number, next);
-    if (FINAL_REFUSALS.has(result.code) || this.isFull(next)) this.refuse(next);
+    if (FINAL_REFUSALS.has(result.code) || this.isOwnerFull(next)) this.refuse(next);
     else if (result.arrived && !this.spendRetry(next)) this.refuse(next);
     else this.choose(exchange.number);
   }
 
   /**
-   * Whether no server has capacity, as far as is known: the owner of the key, the only server that may run the request,
-   * or the three that were expected to have the most. Asking more servers of a full fleet delays the reply, and takes the
-   * processor time that the daemons need for the requests which they run.
+   * Whether the owner of the key, the only server that may run the request, has no capacity: sending it there
+   * again would only delay the reply.
    */
-  private isFull({ service, lastRefusal, fullRefusals }: MeshExchange): boolean {
-    const limit = this.directory.isKeyed(service) ? 1 : MAX_FULL_REFUSALS;
-    return lastRefusal === 'full' && fullRefusals >= limit;
+  private isOwnerFull({ service, lastRefusal }: MeshExchange): boolean {
+    return lastRefusal === 'full' && this.directory.isKeyed(service);
   }
 
   private noteLost(exchange: MeshExchange, result: Loss, server: ServerEntry, resends: number): void {
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -35,8 +35,6 @@
   /** Error response of a backend server that is forwarded if no other attempt succeeds. */
   readonly failure: BackendResponse | undefined;
   readonly lastRefusal: RefusalCode | undefined;
-  /** Number of servers that refused it for lack of capacity. */
-  readonly fullRefusals: number;
   /** Longest time after which a server that refused the request expects capacity, in milliseconds. */
   readonly retryAfterMs: number;
   /** Monotonic time since which it waits for the owner of its key; undefined if it never did. */
