--- a/review/src/StopDuringDownloadMain.ts
+++ b/review/src/StopDuringDownloadMain.ts
@@ -1,13 +1,11 @@
-import type { ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { CallerConnection } from '#fixtures/CallerConnection.js';
 import { createManifest } from '#fixtures/CreateManifest.js';
-import type { PreparedResponse } from '#fixtures/PreparedResponse.js';
 import type { RequestClass } from '#fixtures/RequestClass.js';
-import { ResponseStyle } from '#fixtures/ResponseStyle.js';
 import { waitUntil } from '#fixtures/WaitUntil.js';
 import { selectEvents } from '#soak/SelectEvents.js';
 import type { CaseContext } from './CaseContext.js';
+import { LargeResponse } from './LargeResponse.js';
 import { runCase } from './RunCase.js';
 import { SlowDownload } from './SlowDownload.js';
 
@@ -32,15 +30,6 @@
 
 const START_TIMEOUT_MS = 20_000;
 
-/** Sends a body of `BODY_BYTES` for every request to the route. */
-class LargeResponse extends ResponseStyle {
-  public override send(res: ServerResponse, { status, headers }: PreparedResponse): boolean {
-    res.writeHead(status, { ...headers, 'Content-Length': String(BODY_BYTES) });
-    res.end(Buffer.alloc(BODY_BYTES, 'abcdefg'));
-    return true;
-  }
-}
-
 async function run({ environment, trouble, record }: CaseContext): Promise<readonly string[]> {
   const endpoints = environment.endpoints[PLAIN];
   const daemon = environment.daemons[PLAIN];
@@ -53,7 +42,7 @@
   }, START_TIMEOUT_MS);
   await probe.close();
   if (!isServed) throw new Error('requests are not served');
-  environment.backends[PLAIN]?.post({ type: 'style', style: new LargeResponse() });
+  environment.backends[PLAIN]?.post({ type: 'style', style: new LargeResponse(BODY_BYTES) });
   const downloads = Array.from({ length: CLIENTS }, (_none, index) => {
     const id = `export-${index}`;
     const request =
