--- a/review/src/RunCase.ts
+++ b/review/src/RunCase.ts
@@ -19,6 +19,8 @@
 interface CaseOptions {
   /** Number of daemons; the first half of them serves keys. */
   readonly daemons: number;
+  /** Daemons beside which the case starts a backend server of its own. */
+  readonly ownBackends?: readonly number[];
   /** The configuration that is in force at the start. */
   readonly manifest: unknown;
   /** Runs the case and returns the violations of the rule that it saw. */
@@ -60,7 +62,7 @@
 }
 
 async function runInEnvironment(
-  { daemons: count, manifest, run }: CaseOptions,
+  { daemons: count, ownBackends = [], manifest, run }: CaseOptions,
   context: Omit<CaseContext, 'environment'>,
 ): Promise<readonly string[]> {
   const directory = mkdtempSync(join(tmpdir(), 'review-'));
@@ -71,7 +73,8 @@
   });
   try {
     store.objects.set('config', 'main', manifest);
-    for (const backend of backends) backend.post({ type: 'start', sameId: false });
+    for (const [index, backend] of backends.entries())
+      if (!ownBackends.includes(index)) backend.post({ type: 'start', sameId: false });
     await Promise.all(daemons.map((daemon) => daemon.start()));
     const ready = await Promise.all(daemons.map((daemon) => daemon.waitReady(START_TIMEOUT_MS)));
     if (ready.includes(false)) throw new Error('a daemon did not become ready');
