--- a/review/src/RunCase.ts
+++ b/review/src/RunCase.ts
@@ -43,10 +43,13 @@
     writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
     process.exit(status);
   };
-  setTimeout(() => {
-    record('the case took too long');
-    exit(EXIT_NOT_RUN);
-  }, CASE_TIMEOUT_MS);
+  const fail = (reason: string): never => {
+    record(`could not run: ${reason}`);
+    return exit(EXIT_NOT_RUN);
+  };
+  setTimeout(() => fail('the case took too long'), CASE_TIMEOUT_MS);
+  process.on('uncaughtException', (err) => fail(String(err)));
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => fail(`got ${signal}`));
   record(trouble ? 'with the disruption' : 'without the disruption');
   runInEnvironment(options, { trouble, record }).then(
     (violations) => {
@@ -54,10 +57,7 @@
       record(violations.length > 0 ? 'the rule was broken' : 'the rule held');
       exit(violations.length > 0 ? EXIT_BROKEN : EXIT_HELD);
     },
-    (err: unknown) => {
-      record(`could not run: ${String(err)}`);
-      exit(EXIT_NOT_RUN);
-    },
+    (err: unknown) => fail(String(err)),
   );
 }
 
@@ -70,6 +70,7 @@
   const { daemons, backends, store } = environment;
   process.once('exit', () => {
     for (const daemon of daemons) daemon.signal('SIGKILL');
+    rmSync(directory, { recursive: true, force: true });
   });
   try {
     store.objects.set('config', 'main', manifest);
@@ -82,7 +83,6 @@
     return await run({ ...context, environment });
   } finally {
     await stop(environment);
-    rmSync(directory, { recursive: true });
   }
 }
 
