StoreLinkTask: replace open connections to the store that went silent

Cause: a watch waits 20 s and 1.5 s more, and a dead connection looks like a quiet one. Nothing else ended the wait. Ruled out: a change that is read and dropped (no routesApplied and no hinted line).

Change: a kept connection, as old as those of the watches, is probed each second with a small call. If it is silent for 600 ms, or has ended, and a new connection gets a response, all connections are replaced and the waiting calls of all four collections are repeated. A slow or unreachable store replaces nothing.

--- a/packages/mesh/src/DirectoryMessage.ts
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -27,5 +27,7 @@
     }
   /** Revisions that another daemon has seen, in the order of `watchedCollections`. */
   | { readonly type: 'hint'; readonly revisions: readonly number[] }
+  /** The connections to the store were replaced, and the calls that wait on former ones get no response. */
+  | { readonly type: 'reconnected' }
   /** The delay before the next call of the store is over. */
   | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -107,6 +107,9 @@
       case 'hint':
         this.noteHint(message.revisions);
         return;
+      case 'reconnected':
+        this.restartCalls();
+        return;
       case 'proceed':
         this.proceed(message.collection);
     }
@@ -128,6 +131,14 @@
     }
   }
 
+  /** Repeats the calls that wait for a response on connections that were closed. */
+  private restartCalls(): void {
+    for (const collection of watchedCollections) {
+      const { cursor } = this.find(collection);
+      if (cursor.send({ type: 'reconnected' })) this.callStore(collection);
+    }
+  }
+
   private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
     this.noteReachable();
     const before = this.find(collection).names;
@@ -212,8 +223,11 @@
 
   private proceed(collection: WatchedCollection): void {
     const { cursor } = this.find(collection);
-    if (!cursor.send({ type: 'proceed' })) return;
-    if (cursor.state === 'listing') this.list(collection);
+    if (cursor.send({ type: 'proceed' })) this.callStore(collection);
+  }
+
+  private callStore(collection: WatchedCollection): void {
+    if (this.find(collection).cursor.state === 'listing') this.list(collection);
     else this.watch(collection);
   }
 
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -30,6 +30,7 @@
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { ServerTask } from '#mesh/ServerTask.js';
+import { StoreLinkTask } from '#mesh/StoreLinkTask.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
 /**
@@ -68,6 +69,7 @@
   private readonly metrics = new MetricsRecorder();
   private readonly delays = new PhaseRecorder();
   private readonly directory: DirectoryTask;
+  private readonly storeLink: StoreLinkTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
   private readonly ownership: OwnershipTasks;
@@ -86,6 +88,12 @@
     const elapsed = new ElapsedClock(clock);
     const random = new RandomSource(options.seed);
     this.directory = new DirectoryTask(store, options.decoder, clock, new Logger('directory'));
+    this.storeLink = new StoreLinkTask({
+      store,
+      clock,
+      logger: new Logger('storeLink'),
+      onReplaced: () => this.directory.post({ type: 'reconnected' }),
+    });
     this.relay = new RelayTask({
       clock,
       logger: new Logger('relay'),
@@ -194,6 +202,7 @@
       ...(metrics === undefined ? [] : [this.metricsServer.listen(metrics.host, metrics.port)]),
     ]);
     this.directory.post({ type: 'subscribe', listener: (view) => this.noteView(view) });
+    this.storeLink.start();
     this.directory.start();
     this.arrivals.start();
     this.logger.log('started', { server: this.options.identity.serverId, process: this.options.processId });
@@ -314,6 +323,7 @@
       this.readiness,
       this.metricsServer,
       this.directory,
+      this.storeLink,
       this.entry,
       this.server,
       this.ownership,
--- /dev/null
+++ b/packages/mesh/src/StoreLinkEvent.ts
@@ -0,0 +1,4 @@
+/** Events of `storeLinkChart`. */
+export interface StoreLinkEvent {
+  readonly type: 'due' | 'answered' | 'silent' | 'failed' | 'newAnswered' | 'newFailed';
+}
--- a/packages/mesh/src/WatchEvent.ts
+++ b/packages/mesh/src/WatchEvent.ts
@@ -1,4 +1,4 @@
 /** Events of `watchChart`. */
 export interface WatchEvent {
-  readonly type: 'listed' | 'changed' | 'failed' | 'historyLost' | 'hinted' | 'proceed';
+  readonly type: 'listed' | 'changed' | 'failed' | 'historyLost' | 'hinted' | 'reconnected' | 'proceed';
 }
--- a/packages/mesh/test/SimulatedStore.ts
+++ b/packages/mesh/test/SimulatedStore.ts
@@ -69,6 +69,14 @@
     return this.timeOut('storeReplyLost');
   }
 
+  public override probe(): Result<undefined> {
+    return this.call(() => this.store.probe());
+  }
+
+  public override replaceConnections(): void {
+    this.store.replaceConnections();
+  }
+
   public override close(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -111,6 +111,25 @@
   t.equal(run.view.routes?.table.version, 5);
 });
 
+t.test('all collections are watched again on new connections', async (t) => {
+  // Guards against a watch that waits on a connection which no longer carries responses.
+  const run = new DirectoryRun();
+  run.store.set('routes', 'main', 4);
+  await run.start();
+  await run.advance(400);
+  run.store.stallsWatches = true;
+  run.store.set('routes', 'main', 5);
+  run.store.set('servers', 'a', createEntry('a'));
+  run.store.set('evacuations', 'd', {});
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 4);
+  run.task.post({ type: 'reconnected' });
+  await run.advance(0);
+  t.equal(run.view.routes?.table.version, 5);
+  t.equal(run.view.servers.get('a')?.state, 'ready');
+  t.same([...run.view.evacuated], ['d']);
+});
+
 t.test('collection is still watched after its decoder throws', async (t) => {
   // The process ended, and again after each restart, when it read the same object.
   const run = new DirectoryRun(new FaultyDecoder());
--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -16,6 +16,8 @@
   public stallsWatches = false;
   /** Number of accepted writes. */
   public acceptedWrites = 0;
+  /** How often the connections were replaced. */
+  public replacements = 0;
   /** Number of conditional writes that were requested, accepted or not. */
   public putCalls = 0;
   private readonly collections = new Map<string, Map<string, CollectionItem>>();
@@ -59,6 +61,14 @@
       : Promise.resolve(Right({ type: 'accepted', item }));
   }
 
+  public override probe(): Result<undefined> {
+    return this.faultMode === 'down' ? this.fail('storeUnreachable') : Promise.resolve(Right(undefined));
+  }
+
+  public override replaceConnections(): void {
+    this.replacements += 1;
+  }
+
   public override close(): Promise<void> {
     this.notifyWatches();
     return Promise.resolve();
--- a/packages/store/src/CollectionStore.ts
+++ b/packages/store/src/CollectionStore.ts
@@ -4,6 +4,7 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { ProbedConnection } from '#store/ProbedConnection.js';
 
 /**
  * A store of JSON objects in collections, with one revision counter, conditional writes and watches.
@@ -35,6 +36,18 @@
     ifRevision: number,
   ): Promise<Either<RouterError, CollectionPutResult>>;
 
+  /**
+   * Makes a small call and succeeds if the store responds, whatever its response. A probe of the kept connection fails if
+   * that connection has ended since the last probe.
+   */
+  public abstract probe(connection: ProbedConnection): Promise<Either<RouterError, undefined>>;
+
+  /**
+   * Closes the connections that are open now, except that of the last probe of a new one, which is kept for later probes.
+   * Pending calls fail.
+   */
+  public abstract replaceConnections(): void;
+
   /** Closes all connections; pending calls fail. */
   public abstract close(): Promise<void>;
 }
