PresenceTask: a leave is acknowledged once the store contains it

Cause: the leave was kept in the memory of one process. A new process read nothing and overwrote its entry; a withdrawal was acknowledged before it was written, and one of an unknown run was acknowledged and dropped. Ruled out: daemons that send from an old view (serverChanged shows gone, then ready).

Change: the entry contains the leave with the start time of the run and its last sequence number. The acknowledgement of a drain or withdrawal waits for the write, or is refused after 850 ms so that it is repeated. A withdrawn run stays so until a later one: before, evidence of its end and a late check-in made it ready again even without a restart. The publishing of the entry moves to EntryPublisher.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -204,6 +204,7 @@
     this.directory.post({ type: 'subscribe', listener: (view) => this.noteView(view) });
     this.storeLink.start();
     this.directory.start();
+    this.ownership.start();
     this.arrivals.start();
     this.logger.log('started', { server: this.options.identity.serverId, process: this.options.processId });
   }
@@ -213,14 +214,9 @@
     return this.ownership.presence.ask((reply) => ({ type: 'announced', announcement, reply }));
   }
 
-  /** Handles the withdrawal of the backend server, which is about to stop. */
-  public withdraw(instanceId: string, bornMs: number | undefined): Promise<void> {
-    return this.ownership.presence.ask((reply) => ({
-      type: 'withdrawn',
-      instanceId,
-      bornMs,
-      reply: () => reply(),
-    }));
+  /** Handles the withdrawal of the backend server, which is about to stop. Resolves to false if it has to be repeated. */
+  public withdraw(instanceId: string, bornMs: number | undefined): Promise<boolean> {
+    return this.ownership.presence.ask((reply) => ({ type: 'withdrawn', instanceId, bornMs, reply }));
   }
 
   /** Stops all tasks at once, without replies to open requests. */
--- a/packages/mesh/src/OwnershipTasks.ts
+++ b/packages/mesh/src/OwnershipTasks.ts
@@ -40,6 +40,11 @@
     });
   }
 
+  /** Begins to read what a former process of this daemon left in the store. */
+  public start(): void {
+    this.presence.start();
+  }
+
   public stop(): void {
     for (const task of [this.presence, this.ranges, this.lease, this.planner]) task.stop();
   }
--- a/packages/mesh/src/PresenceEvent.ts
+++ b/packages/mesh/src/PresenceEvent.ts
@@ -1,4 +1,4 @@
 /** Events of `presenceChart`. */
 export interface PresenceEvent {
-  readonly type: 'ready' | 'draining' | 'withdrawn' | 'died';
+  readonly type: 'ready' | 'draining' | 'withdrawn' | 'died' | 'replaced';
 }
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -1,4 +1,5 @@
 import type { RouterError } from '#core/RouterError.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import type { Either } from 'purify-ts';
 import type { Announcement } from '#mesh/Announcement.js';
@@ -18,12 +19,15 @@
       readonly instanceId: string;
       /** Start time of the run that leaves; undefined if the message does not contain it. */
       readonly bornMs: number | undefined;
-      readonly reply: () => void;
+      /** `recorded` is false if the store does not contain the withdrawal yet, so that it has to be repeated. */
+      readonly reply: (recorded: boolean) => void;
     }
   | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
   /** The waiting time after a refused connection has passed without an announcement. */
   | { readonly type: 'confirm'; readonly refusal: RefusedConnection }
   /** The daemon holds its lease under a new term. */
   | { readonly type: 'term'; readonly term: number }
+  /** The result of reading the entry that a former process of this daemon left. */
+  | { readonly type: 'read'; readonly result: Either<RouterError, CollectionItem | undefined> }
   | { readonly type: 'publish' }
   | { readonly type: 'published'; readonly result: Either<RouterError, CollectionPutResult> };
--- /dev/null
+++ b/packages/mesh/src/PresenceRecordEvent.ts
@@ -0,0 +1,4 @@
+/** Events of `presenceRecordChart`. */
+export interface PresenceRecordEvent {
+  readonly type: 'read' | 'failed';
+}
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -3,68 +3,99 @@
 import type { Cancel } from '#core/Cancel.js';
 import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
-import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { CollectionItem } from '#store/CollectionItem.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import { collections } from '#mesh/Collections.js';
+import { createLeftRun } from '#mesh/CreateLeftRun.js';
+import { createServerEntry } from '#mesh/CreateServerEntry.js';
+import { EntryPublisher } from '#mesh/EntryPublisher.js';
+import { formatIncarnation } from '#mesh/FormatIncarnation.js';
+import { LeaveAcknowledgements } from '#mesh/LeaveAcknowledgements.js';
 import type { Presence } from '#mesh/Presence.js';
 import { presenceChart } from '#mesh/PresenceChart.js';
 import type { PresenceEvent } from '#mesh/PresenceEvent.js';
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
 import type { PresenceMessage } from '#mesh/PresenceMessage.js';
 import type { PresenceOptions } from '#mesh/PresenceOptions.js';
+import { presenceRecordChart } from '#mesh/PresenceRecordChart.js';
+import type { PresenceRecordEvent } from '#mesh/PresenceRecordEvent.js';
 import type { RefusedConnection } from '#mesh/RefusedConnection.js';
+import { RunConfirmation } from '#mesh/RunConfirmation.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
+import { serverEntryCodec } from '#mesh/ServerEntryCodec.js';
+import type { ServerRun } from '#mesh/ServerRun.js';
 
-/** Delay before a change is published, so that changes in quick succession are written once, in milliseconds. */
-const PUBLISH_DELAY_MS = 60;
+/** Pause between two attempts to read the entry of a former process, in milliseconds. */
+const READ_RETRY_MS = 500;
 
-const PUBLISH_RETRY_MS = 400;
+/**
+ * Time after which a leave that the store does not contain yet is refused, so that it is repeated. Backend servers ignore
+ * replies that arrive more than a second after their call.
+ */
+const RECORD_TIMEOUT_MS = 850;
+
+/** Upper limit for the calls that wait until the entry of a former process has been read. */
+const MAX_WAITING_CALLS = 64;
 
 /** Missed announcements after which a silent backend server counts as absent. */
 const MISSED_ANNOUNCEMENTS = 2;
 
-interface Run {
-  readonly announcement: Announcement;
-  readonly incarnation: string;
-  readonly announcedMs: number;
-  readonly coldUntilMs: number;
-  readonly leavingMs: number | undefined;
-}
+/** Calls of the backend server, which wait until the entry of a former process has been read. */
+type ServerCall = Extract<PresenceMessage, { readonly type: 'announced' | 'withdrawn' }>;
 
 /**
  * Tracks the backend server beside this daemon by its announcements, and publishes its state in the store. Owns the
- * presence and the published entry.
+ * presence and the published entry. What a former process of the daemon acknowledged binds this one, so a leave is
+ * acknowledged only when the store contains it, and a new process reads its entry before it uses the backend server.
  */
 export class PresenceTask extends Task<PresenceMessage> {
   private readonly options: PresenceOptions;
   private readonly cursor = new ChartCursor<PresenceEvent>(presenceChart);
-  private run: Run | undefined;
+  private readonly recordCursor = new ChartCursor<PresenceRecordEvent>(presenceRecordChart);
+  private readonly confirmation: RunConfirmation;
+  private readonly acknowledgements = new LeaveAcknowledgements();
+  private waitingCalls: readonly ServerCall[] = [];
+  private run: ServerRun | undefined;
   private term = 0;
-  private published: ServerEntry | undefined;
-  private pending: ServerEntry | undefined;
-  private revision = 0;
+  private readonly publisher: EntryPublisher;
   private refusedConnection: RefusedConnection | undefined;
-  private cancelPublish: Cancel | undefined;
+  private cancelRead: Cancel = () => undefined;
 
   public constructor(options: PresenceOptions) {
     super();
     this.options = options;
+    this.confirmation = new RunConfirmation(options.announceEveryMs);
+    this.publisher = new EntryPublisher({
+      ...options,
+      createEntry: () => createServerEntry(options, this.describe(), this.run, this.term),
+      onDue: () => this.post({ type: 'publish' }),
+      onWritten: (result) => this.post({ type: 'published', result }),
+      onStored: (entry) => this.noteStored(entry),
+      onConflict: (current) => this.adopt(current),
+    });
+  }
+
+  /** Reads the entry that a former process of this daemon left. Until then, calls of the backend server wait. */
+  public start(): void {
+    this.read();
   }
 
   public override stop(): void {
     super.stop();
-    this.cancelPublish?.();
+    this.publisher.stop();
+    this.cancelRead();
   }
 
   protected override receive(message: PresenceMessage): void {
     switch (message.type) {
       case 'announced':
-        this.noteAnnouncement(message.announcement, message.reply);
-        return;
       case 'withdrawn':
-        this.noteWithdrawal(message.instanceId, message.bornMs);
-        message.reply();
+        if (this.recordCursor.state === 'reading') this.addWaiting(message);
+        else this.handleCall(message);
+        return;
+      case 'read':
+        this.noteRead(message.result);
         return;
       case 'evidence':
         this.noteEvidence(message.evidence);
@@ -74,19 +105,84 @@
         return;
       case 'term':
         this.term = message.term;
-        this.schedulePublish(PUBLISH_DELAY_MS);
+        this.publisher.schedule();
         return;
       case 'publish':
-        this.cancelPublish = undefined;
-        this.publish();
+        this.publisher.publish();
         return;
       case 'published':
-        this.notePublished(message.result);
+        this.publisher.noteWritten(message.result);
     }
   }
 
+  private handleCall(call: ServerCall): void {
+    if (call.type === 'announced') this.noteAnnouncement(call.announcement, call.reply);
+    else this.noteWithdrawal(call.instanceId, call.bornMs, call.reply);
+  }
+
+  private addWaiting(call: ServerCall): void {
+    if (this.waitingCalls.length < MAX_WAITING_CALLS) this.waitingCalls = [...this.waitingCalls, call];
+    else if (call.type === 'announced') call.reply({ accepted: false, retry: true, grant: undefined });
+    else call.reply(false);
+  }
+
+  private read(): void {
+    const { store, identity } = this.options;
+    void store
+      .get(collections.servers, identity.serverId)
+      .then((result) => this.post({ type: 'read', result }));
+  }
+
+  private noteRead(result: Either<RouterError, CollectionItem | undefined>): void {
+    if (this.recordCursor.state === 'known') return;
+    result.caseOf({
+      Left: (err) => {
+        if (this.recordCursor.send({ type: 'failed' }))
+          this.options.logger.log('presenceUnreadable', { step: 'store', code: err.fields.code });
+        this.cancelRead = this.options.clock.schedule(READ_RETRY_MS, () => this.read());
+      },
+      Right: (item) => this.adopt(item),
+    });
+    const calls = this.waitingCalls;
+    this.waitingCalls = [];
+    for (const call of calls) this.handleCall(call);
+  }
+
+  /** Adopts the stored entry of a former process. A run that has left stays so. */
+  private adopt(item: CollectionItem | undefined): void {
+    this.recordCursor.send({ type: 'read' });
+    const entry = item === undefined ? undefined : this.decodeEntry(item);
+    this.publisher.noteFormer(entry, item?.revision ?? 0);
+    if (entry === undefined) return;
+    if (entry.processId !== this.options.processId) this.restoreLeave(entry);
+    this.acknowledgements.noteStored(entry);
+  }
+
+  private decodeEntry({ value }: CollectionItem): ServerEntry | undefined {
+    return serverEntryCodec
+      .decode(value)
+      .ifLeft((message) => this.options.logger.log('presenceMalformed', { step: 'store', message }))
+      .toMaybe()
+      .extract();
+  }
+
+  private restoreLeave(entry: ServerEntry): void {
+    const { run } = this;
+    if (entry.leave === undefined) return;
+    if (run !== undefined && run.announcement.bornMs > entry.leave.bornMs) return;
+    const isSameRun = run?.incarnation === entry.incarnation;
+    if (isSameRun && entry.state !== 'gone' && run.announcement.sequence > entry.leave.sequence) return;
+    const { clock, logger } = this.options;
+    const restored = createLeftRun({ ...entry, ...entry.leave }, clock.monotonicMs());
+    logger.log('leaveRestored', { incarnation: entry.incarnation, state: entry.state });
+    this.run = isSameRun ? { ...run, leavingMs: -Infinity, leaveSequence: restored.leaveSequence } : restored;
+    this.cursor.send({ type: entry.state === 'gone' ? 'withdrawn' : 'draining' });
+    this.reportPresence(this.run);
+    if (run !== undefined) this.options.onEnded(run.incarnation, false);
+  }
+
   private noteAnnouncement(announcement: Announcement, reply: (reply: AnnouncementReply) => void): void {
-    const incarnation = `${announcement.instanceId}/${announcement.bornMs}`;
+    const incarnation = formatIncarnation(announcement.instanceId, announcement.bornMs);
     if (this.isForeign(announcement)) {
       this.options.logger.log('announcementForeign', { incarnation, service: announcement.service });
       reply({ accepted: false, grant: undefined });
@@ -98,15 +194,20 @@
         sequence: announcement.sequence,
         current: this.run?.incarnation,
       });
-      reply({ accepted: incarnation === this.run?.incarnation, grant: undefined });
+      if (incarnation === this.run?.incarnation) this.acceptAnnouncement(incarnation, undefined, reply);
+      else reply({ accepted: false, grant: undefined });
       return;
     }
     if (incarnation === this.refusedConnection?.incarnation)
       this.options.logger.log('refusalRefuted', { incarnation, sequence: announcement.sequence });
     this.refusedConnection = undefined;
+    const nowMs = this.options.clock.monotonicMs();
+    if (!this.isConfirmed(announcement, incarnation, nowMs)) {
+      reply({ accepted: true, grant: undefined });
+      return;
+    }
     if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplacedRun(this.run);
     const before = this.run;
-    const nowMs = this.options.clock.monotonicMs();
     const leaves = announcement.draining || this.cursor.state === 'gone';
     this.run = {
       announcement,
@@ -114,12 +215,15 @@
       announcedMs: nowMs,
       coldUntilMs: nowMs + announcement.coldLeftMs,
       leavingMs: leaves ? (before?.leavingMs ?? nowMs) : undefined,
+      leaveSequence: before?.leavingMs === undefined ? announcement.sequence : before.leaveSequence,
     };
     if (this.cursor.state !== 'gone')
       this.cursor.send({ type: announcement.draining ? 'draining' : 'ready' });
     this.reportPresence(before);
+    const accept = (grant: AnnouncementReply['grant']): void =>
+      this.acceptAnnouncement(incarnation, grant, reply);
     if (announcement.service !== this.options.identity.service) {
-      reply({ accepted: true, grant: undefined });
+      accept(undefined);
       return;
     }
     this.options.onCheckIn({
@@ -128,10 +232,46 @@
       released: announcement.released,
       leaving: leaves,
       slots: announcement.slots,
-      reply: (grant) => reply({ accepted: true, grant }),
+      reply: accept,
     });
   }
 
+  private acceptAnnouncement(
+    incarnation: string,
+    grant: AnnouncementReply['grant'],
+    reply: (reply: AnnouncementReply) => void,
+  ): void {
+    if (this.run?.incarnation !== incarnation || this.run.leavingMs === undefined) {
+      reply({ accepted: true, grant });
+      return;
+    }
+    this.acknowledgeLeave(incarnation, (recorded) =>
+      reply(recorded ? { accepted: true, grant } : { accepted: false, retry: true, grant: undefined }),
+    );
+  }
+
+  /** Replies to a leaving run when the store contains its leave, or refuses it so that the call is repeated. */
+  private acknowledgeLeave(incarnation: string, reply: (recorded: boolean) => void): void {
+    const { clock, logger } = this.options;
+    const refuse = this.acknowledgements.add(incarnation, this.describe().state, (recorded) => {
+      if (!recorded) logger.log('leaveNotRecorded', { step: 'store', incarnation });
+      reply(recorded);
+    });
+    const { storedEntry } = this.publisher;
+    if (storedEntry !== undefined) this.acknowledgements.noteStored(storedEntry);
+    clock.schedule(RECORD_TIMEOUT_MS, refuse);
+  }
+
+  /**
+   * Whether a run may be used as far as a former process is concerned. While its entry cannot be read, the run must show by
+   * repeated announcements that it goes on: a server that has left sends none, but one may arrive late.
+   */
+  private isConfirmed(announcement: Announcement, incarnation: string, nowMs: number): boolean {
+    if (this.recordCursor.state === 'known' || announcement.draining) return true;
+    if (this.run?.incarnation === incarnation) return true;
+    return this.confirmation.note(incarnation, announcement, nowMs);
+  }
+
   /** Whether an announcement cannot come from the backend server beside this daemon: its service is not configured. */
   private isForeign({ service }: Announcement): boolean {
     return service !== this.options.identity.service && !this.options.isConfigured(service);
@@ -144,25 +284,45 @@
     return announcement.bornMs < current.bornMs;
   }
 
-  private noteReplacedRun(run: Run): void {
+  private noteReplacedRun(run: ServerRun): void {
     this.options.logger.log('serverReplaced', { incarnation: run.incarnation });
-    this.cursor.send({ type: 'died' });
+    this.cursor.send({ type: 'replaced' });
     this.run = undefined;
     this.options.onEnded(run.incarnation, true);
   }
 
-  private noteWithdrawal(instanceId: string, bornMs: number | undefined): void {
-    const { run } = this;
-    if (run?.announcement.instanceId !== instanceId) return;
-    if (bornMs !== undefined && bornMs !== run.announcement.bornMs) {
+  private noteWithdrawal(
+    instanceId: string,
+    bornMs: number | undefined,
+    reply: (recorded: boolean) => void,
+  ): void {
+    const { identity, clock } = this.options;
+    // An announcement may still arrive after the withdrawal of its run. Without a start time, the run began before now.
+    const unknown = {
+      instanceId,
+      bornMs: bornMs ?? clock.wallMs(),
+      sequence: 0,
+      service: identity.service,
+      slots: 1,
+    };
+    const run = this.run ?? createLeftRun(unknown, clock.monotonicMs());
+    if (
+      run.announcement.instanceId !== instanceId ||
+      (bornMs ?? run.announcement.bornMs) !== run.announcement.bornMs
+    ) {
       this.options.logger.log('withdrawalOutdated', { instanceId, bornMs, current: run.incarnation });
+      // A former run is in use no longer; a later one that has not announced itself yet repeats its withdrawal.
+      reply(bornMs === undefined || bornMs <= run.announcement.bornMs);
       return;
     }
-    if (!this.cursor.send({ type: 'withdrawn' })) return;
-    const before = run;
-    this.run = { ...run, leavingMs: run.leavingMs ?? this.options.clock.monotonicMs() };
-    this.reportPresence(before);
-    this.options.onEnded(run.incarnation, false);
+    if (this.cursor.send({ type: 'withdrawn' })) {
+      const { leavingMs } = run;
+      const leaveSequence = leavingMs === undefined ? run.announcement.sequence : run.leaveSequence;
+      this.run = { ...run, leavingMs: leavingMs ?? this.options.clock.monotonicMs(), leaveSequence };
+      this.reportPresence(run);
+      this.options.onEnded(run.incarnation, false);
+    }
+    this.acknowledgeLeave(run.incarnation, reply);
   }
 
   private noteEvidence({ kind, incarnation }: PresenceEvidence): void {
@@ -183,7 +343,7 @@
    * without a listener for a moment; a second one does, if the run has not announced itself in between. A leaving server
    * may close its port while it works on its last requests.
    */
-  private provesEnd({ incarnation, announcedMs, leavingMs }: Run): boolean {
+  private provesEnd({ incarnation, announcedMs, leavingMs }: ServerRun): boolean {
     if (leavingMs !== undefined) return false;
     if (this.refusedConnection !== undefined) return this.refusedConnection.isSilent;
     const { announceEveryMs, clock } = this.options;
@@ -201,12 +361,12 @@
     this.options.onProbeNeeded();
   }
 
-  private reportPresence(before: Run | undefined): void {
+  private reportPresence(before: ServerRun | undefined): void {
     const presence = this.describe();
     this.options.onPresence(presence);
     if (before?.leavingMs === undefined && presence.leavingMs !== undefined)
       this.options.logger.log('serverLeaves', { incarnation: presence.incarnation, state: presence.state });
-    this.schedulePublish(PUBLISH_DELAY_MS);
+    this.publisher.schedule();
   }
 
   private describe(): Presence {
@@ -224,62 +384,8 @@
     };
   }
 
-  private schedulePublish(delayMs: number): void {
-    if (this.cancelPublish !== undefined || this.pending !== undefined) return;
-    if (isSameEntry(this.published, this.createEntry())) return;
-    this.cancelPublish = this.options.clock.schedule(delayMs, () => this.post({ type: 'publish' }));
-  }
-
-  private publish(): void {
-    const entry = this.createEntry();
-    if (this.pending !== undefined || isSameEntry(this.published, entry)) return;
-    this.pending = entry;
-    const { store, identity } = this.options;
-    void store
-      .put(collections.servers, identity.serverId, entry, this.revision)
-      .then((result) => this.post({ type: 'published', result }));
+  private noteStored(entry: ServerEntry): void {
+    this.recordCursor.send({ type: 'read' });
+    this.acknowledgements.noteStored(entry);
   }
-
-  private notePublished(result: Either<RouterError, CollectionPutResult>): void {
-    const entry = this.pending;
-    this.pending = undefined;
-    result.caseOf({
-      Left: (err) => {
-        this.options.logger.log('publishFailed', { step: 'store', code: err.fields.code });
-        this.schedulePublish(PUBLISH_RETRY_MS);
-      },
-      Right: (put) => {
-        if (put.type === 'accepted') {
-          this.published = entry;
-          this.revision = put.item.revision;
-          this.schedulePublish(PUBLISH_DELAY_MS);
-          return;
-        }
-        this.revision = put.current?.revision ?? 0;
-        this.schedulePublish(0);
-      },
-    });
-  }
-
-  private createEntry(): ServerEntry {
-    const { identity, address, processId } = this.options;
-    const presence = this.describe();
-    return {
-      serverId: identity.serverId,
-      address,
-      failureDomain: identity.failureDomain,
-      region: identity.region,
-      service: presence.service,
-      instanceId: presence.instanceId,
-      incarnation: presence.incarnation,
-      state: presence.state,
-      slots: presence.slots,
-      term: this.term,
-      processId,
-    };
-  }
-}
-
-function isSameEntry(left: ServerEntry | undefined, right: ServerEntry): boolean {
-  return left !== undefined && JSON.stringify(left) === JSON.stringify(right);
 }
--- a/packages/mesh/src/ServerEntry.ts
+++ b/packages/mesh/src/ServerEntry.ts
@@ -1,3 +1,5 @@
+import type { LeaveRecord } from '#mesh/LeaveRecord.js';
+
 /** Store entry in which a daemon publishes itself and the backend server beside it. */
 export interface ServerEntry {
   readonly serverId: string;
@@ -16,4 +18,6 @@
   readonly term: number;
   /** Identifies the run of the daemon. */
   readonly processId: string;
+  /** Absent unless the backend server drains or has withdrawn. */
+  readonly leave?: LeaveRecord | undefined;
 }
--- a/packages/mesh/src/ServerEntryCodec.ts
+++ b/packages/mesh/src/ServerEntryCodec.ts
@@ -2,6 +2,7 @@
 import { countCodec } from '#codec/CountCodec.js';
 import { createChoiceCodec } from '#codec/CreateChoiceCodec.js';
 import { createObjectCodec } from '#codec/CreateObjectCodec.js';
+import { createOptionalCodec } from '#codec/CreateOptionalCodec.js';
 import { idCodec } from '#codec/IdCodec.js';
 import { labelCodec } from '#codec/LabelCodec.js';
 import { ordinalCodec } from '#codec/OrdinalCodec.js';
@@ -19,4 +20,5 @@
   slots: countCodec,
   term: ordinalCodec,
   processId: idCodec,
+  leave: createOptionalCodec(createObjectCodec({ bornMs: ordinalCodec, sequence: ordinalCodec })),
 });
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -280,6 +280,7 @@
     });
     this.daemon = { clock, store, tasks, balance };
     this.applyPath(this.storePath);
+    clock.run(() => tasks.start());
   }
 
   /** Reports the load of the backend server. The wait grows with the utilization of its slots. */
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -3,6 +3,7 @@
 import { ManualClock } from '#core/ManualClock.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import type { Presence } from '#mesh/Presence.js';
 import { PresenceTask } from '#mesh/PresenceTask.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 
@@ -23,30 +24,55 @@
 class PresenceRun {
   public readonly clock = new ManualClock();
   public readonly ended: (readonly [incarnation: string, proven: boolean])[] = [];
+  public readonly store: MemoryCollectionStore;
   /** Number of connections requested to check whether the backend server refuses them. */
   public probes = 0;
-  public readonly task = new PresenceTask({
-    identity: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
-    processId: 'p',
-    address: '10.0.0.1:2',
-    announceEveryMs: 900,
-    store: new MemoryCollectionStore(),
-    clock: this.clock,
-    logger: new Logger('test'),
-    isConfigured: (service) => service === 't',
-    onPresence: () => undefined,
-    onCheckIn: ({ reply }) => reply({ rows: [], holdMs: 1_000 }),
-    onEnded: (incarnation, proven) => this.ended.push([incarnation, proven]),
-    onProbeNeeded: () => {
-      this.probes += 1;
-    },
-  });
+  public state: Presence['state'] = 'absent';
+  public readonly task: PresenceTask;
+
+  /** Another process of the same daemon has the same store and another `processId`. */
+  public constructor(store = new MemoryCollectionStore(), processId = 'p') {
+    this.store = store;
+    this.task = new PresenceTask({
+      identity: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
+      processId,
+      address: '10.0.0.1:2',
+      announceEveryMs: 900,
+      store,
+      clock: this.clock,
+      logger: new Logger('test'),
+      isConfigured: (service) => service === 't',
+      onPresence: ({ state }) => {
+        this.state = state;
+      },
+      onCheckIn: ({ reply }) => reply({ rows: [], holdMs: 1_000 }),
+      onEnded: (incarnation, proven) => this.ended.push([incarnation, proven]),
+      onProbeNeeded: () => {
+        this.probes += 1;
+      },
+    });
+    this.task.start();
+  }
 
   public announce(change: Partial<Announcement> = {}): Promise<AnnouncementReply> {
     const changed = { ...announcement, ...change };
     return this.task.ask((reply) => ({ type: 'announced', announcement: changed, reply }));
   }
 
+  /** Announces a leave and lets the time pass in which it is recorded or refused. */
+  public async drain(change: Partial<Announcement> = {}): Promise<AnnouncementReply> {
+    const reply = this.announce({ draining: true, ...change });
+    await this.settle();
+    return reply;
+  }
+
+  /** Withdraws a run and lets the time pass in which that is recorded or refused. */
+  public async withdraw(bornMs: number | undefined = 5_000, instanceId = 'i'): Promise<boolean> {
+    const reply = this.task.ask<boolean>((each) => ({ type: 'withdrawn', instanceId, bornMs, reply: each }));
+    await this.settle();
+    return reply;
+  }
+
   /** Reports that a connection to the announced run was refused. */
   public async reportRefused(): Promise<void> {
     this.task.post({ type: 'evidence', evidence: { kind: 'refused', incarnation: 'i/5000' } });
@@ -57,6 +83,21 @@
     this.clock.advance(ms);
     await Promise.resolve();
   }
+
+  /** Lets 900 ms pass in steps, after each of which the store has responded. */
+  public async settle(): Promise<void> {
+    for (let step = 0; step < 15; step += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+      this.clock.advance(60);
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  /** Kills the process and starts the next one on the same store. */
+  public restart(processId: string): PresenceRun {
+    this.task.stop();
+    return new PresenceRun(this.store, processId);
+  }
 }
 
 t.test('announcement of an unknown service does not replace the server', async (t) => {
@@ -78,11 +119,9 @@
   // Guards against a restarted server with the same instance id that is taken for ended.
   const run = new PresenceRun();
   await run.announce();
-  const leave = (bornMs: number | undefined): Promise<void> =>
-    run.task.ask((reply) => ({ type: 'withdrawn', instanceId: 'i', bornMs, reply: () => reply() }));
-  await leave(4_000);
+  await run.withdraw(4_000);
   t.same(run.ended, []);
-  await leave(5_000);
+  await run.withdraw(5_000);
   t.same(run.ended, [['i/5000', false]]);
 });
 
@@ -155,9 +194,163 @@
 t.test('connection refused by a leaving run proves nothing', async (t) => {
   // A leaving server may close its port while it still works on requests for its keys.
   const run = new PresenceRun();
-  await run.announce({ draining: true });
+  await run.drain();
   await run.reportRefused();
   await run.advance(2_000);
   await run.reportRefused();
   t.same(run.ended.at(-1), ['i/5000', false]);
 });
+
+t.test('withdrawn run is not used by later processes', async (t) => {
+  // After a restart of its daemon, an announcement that arrives late made a server that had left available to all daemons.
+  const first = new PresenceRun();
+  await first.announce();
+  t.equal(await first.withdraw(), true);
+  const second = first.restart('q');
+  await second.announce({ sequence: 9 });
+  t.equal(second.state, 'gone');
+  await second.settle();
+  const third = second.restart('r');
+  await third.announce({ sequence: 10 });
+  t.equal(third.state, 'gone', 'after another restart');
+});
+
+t.test('withdrawn run is not used if its process ends with the acknowledgement', async (t) => {
+  // Guards against an acknowledgement that is sent before the store contains what it promises.
+  const first = new PresenceRun();
+  await first.announce();
+  const reply = first.task.ask<boolean>((each) => ({
+    type: 'withdrawn',
+    instanceId: 'i',
+    bornMs: 5_000,
+    reply: (recorded) => {
+      first.task.stop();
+      each(recorded);
+    },
+  }));
+  await first.settle();
+  t.equal(await reply, true);
+  const second = first.restart('q');
+  await second.announce({ sequence: 9 });
+  t.equal(second.state, 'gone');
+});
+
+t.test('draining run is not used by a later process', async (t) => {
+  // Guards against an announcement that was sent before the drain and arrives after a restart.
+  const first = new PresenceRun();
+  await first.announce({ sequence: 3 });
+  t.match(await first.drain({ sequence: 5 }), { accepted: true });
+  const second = first.restart('q');
+  await second.announce({ sequence: 4 });
+  t.equal(second.state, 'draining');
+  await second.announce({ sequence: 6, draining: true });
+  t.equal(second.state, 'draining');
+});
+
+t.test('leave is refused while the store cannot record it', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  await run.settle();
+  run.store.faultMode = 'down';
+  t.match(await run.drain({ sequence: 4 }), { accepted: false, retry: true });
+  t.equal(run.state, 'draining', 'it takes effect in this process');
+  t.equal(await run.withdraw(), false);
+  t.equal(run.state, 'gone');
+  run.store.faultMode = 'none';
+  await run.settle();
+  t.equal(await run.withdraw(), true);
+});
+
+t.test('leave whose write lost its reply is found in the store', async (t) => {
+  const run = new PresenceRun();
+  await run.announce();
+  await run.settle();
+  run.store.faultMode = 'repliesLost';
+  t.equal(await run.withdraw(), true);
+  t.match(run.store.read('servers', 'a')?.value, { state: 'gone', leave: { bornMs: 5_000 } });
+});
+
+t.test('withdrawal before the first announcement is remembered', async (t) => {
+  // A restarted daemon acknowledged a withdrawal of a run that it did not know, and forgot it.
+  const run = new PresenceRun();
+  t.equal(await run.withdraw(), true);
+  await run.announce();
+  t.equal(run.state, 'gone');
+  const next = run.restart('q');
+  await next.announce({ sequence: 8 });
+  t.equal(next.state, 'gone');
+});
+
+t.test('run after a withdrawn one is used', async (t) => {
+  // Guards against a server that stays out of use because a former run with its id has left.
+  const first = new PresenceRun();
+  await first.announce();
+  await first.withdraw();
+  const second = first.restart('q');
+  await second.announce({ bornMs: 6_000, sequence: 1 });
+  t.equal(second.state, 'ready');
+  await second.settle();
+  const third = second.restart('r');
+  await third.announce({ bornMs: 6_000, sequence: 2 });
+  t.equal(third.state, 'ready');
+});
+
+t.test('single announcement is not trusted while the entry cannot be read', async (t) => {
+  // A new process that cannot read the store does not know whether the run has left.
+  const first = new PresenceRun();
+  await first.announce();
+  await first.withdraw();
+  first.store.faultMode = 'down';
+  const second = first.restart('q');
+  await second.announce({ sequence: 9 });
+  t.equal(second.state, 'absent');
+  first.store.faultMode = 'none';
+  await second.settle();
+  t.equal(second.state, 'gone', 'the entry was read');
+});
+
+t.test('server that goes on announcing itself is used in an outage', async (t) => {
+  // Guards against a live server that is out of use for the length of an outage of the store.
+  const first = new PresenceRun();
+  await first.announce();
+  await first.settle();
+  first.store.faultMode = 'down';
+  const second = first.restart('q');
+  for (let sequence = 4; sequence < 7; sequence += 1) {
+    t.equal(second.state, 'absent');
+    t.match(await second.announce({ sequence }), { accepted: true });
+    await second.settle();
+  }
+  t.equal(second.state, 'ready');
+});
+
+t.test('entry that is read late ends the use of a run that has left', async (t) => {
+  const first = new PresenceRun();
+  await first.announce();
+  await first.withdraw();
+  first.store.faultMode = 'down';
+  const second = first.restart('q');
+  for (let sequence = 4; sequence < 7; sequence += 1) {
+    await second.announce({ sequence });
+    await second.settle();
+  }
+  t.equal(
+    second.state,
+    'ready',
+    'delayed announcements at intervals cannot be told from those of a live server',
+  );
+  first.store.faultMode = 'none';
+  await second.settle();
+  t.equal(second.state, 'gone');
+});
+
+t.test('withdrawn run that is silent is not used again', async (t) => {
+  // Evidence of its end made it absent, and a late announcement of the same run made it ready.
+  const run = new PresenceRun();
+  await run.announce();
+  await run.withdraw();
+  await run.advance(3_000);
+  run.task.post({ type: 'evidence', evidence: { kind: 'silent', incarnation: 'i/5000' } });
+  await run.announce({ sequence: 9 });
+  t.equal(run.state, 'gone');
+});
