CrashMarkTask: marks of crashing requests outlive the processes that set them

Cause: marks were sent once, when a crash was seen, and kept in memory. A daemon that started, or whose connection was cut at that moment, had none. Ruled out for this case: the expiry of marks after 60 s.

--- a/packages/mesh/src/Collections.ts
+++ b/packages/mesh/src/Collections.ts
@@ -5,4 +5,5 @@
   servers: 'servers',
   ranges: 'ranges',
   leases: 'leases',
+  crashes: 'crashes',
 });
--- a/packages/mesh/src/CrashRecord.ts
+++ b/packages/mesh/src/CrashRecord.ts
@@ -2,6 +2,7 @@
 import { Quarantine } from '#admission/Quarantine.js';
 import type { Logger } from '#core/Logger.js';
 import { createBackendRequestFingerprint } from '#mesh/CreateBackendRequestFingerprint.js';
+import { markRetentionMs } from '#mesh/MarkRetentionMs.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 
 /**
@@ -9,9 +10,8 @@
  */
 const CRASH_WINDOW_MS = 600;
 
-/** Capacity of the quarantine, in marked requests, and how long a mark is kept. */
+/** Capacity of the quarantine, in marked requests. */
 const MAX_MARKS = 5_000;
-const MARK_RETENTION_MS = 60_000;
 
 interface Loss {
   readonly request: BackendRequest;
@@ -20,7 +20,7 @@
 
 /** Detects requests that crash the backend servers on which they run. Times are monotonic, in milliseconds. */
 export class CrashRecord {
-  private readonly quarantine = new Quarantine(MAX_MARKS, MARK_RETENTION_MS);
+  private readonly quarantine = new Quarantine(MAX_MARKS, markRetentionMs);
   private readonly logger: Logger;
   private readonly onMarks: (marks: readonly CrashMark[]) => void;
   private losses: readonly Loss[] = [];
--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -1,13 +1,11 @@
 import type { Codec } from 'purify-ts';
-import type { CrashMark } from '#admission/CrashMark.js';
 import { createListCodec } from '#codec/CreateListCodec.js';
 import { createNumberCodec } from '#codec/CreateNumberCodec.js';
 import { createObjectCodec } from '#codec/CreateObjectCodec.js';
-import { flagCodec } from '#codec/FlagCodec.js';
 import { idCodec } from '#codec/IdCodec.js';
-import { labelCodec } from '#codec/LabelCodec.js';
 import { measureCodec } from '#codec/MeasureCodec.js';
 import { RouterError } from '#core/RouterError.js';
+import { crashMarkCodec } from '#mesh/CrashMarkCodec.js';
 import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
 import type { PeerCallHandlers } from '#mesh/PeerCallHandlers.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
@@ -24,13 +22,7 @@
   speedup: measureCodec,
 });
 
-const crashMark: Codec<CrashMark> = createObjectCodec({
-  fingerprint: idCodec,
-  death: labelCodec,
-  cleared: flagCodec,
-});
-
-const marks = createObjectCodec({ marks: createListCodec(crashMark, MAX_MARKS) });
+const marks = createObjectCodec({ marks: createListCodec(crashMarkCodec, MAX_MARKS) });
 
 /**
  * Creates the handlers of RPC calls from other daemons. A call with malformed parameters fails with
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -3,7 +3,6 @@
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
 import type { Task } from '#core/Task.js';
-import type { CrashMark } from '#admission/CrashMark.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
@@ -12,6 +11,7 @@
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import { BalanceTask } from '#mesh/BalanceTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
+import { CrashMarkTask } from '#mesh/CrashMarkTask.js';
 import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
 import { daemonLifeChart } from '#mesh/DaemonLifeChart.js';
 import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
@@ -72,6 +72,7 @@
   private readonly storeLink: StoreLinkTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
+  private readonly crashMarks: CrashMarkTask;
   private readonly ownership: OwnershipTasks;
   private readonly balance: BalanceTask;
   private readonly relay: RelayTask;
@@ -125,7 +126,16 @@
       onEvidence: (evidence) => this.ownership.presence.post({ type: 'evidence', evidence }),
       onLoad: (load, baseSlowdown) => this.balance.post({ type: 'load', load, baseSlowdown }),
       onDemand: (key, workMs) => this.ownership.ranges.post({ type: 'demanded', key, workMs }),
-      onMarks: (marks) => this.sendMarks(marks),
+      onMarks: (marks) => this.crashMarks.post({ type: 'marked', marks }),
+    });
+    this.crashMarks = new CrashMarkTask({
+      identity,
+      store,
+      clock,
+      logger: new Logger('crashMarks'),
+      call: (address, method, params, reply) =>
+        this.relay.post({ type: 'call', address, method, params, reply }),
+      onRestored: (marks) => this.server.post({ type: 'marks', marks }),
     });
     this.ownership = new OwnershipTasks({
       identity,
@@ -205,6 +215,7 @@
     this.storeLink.start();
     this.directory.start();
     this.ownership.start();
+    this.crashMarks.start();
     this.arrivals.start();
     this.logger.log('started', { server: this.options.identity.serverId, process: this.options.processId });
   }
@@ -323,6 +334,7 @@
       this.entry,
       this.server,
       this.ownership,
+      this.crashMarks,
       this.balance,
       this.relay,
       this.receiver,
@@ -335,6 +347,7 @@
     this.entry.post({ type: 'view', view });
     this.server.post({ type: 'view', view });
     this.ownership.applyView(view);
+    this.crashMarks.post({ type: 'view', view });
     this.balance.post({ type: 'view', view });
     const { routes } = view;
     if (routes !== undefined && routes !== before?.routes)
@@ -360,11 +373,6 @@
     if (server.serverId === this.options.identity.serverId) this.server.post({ type: 'cancel', id });
     else this.relay.post({ type: 'cancel', id, address: server.address });
   }
-
-  /** Sends crash marks of requests to the other daemons of the service. */
-  private sendMarks(marks: readonly CrashMark[]): void {
-    this.callServicePeers(rpcMethods.marks, { marks });
-  }
 }
 
 function postTo<M>(task: Task<M>, message: M): true {
