PresenceTask: a run that starts after its clock was set back is used

Seen by reading in the review: a run whose start time lies before that of the run it follows was refused for good, as if its announcements were late. Its keys, or its slots, stayed out of use.

Change: such a run follows a known one that has been silent for 12 s, longer than any grant lasts, once it has announced itself three times at intervals. The end of the silent run does not count as proven.

--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -9,6 +9,7 @@
 import { collections } from '#mesh/Collections.js';
 import { createLeftRun } from '#mesh/CreateLeftRun.js';
 import { createServerEntry } from '#mesh/CreateServerEntry.js';
+import { describePresence } from '#mesh/DescribePresence.js';
 import { EntryPublisher } from '#mesh/EntryPublisher.js';
 import { formatIncarnation } from '#mesh/FormatIncarnation.js';
 import { LeaveAcknowledgements } from '#mesh/LeaveAcknowledgements.js';
@@ -38,6 +39,12 @@
 /** Upper limit for the calls that wait until the entry of a former process has been read. */
 const MAX_WAITING_CALLS = 64;
 
+/**
+ * Silence of the known run after which one that says it started earlier may follow it. It is longer than any grant lasts and
+ * than announcements are delayed.
+ */
+const MAX_SILENCE_MS = 12_000;
+
 /** Missed announcements after which a silent backend server counts as absent. */
 const MISSED_ANNOUNCEMENTS = 2;
 
@@ -54,6 +61,7 @@
   private readonly cursor = new ChartCursor<PresenceEvent>(presenceChart);
   private readonly recordCursor = new ChartCursor<PresenceRecordEvent>(presenceRecordChart);
   private readonly confirmation: RunConfirmation;
+  private readonly successor: RunConfirmation;
   private readonly acknowledgements = new LeaveAcknowledgements();
   private waitingCalls: readonly ServerCall[] = [];
   private run: ServerRun | undefined;
@@ -66,6 +74,7 @@
     super();
     this.options = options;
     this.confirmation = new RunConfirmation(options.announceEveryMs);
+    this.successor = new RunConfirmation(options.announceEveryMs);
     this.publisher = new EntryPublisher({
       ...options,
       createEntry: () => createServerEntry(options, this.describe(), this.run, this.term),
@@ -188,7 +197,8 @@
       reply({ accepted: false, grant: undefined });
       return;
     }
-    if (this.isOutdated(announcement, incarnation)) {
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.isOutdated(announcement, incarnation, nowMs)) {
       this.options.logger.log('announcementOutdated', {
         incarnation,
         sequence: announcement.sequence,
@@ -201,12 +211,12 @@
     if (incarnation === this.refusedConnection?.incarnation)
       this.options.logger.log('refusalRefuted', { incarnation, sequence: announcement.sequence });
     this.refusedConnection = undefined;
-    const nowMs = this.options.clock.monotonicMs();
     if (!this.isConfirmed(announcement, incarnation, nowMs)) {
       reply({ accepted: true, grant: undefined });
       return;
     }
-    if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplacedRun(this.run);
+    if (this.run !== undefined && this.run.incarnation !== incarnation)
+      this.noteReplacedRun(this.run, announcement.bornMs >= this.run.announcement.bornMs);
     const before = this.run;
     const leaves = announcement.draining || this.cursor.state === 'gone';
     this.run = {
@@ -277,18 +287,23 @@
     return service !== this.options.identity.service && !this.options.isConfigured(service);
   }
 
-  private isOutdated(announcement: Announcement, incarnation: string): boolean {
+  /**
+   * Whether an announcement is older than what is known. The wall clock of the VM may have been set back before the next run
+   * started, so a run with an earlier start time that goes on announcing itself follows one that has been silent for long.
+   */
+  private isOutdated(announcement: Announcement, incarnation: string, nowMs: number): boolean {
     if (this.run === undefined) return false;
-    const current = this.run.announcement;
+    const { announcement: current, announcedMs } = this.run;
     if (incarnation === this.run.incarnation) return announcement.sequence <= current.sequence;
-    return announcement.bornMs < current.bornMs;
+    if (announcement.bornMs >= current.bornMs) return false;
+    return !this.successor.note(incarnation, announcement, nowMs) || nowMs - announcedMs < MAX_SILENCE_MS;
   }
 
-  private noteReplacedRun(run: ServerRun): void {
+  private noteReplacedRun(run: ServerRun, isProven: boolean): void {
     this.options.logger.log('serverReplaced', { incarnation: run.incarnation });
     this.cursor.send({ type: 'replaced' });
     this.run = undefined;
-    this.options.onEnded(run.incarnation, true);
+    this.options.onEnded(run.incarnation, isProven);
   }
 
   private noteWithdrawal(
@@ -370,18 +385,7 @@
   }
 
   private describe(): Presence {
-    const { run } = this;
-    return {
-      state: this.cursor.state as Presence['state'],
-      service: run?.announcement.service ?? this.options.identity.service,
-      address: run?.announcement.address ?? '',
-      instanceId: run?.announcement.instanceId ?? '',
-      incarnation: run?.incarnation ?? '',
-      slots: run?.announcement.slots ?? 1,
-      coldUntilMs: run?.coldUntilMs ?? 0,
-      announcedMs: run?.announcedMs ?? 0,
-      leavingMs: run?.leavingMs,
-    };
+    return describePresence(this.cursor.state as Presence['state'], this.run, this.options.identity.service);
   }
 
   private noteStored(entry: ServerEntry): void {
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -354,3 +354,31 @@
   await run.announce({ sequence: 9 });
   t.equal(run.state, 'gone');
 });
+
+t.test('run that starts after its clock was set back is used', async (t) => {
+  // It says that it started before the run that it follows, and was refused for good.
+  const run = new PresenceRun();
+  await run.announce();
+  const successor = { instanceId: 'j', bornMs: 1_000 };
+  for (let sequence = 1; sequence <= 12; sequence += 1) {
+    t.match(
+      await run.announce({ ...successor, sequence }),
+      { accepted: false },
+      `after ${sequence} announcements`,
+    );
+    await run.settle();
+  }
+  await run.advance(1_300);
+  t.match(await run.announce({ ...successor, sequence: 13 }), { accepted: true });
+  t.same(run.ended, [['i/5000', false]], 'the end of the silent run is not proven');
+});
+
+t.test('delayed announcements of a former run do not replace a live one', async (t) => {
+  const run = new PresenceRun();
+  for (let sequence = 10; sequence < 30; sequence += 1) {
+    await run.announce({ sequence });
+    await run.settle();
+    t.match(await run.announce({ bornMs: 4_000, sequence }), { accepted: false });
+  }
+  t.same(run.ended, []);
+});
