CrashMarkTask: stored marks from far in the future do not count

Cause: a mark of a VM whose clock is far ahead counted until that time was past, so that each restart held its request for a minute more.

Change: the bound for clocks that differ holds either way.

--- a/packages/mesh/src/CrashMarkTask.ts
+++ b/packages/mesh/src/CrashMarkTask.ts
@@ -137,7 +137,7 @@
 
   private isRecent({ markedMs }: StoredCrashMark): boolean {
     const ageMs = this.options.clock.wallMs() - markedMs;
-    return ageMs < markRetentionMs + MAX_CLOCK_DIFFERENCE_MS;
+    return ageMs > -MAX_CLOCK_DIFFERENCE_MS && ageMs < markRetentionMs + MAX_CLOCK_DIFFERENCE_MS;
   }
 
   private write(): void {
--- a/packages/mesh/test/crashMarks.test.ts
+++ b/packages/mesh/test/crashMarks.test.ts
@@ -169,6 +169,17 @@
   t.same(third.restored, []);
 });
 
+t.test('stored marks from far in the future do not count', async (t) => {
+  // Guards against a request that each restart holds again, after a VM whose clock was far ahead marked it.
+  const ahead = new ManualClock();
+  ahead.advance(600_000);
+  const first = new MarkRun(new MemoryCollectionStore(), 'a', 's', ahead);
+  await first.mark(createMark('x'));
+  const second = new MarkRun(first.store, 'b');
+  await second.advance(0);
+  t.same(second.restored, []);
+});
+
 t.test('cleared mark stays cleared', async (t) => {
   const first = new MarkRun();
   await first.mark(createMark('x', 'a/1'));
