CallerTask: log connections that the daemon ends with open requests

No line told which requests were open on such a connection, or whether a response had left the process: Node.js emits 'finish' for the pending responses of a destroyed connection, so that they counted as delivered.

--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -4,6 +4,7 @@
 import type { CallerBodyFault } from '#mesh/CallerBodyFault.js';
 import type { CallerBodySignal } from '#mesh/CallerBodySignal.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
+import type { ConnectionSide } from '#mesh/ConnectionSide.js';
 
 /** HTTP events, replies and settings that `CallerTask` handles. */
 export type CallerMessage =
@@ -14,11 +15,12 @@
   /** The rest of a refused request's body did not arrive in time. */
   | { readonly type: 'discardExpired'; readonly exchange: number }
   | { readonly type: 'replied'; readonly exchange: number; readonly reply: CallerReply }
-  /** The last byte of a response was handed to the operating system. */
-  | { readonly type: 'flushed'; readonly exchange: number }
+  /** The last byte of a response was handed to the operating system, or, if not `written`, its connection was destroyed. */
+  | { readonly type: 'flushed'; readonly exchange: number; readonly written: boolean }
   /** Bytes on a connection break the protocol; `code` is the error code of Node.js. */
   | { readonly type: 'malformed'; readonly socket: Socket; readonly code: string }
-  | { readonly type: 'closed'; readonly socket: Socket }
+  /** A connection has ended; `by` is the side that ended it first. */
+  | { readonly type: 'closed'; readonly socket: Socket; readonly by: ConnectionSide }
   | { readonly type: 'limits'; readonly limits: CallerLimits }
   /** The daemon shuts down: connections are closed after their last response. */
   | { readonly type: 'stopping' }
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -14,6 +14,7 @@
 import type { CallerMessage } from '#mesh/CallerMessage.js';
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
+import type { ConnectionSide } from '#mesh/ConnectionSide.js';
 import { createBodyRefusal } from '#mesh/CreateBodyRefusal.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
@@ -77,8 +78,10 @@
       options.onAccepted();
       // After the caller's end of stream no response can reach it; 'end' is emitted some iterations before
       // 'close'.
-      socket.on('end', () => this.post({ type: 'closed', socket }));
-      socket.on('close', () => this.post({ type: 'closed', socket }));
+      socket.on('end', () => this.post({ type: 'closed', socket, by: 'caller' }));
+      socket.on('close', (hadError) =>
+        this.post({ type: 'closed', socket, by: hadError ? 'caller' : 'daemon' }),
+      );
     });
   }
 
@@ -117,13 +120,13 @@
         this.reply(message.exchange, message.reply);
         return;
       case 'flushed':
-        this.noteFlushed(message.exchange);
+        this.noteFlushed(message.exchange, message.written);
         return;
       case 'malformed':
         this.noteMalformed(message.socket, message.code);
         return;
       case 'closed':
-        this.noteClosed(message.socket);
+        this.noteClosed(message.socket, message.by);
         return;
       case 'limits':
         this.applyLimits(message.limits);
@@ -143,7 +146,14 @@
 
   private open(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    if (this.closing.has(socket) || socket.destroyed) return;
+    if (this.closing.has(socket) || socket.destroyed) {
+      this.options.logger.log('requestIgnored', {
+        step: 'parse',
+        id: readId(req, this.options.headers.requestId),
+        cut: socket.destroyed,
+      });
+      return;
+    }
     const number = this.nextExchange;
     this.nextExchange += 1;
     const arrivedMs = this.options.clock.monotonicMs();
@@ -151,7 +161,8 @@
     const reader = new CallerBodyReader(req, this.bodyLimit, this.budget, (signal) =>
       this.post({ type: 'body', exchange: number, signal }),
     );
-    res.on('finish', () => this.post({ type: 'flushed', exchange: number }));
+    // Node.js emits 'finish' for the pending responses of a destroyed connection, too.
+    res.on('finish', () => this.post({ type: 'flushed', exchange: number, written: !socket.destroyed }));
     this.exchangesBySocket.set(socket, new Set([...(this.exchangesBySocket.get(socket) ?? []), number]));
     this.exchanges.set(number, {
       number,
@@ -237,11 +248,12 @@
     writeCallerReply(res, reply, request.id, this.options.headers, closes);
   }
 
-  private noteFlushed(number: number): void {
+  private noteFlushed(number: number, written: boolean): void {
     const exchange = this.exchanges.get(number);
     if (exchange?.cursor.send({ type: 'flushed' }) !== true) return;
-    const { socket } = exchange;
+    const { socket, request } = exchange;
     this.remove(exchange);
+    if (!written) this.options.logger.log('responseCut', { step: 'deliver', id: request.id });
     if (!this.isIdle(socket)) socket.setTimeout(0);
     else if (this.malformed.has(socket)) socket.destroySoon();
   }
@@ -257,9 +269,10 @@
     else if (this.isIdle(socket)) rejectMalformed(socket, code);
   }
 
-  private noteClosed(socket: Socket): void {
-    const numbers = this.exchangesBySocket.get(socket) ?? [];
+  private noteClosed(socket: Socket, by: ConnectionSide): void {
+    const numbers = [...(this.exchangesBySocket.get(socket) ?? [])];
     this.exchangesBySocket.delete(socket);
+    if (by === 'daemon' && numbers.length > 0) this.logCut(socket, numbers);
     for (const number of numbers) {
       const exchange = this.exchanges.get(number);
       if (exchange === undefined) continue;
@@ -271,6 +284,17 @@
     }
   }
 
+  private logCut(socket: Socket, numbers: readonly number[]): void {
+    const exchanges = numbers.flatMap((number) => this.exchanges.get(number) ?? []);
+    this.options.logger.log('callerConnectionCut', {
+      step: 'deliver',
+      peer: socket.remoteAddress ?? '',
+      stopping: this.stopping,
+      ids: exchanges.map(({ request, cursor }) => `${request.id}/${cursor.state}`).join(','),
+      unsentBytes: socket.writableLength,
+    });
+  }
+
   private remove({ number, socket, reader, cancelTimer }: CallerExchange): void {
     cancelTimer();
     reader.discard();
@@ -297,3 +321,7 @@
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 }
+
+function readId({ headers }: IncomingMessage, name: string): string {
+  return headers[name.toLowerCase()]?.toString() ?? '';
+}
--- /dev/null
+++ b/packages/mesh/src/ConnectionSide.ts
@@ -0,0 +1,2 @@
+/** The side that ended a connection between a caller and a daemon. */
+export type ConnectionSide = 'caller' | 'daemon';
