CallerTask: end connections by half-close, and wait for their callers

Cause: two ends of a connection that lose bytes. closeIdleConnections of node:http, also called by Server.close, takes a connection for idle once end() of its current response was called. The close after the last response meets unread bytes, and the reset destroys what the caller has not received.

Change: CallerConnection (package connection, chart callerConnection.json) is the only way in which a caller's connection ends. Idle connections stay open while the daemon stops; their next response says Connection: close. A stop waits, within the grace period, for connections whose caller has not closed. A response limits the time without progress only while it is being written. A request behind one that asks for the end of its connection is not passed on.

--- /dev/null
+++ b/packages/connection/src/CallerConnectionEvent.ts
@@ -0,0 +1,4 @@
+/** Events of `callerConnectionChart`. */
+export interface CallerConnectionEvent {
+  readonly type: 'lastRead' | 'ended' | 'expired' | 'closed';
+}
--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -8,6 +8,7 @@
 
 /** HTTP events, replies and settings that `CallerTask` handles. */
 export type CallerMessage =
+  | { readonly type: 'connected'; readonly socket: Socket }
   | { readonly type: 'request'; readonly req: IncomingMessage; readonly res: ServerResponse }
   | { readonly type: 'body'; readonly exchange: number; readonly signal: CallerBodySignal }
   /** The body of a request cannot be awaited any longer. */
@@ -21,10 +22,12 @@
   | { readonly type: 'malformed'; readonly socket: Socket; readonly code: string }
   /** A connection has ended; `by` is the side that ended it first. */
   | { readonly type: 'closed'; readonly socket: Socket; readonly by: ConnectionSide }
+  /** A connection was idle for its time limit, or a response on it made no progress. */
+  | { readonly type: 'timedOut'; readonly socket: Socket }
   | { readonly type: 'limits'; readonly limits: CallerLimits }
   /** The daemon shuts down: connections are closed after their last response. */
   | { readonly type: 'stopping' }
   /** Requests whose body has not arrived are refused, and so are new ones with a body. */
   | { readonly type: 'refusing' }
-  /** The process ends: no more connections are accepted. */
+  /** The process ends: no more connections are accepted, and those without open requests end. */
   | { readonly type: 'ending' };
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -1,10 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Socket } from 'node:net';
+import { Server as TcpServer, Socket } from 'node:net';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBudget } from '#core/BodyBudget.js';
 import type { Cancel } from '#core/Cancel.js';
 import type { HeldBody } from '#core/HeldBody.js';
 import { Task } from '#core/Task.js';
+import { CallerConnection } from '#connection/CallerConnection.js';
 import type { CallerLimits } from '#routes/CallerLimits.js';
 import type { CallerBodyFault } from '#mesh/CallerBodyFault.js';
 import { CallerBodyReader } from '#mesh/CallerBodyReader.js';
@@ -35,7 +36,7 @@
 /** Time for the body of a request that names no deadline, in milliseconds. */
 const DEFAULT_BODY_TIMEOUT_MS = 30_000;
 
-/** Time for which the rest of a refused body is read, so that the caller can read its response, in milliseconds. */
+/** Time for which the rest of a refused body is read before its connection ends, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 2_000;
 
 /** A connection whose response makes no progress for this time is closed, in milliseconds. */
@@ -50,16 +51,14 @@
   private readonly server: Server;
   private readonly exchanges = new Map<number, CallerExchange>();
   private readonly exchangesBySocket = new Map<Socket, ReadonlySet<number>>();
-  /** Connections whose last response is being written; later requests on them are ignored. */
-  private readonly closing = new WeakSet<Socket>();
-  /** Connections that are closed after the response to the last request that was read. */
-  private readonly malformed = new WeakSet<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
   /** Memory for the bodies of all requests without a reply. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private bodyLimit = maxBodyBytes;
   private nextExchange = 1;
   private stopping = false;
   private refusing = false;
+  private ending = false;
 
   public constructor(options: CallerOptions) {
     super();
@@ -74,8 +73,11 @@
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       if (socket instanceof Socket) this.post({ type: 'malformed', socket, code: err.code ?? '' });
     });
+    // With this listener, `node:http` does not destroy connections that time out.
+    this.server.on('timeout', (socket: Socket) => this.post({ type: 'timedOut', socket }));
     this.server.on('connection', (socket: Socket) => {
       options.onAccepted();
+      this.post({ type: 'connected', socket });
       // After the caller's end of stream no response can reach it; 'end' is emitted some iterations before
       // 'close'.
       socket.on('end', () => this.post({ type: 'closed', socket, by: 'caller' }));
@@ -90,9 +92,13 @@
     return listenAt(this.server, this.options, MAX_WAITING_CONNECTIONS);
   }
 
-  /** Number of requests whose body is being read, that have no reply, or whose response is being written. */
+  /**
+   * Number of requests whose body is being read, that have no reply, or whose response is being written, and of
+   * connections that wait for their caller to close after the last response.
+   */
   public get load(): number {
-    return this.exchanges.size;
+    const lingering = [...this.connections.values()].filter((connection) => connection.isLingering);
+    return this.exchanges.size + lingering.length;
   }
 
   public override stop(): void {
@@ -104,6 +110,9 @@
 
   protected override receive(message: CallerMessage): void {
     switch (message.type) {
+      case 'connected':
+        this.connections.set(message.socket, new CallerConnection(message.socket, this.options.clock));
+        return;
       case 'request':
         this.open(message.req, message.res);
         return;
@@ -114,7 +123,7 @@
         this.refuseBody(message.exchange, message.fault);
         return;
       case 'discardExpired':
-        this.exchanges.get(message.exchange)?.socket.destroy();
+        this.noteDiscardExpired(message.exchange);
         return;
       case 'replied':
         this.reply(message.exchange, message.reply);
@@ -128,30 +137,36 @@
       case 'closed':
         this.noteClosed(message.socket, message.by);
         return;
+      case 'timedOut':
+        this.noteTimedOut(message.socket);
+        return;
       case 'limits':
         this.applyLimits(message.limits);
         return;
       case 'stopping':
         this.stopping = true;
-        this.server.closeIdleConnections();
         return;
       case 'refusing':
         this.refusing = true;
         for (const { number } of this.exchanges.values()) this.refuseBody(number, 'stopping');
         return;
       case 'ending':
-        this.server.close();
+        this.endIdle();
     }
   }
 
+  /** Accepts no more connections, and ends those without open requests. */
+  private endIdle(): void {
+    this.ending = true;
+    // `close` of `node:http` would destroy connections whose responses are not written yet.
+    TcpServer.prototype.close.call(this.server);
+    for (const [socket, connection] of this.connections) if (this.isIdle(socket)) connection.end();
+  }
+
   private open(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    if (this.closing.has(socket) || socket.destroyed) {
-      this.options.logger.log('requestIgnored', {
-        step: 'parse',
-        id: readId(req, this.options.headers.requestId),
-        cut: socket.destroyed,
-      });
+    if (this.connections.get(socket)?.isOpen !== true) {
+      this.ignore(req);
       return;
     }
     const number = this.nextExchange;
@@ -174,9 +189,17 @@
       body: undefined,
       cancelTimer: request.hasBody ? this.scheduleBodyTimeout(number, request.deadlineMs) : () => undefined,
     });
+    // A request that asks for the end of its connection is the last one on it.
+    if (!res.shouldKeepAlive) this.connections.get(socket)?.finish();
     if (this.refusing && request.hasBody) this.refuseBody(number, 'stopping');
   }
 
+  private ignore(req: IncomingMessage): void {
+    const id = req.headers[this.options.headers.requestId.toLowerCase()]?.toString() ?? '';
+    this.options.logger.log('requestIgnored', { step: 'parse', id, cut: req.socket.destroyed });
+    req.resume();
+  }
+
   private scheduleBodyTimeout(exchange: number, deadlineMs = DEFAULT_BODY_TIMEOUT_MS): Cancel {
     return this.options.clock.schedule(deadlineMs, () =>
       this.post({ type: 'refuse', exchange, fault: 'timeout' }),
@@ -215,13 +238,14 @@
   private refuseBody(number: number, fault: CallerBodyFault): void {
     const exchange = this.exchanges.get(number);
     if (exchange?.cursor.send({ type: 'refused' }) !== true) return;
-    const { res, request, reader } = exchange;
+    const { socket, res, request, reader } = exchange;
     exchange.cancelTimer();
     reader.discard();
     this.options.logger.log('bodyRefused', { step: 'parse', id: request.id, reason: fault });
-    // Node.js would close the connection while the caller still sends, and the reset could destroy the response.
-    res.shouldKeepAlive = true;
-    writeCallerReply(res, createBodyRefusal(fault), request.id, this.options.headers, false);
+    // The connection stays in use if the body ends in time.
+    res.shouldKeepAlive = !this.stopping;
+    writeCallerReply(res, createBodyRefusal(fault), request.id, this.options.headers, this.stopping);
+    if (this.stopping) this.connections.get(socket)?.finish();
     const cancelTimer = this.options.clock.schedule(DISCARD_TIMEOUT_MS, () =>
       this.post({ type: 'discardExpired', exchange: number }),
     );
@@ -232,7 +256,12 @@
     const exchange = this.exchanges.get(number);
     if (exchange?.cursor.send({ type: 'bodyEnded' }) !== true) return;
     this.remove(exchange);
-    if (this.stopping && this.isIdle(exchange.socket)) exchange.socket.destroySoon();
+    this.noteProgress(exchange.socket);
+  }
+
+  private noteDiscardExpired(number: number): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange !== undefined) this.connections.get(exchange.socket)?.end();
   }
 
   private reply(number: number, reply: CallerReply): void {
@@ -242,9 +271,10 @@
     body?.release();
     // While a later request on this connection is open, the connection has to stay open for its response.
     const isLast = [...(this.exchangesBySocket.get(socket) ?? [])].every((other) => other <= number);
-    const closes = isLast && (this.stopping || this.malformed.has(socket));
-    if (closes) this.closing.add(socket);
-    socket.setTimeout(RESPONSE_STALL_MS);
+    const connection = this.connections.get(socket);
+    const closes = isLast && (this.stopping || connection?.isOpen !== true);
+    if (closes) connection?.finish();
+    this.watchProgress(socket);
     writeCallerReply(res, reply, request.id, this.options.headers, closes);
   }
 
@@ -253,15 +283,46 @@
     if (exchange?.cursor.send({ type: 'flushed' }) !== true) return;
     const { socket, request } = exchange;
     this.remove(exchange);
-    if (!written) this.options.logger.log('responseCut', { step: 'deliver', id: request.id });
-    if (!this.isIdle(socket)) socket.setTimeout(0);
-    else if (this.malformed.has(socket)) socket.destroySoon();
+    if (written) this.connections.get(socket)?.noteWritten();
+    else this.options.logger.log('responseCut', { step: 'deliver', id: request.id });
+    this.noteProgress(socket);
+  }
+
+  /** Ends a connection without open requests if no more are handled, or waits for the progress of the next response. */
+  private noteProgress(socket: Socket): void {
+    if (!this.isIdle(socket)) {
+      this.watchProgress(socket);
+      return;
+    }
+    const connection = this.connections.get(socket);
+    if (this.ending || connection?.isOpen === false) connection?.end();
+  }
+
+  /** Limits the time without progress while the response to the first open request is being written. */
+  private watchProgress(socket: Socket): void {
+    socket.setTimeout(this.isWriting(socket) ? RESPONSE_STALL_MS : 0);
+  }
+
+  private isWriting(socket: Socket): boolean {
+    const [first = 0] = this.exchangesBySocket.get(socket) ?? [];
+    return this.exchanges.get(first)?.cursor.state === 'responding';
+  }
+
+  private noteTimedOut(socket: Socket): void {
+    if (this.isIdle(socket)) {
+      this.connections.get(socket)?.end();
+      return;
+    }
+    if (!this.isWriting(socket)) return;
+    this.options.logger.log('responseStalled', { step: 'deliver', peer: socket.remoteAddress ?? '' });
+    socket.destroy();
   }
 
   /** Answers the requests that were read before the malformed bytes, and closes the connection. */
   private noteMalformed(socket: Socket, code: string): void {
-    if (socket.destroyed || this.malformed.has(socket)) return;
-    this.malformed.add(socket);
+    const connection = this.connections.get(socket);
+    if (connection?.isOpen !== true) return;
+    connection.finish();
     const numbers = [...(this.exchangesBySocket.get(socket) ?? [])];
     this.options.logger.log('callerMalformed', { step: 'parse', reason: code, requests: numbers.length });
     const reading = numbers.find((number) => this.exchanges.get(number)?.res.req.complete === false);
@@ -272,6 +333,7 @@
   private noteClosed(socket: Socket, by: ConnectionSide): void {
     const numbers = [...(this.exchangesBySocket.get(socket) ?? [])];
     this.exchangesBySocket.delete(socket);
+    if (socket.destroyed) this.connections.delete(socket);
     if (by === 'daemon' && numbers.length > 0) this.logCut(socket, numbers);
     for (const number of numbers) {
       const exchange = this.exchanges.get(number);
@@ -321,7 +383,3 @@
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 }
-
-function readId({ headers }: IncomingMessage, name: string): string {
-  return headers[name.toLowerCase()]?.toString() ?? '';
-}
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -44,9 +44,12 @@
 /** Time for a resignation to reach the other daemons. */
 const RESIGNATION_DELIVERY_MS = 150;
 
-/** Time to write the last replies, and to refuse requests on connections that are still open, in milliseconds. */
+/** Least time to write the last replies, and to refuse requests on connections that are still open, in milliseconds. */
 const LAST_REPLIES_MS = 150;
 
+/** Time before the end of the grace period at which the daemon no longer waits for callers to read their responses. */
+const EXIT_MARGIN_MS = 150;
+
 const STOP_CHECK_INTERVAL_MS = 50;
 
 /** Fraction of the allowed retries that one daemon uses, as each daemon counts its own. */
@@ -261,7 +264,8 @@
     this.callers.post({ type: 'ending' });
     this.server.post({ type: 'ending' });
     this.entry.post({ type: 'ending' });
-    await Promise.all([this.resign(), this.waitUntilEmpty(lastMs, lastMs)]);
+    const exitMs = Math.max(lastMs, startMs + graceMs - EXIT_MARGIN_MS);
+    await Promise.all([this.resign(), this.waitUntilEmpty(lastMs, exitMs)]);
     this.life.send({ type: 'emptied' });
     this.logger.log('stopped', { requests: this.entry.load, orders: this.server.load });
     this.halt();
--- a/packages/mesh/test/caller.test.ts
+++ b/packages/mesh/test/caller.test.ts
@@ -12,6 +12,9 @@
 
 const MIB = 1024 * 1024;
 
+/** More than the buffers of a loopback connection take while the caller does not read. */
+const LARGE_BYTES = 32 * MIB;
+
 /**
  * Starts a `CallerTask` that replies with the length of the request body, or with a large body for `/large`.
  */
@@ -35,7 +38,7 @@
         response: {
           status: 200,
           headers: [],
-          body: target === '/large' ? Buffer.alloc(7 * MIB) : Buffer.from(String(body.length)),
+          body: target === '/large' ? Buffer.alloc(LARGE_BYTES) : Buffer.from(String(body.length)),
         },
       }),
     onLeft: () => undefined,
@@ -134,17 +137,18 @@
     const caller = connect(port, '127.0.0.1');
     let text = '';
     caller.on('data', (chunk) => (text += chunk.toString('latin1')));
+    // The caller could have read the whole body before a later call of `pause`.
+    caller.once('data', () => caller.pause());
     caller.on('error', () => undefined);
     caller.write(`GET /large HTTP/${version}\r\nHost: a\r\n\r\n`);
     while (text === '') await sleep(1);
-    caller.pause();
     task.stop();
     await sleep(20);
     caller.resume();
     while (!caller.destroyed) await sleep(1);
     const [head = '', body = ''] = text.split('\r\n\r\n');
     t.match(head, /^HTTP\/1\.1 200 /);
-    t.match(head, new RegExp(`\r\ncontent-length: ${7 * MIB}$`, 'im'));
-    t.ok(body.length < 7 * MIB, `${body.length} bytes`);
+    t.match(head, new RegExp(`\r\ncontent-length: ${LARGE_BYTES}$`, 'im'));
+    t.ok(body.length < LARGE_BYTES, `${body.length} bytes`);
   }
 });
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -14,6 +14,7 @@
   'balance',
   'once',
   'delivery',
+  'connection',
   'metrics',
   'store',
   'rpc',
