PeerSession: send calls once the settings of the peer have arrived

Callers got 502 peerLost for unsafe requests that no daemon had received. A connection is established by the kernel of the peer, or by a proxy on the way, before or after the process serves it. PeerSession sent requests as soon as the TCP connection stood, so a reset of a connection that the ended daemon had never accepted counted as "may have run", and three resends met the same.

Calls now wait in memory until the peer's SETTINGS frame, one round trip on a new session only. A session that ends before that reports its calls as not sent, and the daemon counts as unreachable for the usual backoff.

Ruled out by trial: GOAWAY itself (all streams above the last processed one end with REFUSED_STREAM, Node.js 20.20.2).

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -26,19 +26,32 @@
 /** Flow-control window, large enough for most response bodies, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
 
-/** An HTTP/2 session with another daemon. While calls wait and no data arrives, a ping checks that the peer is alive. */
+interface PeerCall {
+  readonly path: string;
+  readonly head: RelayHead;
+  readonly body: Buffer;
+  readonly reply: (result: PeerReply) => void;
+}
+
+/**
+ * An HTTP/2 session with another daemon. Calls are sent once the peer's settings have arrived: a connection can be
+ * accepted on behalf of a process that has ended. While calls wait and no data arrives, a ping checks that the peer is
+ * alive.
+ */
 export class PeerSession {
   private readonly session: ClientHttp2Session;
   private readonly cursor = new ChartCursor<PeerLinkEvent>(peerLinkChart);
   private readonly now: () => number;
   private readonly budget: BodyBudget;
   private readonly createdMs: number;
+  /** Calls that wait for the settings of the peer. */
+  private readonly held = new Set<PeerCall>();
   private calls = 0;
   private receivedMs: number;
-  private connected = false;
+  private acceptsCalls = false;
   private probedMs = 0;
 
-  /** The memory of response bodies is accounted to `budget`. `onClose` is told whether the connection failed. */
+  /** The memory of response bodies is accounted to `budget`. `onClose` is told whether it closed before it accepted calls. */
   public constructor(
     address: string,
     now: () => number,
@@ -54,17 +67,20 @@
     });
     this.session.on('connect', () => {
       if (!this.session.destroyed) this.session.setLocalWindowSize(WINDOW_BYTES);
-      this.connected = true;
       this.cursor.send({ type: 'connected' });
       this.noteReceived();
     });
+    this.session.on('remoteSettings', () => this.sendHeld());
     // A close event follows each error and reports it to the task.
     this.session.on('error', () => undefined);
-    this.session.on('goaway', () => this.session.close());
+    this.session.on('goaway', () => {
+      this.session.close();
+      this.dropHeld();
+    });
     this.session.on('close', () => {
-      const failed = this.cursor.state === 'connecting';
       this.cursor.send({ type: 'closed' });
-      onClose(failed);
+      this.dropHeld();
+      onClose(!this.acceptsCalls);
     });
   }
 
@@ -87,22 +103,9 @@
   public send(path: string, head: RelayHead, body: Buffer, reply: (result: PeerReply) => void): void {
     if (this.calls === 0) this.receivedMs = this.now();
     this.calls += 1;
-    const packed = packBody(body);
-    const stream = this.session.request(
-      {
-        ':method': 'POST',
-        ':path': path,
-        'amr-kind': head.kind,
-        'amr-detail': head.detail,
-        'amr-revisions': head.revisions.join('.'),
-        'content-length': packed.bytes.length,
-        ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
-        [sensitiveHeaders]: ['amr-detail', 'content-length'],
-      },
-      { endStream: body.length === 0 },
-    );
-    if (body.length > 0) stream.end(packed.bytes);
-    this.collectReply(stream, reply);
+    const call = { path, head, body, reply };
+    if (this.acceptsCalls) this.transmit(call);
+    else this.held.add(call);
   }
 
   /** Pings a silent session, and destroys one that does not connect or answer its ping in time. */
@@ -135,6 +138,43 @@
     this.session.destroy();
   }
 
+  private transmit({ path, head, body, reply }: PeerCall): void {
+    const packed = packBody(body);
+    const stream = this.session.request(
+      {
+        ':method': 'POST',
+        ':path': path,
+        'amr-kind': head.kind,
+        'amr-detail': head.detail,
+        'amr-revisions': head.revisions.join('.'),
+        'content-length': packed.bytes.length,
+        ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
+        [sensitiveHeaders]: ['amr-detail', 'content-length'],
+      },
+      { endStream: body.length === 0 },
+    );
+    if (body.length > 0) stream.end(packed.bytes);
+    this.collectReply(stream, reply);
+  }
+
+  private sendHeld(): void {
+    if (!this.isOpen) return;
+    this.acceptsCalls = true;
+    this.noteReceived();
+    const calls = [...this.held];
+    this.held.clear();
+    for (const call of calls) this.transmit(call);
+  }
+
+  /** Reports the held calls as not sent. */
+  private dropHeld(): void {
+    for (const { reply } of this.held) {
+      this.calls -= 1;
+      reply({ ok: false, sent: false });
+    }
+    this.held.clear();
+  }
+
   private collectReply(stream: ClientHttp2Stream, reply: (result: PeerReply) => void): void {
     let head: RelayHead | undefined;
     const body = new BodyBuffer(maxBodyBytes, this.budget);
@@ -176,7 +216,7 @@
         return;
       }
       const isRefused = stream.rstCode === constants.NGHTTP2_REFUSED_STREAM;
-      reply({ ok: false, sent: this.connected && !isRefused });
+      reply({ ok: false, sent: !isRefused });
     });
   }
 
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -241,6 +241,23 @@
   t.match(await send(createTestRequest('1')), { type: 'lost', code: 'peerLost' });
 });
 
+t.test('request on a connection that no daemon serves has not run', async (t) => {
+  // Guards against a 502 for a request that reached only the kernel, or a proxy, of a daemon that had ended.
+  let received = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => (received += bytes.length));
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  const address = `127.0.0.1:${await listenOnFreePort(server)}`;
+  t.teardown(() => server.close());
+  const relay = startRelay(t);
+  const request = createTestRequest('1', { idempotent: false });
+  const result = await relay.ask<BackendResult>((reply) => ({ type: 'order', request, address, reply }));
+  t.match(result, { type: 'refused', code: 'unreachable', arrived: false });
+  t.ok(received < 200, `only the preface was sent, ${received} bytes`);
+});
+
 t.test('session that ends while it connects does not end the process', async (t) => {
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
