ReceiverTask: end sessions by GOAWAY, and report what is unsent

A stop destroyed the sessions with other daemons a fixed time after the last result, whatever was still unsent. On the message `ending`, the task now stops listening and closes each session gracefully: its peer learns by GOAWAY which streams are not processed (they end there with REFUSED_STREAM, as not run), reads the results of the others and closes the connection itself. That close is the proof of delivery; bytes that left for the kernel are none, because a frame of the peer that arrives after the close resets the connection and drops what the kernel has not sent.

`load` tells the stop what to wait for: requests whose result is not written, and, while the sessions end, sessions that their peers have not closed.

--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -36,7 +36,13 @@
 
 const BAD_REQUEST = 400;
 
-/** Receives requests and calls from other daemons. Owns the listening socket and its sessions. */
+type OpenedStream = Extract<ReceiverMessage, { readonly type: 'opened' }>;
+
+/**
+ * Receives requests and calls from other daemons. Owns the listening socket and its sessions. At the end of a stop, a
+ * session gets GOAWAY, by which its peer knows which streams are not processed, and the peer closes it when it has read
+ * the results of the others.
+ */
 export class ReceiverTask extends Task<ReceiverMessage> {
   private readonly options: ReceiverOptions;
   private readonly server: Http2Server;
@@ -44,7 +50,10 @@
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
   private readonly sessions = new Set<ServerHttp2Session>();
+  /** Streams whose request was passed on and whose result is not written. */
+  private readonly requests = new Set<ServerHttp2Stream>();
   private readonly transits = new TransitMeters();
+  private ending = false;
 
   public constructor(options: ReceiverOptions) {
     super();
@@ -56,6 +65,7 @@
     this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
     this.server.on('session', (session) => {
       this.sessions.add(session);
+      if (this.ending) session.close();
       if (!session.destroyed) session.setLocalWindowSize(WINDOW_BYTES);
       session.on('close', () => this.sessions.delete(session));
       // `node:http2` closes a broken session. Its requests continue, since their sender may ask for the results again.
@@ -76,6 +86,11 @@
     });
   }
 
+  /** Number of requests whose result is not written; while the sessions end, of those that their peers have not closed. */
+  public get load(): number {
+    return this.ending ? this.sessions.size : this.requests.size;
+  }
+
   /** Starts listening; rejects if the address is in use. */
   public listen(): Promise<void> {
     return listenAt(this.server, this.options);
@@ -88,6 +103,22 @@
   }
 
   protected override receive(message: ReceiverMessage): void {
+    switch (message.type) {
+      case 'opened':
+        this.open(message);
+        return;
+      case 'ending':
+        this.end();
+    }
+  }
+
+  private end(): void {
+    this.ending = true;
+    this.server.close();
+    for (const session of this.sessions) session.close();
+  }
+
+  private open(message: OpenedStream): void {
     const { stream, head, encoding, length } = message;
     this.options.onHint(head.revisions);
     // A close event follows each error. A request continues without its stream.
@@ -105,7 +136,7 @@
     });
   }
 
-  private receiveUnpacked({ stream, path, head }: ReceiverMessage, held: HeldBody, body: Buffer): void {
+  private receiveUnpacked({ stream, path, head }: OpenedStream, held: HeldBody, body: Buffer): void {
     const unpacked = held.replace(body);
     if (unpacked === undefined) {
       this.refuseBody(stream, 'overBudget');
@@ -148,8 +179,11 @@
     const measureTransitMs = (sent: ClockReading): number => this.transits.measureMs(peer, sent, now);
     decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
-      Right: (request) =>
-        this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions())),
+      Right: (request) => {
+        this.requests.add(stream);
+        stream.on('close', () => this.requests.delete(stream));
+        this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions()));
+      },
     });
   }
 
