Sessions between daemons: room for large results, rejected streams have not run

Two large unsent results (over 10 MB, the default memory limit of a session in node:http2) made a daemon reject every further stream of that peer with ENHANCE_YOUR_CALM. The sender counted these as possibly run, so callers of unsafe requests got 502 peerLost, and after 100 of them node:http2 broke off the session with all requests on it, the large results included.

The limit is now eight responses of the largest size, rejections do not end the session, and PeerSession counts a stream that ends with this code before any response as not run, unless the peer ended the whole session by an error, which gives processed streams the code of its GOAWAY.

sessionMemory.test.ts before: 'requests beside large unsent results are answered' 153 of 153 lost, 'request rejected for the memory of its session has not run' lost, 'requests rejected for memory do not end their session' ended with INTERNAL_ERROR; all pass after. 'request on a session that its peer broke off may have run' passed before and bounds the change.

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -26,6 +26,12 @@
 /** Flow-control window, large enough for most response bodies, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
 
+/** Codes of streams that the peer rejected before it processed them: by itself, and by `node:http2` for lack of memory. */
+const REJECTIONS: ReadonlySet<number> = new Set([
+  constants.NGHTTP2_REFUSED_STREAM,
+  constants.NGHTTP2_ENHANCE_YOUR_CALM,
+]);
+
 interface PeerCall {
   readonly path: string;
   readonly head: RelayHead;
@@ -49,6 +55,8 @@
   private calls = 0;
   private receivedMs: number;
   private acceptsCalls = false;
+  /** Whether the peer ended the session with an error. */
+  private hasFailed = false;
   private probedMs = 0;
 
   /** The memory of response bodies is accounted to `budget`. `onClose` is told whether it closed before it accepted calls. */
@@ -73,7 +81,8 @@
     this.session.on('remoteSettings', () => this.sendHeld());
     // A close event follows each error and reports it to the task.
     this.session.on('error', () => undefined);
-    this.session.on('goaway', () => {
+    this.session.on('goaway', (code) => {
+      this.hasFailed = code !== constants.NGHTTP2_NO_ERROR;
       this.session.close();
       this.dropHeld();
     });
@@ -215,8 +224,9 @@
         reply(readReply(head, bytes, encoding));
         return;
       }
-      const isRefused = stream.rstCode === constants.NGHTTP2_REFUSED_STREAM;
-      reply({ ok: false, sent: !isRefused });
+      // The end of the session also closes streams that were processed, with the code of its GOAWAY.
+      const isRejected = !this.hasFailed && head === undefined && REJECTIONS.has(stream.rstCode);
+      reply({ ok: false, sent: !isRejected });
     });
   }
 
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -34,6 +34,12 @@
 /** Flow-control window, large enough for most request bodies, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
 
+/** Memory of one session, above which new streams are rejected, in MB: eight unsent responses of the largest size. */
+const MAX_SESSION_MB = 64;
+
+/** Rejected streams after which `node:http2` breaks off a session; its other streams must not end with it. */
+const MAX_REJECTED_STREAMS = 0xffff_ffff;
+
 const BAD_REQUEST = 400;
 
 type OpenedStream = Extract<ReceiverMessage, { readonly type: 'opened' }>;
@@ -62,7 +68,11 @@
       errorListener: (message) => options.logger.log('callRefused', { step: 'rpc', message }),
     });
     for (const [method, handle] of Object.entries(options.calls)) this.rpc.addMethod(method, handle);
-    this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
+    this.server = createServer({
+      settings: { initialWindowSize: WINDOW_BYTES, enablePush: false },
+      maxSessionMemory: MAX_SESSION_MB,
+      maxSessionRejectedStreams: MAX_REJECTED_STREAMS,
+    });
     this.server.on('session', (session) => {
       this.sessions.add(session);
       if (this.ending) session.close();
