ReceiverTask: a stop does not wait for frozen peers without results

With the wait for sessions, one frozen or cut off daemon anywhere in the fleet kept every stopping daemon for the whole grace. A session now counts while it has requests, and for 3 s after its last result, in which a full window of 4 MiB crosses a link of 14 Mbit/s.

--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -3,7 +3,7 @@
   createServer,
   sensitiveHeaders,
   type Http2Server,
-  type ServerHttp2Session,
+  type Http2Session,
   type ServerHttp2Stream,
 } from 'node:http2';
 import { JSONRPCServer } from 'json-rpc-2.0';
@@ -40,6 +40,12 @@
 /** Rejected streams after which `node:http2` breaks off a session; its other streams must not end with it. */
 const MAX_REJECTED_STREAMS = 0xffff_ffff;
 
+/**
+ * Time after its last result in which a peer reads it and closes the session, in milliseconds: a full window takes 2.4 s on
+ * a link of 14 Mbit/s. A stop does not wait longer for a peer that is frozen or cut off.
+ */
+const DELIVERY_TIMEOUT_MS = 3_000;
+
 const BAD_REQUEST = 400;
 
 type OpenedStream = Extract<ReceiverMessage, { readonly type: 'opened' }>;
@@ -55,7 +61,8 @@
   /** Memory budget of the bodies on all open streams. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
-  private readonly sessions = new Set<ServerHttp2Session>();
+  /** Monotonic time at which the last result on each session was written, in milliseconds. */
+  private readonly sessions = new Map<Http2Session, number>();
   /** Streams whose request was passed on and whose result is not written. */
   private readonly requests = new Set<ServerHttp2Stream>();
   private readonly transits = new TransitMeters();
@@ -74,7 +81,7 @@
       maxSessionRejectedStreams: MAX_REJECTED_STREAMS,
     });
     this.server.on('session', (session) => {
-      this.sessions.add(session);
+      this.sessions.set(session, -Infinity);
       if (this.ending) session.close();
       if (!session.destroyed) session.setLocalWindowSize(WINDOW_BYTES);
       session.on('close', () => this.sessions.delete(session));
@@ -96,9 +103,9 @@
     });
   }
 
-  /** Number of requests whose result is not written; while the sessions end, of those that their peers have not closed. */
+  /** Number of requests whose result is not written and, at the end of a stop, of sessions with undelivered results. */
   public get load(): number {
-    return this.ending ? this.sessions.size : this.requests.size;
+    return this.requests.size + (this.ending ? this.countUndelivered() : 0);
   }
 
   /** Starts listening; rejects if the address is in use. */
@@ -108,7 +115,7 @@
 
   public override stop(): void {
     super.stop();
-    for (const session of this.sessions) session.destroy();
+    for (const session of this.sessions.keys()) session.destroy();
     this.server.close();
   }
 
@@ -125,7 +132,18 @@
   private end(): void {
     this.ending = true;
     this.server.close();
-    for (const session of this.sessions) session.close();
+    for (const session of this.sessions.keys()) session.close();
+  }
+
+  private countUndelivered(): number {
+    const sinceMs = this.options.clock.monotonicMs() - DELIVERY_TIMEOUT_MS;
+    return [...this.sessions.values()].filter((writtenMs) => writtenMs > sinceMs).length;
+  }
+
+  private noteWritten(stream: ServerHttp2Stream, session: Http2Session | undefined): void {
+    this.requests.delete(stream);
+    if (session !== undefined && this.sessions.has(session))
+      this.sessions.set(session, this.options.clock.monotonicMs());
   }
 
   private open(message: OpenedStream): void {
@@ -190,8 +208,9 @@
     decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
       Right: (request) => {
+        const { session } = stream;
         this.requests.add(stream);
-        stream.on('close', () => this.requests.delete(stream));
+        stream.on('close', () => this.noteWritten(stream, session));
         this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions()));
       },
     });
--- a/packages/mesh/test/receiverStop.test.ts
+++ b/packages/mesh/test/receiverStop.test.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { connect } from 'node:http2';
+import { connect as connectSocket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
 import { SystemClock } from '#core/SystemClock.js';
@@ -28,6 +29,12 @@
 /** Latest end of a stop during which nothing waits. */
 const IDLE_STOP_MS = 3_300;
 
+/** Connection preface of HTTP/2 with an empty SETTINGS frame. */
+const HTTP2_PREFACE = Buffer.concat([
+  Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'),
+  Buffer.from([0, 0, 0, 4, 0, 0, 0, 0, 0]),
+]);
+
 const clock = new SystemClock();
 
 /** Returns a function that answers a request with a body of random bytes. */
@@ -156,6 +163,18 @@
   t.ok((outcomes.get('answered 400') ?? 0) > 1_000);
 });
 
+t.test('stop does not wait for a silent sender without results', { timeout: 30_000 }, async (t) => {
+  // Guards against stops that last for the whole grace whenever one of the other daemons is frozen.
+  const { node, peers } = await startNode(t, GRACE_MS, createAnswer(400));
+  const socket = connectSocket({ ...peers, allowHalfOpen: true });
+  t.teardown(() => socket.destroy());
+  socket.write(HTTP2_PREFACE);
+  await sleep(300);
+  const startMs = clock.monotonicMs();
+  await node.stop();
+  t.ok(clock.monotonicMs() - startMs < IDLE_STOP_MS);
+});
+
 t.test('stop beside idle sessions ends early', { timeout: 30_000 }, async (t) => {
   const { node, peers } = await startNode(t, GRACE_MS, createAnswer(400));
   const senders = Array.from({ length: 30 }, () => startSender(t, `127.0.0.1:${peers.port}`));
