ReceiverTask: requests that are still being read at a stop have not run

A stop closed the streams of requests whose body was on its way with CANCEL, so their senders took them as possibly run, and callers of unsafe requests got 502 although no backend server had received them. The stop now refuses these streams as not processed, and ignores what still arrives on them: a stream that was refused ends like one that is complete, and must not run.

receiverStop.test.ts 'request whose body has not arrived by the end of a stop is refused as not run' got code 8 (CANCEL) before and 7 (REFUSED_STREAM) after.

--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -61,8 +61,10 @@
   /** Memory budget of the bodies on all open streams. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
-  /** Monotonic time at which the last result on each session was written, in milliseconds. */
+  /** Monotonic time at which the last stream of each session was closed, in milliseconds. */
   private readonly sessions = new Map<Http2Session, number>();
+  /** Streams whose body has not arrived completely. */
+  private readonly reading = new Set<ServerHttp2Stream>();
   /** Streams whose request was passed on and whose result is not written. */
   private readonly requests = new Set<ServerHttp2Stream>();
   private readonly transits = new TransitMeters();
@@ -132,15 +134,17 @@
   private end(): void {
     this.ending = true;
     this.server.close();
+    for (const stream of this.reading) this.refuse(stream);
     for (const session of this.sessions.keys()) session.close();
   }
 
   private countUndelivered(): number {
     const sinceMs = this.options.clock.monotonicMs() - DELIVERY_TIMEOUT_MS;
-    return [...this.sessions.values()].filter((writtenMs) => writtenMs > sinceMs).length;
+    return [...this.sessions.values()].filter((closedMs) => closedMs > sinceMs).length;
   }
 
-  private noteWritten(stream: ServerHttp2Stream, session: Http2Session | undefined): void {
+  private noteClosed(stream: ServerHttp2Stream, session: Http2Session | undefined): void {
+    this.reading.delete(stream);
     this.requests.delete(stream);
     if (session !== undefined && this.sessions.has(session))
       this.sessions.set(session, this.options.clock.monotonicMs());
@@ -148,9 +152,15 @@
 
   private open(message: OpenedStream): void {
     const { stream, head, encoding, length } = message;
+    const { session } = stream;
     this.options.onHint(head.revisions);
     // A close event follows each error. A request continues without its stream.
     stream.on('error', () => undefined);
+    stream.on('close', () => this.noteClosed(stream, session));
+    if (this.ending) {
+      this.refuse(stream);
+      return;
+    }
     this.collectBody(stream, (held) => {
       const { bytes } = held;
       if (bytes.length !== (length ?? bytes.length)) {
@@ -178,15 +188,14 @@
 
   private collectBody(stream: ServerHttp2Stream, done: (body: HeldBody) => void): void {
     const body = new BodyBuffer(maxBodyBytes, this.budget);
-    let isRefused = false;
+    this.reading.add(stream);
     stream.on('data', (chunk: Buffer) => {
-      const fault = isRefused ? undefined : body.add(chunk);
-      if (fault === undefined) return;
-      isRefused = true;
-      this.refuseBody(stream, fault);
+      const fault = this.reading.has(stream) ? body.add(chunk) : undefined;
+      if (fault !== undefined) this.refuseBody(stream, fault);
     });
     stream.on('end', () => {
-      if (isRefused) return;
+      // A stream that was refused ends, too.
+      if (!this.reading.delete(stream)) return;
       const held = body.hold();
       stream.on('close', () => held.release());
       done(held);
@@ -197,7 +206,12 @@
   private refuseBody(stream: ServerHttp2Stream, fault: BodyFault): void {
     const peer = stream.session?.socket.remoteAddress ?? '';
     this.options.logger.log('messageTooLarge', { step: 'rpc', peer, reason: describeBodyFault(fault) });
-    // This error code tells the sender that the request was not processed.
+    this.refuse(stream);
+  }
+
+  /** Closes a stream with the code that tells the sender that the request was not processed. */
+  private refuse(stream: ServerHttp2Stream): void {
+    this.reading.delete(stream);
     stream.close(constants.NGHTTP2_REFUSED_STREAM);
   }
 
@@ -208,9 +222,7 @@
     decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
       Right: (request) => {
-        const { session } = stream;
-        this.requests.add(stream);
-        stream.on('close', () => this.noteWritten(stream, session));
+        if (!stream.destroyed) this.requests.add(stream);
         this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions()));
       },
     });
--- a/packages/mesh/test/receiverStop.test.ts
+++ b/packages/mesh/test/receiverStop.test.ts
@@ -1,5 +1,5 @@
 import { randomBytes } from 'node:crypto';
-import { connect } from 'node:http2';
+import { connect, constants } from 'node:http2';
 import { connect as connectSocket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
@@ -132,6 +132,23 @@
   t.equal(received, bytes);
 });
 
+t.test('request whose body has not arrived by the end of a stop is refused as not run', async (t) => {
+  // Guards against a 502 for a request that no backend server received.
+  const { node, peers } = await startNode(t, GRACE_MS, createAnswer(400));
+  const session = connect(`http://127.0.0.1:${peers.port}`);
+  session.on('error', () => undefined);
+  t.teardown(() => session.destroy());
+  const { kind, detail } = encodeBackendRequest(createUnsafeRequest('1'), readClocks(clock));
+  const headers = { ':method': 'POST', ':path': relayPaths.requests, 'amr-kind': kind, 'amr-detail': detail };
+  const stream = session.request({ ...headers, 'content-length': 2_000 });
+  stream.on('error', () => undefined);
+  stream.write(randomBytes(1_000));
+  await sleep(300);
+  await node.stop();
+  while (!stream.destroyed) await sleep(5);
+  t.equal(stream.rstCode, constants.NGHTTP2_REFUSED_STREAM);
+});
+
 t.test('requests that cross a stop are answered or refused as not run', { timeout: 30_000 }, async (t) => {
   // Requests on the way to a daemon that closed its sessions may have run, as far as their sender knew.
   const { node, peers } = await startNode(t, GRACE_MS, createAnswer(400));
