PeerSession: a daemon that is slow to accept a session is not unreachable

Since calls wait for the settings of the peer, a frozen daemon that accepted a connection without sending them counted as unreachable. The backoff then used up the resends of a request under way there within one attempt, where they had waited for the daemon to continue. Only a connection that cannot be established counts as unreachable, as before.

relay.test.ts 'request under way at a frozen daemon is resent to it until it continues' failed before (three resends in 0.9 s, one connection) and passes after (2.5 s, three connections).

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -59,7 +59,7 @@
   private hasFailed = false;
   private probedMs = 0;
 
-  /** The memory of response bodies is accounted to `budget`. `onClose` is told whether it closed before it accepted calls. */
+  /** The memory of response bodies is accounted to `budget`. `onClose` is told whether the connection failed. */
   public constructor(
     address: string,
     now: () => number,
@@ -87,9 +87,10 @@
       this.dropHeld();
     });
     this.session.on('close', () => {
+      const failed = this.cursor.state === 'connecting';
       this.cursor.send({ type: 'closed' });
       this.dropHeld();
-      onClose(!this.acceptsCalls);
+      onClose(failed);
     });
   }
 
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -258,6 +258,32 @@
   t.ok(received < 200, `only the preface was sent, ${received} bytes`);
 });
 
+t.test('request under way at a frozen daemon is resent to it until it continues', async (t) => {
+  // Guards against resends that are used up while the daemon does not accept a session, although its work goes on.
+  const sockets: Socket[] = [];
+  const frozen = createServer((socket) => {
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+  });
+  const port = await listenOnFreePort(frozen);
+  t.teardown(() => {
+    frozen.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const relay = startRelay(t);
+  const resend = (copy: number): Promise<BackendResult> =>
+    relay.ask((reply) => ({
+      type: 'order',
+      request: createTestRequest('1', { idempotent: false, resumes: 'p', copy }),
+      address: `127.0.0.1:${port}`,
+      reply,
+    }));
+  const startMs = clock.monotonicMs();
+  for (const copy of [2, 3, 4]) t.match(await resend(copy), { type: 'refused', code: 'unreachable' });
+  t.ok(clock.monotonicMs() - startMs > 2_000, 'each resend waits for the daemon');
+  t.equal(sockets.length, 3);
+});
+
 t.test('session that ends while it connects does not end the process', async (t) => {
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
