PresenceTask: the record of an earlier leave does not acknowledge a later one

A backend server that drains, becomes ready and drains again under the same start was acknowledged at once, because the store still contained its first leave; the write of the second one came after the acknowledgement and could fail. If the daemon, or all of them by a loss of power, ended in between, an announcement from the time between the leaves put the server in use again after an acknowledged leave (DRAIN).

A leave now counts as recorded if the stored one is at least as late as the announcement with which the run began to leave. A run that is gone stays so.

presence.test.ts 'second leave of a run is not acknowledged by the record of the first' found the state ready after the restart before, draining after.

--- a/packages/mesh/src/LeaveAcknowledgements.ts
+++ b/packages/mesh/src/LeaveAcknowledgements.ts
@@ -3,6 +3,8 @@
 interface LeaveAcknowledgement {
   readonly incarnation: string;
   readonly state: ServerEntry['state'];
+  /** Sequence number of the announcement with which the run began to leave. */
+  readonly leaveSequence: number;
   readonly reply: (recorded: boolean) => void;
 }
 
@@ -10,13 +12,8 @@
 export class LeaveAcknowledgements {
   private waiting: readonly LeaveAcknowledgement[] = [];
 
-  /** Adds a reply that waits until the run `incarnation` is recorded in `state`. Returns a function that ends the wait. */
-  public add(
-    incarnation: string,
-    state: ServerEntry['state'],
-    reply: (recorded: boolean) => void,
-  ): () => void {
-    const acknowledgement = { incarnation, state, reply };
+  /** Adds a reply that waits until the leave is recorded. Returns a function that ends the wait. */
+  public add(acknowledgement: LeaveAcknowledgement): () => void {
     this.waiting = [...this.waiting, acknowledgement];
     return () => this.settle((each) => each === acknowledgement, false);
   }
@@ -33,7 +30,8 @@
   }
 }
 
+/** Whether an entry records a leave. A run that drains may become ready and leave again; one that is gone stays so. */
 function isRecorded({ incarnation, state, leave }: ServerEntry, wanted: LeaveAcknowledgement): boolean {
   if (incarnation !== wanted.incarnation || leave === undefined) return false;
-  return state === 'gone' || wanted.state !== 'gone';
+  return state === 'gone' || (wanted.state !== 'gone' && leave.sequence >= wanted.leaveSequence);
 }
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -255,18 +255,21 @@
       reply({ accepted: true, grant });
       return;
     }
-    this.acknowledgeLeave(incarnation, (recorded) =>
+    this.acknowledgeLeave(this.run, (recorded) =>
       reply(recorded ? { accepted: true, grant } : { accepted: false, retry: true, grant: undefined }),
     );
   }
 
   /** Replies to a leaving run when the store contains its leave, or refuses it so that the call is repeated. */
-  private acknowledgeLeave(incarnation: string, reply: (recorded: boolean) => void): void {
+  private acknowledgeLeave(run: ServerRun, reply: (recorded: boolean) => void): void {
     const { clock, logger } = this.options;
-    const refuse = this.acknowledgements.add(incarnation, this.describe().state, (recorded) => {
+    const { incarnation, leaveSequence } = run;
+    const { state } = this.describe();
+    const settle = (recorded: boolean): void => {
       if (!recorded) logger.log('leaveNotRecorded', { step: 'store', incarnation });
       reply(recorded);
-    });
+    };
+    const refuse = this.acknowledgements.add({ incarnation, state, leaveSequence, reply: settle });
     const { storedEntry } = this.publisher;
     if (storedEntry !== undefined) this.acknowledgements.noteStored(storedEntry);
     clock.schedule(RECORD_TIMEOUT_MS, refuse);
@@ -337,7 +340,7 @@
       this.reportPresence(run);
       this.options.onEnded(run.incarnation, false);
     }
-    this.acknowledgeLeave(run.incarnation, reply);
+    this.acknowledgeLeave(this.run ?? run, reply);
   }
 
   private noteEvidence({ kind, incarnation }: PresenceEvidence): void {
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -247,6 +247,27 @@
   t.equal(second.state, 'draining');
 });
 
+t.test('second leave of a run is not acknowledged by the record of the first', async (t) => {
+  // Guards against a run that leaves again, is acknowledged before the store contains it, and is used after a restart.
+  const first = new PresenceRun();
+  await first.announce({ sequence: 3 });
+  t.match(await first.drain({ sequence: 5 }), { accepted: true });
+  await first.announce({ sequence: 6 });
+  const reply = first.task.ask<AnnouncementReply>((each) => ({
+    type: 'announced',
+    announcement: { ...announcement, draining: true, sequence: 7 },
+    reply: (accepted) => {
+      first.task.stop();
+      each(accepted);
+    },
+  }));
+  await first.settle();
+  t.match(await reply, { accepted: true });
+  const second = first.restart('q');
+  await second.announce({ sequence: 6 });
+  t.equal(second.state, 'draining');
+});
+
 t.test('leave is refused while the store cannot record it', async (t) => {
   const run = new PresenceRun();
   await run.announce();
