peerLink chart: a session opens before calls are sent

The time between the connection and the settings of the peer is a state of the chart instead of a flag of PeerSession. No change of behaviour; the tests of relay, receiverStop, sessionMemory, relayCut and oddPeer pass.

--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -50,11 +50,10 @@
   private readonly now: () => number;
   private readonly budget: BodyBudget;
   private readonly createdMs: number;
-  /** Calls that wait for the settings of the peer. */
+  /** Calls that wait until the peer is heard. */
   private readonly held = new Set<PeerCall>();
   private calls = 0;
   private receivedMs: number;
-  private acceptsCalls = false;
   /** Whether the peer ended the session with an error. */
   private hasFailed = false;
   private probedMs = 0;
@@ -76,9 +75,9 @@
     this.session.on('connect', () => {
       if (!this.session.destroyed) this.session.setLocalWindowSize(WINDOW_BYTES);
       this.cursor.send({ type: 'connected' });
-      this.noteReceived();
+      this.receivedMs = this.now();
     });
-    this.session.on('remoteSettings', () => this.sendHeld());
+    this.session.on('remoteSettings', () => this.noteReceived());
     // A close event follows each error and reports it to the task.
     this.session.on('error', () => undefined);
     this.session.on('goaway', (code) => {
@@ -114,7 +113,7 @@
     if (this.calls === 0) this.receivedMs = this.now();
     this.calls += 1;
     const call = { path, head, body, reply };
-    if (this.acceptsCalls) this.transmit(call);
+    if (this.cursor.state === 'up') this.transmit(call);
     else this.held.add(call);
   }
 
@@ -130,7 +129,7 @@
       return;
     }
     if (
-      this.cursor.state !== 'up' ||
+      (this.cursor.state !== 'up' && this.cursor.state !== 'opening') ||
       !this.isBusy ||
       this.session.destroyed ||
       nowMs - this.receivedMs < SILENCE_TIMEOUT_MS
@@ -143,7 +142,7 @@
     });
   }
 
-  /** Destroys the session; calls in progress end as possibly received by the peer. */
+  /** Destroys the session; calls that were sent end as possibly received by the peer. */
   public destroy(): void {
     this.session.destroy();
   }
@@ -169,8 +168,6 @@
 
   private sendHeld(): void {
     if (!this.isOpen) return;
-    this.acceptsCalls = true;
-    this.noteReceived();
     const calls = [...this.held];
     this.held.clear();
     for (const call of calls) this.transmit(call);
@@ -233,7 +230,7 @@
 
   private noteReceived(): void {
     this.receivedMs = this.now();
-    this.cursor.send({ type: 'heard' });
+    if (this.cursor.send({ type: 'heard' })) this.sendHeld();
   }
 }
 
