--- a/packages/mesh/test/receiverStop.test.ts
+++ b/packages/mesh/test/receiverStop.test.ts
@@ -172,9 +172,8 @@
   await node.stop();
   clearInterval(timer);
   await sleep(500);
-  t.comment(JSON.stringify(Object.fromEntries(outcomes)));
   t.same(
-    [...outcomes.keys()].filter((outcome) => outcome.startsWith('lost')),
+    [...outcomes].filter(([outcome]) => outcome.startsWith('lost')),
     [],
   );
   t.ok((outcomes.get('answered 400') ?? 0) > 1_000);
