--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -264,6 +264,7 @@
     this.callers.post({ type: 'ending' });
     this.server.post({ type: 'ending' });
     this.entry.post({ type: 'ending' });
+    this.receiver.post({ type: 'ending' });
     const exitMs = Math.max(lastMs, startMs + graceMs - EXIT_MARGIN_MS);
     await Promise.all([this.resign(), this.waitUntilEmpty(lastMs, exitMs)]);
     this.life.send({ type: 'emptied' });
@@ -318,7 +319,7 @@
     return new Promise((resolve) => {
       const check = (): void => {
         const nowMs = clock.monotonicMs();
-        const tasks = [this.callers, this.arrivals, this.entry, this.server];
+        const tasks = [this.callers, this.arrivals, this.entry, this.server, this.receiver];
         const isEmpty = tasks.every(({ load }) => load === 0);
         if (nowMs >= latestMs || (isEmpty && nowMs >= earliestMs)) resolve();
         else clock.schedule(STOP_CHECK_INTERVAL_MS, check);
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -26,16 +26,36 @@
 /** Flow-control window, large enough for most response bodies, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
 
-/** An HTTP/2 session with another daemon. While calls wait and no data arrives, a ping checks that the peer is alive. */
+/** Codes of streams that the peer rejected before it processed them: by itself, and by `node:http2` for lack of memory. */
+const REJECTIONS: ReadonlySet<number> = new Set([
+  constants.NGHTTP2_REFUSED_STREAM,
+  constants.NGHTTP2_ENHANCE_YOUR_CALM,
+]);
+
+interface PeerCall {
+  readonly path: string;
+  readonly head: RelayHead;
+  readonly body: Buffer;
+  readonly reply: (result: PeerReply) => void;
+}
+
+/**
+ * An HTTP/2 session with another daemon. Calls are sent once the peer's settings have arrived: a connection can be
+ * accepted on behalf of a process that has ended. While calls wait and no data arrives, a ping checks that the peer is
+ * alive.
+ */
 export class PeerSession {
   private readonly session: ClientHttp2Session;
   private readonly cursor = new ChartCursor<PeerLinkEvent>(peerLinkChart);
   private readonly now: () => number;
   private readonly budget: BodyBudget;
   private readonly createdMs: number;
+  /** Calls that wait until the peer is heard. */
+  private readonly held = new Set<PeerCall>();
   private calls = 0;
   private receivedMs: number;
-  private connected = false;
+  /** Whether the peer ended the session with an error. */
+  private hasFailed = false;
   private probedMs = 0;
 
   /** The memory of response bodies is accounted to `budget`. `onClose` is told whether the connection failed. */
@@ -54,16 +74,21 @@
     });
     this.session.on('connect', () => {
       if (!this.session.destroyed) this.session.setLocalWindowSize(WINDOW_BYTES);
-      this.connected = true;
       this.cursor.send({ type: 'connected' });
-      this.noteReceived();
+      this.receivedMs = this.now();
     });
+    this.session.on('remoteSettings', () => this.noteReceived());
     // A close event follows each error and reports it to the task.
     this.session.on('error', () => undefined);
-    this.session.on('goaway', () => this.session.close());
+    this.session.on('goaway', (code) => {
+      this.hasFailed = code !== constants.NGHTTP2_NO_ERROR;
+      this.session.close();
+      this.dropHeld();
+    });
     this.session.on('close', () => {
       const failed = this.cursor.state === 'connecting';
       this.cursor.send({ type: 'closed' });
+      this.dropHeld();
       onClose(failed);
     });
   }
@@ -87,22 +112,9 @@
   public send(path: string, head: RelayHead, body: Buffer, reply: (result: PeerReply) => void): void {
     if (this.calls === 0) this.receivedMs = this.now();
     this.calls += 1;
-    const packed = packBody(body);
-    const stream = this.session.request(
-      {
-        ':method': 'POST',
-        ':path': path,
-        'amr-kind': head.kind,
-        'amr-detail': head.detail,
-        'amr-revisions': head.revisions.join('.'),
-        'content-length': packed.bytes.length,
-        ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
-        [sensitiveHeaders]: ['amr-detail', 'content-length'],
-      },
-      { endStream: body.length === 0 },
-    );
-    if (body.length > 0) stream.end(packed.bytes);
-    this.collectReply(stream, reply);
+    const call = { path, head, body, reply };
+    if (this.cursor.state === 'up') this.transmit(call);
+    else this.held.add(call);
   }
 
   /** Pings a silent session, and destroys one that does not connect or answer its ping in time. */
@@ -117,7 +129,7 @@
       return;
     }
     if (
-      this.cursor.state !== 'up' ||
+      (this.cursor.state !== 'up' && this.cursor.state !== 'opening') ||
       !this.isBusy ||
       this.session.destroyed ||
       nowMs - this.receivedMs < SILENCE_TIMEOUT_MS
@@ -130,11 +142,46 @@
     });
   }
 
-  /** Destroys the session; calls in progress end as possibly received by the peer. */
+  /** Destroys the session; calls that were sent end as possibly received by the peer. */
   public destroy(): void {
     this.session.destroy();
   }
 
+  private transmit({ path, head, body, reply }: PeerCall): void {
+    const packed = packBody(body);
+    const stream = this.session.request(
+      {
+        ':method': 'POST',
+        ':path': path,
+        'amr-kind': head.kind,
+        'amr-detail': head.detail,
+        'amr-revisions': head.revisions.join('.'),
+        'content-length': packed.bytes.length,
+        ...(packed.encoding === 'plain' ? {} : { 'amr-encoding': packed.encoding }),
+        [sensitiveHeaders]: ['amr-detail', 'content-length'],
+      },
+      { endStream: body.length === 0 },
+    );
+    if (body.length > 0) stream.end(packed.bytes);
+    this.collectReply(stream, reply);
+  }
+
+  private sendHeld(): void {
+    if (!this.isOpen) return;
+    const calls = [...this.held];
+    this.held.clear();
+    for (const call of calls) this.transmit(call);
+  }
+
+  /** Reports the held calls as not sent. */
+  private dropHeld(): void {
+    for (const { reply } of this.held) {
+      this.calls -= 1;
+      reply({ ok: false, sent: false });
+    }
+    this.held.clear();
+  }
+
   private collectReply(stream: ClientHttp2Stream, reply: (result: PeerReply) => void): void {
     let head: RelayHead | undefined;
     const body = new BodyBuffer(maxBodyBytes, this.budget);
@@ -175,14 +222,15 @@
         reply(readReply(head, bytes, encoding));
         return;
       }
-      const isRefused = stream.rstCode === constants.NGHTTP2_REFUSED_STREAM;
-      reply({ ok: false, sent: this.connected && !isRefused });
+      // The end of the session also closes streams that were processed, with the code of its GOAWAY.
+      const isRejected = !this.hasFailed && head === undefined && REJECTIONS.has(stream.rstCode);
+      reply({ ok: false, sent: !isRejected });
     });
   }
 
   private noteReceived(): void {
     this.receivedMs = this.now();
-    this.cursor.send({ type: 'heard' });
+    if (this.cursor.send({ type: 'heard' })) this.sendHeld();
   }
 }
 
--- a/packages/mesh/src/ReceiverTask.ts
+++ b/packages/mesh/src/ReceiverTask.ts
@@ -3,7 +3,7 @@
   createServer,
   sensitiveHeaders,
   type Http2Server,
-  type ServerHttp2Session,
+  type Http2Session,
   type ServerHttp2Stream,
 } from 'node:http2';
 import { JSONRPCServer } from 'json-rpc-2.0';
@@ -34,17 +34,41 @@
 /** Flow-control window, large enough for most request bodies, in bytes. */
 const WINDOW_BYTES = 4 * 1024 * 1024;
 
+/** Memory of one session, above which new streams are rejected, in MB: eight unsent responses of the largest size. */
+const MAX_SESSION_MB = 64;
+
+/** Rejected streams after which `node:http2` breaks off a session; its other streams must not end with it. */
+const MAX_REJECTED_STREAMS = 0xffff_ffff;
+
+/**
+ * Time after its last result in which a peer reads it and closes the session, in milliseconds: a full window takes 2.4 s on
+ * a link of 14 Mbit/s. A stop does not wait longer for a peer that is frozen or cut off.
+ */
+const DELIVERY_TIMEOUT_MS = 3_000;
+
 const BAD_REQUEST = 400;
 
-/** Receives requests and calls from other daemons. Owns the listening socket and its sessions. */
+type OpenedStream = Extract<ReceiverMessage, { readonly type: 'opened' }>;
+
+/**
+ * Receives requests and calls from other daemons. Owns the listening socket and its sessions. At the end of a stop, a
+ * session gets GOAWAY, by which its peer knows which streams are not processed, and the peer closes it when it has read
+ * the results of the others.
+ */
 export class ReceiverTask extends Task<ReceiverMessage> {
   private readonly options: ReceiverOptions;
   private readonly server: Http2Server;
   /** Memory budget of the bodies on all open streams. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
   private readonly rpc: JSONRPCServer;
-  private readonly sessions = new Set<ServerHttp2Session>();
+  /** Monotonic time at which the last stream of each session was closed, in milliseconds. */
+  private readonly sessions = new Map<Http2Session, number>();
+  /** Streams whose body has not arrived completely. */
+  private readonly reading = new Set<ServerHttp2Stream>();
+  /** Streams whose request was passed on and whose result is not written. */
+  private readonly requests = new Set<ServerHttp2Stream>();
   private readonly transits = new TransitMeters();
+  private ending = false;
 
   public constructor(options: ReceiverOptions) {
     super();
@@ -53,9 +77,14 @@
       errorListener: (message) => options.logger.log('callRefused', { step: 'rpc', message }),
     });
     for (const [method, handle] of Object.entries(options.calls)) this.rpc.addMethod(method, handle);
-    this.server = createServer({ settings: { initialWindowSize: WINDOW_BYTES, enablePush: false } });
+    this.server = createServer({
+      settings: { initialWindowSize: WINDOW_BYTES, enablePush: false },
+      maxSessionMemory: MAX_SESSION_MB,
+      maxSessionRejectedStreams: MAX_REJECTED_STREAMS,
+    });
     this.server.on('session', (session) => {
-      this.sessions.add(session);
+      this.sessions.set(session, -Infinity);
+      if (this.ending) session.close();
       if (!session.destroyed) session.setLocalWindowSize(WINDOW_BYTES);
       session.on('close', () => this.sessions.delete(session));
       // `node:http2` closes a broken session. Its requests continue, since their sender may ask for the results again.
@@ -76,6 +105,11 @@
     });
   }
 
+  /** Number of requests whose result is not written and, at the end of a stop, of sessions with undelivered results. */
+  public get load(): number {
+    return this.requests.size + (this.ending ? this.countUndelivered() : 0);
+  }
+
   /** Starts listening; rejects if the address is in use. */
   public listen(): Promise<void> {
     return listenAt(this.server, this.options);
@@ -83,15 +117,50 @@
 
   public override stop(): void {
     super.stop();
-    for (const session of this.sessions) session.destroy();
+    for (const session of this.sessions.keys()) session.destroy();
     this.server.close();
   }
 
   protected override receive(message: ReceiverMessage): void {
+    switch (message.type) {
+      case 'opened':
+        this.open(message);
+        return;
+      case 'ending':
+        this.end();
+    }
+  }
+
+  private end(): void {
+    this.ending = true;
+    this.server.close();
+    for (const stream of this.reading) this.refuse(stream);
+    for (const session of this.sessions.keys()) session.close();
+  }
+
+  private countUndelivered(): number {
+    const sinceMs = this.options.clock.monotonicMs() - DELIVERY_TIMEOUT_MS;
+    return [...this.sessions.values()].filter((closedMs) => closedMs > sinceMs).length;
+  }
+
+  private noteClosed(stream: ServerHttp2Stream, session: Http2Session | undefined): void {
+    this.reading.delete(stream);
+    this.requests.delete(stream);
+    if (session !== undefined && this.sessions.has(session))
+      this.sessions.set(session, this.options.clock.monotonicMs());
+  }
+
+  private open(message: OpenedStream): void {
     const { stream, head, encoding, length } = message;
+    const { session } = stream;
     this.options.onHint(head.revisions);
     // A close event follows each error. A request continues without its stream.
     stream.on('error', () => undefined);
+    stream.on('close', () => this.noteClosed(stream, session));
+    if (this.ending) {
+      this.refuse(stream);
+      return;
+    }
     this.collectBody(stream, (held) => {
       const { bytes } = held;
       if (bytes.length !== (length ?? bytes.length)) {
@@ -105,7 +174,7 @@
     });
   }
 
-  private receiveUnpacked({ stream, path, head }: ReceiverMessage, held: HeldBody, body: Buffer): void {
+  private receiveUnpacked({ stream, path, head }: OpenedStream, held: HeldBody, body: Buffer): void {
     const unpacked = held.replace(body);
     if (unpacked === undefined) {
       this.refuseBody(stream, 'overBudget');
@@ -119,15 +188,14 @@
 
   private collectBody(stream: ServerHttp2Stream, done: (body: HeldBody) => void): void {
     const body = new BodyBuffer(maxBodyBytes, this.budget);
-    let isRefused = false;
+    this.reading.add(stream);
     stream.on('data', (chunk: Buffer) => {
-      const fault = isRefused ? undefined : body.add(chunk);
-      if (fault === undefined) return;
-      isRefused = true;
-      this.refuseBody(stream, fault);
+      const fault = this.reading.has(stream) ? body.add(chunk) : undefined;
+      if (fault !== undefined) this.refuseBody(stream, fault);
     });
     stream.on('end', () => {
-      if (isRefused) return;
+      // A stream that was refused ends, too.
+      if (!this.reading.delete(stream)) return;
       const held = body.hold();
       stream.on('close', () => held.release());
       done(held);
@@ -138,7 +206,12 @@
   private refuseBody(stream: ServerHttp2Stream, fault: BodyFault): void {
     const peer = stream.session?.socket.remoteAddress ?? '';
     this.options.logger.log('messageTooLarge', { step: 'rpc', peer, reason: describeBodyFault(fault) });
-    // This error code tells the sender that the request was not processed.
+    this.refuse(stream);
+  }
+
+  /** Closes a stream with the code that tells the sender that the request was not processed. */
+  private refuse(stream: ServerHttp2Stream): void {
+    this.reading.delete(stream);
     stream.close(constants.NGHTTP2_REFUSED_STREAM);
   }
 
@@ -148,8 +221,10 @@
     const measureTransitMs = (sent: ClockReading): number => this.transits.measureMs(peer, sent, now);
     decodeBackendRequest(head, body, now.monotonicMs, measureTransitMs).caseOf({
       Left: (message) => this.refuseMalformed(stream, message),
-      Right: (request) =>
-        this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions())),
+      Right: (request) => {
+        if (!stream.destroyed) this.requests.add(stream);
+        this.options.onRequest(request, (result) => sendResult(stream, result, this.options.revisions()));
+      },
     });
   }
 
