Load: a cell without shards does not serve

Fleet.waitServing, with which tests, demo and measurements await a fleet, held a cell for ready as soon as its members had joined: "every shard has an owner" is true of a cell that has no shards. Since new cells wait for their members before they place shards (StartupJoinWindow, 1 s), that state lasts a second. On a slower machine the members join further apart, so that the shards are placed first.

The API of the daemons was ruled out: its empty list was what the store held. So was a daemon behind the others: all three had all members.

--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -4,10 +4,12 @@
 import { request } from 'undici';
 import type { Cell } from '#assignment/Cell.js';
 import type { Intent } from '#control/Intent.js';
+import { listPlacements } from '#control/ListPlacements.js';
 import type { RunRecord } from '#standin/RunRecord.js';
 import type { Instance } from '#settings/Instance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
 import { FleetProcess } from '#load/FleetProcess.js';
+import { isCellServing } from '#load/IsCellServing.js';
 import { readRunRecords } from '#load/ReadRunRecords.js';
 
 const FLEET_KEY = 'key-of-a-fleet-on-loopback-for-tests-only';
@@ -62,7 +64,7 @@
     await this.findMember(serverId).backend.waitEnd();
   }
 
-  /** Resolves when each shard of each cell has an owner and all instances are members; rejects after `timeoutMs`. */
+  /** Resolves when every cell has all its shards, each with an owner, and its members; rejects after `timeoutMs`. */
   public async waitServing(timeoutMs: number): Promise<void> {
     const endMs = Date.now() + timeoutMs;
     const services = [...new Set(this.options.instances.map(({ service }) => service))];
@@ -305,8 +307,7 @@
   private isServing(cell: Cell | undefined): boolean {
     if (cell === undefined) return false;
     const expected = this.options.instances.filter(({ service }) => service === cell.service).length;
-    const active = cell.members.filter(({ state }) => state === 'active').length;
-    return active >= expected && Object.values(cell.shards).every(({ owner }) => owner !== '');
+    return isCellServing(cell, listPlacements(this.options.catalogue, cell.service), expected);
   }
 
   private storeUrl(): string {
--- a/packages/load/test/fleet.test.ts
+++ b/packages/load/test/fleet.test.ts
@@ -1,6 +1,9 @@
 import t from 'tap';
+import { RendezvousPolicy } from '#assignment/RendezvousPolicy.js';
 import { createFaultFleetOptions } from '#load/CreateFaultFleetOptions.js';
+import { createTestCell } from '#load/CreateTestCell.js';
 import { Fleet } from '#load/Fleet.js';
+import { isCellServing } from '#load/IsCellServing.js';
 import { waitFor } from '../../daemon/test/WaitFor.js';
 
 const COMMAND = [process.execPath, '--disable-warning=ExperimentalWarning', 'build/packages/cli/src/Main.js'];
@@ -16,3 +19,16 @@
   const isFree = (): boolean => !process.getActiveResourcesInfo().includes('ProcessWrap');
   await t.resolves(waitFor('the processes have ended', isFree, 2_000));
 });
+
+t.test('cell without shards does not serve', (t) => {
+  // Its members join before its shards are placed. Tests that began then found no owner of a key.
+  const placed = createTestCell(3, new RendezvousPolicy());
+  t.ok(isCellServing(placed, ['*'], 3), 'all shards are owned');
+  t.notOk(isCellServing({ ...placed, shards: {} }, ['*'], 3), 'no shard is placed');
+  t.notOk(isCellServing(placed, ['*', 'r1'], 3), 'one placement is missing');
+  t.notOk(isCellServing(placed, ['*'], 4), 'one member is missing');
+  const unowned = { owner: '', token: 1, fences: [] };
+  const partly = { ...placed, shards: { ...placed.shards, '*/127': unowned } };
+  t.notOk(isCellServing(partly, ['*'], 3), 'one shard has no owner');
+  t.end();
+});
