Proxy: limit the number of interim responses

The limits of undici apply to one response each, and ResponseHandler only ignored interim ones. Nothing was kept, and other callers were served.

ResponseHandler breaks off a request after 64 interim responses; the caller gets 502 backendLost, as for an endless head.

--- a/packages/proxy/src/ResponseHandler.ts
+++ b/packages/proxy/src/ResponseHandler.ts
@@ -2,6 +2,8 @@
 import type { ResponseListener } from '#proxy/ResponseListener.js';
 
 const FIRST_FINAL_STATUS = 200;
+/** Undici limits the size of each interim response but not their number. */
+const MAX_INTERIM_RESPONSES = 64;
 
 /**
  * Translates the undici callbacks of one request for its listener, and notes whether a byte of it may have been sent.
@@ -10,6 +12,7 @@
   private readonly listener: ResponseListener;
   private controller: Dispatcher.DispatchController | undefined;
   private cancelled = false;
+  private interimCount = 0;
 
   public constructor(listener: ResponseListener) {
     this.listener = listener;
@@ -40,7 +43,10 @@
     headers: Readonly<Record<string, string | string[] | undefined>>, // eslint-disable-line no-restricted-syntax -- signature of undici
   ): void {
     // Undici also reports interim responses, which are no head of the response.
-    if (status < FIRST_FINAL_STATUS) return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.countInterim(controller);
+      return;
+    }
     this.listener.onHead(status, headers, {
       pause: () => controller.pause(),
       resume: () => controller.resume(),
@@ -59,4 +65,9 @@
     const sent = this.controller !== undefined;
     this.listener.onError(err, sent, this.cancelled);
   }
+
+  private countInterim(controller: Dispatcher.DispatchController): void {
+    this.interimCount += 1;
+    if (this.interimCount > MAX_INTERIM_RESPONSES) controller.abort(new Error('too many interim responses'));
+  }
 }
--- a/packages/proxy/test/endless.test.ts
+++ b/packages/proxy/test/endless.test.ts
@@ -98,3 +98,19 @@
   };
   t.match(await sendRequest(node.port), { status: 200, text: 'done' });
 });
+
+t.test('few interim responses pass and many break the request off', async (t) => {
+  // A backend server that sent them without end was read as fast as it wrote until the deadline of the request.
+  const node = await new TestNode().start();
+  t.teardown(() => node.stop());
+  node.own();
+  node.backend.respond = ({ req, res }) => {
+    const count = Number(req.url?.slice(1));
+    for (let index = 0; index < count; index += 1) res.writeProcessing();
+    res.end('done');
+  };
+  t.match(await sendRequest(node.port, {}, '', '/v1/badges/64'), { status: 200, text: 'done' });
+  const many = await sendRequest(node.port, {}, '', '/v1/badges/65');
+  t.match(many, { status: 502, error: 'backendLost', ran: 'unknown' });
+  t.match(await sendRequest(node.port, {}, '', '/v1/badges/0'), { status: 200, text: 'done' });
+});
