Test 'drained domain is empty': the drain begins under load

The test failed with "sent 4" (more than 20 are wanted while a domain is drained).

- The stored cell assigns the shards before the daemons hold a lease: a witness is silent for 2.5 W after its start (docs/design.md, section 6).
In a trial with logs, the drain ran from 0.0 to 3.6 s after the fleet was "serving", and the daemons went from `acquiring` to `held` 1.9 to 2.5 s after that.
Until then every request got 421 notOwner, not run, and was retried; all of the drain fell into this time.
A fault of the drain was ruled out: from 2.1 s on requests were answered at once, 297 until the drain was done.

The test now waits until 50 requests have ended, and counts only those that end during the drain (before, all); the limits of 20 and of no failure stay.

--- a/packages/daemon/test/api.test.ts
+++ b/packages/daemon/test/api.test.ts
@@ -65,6 +65,9 @@
   const fleet = await startFleet(6);
   t.teardown(() => fleet.stop());
   const sender = keepSending(fleet);
+  // Without leases, which a new fleet acquires after its shards are placed, the drain would move shards that serve nobody.
+  await waitFor('requests are answered', () => sender.sent() > 50);
+  const sentBefore = sender.sent();
   const path = '/admin/v1/withdrawals/failureDomain/a';
   const put = await callAdmin(fleet, 'd2', path, { method: 'PUT', ifVersion: 0 });
   t.equal(put.status, 200, JSON.stringify(put.body));
@@ -72,14 +75,18 @@
   const cell = await fleet.readCell('badges');
   const left = Object.values(cell?.shards ?? {}).filter(({ owner }) => owner === 'd1' || owner === 'd4');
   t.equal(left.length, 0);
-  const { sent, failures } = await sender.stop();
+  const sent = sender.sent() - sentBefore;
   t.ok(sent > 20, `sent ${sent}`);
+  const failures = await sender.stop();
   t.same(failures, []);
 });
 
 /** Sends requests to the daemons outside the drained domain and retries requests that did not run. */
 function keepSending(fleet: Awaited<ReturnType<typeof startFleet>>): {
-  readonly stop: () => Promise<{ readonly sent: number; readonly failures: readonly unknown[] }>;
+  /** Number of requests that have ended. */
+  readonly sent: () => number;
+  /** Resolves with the failed requests after the last one has ended. */
+  readonly stop: () => Promise<readonly unknown[]>;
 } {
   let running = true;
   let sent = 0;
@@ -98,10 +105,11 @@
   };
   const workers = Promise.all([0, 1, 2, 3].map(loop));
   return {
+    sent: () => sent,
     stop: async () => {
       running = false;
       await workers;
-      return { sent, failures };
+      return failures;
     },
   };
 }
