Demo: a run that the kill interrupts ends with its process

A run of the demo (load 15 to 22) broke "one owner for each key" three times: runs of badges-kisumu-b from the moment of the kill "to Infinity" beside later ones of its successors. The record of a run that a kill interrupts has no end; Fleet.kill notes when the process ended, but the demo killed by Fleet.signal, which does not. No second owner: the process of the first was gone.

The demo kills by Fleet.kill, with its clock started before. Fleet.signal no longer takes SIGKILL, so that the compiler refuses the same error; it refused the demo and leave.test.ts, which now kills and waits by Fleet.kill.

--- a/packages/daemon/test/leave.test.ts
+++ b/packages/daemon/test/leave.test.ts
@@ -72,8 +72,7 @@
     'd1 serves callers',
     async () => (await sendRequest(fleet, 'd1', 'k', 'look')).status === 200,
   );
-  fleet.signal('d1', 'SIGKILL', 'backend');
-  await fleet.waitBackendEnd('d1');
+  await fleet.kill('d1', 'backend');
   await fleet.restartBackend('d1');
   await waitFor('d1 owns shards again', async () => (await countOwned()) > 0, 60_000);
   const { body } = await callAdmin(fleet, 'd1', '/admin/v1/status');
--- a/packages/load/src/Demo.ts
+++ b/packages/load/src/Demo.ts
@@ -83,8 +83,8 @@
     this.print(`sending ${RATE_PER_SECOND} requests a second for ${LOAD_DURATION_MS / 1000} s`);
     const running = generator.run();
     await delay(KILL_AFTER_MS);
-    fleet.signal(owner.serverId, 'SIGKILL', 'vm');
     const killedMs = Date.now();
+    await fleet.kill(owner.serverId, 'vm');
     this.print(`killed ${owner.serverId} with its backend server: ${owner.shards.size} shards lost`);
     const report = await running;
     generator.stop();
--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -22,6 +22,9 @@
   readonly backend: FleetProcess;
 }
 
+/** Processes of an instance that a signal goes to; `vm` is both. */
+type Component = 'daemon' | 'backend' | 'vm';
+
 /** A stand-in store, daemons and stand-in backend servers as processes on loopback. */
 export class Fleet {
   private readonly folder = mkdtempSync(join(tmpdir(), 'amaranthrouter-'));
@@ -100,17 +103,18 @@
     return `http://127.0.0.1:${this.findMember(serverId).daemon.values.get('admin') ?? 0}`;
   }
 
-  /** Sends a signal to the daemon or the backend server of an instance, or to both. */
-  public signal(serverId: string, name: NodeJS.Signals, component: 'daemon' | 'backend' | 'vm'): void {
-    const { daemon, backend } = this.findMember(serverId);
-    if (component !== 'backend') daemon.signal(name);
-    if (component !== 'daemon') backend.signal(name);
+  /**
+   * Sends a signal to the daemon or the backend server of an instance, or to both. For SIGKILL there is `kill`, which
+   * notes when the runs that it interrupts end.
+   */
+  public signal(serverId: string, name: Exclude<NodeJS.Signals, 'SIGKILL'>, component: Component): void {
+    this.sendSignal(serverId, name, component);
   }
 
   /** Kills processes of an instance and resolves when they have ended. */
-  public async kill(serverId: string, component: 'daemon' | 'backend' | 'vm'): Promise<void> {
+  public async kill(serverId: string, component: Component): Promise<void> {
     const { daemon, backend } = this.findMember(serverId);
-    this.signal(serverId, 'SIGKILL', component);
+    this.sendSignal(serverId, 'SIGKILL', component);
     if (component !== 'backend') await daemon.waitEnd();
     if (component === 'daemon') return;
     await backend.waitEnd();
@@ -218,6 +222,12 @@
     else process.stderr.write(`logs are kept in ${this.folder}\n`);
   }
 
+  private sendSignal(serverId: string, name: NodeJS.Signals, component: Component): void {
+    const { daemon, backend } = this.findMember(serverId);
+    if (component !== 'backend') daemon.signal(name);
+    if (component !== 'daemon') backend.signal(name);
+  }
+
   private async readShutdownCounts(serverId: string, endMs: number): Promise<readonly string[]> {
     for (;;) {
       const text = readFileSync(join(this.folder, `${serverId}.log`), 'utf8');
