Proxy: a response that arrived in time outlives a stall

The event loop runs due timers before it reads the sockets, so that the deadline discarded the response that lay in the socket.

--- a/packages/proxy/src/EntryTask.ts
+++ b/packages/proxy/src/EntryTask.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '#core/Clock.js';
 import type { RandomSource } from '#core/RandomSource.js';
 import type { RouterErrorFields } from '#core/RouterErrorFields.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { TickingTask } from '#core/TickingTask.js';
 import type { DeliveryEvent } from '#delivery/DeliveryEvent.js';
 import type { ArrivedRequest } from '#proxy/ArrivedRequest.js';
@@ -185,7 +186,8 @@
     const { req, res, head, checked, startedMs } = arrived;
     const id = head.requestId;
     const deadlineAtMs = startedMs + computeDeadline(head, checked);
-    const cancelDeadline = this.clock.schedule(deadlineAtMs - this.clock.monotonicMs(), () =>
+    const remainingMs = deadlineAtMs - this.clock.monotonicMs();
+    const cancelDeadline = scheduleAfterReads(this.clock, remainingMs, () =>
       this.post({ type: 'exchange', exchangeId: id, event: { type: 'deadline' } }),
     );
     this.exchanges.add(startExchange({ ...arrived, id, deadlineAtMs, cancelDeadline }));
--- a/packages/proxy/src/InFlightRequests.ts
+++ b/packages/proxy/src/InFlightRequests.ts
@@ -1,5 +1,6 @@
 import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import type { ResponseHandler } from '#proxy/ResponseHandler.js';
 
 interface RunningRequest {
@@ -15,7 +16,7 @@
 
   /** Adds a request, which is cancelled after `timeoutMs`. */
   public add(orderId: string, handler: ResponseHandler, timeoutMs: number): void {
-    const cancelTimer = this.clock.schedule(timeoutMs, () => handler.cancel());
+    const cancelTimer = scheduleAfterReads(this.clock, timeoutMs, () => handler.cancel());
     this.running.set(orderId, { handler, cancelTimer });
   }
 
