ServerTask: a response that arrived in time outlives a stall

A request whose response lay in the socket was lost (timeout) and its connection destroyed, and a backend server that had responded at once was reported silent, on which PresenceTask may take it for ended.

--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -1,4 +1,5 @@
 import type { Cancel } from '#core/Cancel.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { Task } from '#core/Task.js';
 import { applyViewToServer } from '#mesh/ApplyViewToServer.js';
 import { canEnd } from '#mesh/CanEnd.js';
@@ -366,7 +367,8 @@
 
   private scheduleTick(): void {
     if (this.cancelTick !== undefined || this.load === 0) return;
-    this.cancelTick = this.options.clock.schedule(TICK_INTERVAL_MS, () => this.post({ type: 'tick' }));
+    const { clock } = this.options;
+    this.cancelTick = scheduleAfterReads(clock, TICK_INTERVAL_MS, () => this.post({ type: 'tick' }));
   }
 
   private now(): number {
