--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -4,10 +4,12 @@
 import { request } from 'undici';
 import type { Cell } from '#assignment/Cell.js';
 import type { Intent } from '#control/Intent.js';
+import { listPlacements } from '#control/ListPlacements.js';
 import type { RunRecord } from '#standin/RunRecord.js';
 import type { Instance } from '#settings/Instance.js';
 import type { FleetOptions } from '#load/FleetOptions.js';
 import { FleetProcess } from '#load/FleetProcess.js';
+import { isCellServing } from '#load/IsCellServing.js';
 import { readRunRecords } from '#load/ReadRunRecords.js';
 
 const FLEET_KEY = 'key-of-a-fleet-on-loopback-for-tests-only';
@@ -20,6 +22,9 @@
   readonly backend: FleetProcess;
 }
 
+/** Processes of an instance that a signal goes to; `vm` is both. */
+type Component = 'daemon' | 'backend' | 'vm';
+
 /** A stand-in store, daemons and stand-in backend servers as processes on loopback. */
 export class Fleet {
   private readonly folder = mkdtempSync(join(tmpdir(), 'amaranthrouter-'));
@@ -62,7 +67,7 @@
     await this.findMember(serverId).backend.waitEnd();
   }
 
-  /** Resolves when each shard of each cell has an owner and all instances are members; rejects after `timeoutMs`. */
+  /** Resolves when every cell has all its shards, each with an owner, and its members; rejects after `timeoutMs`. */
   public async waitServing(timeoutMs: number): Promise<void> {
     const endMs = Date.now() + timeoutMs;
     const services = [...new Set(this.options.instances.map(({ service }) => service))];
@@ -98,17 +103,18 @@
     return `http://127.0.0.1:${this.findMember(serverId).daemon.values.get('admin') ?? 0}`;
   }
 
-  /** Sends a signal to the daemon or the backend server of an instance, or to both. */
-  public signal(serverId: string, name: NodeJS.Signals, component: 'daemon' | 'backend' | 'vm'): void {
-    const { daemon, backend } = this.findMember(serverId);
-    if (component !== 'backend') daemon.signal(name);
-    if (component !== 'daemon') backend.signal(name);
+  /**
+   * Sends a signal to the daemon or the backend server of an instance, or to both. For SIGKILL there is `kill`, which
+   * notes when the runs that it interrupts end.
+   */
+  public signal(serverId: string, name: Exclude<NodeJS.Signals, 'SIGKILL'>, component: Component): void {
+    this.sendSignal(serverId, name, component);
   }
 
   /** Kills processes of an instance and resolves when they have ended. */
-  public async kill(serverId: string, component: 'daemon' | 'backend' | 'vm'): Promise<void> {
+  public async kill(serverId: string, component: Component): Promise<void> {
     const { daemon, backend } = this.findMember(serverId);
-    this.signal(serverId, 'SIGKILL', component);
+    this.sendSignal(serverId, 'SIGKILL', component);
     if (component !== 'backend') await daemon.waitEnd();
     if (component === 'daemon') return;
     await backend.waitEnd();
@@ -216,6 +222,12 @@
     else process.stderr.write(`logs are kept in ${this.folder}\n`);
   }
 
+  private sendSignal(serverId: string, name: NodeJS.Signals, component: Component): void {
+    const { daemon, backend } = this.findMember(serverId);
+    if (component !== 'backend') daemon.signal(name);
+    if (component !== 'daemon') backend.signal(name);
+  }
+
   private async readShutdownCounts(serverId: string, endMs: number): Promise<readonly string[]> {
     for (;;) {
       const text = readFileSync(join(this.folder, `${serverId}.log`), 'utf8');
@@ -305,8 +317,7 @@
   private isServing(cell: Cell | undefined): boolean {
     if (cell === undefined) return false;
     const expected = this.options.instances.filter(({ service }) => service === cell.service).length;
-    const active = cell.members.filter(({ state }) => state === 'active').length;
-    return active >= expected && Object.values(cell.shards).every(({ owner }) => owner !== '');
+    return isCellServing(cell, listPlacements(this.options.catalogue, cell.service), expected);
   }
 
   private storeUrl(): string {
