--- /dev/null
+++ b/packages/mesh/test/StartCallerTask.ts
@@ -0,0 +1,65 @@
+import { connect, type Socket } from 'node:net';
+import { Logger } from '#core/Logger.js';
+import { SystemClock } from '#core/SystemClock.js';
+import type { CallerReply } from '#mesh/CallerReply.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
+import { CallerTask } from '#mesh/CallerTask.js';
+import { findFreePort } from './FindFreePort.js';
+import { testHeaders } from './TestHeaders.js';
+
+interface Forwarded {
+  readonly request: CallerRequest;
+  readonly reply: (reply: CallerReply) => void;
+}
+
+/** A caller's connection and what was received on it. */
+interface Caller {
+  readonly socket: Socket;
+  readonly text: () => string;
+}
+
+interface CallerRun {
+  readonly task: CallerTask;
+  readonly forwarded: readonly Forwarded[];
+  /** Exchange numbers of requests whose callers left. */
+  readonly left: readonly number[];
+  /** Connects a caller that sends `text`. */
+  readonly send: (text: string) => Caller;
+  /** Replies to the request that was forwarded at `index` with a body of `bytes`. */
+  readonly respond: (index: number, bytes?: number) => void;
+}
+
+/** Starts a `CallerTask` whose requests wait for the test to reply. */
+export async function startCallerTask(t: {
+  readonly teardown: (close: () => unknown) => void;
+}): Promise<CallerRun> {
+  const port = await findFreePort();
+  const forwarded: Forwarded[] = [];
+  const left: number[] = [];
+  const task = new CallerTask({
+    host: '127.0.0.1',
+    port,
+    headers: testHeaders,
+    clock: new SystemClock(),
+    logger: new Logger('test'),
+    onAccepted: () => undefined,
+    onRequest: (_exchange, request, reply) => forwarded.push({ request, reply }),
+    onLeft: (exchange) => left.push(exchange),
+  });
+  await task.listen();
+  t.teardown(() => task.stop());
+  const send = (text: string): Caller => {
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (chunk) => (received += chunk.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.write(text, 'latin1');
+    t.teardown(() => socket.destroy());
+    return { socket, text: () => received };
+  };
+  const respond = (index: number, bytes = 2): void => {
+    const body = Buffer.alloc(bytes, 'x');
+    forwarded[index]?.reply({ type: 'answer', response: { status: 200, headers: [], body } });
+  };
+  return { task, forwarded, left, send, respond };
+}
