CallerTask: the daemon's ends of connections spare the requests before them

Change: the connection of a refused body ends once its response is the next; CONNECT and a missing Host are refused by the task as the last request; an unwritable response becomes 502. CallerExchangeTable takes the bookkeeping of exchanges out of CallerTask. The tests of callers' connections share startCallerTask.

--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as TcpServer, Socket } from 'node:net';
+import { Either } from 'purify-ts';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBudget } from '#core/BodyBudget.js';
 import type { Cancel } from '#core/Cancel.js';
@@ -12,16 +13,19 @@
 import type { CallerBodySignal } from '#mesh/CallerBodySignal.js';
 import type { CallerExchange } from '#mesh/CallerExchange.js';
 import { callerExchangeChart } from '#mesh/CallerExchangeChart.js';
+import { CallerExchangeTable } from '#mesh/CallerExchangeTable.js';
 import type { CallerMessage } from '#mesh/CallerMessage.js';
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { ConnectionSide } from '#mesh/ConnectionSide.js';
 import { createBodyRefusal } from '#mesh/CreateBodyRefusal.js';
+import { describeCut } from '#mesh/DescribeCut.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { rejectMalformed } from '#mesh/RejectMalformed.js';
+import { rejectMissingHost } from '#mesh/RejectMissingHost.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
 /** Largest request head that the HTTP parser accepts. */
@@ -42,6 +46,9 @@
 /** A connection whose response makes no progress for this time is closed, in milliseconds. */
 const RESPONSE_STALL_MS = 10_000;
 
+/** Reply to a request whose response cannot be written; it may have run. */
+const INVALID_REPLY: CallerReply = { type: 'refusal', status: 502, code: 'badAnswer', retryAfterMs: 0 };
+
 /**
  * Serves callers over HTTP/1.1. Owns the listening socket and its connections. Responses on a connection keep
  * the order of the requests.
@@ -49,8 +56,7 @@
 export class CallerTask extends Task<CallerMessage> {
   private readonly options: CallerOptions;
   private readonly server: Server;
-  private readonly exchanges = new Map<number, CallerExchange>();
-  private readonly exchangesBySocket = new Map<Socket, ReadonlySet<number>>();
+  private readonly exchanges = new CallerExchangeTable();
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Memory for the bodies of all requests without a reply. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
@@ -68,11 +74,19 @@
       keepAliveTimeout: 60_000,
       requestTimeout: 0,
       noDelay: true,
+      // A request without Host is refused by this task, so that none behind it is passed on.
+      requireHostHeader: false,
     });
     this.server.on('request', (req, res) => this.post({ type: 'request', req, res }));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       if (socket instanceof Socket) this.post({ type: 'malformed', socket, code: err.code ?? '' });
     });
+    // Without a listener, `node:http` destroys the connection of a CONNECT request.
+    this.server.on('connect', ({ socket }) => {
+      this.post({ type: 'malformed', socket, code: 'CONNECT' });
+      // `node:http` no longer reads the connection.
+      socket.on('error', () => undefined).resume();
+    });
     // With this listener, `node:http` does not destroy connections that time out.
     this.server.on('timeout', (socket: Socket) => this.post({ type: 'timedOut', socket }));
     this.server.on('connection', (socket: Socket) => {
@@ -103,7 +117,7 @@
 
   public override stop(): void {
     super.stop();
-    for (const exchange of this.exchanges.values()) exchange.cancelTimer();
+    for (const exchange of this.exchanges.list()) exchange.cancelTimer();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -148,7 +162,7 @@
         return;
       case 'refusing':
         this.refusing = true;
-        for (const { number } of this.exchanges.values()) this.refuseBody(number, 'stopping');
+        for (const { number } of this.exchanges.list()) this.refuseBody(number, 'stopping');
         return;
       case 'ending':
         this.endIdle();
@@ -160,7 +174,7 @@
     this.ending = true;
     // `close` of `node:http` would destroy connections whose responses are not written yet.
     TcpServer.prototype.close.call(this.server);
-    for (const [socket, connection] of this.connections) if (this.isIdle(socket)) connection.end();
+    for (const [socket, connection] of this.connections) if (this.exchanges.isIdle(socket)) connection.end();
   }
 
   private open(req: IncomingMessage, res: ServerResponse): void {
@@ -169,6 +183,11 @@
       this.ignore(req);
       return;
     }
+    if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      this.connections.get(socket)?.finish();
+      rejectMissingHost(req, res);
+      return;
+    }
     const number = this.nextExchange;
     this.nextExchange += 1;
     const arrivedMs = this.options.clock.monotonicMs();
@@ -178,8 +197,7 @@
     );
     // Node.js emits 'finish' for the pending responses of a destroyed connection, too.
     res.on('finish', () => this.post({ type: 'flushed', exchange: number, written: !socket.destroyed }));
-    this.exchangesBySocket.set(socket, new Set([...(this.exchangesBySocket.get(socket) ?? []), number]));
-    this.exchanges.set(number, {
+    this.exchanges.add({
       number,
       socket,
       res,
@@ -220,7 +238,7 @@
   }
 
   private forward(number: number, body: HeldBody): void {
-    const exchange = this.exchanges.get(number);
+    const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'read' }) !== true) {
       body.release();
       this.noteDiscarded(number);
@@ -228,7 +246,7 @@
     }
     exchange.cancelTimer();
     const request = { ...exchange.request, body: body.bytes };
-    this.exchanges.set(number, { ...exchange, request, body, cancelTimer: () => undefined });
+    this.exchanges.update({ ...exchange, request, body, cancelTimer: () => undefined });
     this.options.onRequest(number, request, (reply) =>
       this.post({ type: 'replied', exchange: number, reply }),
     );
@@ -236,7 +254,7 @@
 
   /** Refuses a request whose body has not arrived, and goes on reading the body. */
   private refuseBody(number: number, fault: CallerBodyFault): void {
-    const exchange = this.exchanges.get(number);
+    const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'refused' }) !== true) return;
     const { socket, res, request, reader } = exchange;
     exchange.cancelTimer();
@@ -246,40 +264,55 @@
     res.shouldKeepAlive = !this.stopping;
     writeCallerReply(res, createBodyRefusal(fault), request.id, this.options.headers, this.stopping);
     if (this.stopping) this.connections.get(socket)?.finish();
-    const cancelTimer = this.options.clock.schedule(DISCARD_TIMEOUT_MS, () =>
-      this.post({ type: 'discardExpired', exchange: number }),
+    this.exchanges.update({ ...exchange, cancelTimer: this.scheduleDiscard(number) });
+  }
+
+  private scheduleDiscard(exchange: number): Cancel {
+    return this.options.clock.schedule(DISCARD_TIMEOUT_MS, () =>
+      this.post({ type: 'discardExpired', exchange }),
     );
-    this.exchanges.set(number, { ...exchange, cancelTimer });
   }
 
   private noteDiscarded(number: number): void {
-    const exchange = this.exchanges.get(number);
+    const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'bodyEnded' }) !== true) return;
     this.remove(exchange);
     this.noteProgress(exchange.socket);
   }
 
   private noteDiscardExpired(number: number): void {
-    const exchange = this.exchanges.get(number);
-    if (exchange !== undefined) this.connections.get(exchange.socket)?.end();
+    const exchange = this.exchanges.find(number);
+    if (exchange === undefined) return;
+    const { socket } = exchange;
+    // The requests before it get their responses first.
+    if (this.exchanges.findFirst(socket) === exchange) this.connections.get(socket)?.end();
+    else this.exchanges.update({ ...exchange, cancelTimer: this.scheduleDiscard(number) });
   }
 
   private reply(number: number, reply: CallerReply): void {
-    const exchange = this.exchanges.get(number);
+    const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'replied' }) !== true) return;
-    const { socket, res, request, body } = exchange;
+    const { socket, body } = exchange;
     body?.release();
     // While a later request on this connection is open, the connection has to stay open for its response.
-    const isLast = [...(this.exchangesBySocket.get(socket) ?? [])].every((other) => other <= number);
     const connection = this.connections.get(socket);
-    const closes = isLast && (this.stopping || connection?.isOpen !== true);
+    const closes = this.exchanges.isLast(exchange) && (this.stopping || connection?.isOpen !== true);
     if (closes) connection?.finish();
     this.watchProgress(socket);
-    writeCallerReply(res, reply, request.id, this.options.headers, closes);
+    this.write(exchange, reply, closes);
+  }
+
+  /** Writes a reply. Node.js throws for a header that it cannot write, and the request gets another response. */
+  private write({ res, request }: CallerExchange, reply: CallerReply, closes: boolean): void {
+    const { headers, logger } = this.options;
+    Either.encase(() => writeCallerReply(res, reply, request.id, headers, closes)).ifLeft((err) => {
+      logger.log('replyInvalid', { step: 'deliver', id: request.id, message: err.message });
+      writeCallerReply(res, INVALID_REPLY, request.id, headers, closes);
+    });
   }
 
   private noteFlushed(number: number, written: boolean): void {
-    const exchange = this.exchanges.get(number);
+    const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'flushed' }) !== true) return;
     const { socket, request } = exchange;
     this.remove(exchange);
@@ -290,7 +323,7 @@
 
   /** Ends a connection without open requests if no more are handled, or waits for the progress of the next response. */
   private noteProgress(socket: Socket): void {
-    if (!this.isIdle(socket)) {
+    if (!this.exchanges.isIdle(socket)) {
       this.watchProgress(socket);
       return;
     }
@@ -304,12 +337,11 @@
   }
 
   private isWriting(socket: Socket): boolean {
-    const [first = 0] = this.exchangesBySocket.get(socket) ?? [];
-    return this.exchanges.get(first)?.cursor.state === 'responding';
+    return this.exchanges.findFirst(socket)?.cursor.state === 'responding';
   }
 
   private noteTimedOut(socket: Socket): void {
-    if (this.isIdle(socket)) {
+    if (this.exchanges.isIdle(socket)) {
       this.connections.get(socket)?.end();
       return;
     }
@@ -323,52 +355,31 @@
     const connection = this.connections.get(socket);
     if (connection?.isOpen !== true) return;
     connection.finish();
-    const numbers = [...(this.exchangesBySocket.get(socket) ?? [])];
-    this.options.logger.log('callerMalformed', { step: 'parse', reason: code, requests: numbers.length });
-    const reading = numbers.find((number) => this.exchanges.get(number)?.res.req.complete === false);
-    if (reading !== undefined) this.reply(reading, createBodyRefusal('malformed'));
-    else if (this.isIdle(socket)) rejectMalformed(socket, code);
+    const exchanges = this.exchanges.listOf(socket);
+    this.options.logger.log('callerMalformed', { step: 'parse', reason: code, requests: exchanges.length });
+    const reading = exchanges.find(({ res }) => !res.req.complete);
+    if (reading !== undefined) this.reply(reading.number, createBodyRefusal('malformed'));
+    else if (exchanges.length === 0) rejectMalformed(socket, code);
   }
 
   private noteClosed(socket: Socket, by: ConnectionSide): void {
-    const numbers = [...(this.exchangesBySocket.get(socket) ?? [])];
-    this.exchangesBySocket.delete(socket);
     if (socket.destroyed) this.connections.delete(socket);
-    if (by === 'daemon' && numbers.length > 0) this.logCut(socket, numbers);
-    for (const number of numbers) {
-      const exchange = this.exchanges.get(number);
-      if (exchange === undefined) continue;
+    const exchanges = this.exchanges.listOf(socket);
+    if (by === 'daemon' && exchanges.length > 0)
+      this.options.logger.log('callerConnectionCut', describeCut(socket, exchanges));
+    for (const exchange of exchanges) {
       const isForwarded = exchange.cursor.state === 'forwarded';
       exchange.cursor.send({ type: 'closed' });
       exchange.body?.release();
       this.remove(exchange);
-      if (isForwarded) this.options.onLeft(number);
+      if (isForwarded) this.options.onLeft(exchange.number);
     }
   }
 
-  private logCut(socket: Socket, numbers: readonly number[]): void {
-    const exchanges = numbers.flatMap((number) => this.exchanges.get(number) ?? []);
-    this.options.logger.log('callerConnectionCut', {
-      step: 'deliver',
-      peer: socket.remoteAddress ?? '',
-      stopping: this.stopping,
-      ids: exchanges.map(({ request, cursor }) => `${request.id}/${cursor.state}`).join(','),
-      unsentBytes: socket.writableLength,
-    });
-  }
-
-  private remove({ number, socket, reader, cancelTimer }: CallerExchange): void {
-    cancelTimer();
-    reader.discard();
-    this.exchanges.delete(number);
-    const remaining = new Set(this.exchangesBySocket.get(socket));
-    remaining.delete(number);
-    if (remaining.size > 0) this.exchangesBySocket.set(socket, remaining);
-    else this.exchangesBySocket.delete(socket);
-  }
-
-  private isIdle(socket: Socket): boolean {
-    return !this.exchangesBySocket.has(socket);
+  private remove(exchange: CallerExchange): void {
+    exchange.cancelTimer();
+    exchange.reader.discard();
+    this.exchanges.remove(exchange);
   }
 
   private applyLimits(limits: CallerLimits): void {
--- a/packages/mesh/test/StartCallerTask.ts
+++ b/packages/mesh/test/StartCallerTask.ts
@@ -16,6 +16,8 @@
 interface Caller {
   readonly socket: Socket;
   readonly text: () => string;
+  /** Error code of the connection, or an empty string. */
+  readonly error: () => string;
 }
 
 interface CallerRun {
@@ -49,13 +51,14 @@
   await task.listen();
   t.teardown(() => task.stop());
   const send = (text: string): Caller => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true });
     let received = '';
+    let error = '';
     socket.on('data', (chunk) => (received += chunk.toString('latin1')));
-    socket.on('error', () => undefined);
+    socket.on('error', (err: NodeJS.ErrnoException) => (error = err.code ?? err.message));
     socket.write(text, 'latin1');
     t.teardown(() => socket.destroy());
-    return { socket, text: () => received };
+    return { socket, text: () => received, error: () => error };
   };
   const respond = (index: number, bytes = 2): void => {
     const body = Buffer.alloc(bytes, 'x');
--- a/packages/mesh/test/callerEnd.test.ts
+++ b/packages/mesh/test/callerEnd.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
-import { CallerRun } from './CallerRun.js';
+import { startCallerTask } from './StartCallerTask.js';
+import { waitFor } from './WaitFor.js';
 
 const MIB = 1024 * 1024;
 
@@ -22,23 +23,23 @@
 
 t.test('stop does not cut a response that waits to be written', async (t) => {
   // `closeIdleConnections` takes a connection for idle once its response was handed over.
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   caller.socket.pause();
   run.respond(0, LARGE_BYTES);
   await sleep(20);
   run.task.post({ type: 'stopping' });
   await sleep(20);
   caller.socket.resume();
-  await run.until(() => caller.text().length > LARGE_BYTES);
+  await waitFor(() => caller.text().length > LARGE_BYTES);
   t.ok(caller.text().length > LARGE_BYTES, `${caller.text().length} bytes`);
 });
 
 t.test('stop does not cut a pipelined request at work behind a response being written', async (t) => {
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1') + get('2'));
-  await run.until(() => run.forwarded.length === 2);
+  await waitFor(() => run.forwarded.length === 2);
   caller.socket.pause();
   run.respond(0, LARGE_BYTES);
   await sleep(20);
@@ -46,15 +47,15 @@
   await sleep(20);
   run.respond(1);
   caller.socket.resume();
-  await run.until(() => countResponses(caller.text()) === 2);
+  await waitFor(() => countResponses(caller.text()) === 2);
   t.equal(countResponses(caller.text()), 2);
   t.ok(CLOSES.test(caller.text()), 'the last response says that the connection ends');
 });
 
 t.test('end of the process waits for a response that is being written', async (t) => {
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   caller.socket.pause();
   run.respond(0, LARGE_BYTES);
   await sleep(20);
@@ -63,17 +64,17 @@
   await sleep(20);
   t.ok(run.task.load > 0);
   caller.socket.resume();
-  await run.until(() => caller.text().length > LARGE_BYTES);
+  await waitFor(() => caller.text().length > LARGE_BYTES);
   t.ok(caller.text().length > LARGE_BYTES, `${caller.text().length} bytes`);
-  await run.until(() => run.task.load === 0);
+  await waitFor(() => run.task.load === 0);
   t.equal(run.task.load, 0, 'nothing is left to wait for');
 });
 
 t.test('requests sent behind the last response do not reset it', async (t) => {
   // The daemon closed while the caller still sent, and the reset dropped what the caller had not received.
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   caller.socket.pause();
   run.task.post({ type: 'stopping' });
   run.respond(0, MIB);
@@ -81,62 +82,62 @@
   await sleep(200);
   clearInterval(sending);
   caller.socket.resume();
-  await run.until(() => caller.socket.destroyed);
+  await waitFor(() => caller.socket.destroyed);
   t.ok(caller.text().length > MIB, `${caller.text().length} bytes`);
   t.equal(caller.error(), '');
   t.equal(run.forwarded.length, 1, 'requests behind the last response are not passed on');
 });
 
 t.test('request on an idle connection is served while the daemon stops', async (t) => {
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   run.respond(0);
-  await run.until(() => countResponses(caller.text()) === 1);
+  await waitFor(() => countResponses(caller.text()) === 1);
   run.task.post({ type: 'stopping' });
   await sleep(20);
   caller.socket.write(get('2'));
-  await run.until(() => run.forwarded.length === 2);
+  await waitFor(() => run.forwarded.length === 2);
   run.respond(1);
-  await run.until(() => caller.socket.destroyed);
+  await waitFor(() => caller.socket.destroyed);
   t.equal(countResponses(caller.text()), 2);
   t.ok(CLOSES.test(caller.text()), 'the last response says that the connection ends');
   t.equal(run.task.load, 0);
 });
 
 t.test('idle connection ends without a reset at the end of the process', async (t) => {
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   run.respond(0);
-  await run.until(() => countResponses(caller.text()) === 1);
+  await waitFor(() => countResponses(caller.text()) === 1);
   run.task.post({ type: 'stopping' });
   run.task.post({ type: 'ending' });
   caller.socket.write(get('2'));
-  await run.until(() => caller.socket.destroyed);
+  await waitFor(() => caller.socket.destroyed);
   t.equal(caller.error(), '');
 });
 
 t.test('caller that stops reading and closing does not hold up the end', async (t) => {
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const caller = run.send(get('1'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   caller.socket.pause();
   run.task.post({ type: 'stopping' });
   run.respond(0);
-  await run.until(() => run.task.load === 1);
+  await waitFor(() => run.task.load === 1);
   await sleep(LINGER_LIMIT_MS);
   t.equal(run.task.load, 0);
 });
 
 t.test('request behind one that asks for the end of its connection is not passed on', async (t) => {
   // It was passed on, and its connection was closed without its response.
-  const run = await CallerRun.start(t);
+  const run = await startCallerTask(t);
   const first = get('1').replace('Host: a', 'Host: a\r\nConnection: close');
   const caller = run.send(first + get('2'));
-  await run.until(() => run.forwarded.length === 1);
+  await waitFor(() => run.forwarded.length === 1);
   run.respond(0);
-  await run.until(() => caller.socket.destroyed);
+  await waitFor(() => caller.socket.destroyed);
   t.equal(run.forwarded.length, 1);
   t.equal(countResponses(caller.text()), 1);
 });
