Load: all daemons start before the backend servers

On a busy machine the first instance of a fleet, started alone as the seed of the others, joined its cell more than the join window (1 s) before them and was given most or all shards: in runs of the demo (load 15 to 28) the killed server owned 256, 128, 8, 4, 2, 64 and 2 shards, in a trial of a drain 128 of 128. A demo or test of a loss then measured nearly all keys or nearly none.

Fleet.start now starts the daemons first, then the backend servers, with which daemons join. fleet.test.ts counts the processes before the first backend server; it failed before.

Not changed: the join window of the product.

--- a/packages/load/src/Fleet.ts
+++ b/packages/load/src/Fleet.ts
@@ -39,20 +39,28 @@
 
   public constructor(private readonly options: FleetOptions) {}
 
-  /** Starts the store with the catalogue, then all instances. */
+  /**
+   * Starts the store with the catalogue, then all daemons, then their backend servers: a daemon joins its cell with its
+   * backend server, and the shards are divided among those that join at about the same time.
+   */
   public async start(): Promise<void> {
     this.store = await this.startCommand(['standin-store'], 'store');
     await this.putObject('catalogue', { author: 'setup', catalogue: this.options.catalogue });
     const [first, ...rest] = this.options.instances;
-    if (first !== undefined) await this.startInstance(first);
-    await Promise.all(rest.map((instance) => this.startInstance(instance)));
+    if (first === undefined) return;
+    const startPair = async (instance: Instance): Promise<readonly [Instance, FleetProcess]> => [
+      instance,
+      await this.startDaemon(instance),
+    ];
+    // The first daemon is the seed of the others.
+    const seed = await startPair(first);
+    const others = await Promise.all(rest.map(startPair));
+    await Promise.all([seed, ...others].map(([instance, daemon]) => this.addMember(instance, daemon)));
   }
 
   /** Starts the daemon and the backend server of an instance, or replaces those that were killed. */
   public async startInstance(instance: Instance): Promise<void> {
-    const daemon = await this.startDaemon(instance);
-    const backend = await this.startBackend(instance, daemon);
-    this.members.set(instance.serverId, { instance, daemon, backend });
+    await this.addMember(instance, await this.startDaemon(instance));
   }
 
   /** Starts a new backend server for a daemon whose previous one has ended. */
@@ -222,6 +230,12 @@
     else process.stderr.write(`logs are kept in ${this.folder}\n`);
   }
 
+  /** Starts the backend server of an instance whose daemon runs. */
+  private async addMember(instance: Instance, daemon: FleetProcess): Promise<void> {
+    const backend = await this.startBackend(instance, daemon);
+    this.members.set(instance.serverId, { instance, daemon, backend });
+  }
+
   private sendSignal(serverId: string, name: NodeJS.Signals, component: Component): void {
     const { daemon, backend } = this.findMember(serverId);
     if (component !== 'backend') daemon.signal(name);
--- a/packages/load/test/fleet.test.ts
+++ b/packages/load/test/fleet.test.ts
@@ -20,6 +20,25 @@
   await t.resolves(waitFor('the processes have ended', isFree, 2_000));
 });
 
+t.test('daemons start before the backend servers', async (t) => {
+  // A daemon joins its cell with its backend server. The first one joined alone and was given most shards.
+  const options = createFaultFleetOptions(COMMAND, 1, '');
+  const countProcesses = (): number =>
+    process.getActiveResourcesInfo().filter((name) => name === 'ProcessWrap').length;
+  const counts: number[] = [];
+  const fleet = new Fleet({
+    ...options,
+    backendCommand: () => {
+      counts.push(countProcesses());
+      return [process.execPath, '--eval', 'process.exit(1)'];
+    },
+  });
+  await t.rejects(fleet.start(), /exit code 1/);
+  await fleet.stop();
+  const store = 1;
+  t.equal(counts[0], store + options.instances.length, 'processes before the first backend server');
+});
+
 t.test('cell without shards does not serve', (t) => {
   // Its members join before its shards are placed. Tests that began then found no owner of a key.
   const placed = createTestCell(3, new RendezvousPolicy());
