CallerPort: end connections after their last response at a stop

After a SIGTERM, the product's daemon closed each connection with its next response, while later pipelined requests were at work, and closed idle connections whose responses the kernel still held; a request that the caller sent on such a connection reset it and destroyed them. Callers lost responses of requests that had run.

CallerConnections announces the end in the response to the last request that was read, and ends connections by half-close (CallerConnection).

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -147,9 +147,11 @@
     const isDrained = await Promise.race([this.wait(drainMs).then(() => false), this.drainResult]);
     this.logger.log('drainEnded', { step: 'shutdown', outcome: isDrained ? 'left' : 'timeout' });
     await this.requestPath.close();
-    if (isDrained) return;
-    this.control.resign();
-    await this.drainResult;
+    if (!isDrained) {
+      this.control.resign();
+      await this.drainResult;
+    }
+    await this.requestPath.waitConnectionsEnded();
   }
 
   private wait(durationMs: number): Promise<void> {
--- a/packages/daemon/src/RequestPath.ts
+++ b/packages/daemon/src/RequestPath.ts
@@ -82,6 +82,7 @@
       listener,
     );
     this.port = new CallerPort(
+      clock,
       (message) => this.entry.post(message),
       (message) => this.hop.post(message),
       (message) => this.receipts.post(message),
@@ -143,7 +144,7 @@
     this.entry.post({ type: 'slice', slice: grant });
   }
 
-  /** Keeps serving, but closes each caller's connection after its next response. */
+  /** Keeps serving, but ends each caller's connection after its next response. */
   public announceClose(): void {
     this.port.disableKeepAlive();
   }
@@ -158,6 +159,11 @@
     await new Promise<void>((resolve) => this.owner.post({ type: 'drain', reply: resolve }));
   }
 
+  /** Resolves when all connections of callers and other daemons have ended. */
+  public waitConnectionsEnded(): Promise<void> {
+    return this.port.waitEnded();
+  }
+
   /** Stops all tasks at once. */
   public stop(): void {
     this.port.stop();
--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as TcpServer, type Socket } from 'node:net';
+import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
+import { CallerConnections } from '#proxy/CallerConnections.js';
 import type { EntryMessage } from '#proxy/EntryMessage.js';
 import type { HopMessage } from '#proxy/HopMessage.js';
 import { parseReceipt } from '#proxy/ParseReceipt.js';
@@ -19,14 +21,15 @@
 export class CallerPort {
   private readonly logger = new Logger('caller');
   private readonly server: Server;
-  /** Whether connections are closed after their current request. */
-  private leaving = false;
+  private readonly connections: CallerConnections;
 
   public constructor(
+    clock: Clock,
     private readonly postToEntry: (message: EntryMessage) => void,
     private readonly postToHop: (message: HopMessage) => void,
     private readonly postToReceipts: (message: ReceiptMessage) => void,
   ) {
+    this.connections = new CallerConnections(clock);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -37,6 +40,7 @@
       },
       (req, res) => this.dispatch(req, res),
     );
+    this.server.on('connection', (socket: Socket) => this.connections.add(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
       this.rejectMalformed(err, socket),
     );
@@ -53,15 +57,21 @@
     });
   }
 
-  /** Keeps serving, but closes each connection after its response, so that few idle ones remain at `close`. */
+  /** Keeps serving, but ends each connection after its next response, so that few idle ones remain at `close`. */
   public disableKeepAlive(): void {
-    this.leaving = true;
+    this.connections.leave();
   }
 
-  /** Stops accepting connections; open ones are closed after their current request. */
+  /** Stops accepting connections; open ones end after their last response. */
   public close(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The method of `node:http` also destroys connections whose response was handed over, but is not sent.
+    TcpServer.prototype.close.call(this.server);
+    this.connections.end();
+  }
+
+  /** Resolves when all connections have ended. */
+  public waitEnded(): Promise<void> {
+    return this.connections.waitEnded();
   }
 
   /** Closes all connections immediately, with the requests on them. */
@@ -71,7 +81,7 @@
   }
 
   private dispatch(req: IncomingMessage, res: ServerResponse): void {
-    if (this.leaving || !this.server.listening) res.shouldKeepAlive = false;
+    if (!this.connections.open(req.socket, res)) return;
     if (req.headers['amr-hop'] !== undefined) this.postToHop({ type: 'request', req, res });
     else if (req.url?.startsWith('/v1/-/') === true) this.dispatchInternal(req, res);
     else this.postToEntry({ type: 'request', req, res });
--- a/packages/proxy/test/attempt.test.ts
+++ b/packages/proxy/test/attempt.test.ts
@@ -39,7 +39,7 @@
     },
     { onEnd: ignore, onReceipt: ignore, onCellNeeded: ignore, onQuotaRequest: ignore },
   );
-  const port = new CallerPort((message) => entry.post(message), ignore, ignore);
+  const port = new CallerPort(new SystemClock(), (message) => entry.post(message), ignore, ignore);
   t.teardown(() => [entry, port].forEach((part) => part.stop()));
   entry.post({ type: 'catalogue', catalogue: createTestCatalogue() });
   entry.post({ type: 'cell', cell: createTestCell([createMember('d1')], 'd1') });
