RelayTask: a response that arrived in time outlives a stall

After a stall of more than 600 ms that followed a ping, the tick ran before the sockets were read and destroyed a live session; its requests ended as lost.

--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -1,5 +1,6 @@
 import type { Cancel } from '#core/Cancel.js';
 import { BodyBudget } from '#core/BodyBudget.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { Task } from '#core/Task.js';
 import { decodeBackendResult } from '#mesh/DecodeBackendResult.js';
 import { encodeBackendRequest } from '#mesh/EncodeBackendRequest.js';
@@ -136,7 +137,8 @@
   private scheduleTick(): void {
     const busy = [...this.sessions.values()].some((session) => session.isBusy);
     if (!busy || this.cancelTick !== undefined) return;
-    this.cancelTick = this.options.clock.schedule(CHECK_INTERVAL_MS, () => this.post({ type: 'tick' }));
+    const { clock } = this.options;
+    this.cancelTick = scheduleAfterReads(clock, CHECK_INTERVAL_MS, () => this.post({ type: 'tick' }));
   }
 
   private now(): number {
