--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -81,7 +81,10 @@
   }
 
   private dispatch(req: IncomingMessage, res: ServerResponse): void {
-    if (!this.connections.open(req.socket, res)) return;
+    if (!this.connections.open(req.socket, res)) {
+      req.resume();
+      return;
+    }
     if (req.headers['amr-hop'] !== undefined) this.postToHop({ type: 'request', req, res });
     else if (req.url?.startsWith('/v1/-/') === true) this.dispatchInternal(req, res);
     else this.postToEntry({ type: 'request', req, res });
