CallerTask: limit the memory of responses that callers do not read

60 callers that do not read 7 MiB each made a daemon hold 424 MiB (connectionEnd.test.ts 'responses that callers do not read stay within the memory of a daemon', in KNOWN-RED.txt until now); a VM has 250 MB, and a process that ends for lack of memory loses the requests of all.

Responses that wait to be written have 64 MiB together; beyond that, the one that has waited longest is dropped with its connection.

--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -1,5 +1,5 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as TcpServer, Socket } from 'node:net';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as TcpServer, type Socket } from 'node:net';
 import { Either } from 'purify-ts';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBudget } from '#core/BodyBudget.js';
@@ -19,6 +19,7 @@
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { ConnectionSide } from '#mesh/ConnectionSide.js';
 import { createBodyRefusal } from '#mesh/CreateBodyRefusal.js';
+import { createCallerServer } from '#mesh/CreateCallerServer.js';
 import { describeCut } from '#mesh/DescribeCut.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
@@ -26,11 +27,9 @@
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { rejectMalformed } from '#mesh/RejectMalformed.js';
 import { rejectMissingHost } from '#mesh/RejectMissingHost.js';
+import { UnsentResponses } from '#mesh/UnsentResponses.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
-/** Largest request head that the HTTP parser accepts. */
-const MAX_HEADER_BYTES = 256 * 1024;
-
 /** Added to the configured idle timeout before an idle connection is closed. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 
@@ -60,6 +59,7 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Memory for the bodies of all requests without a reply. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
+  private readonly unsent = new UnsentResponses();
   private bodyLimit = maxBodyBytes;
   private nextExchange = 1;
   private stopping = false;
@@ -69,36 +69,7 @@
   public constructor(options: CallerOptions) {
     super();
     this.options = options;
-    this.server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
-      keepAliveTimeout: 60_000,
-      requestTimeout: 0,
-      noDelay: true,
-      // A request without Host is refused by this task, so that none behind it is passed on.
-      requireHostHeader: false,
-    });
-    this.server.on('request', (req, res) => this.post({ type: 'request', req, res }));
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      if (socket instanceof Socket) this.post({ type: 'malformed', socket, code: err.code ?? '' });
-    });
-    // Without a listener, `node:http` destroys the connection of a CONNECT request.
-    this.server.on('connect', ({ socket }) => {
-      this.post({ type: 'malformed', socket, code: 'CONNECT' });
-      // `node:http` no longer reads the connection.
-      socket.on('error', () => undefined).resume();
-    });
-    // With this listener, `node:http` does not destroy connections that time out.
-    this.server.on('timeout', (socket: Socket) => this.post({ type: 'timedOut', socket }));
-    this.server.on('connection', (socket: Socket) => {
-      options.onAccepted();
-      this.post({ type: 'connected', socket });
-      // After the caller's end of stream no response can reach it; 'end' is emitted some iterations before
-      // 'close'.
-      socket.on('end', () => this.post({ type: 'closed', socket, by: 'caller' }));
-      socket.on('close', (hadError) =>
-        this.post({ type: 'closed', socket, by: hadError ? 'caller' : 'daemon' }),
-      );
-    });
+    this.server = createCallerServer((message) => this.post(message), options.onAccepted);
   }
 
   /** Starts listening; rejects if the address is in use. */
@@ -300,6 +271,24 @@
     if (closes) connection?.finish();
     this.watchProgress(socket);
     this.write(exchange, reply, closes);
+    this.unsent.add(number, reply.type === 'answer' ? reply.response.body.length : 0);
+    this.limitUnsent();
+  }
+
+  /** Ends the connections whose responses have waited longest if all responses together need too much memory. */
+  private limitUnsent(): void {
+    while (this.unsent.isExceeded) {
+      const oldest = this.unsent.findOldest() ?? 0;
+      this.unsent.remove(oldest);
+      const exchange = this.exchanges.find(oldest);
+      if (exchange === undefined) continue;
+      this.options.logger.log('responseDropped', {
+        step: 'deliver',
+        id: exchange.request.id,
+        reason: 'memory',
+      });
+      exchange.socket.destroy();
+    }
   }
 
   /** Writes a reply. Node.js throws for a header that it cannot write, and the request gets another response. */
@@ -379,6 +368,7 @@
   private remove(exchange: CallerExchange): void {
     exchange.cancelTimer();
     exchange.reader.discard();
+    this.unsent.remove(exchange.number);
     this.exchanges.remove(exchange);
   }
 
--- /dev/null
+++ b/packages/mesh/src/UnsentResponses.ts
@@ -0,0 +1,29 @@
+/** Memory for response bodies that wait to be written, in bytes. */
+const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+
+/** Sizes of the responses that are being written, by the number of their exchange. */
+export class UnsentResponses {
+  private readonly sizes = new Map<number, number>();
+  private totalBytes = 0;
+
+  /** Whether the responses use more memory than a daemon has for them. */
+  public get isExceeded(): boolean {
+    return this.totalBytes > MAX_UNSENT_BYTES;
+  }
+
+  public add(exchange: number, bytes: number): void {
+    this.sizes.set(exchange, bytes);
+    this.totalBytes += bytes;
+  }
+
+  public remove(exchange: number): void {
+    this.totalBytes -= this.sizes.get(exchange) ?? 0;
+    this.sizes.delete(exchange);
+  }
+
+  /** Returns the exchange whose response has waited longest. */
+  public findOldest(): number | undefined {
+    const [oldest] = this.sizes.keys();
+    return oldest;
+  }
+}
