CallerPort: malformed bytes do not replace the response to a request

Bytes that are no request, behind a request at work, were answered with 400 at once on the same connection: the caller took the refusal 'not run' for the response to its request, which ran, and never got the response. The port now answers the requests that were read, and ends the connection after the last one by half-close.

proxy/test/connectionEnd.test.ts 'malformed bytes do not replace ...' got 400 before and passes now; 'bytes after malformed ones ...' and 'malformed chunk ...' passed before and pass now, as do all tests of packages/proxy (one run each).

--- a/packages/proxy/src/CallerConnections.ts
+++ b/packages/proxy/src/CallerConnections.ts
@@ -53,6 +53,24 @@
     for (const [socket, connection] of this.connections) if (!this.responses.has(socket)) connection.end();
   }
 
+  /**
+   * Handles no more requests on a connection, which ends after its open responses. Returns false if there are any, but for that
+   * of a request whose body is still being read.
+   */
+  public finish(socket: Socket): boolean {
+    this.connections.get(socket)?.finish();
+    const [first, ...others] = this.responses.get(socket) ?? [];
+    if (first === undefined || (others.length === 0 && isReading(first))) return true;
+    const last = others.at(-1) ?? first;
+    if (!last.headersSent) last.shouldKeepAlive = false;
+    return false;
+  }
+
+  /** Ends a connection after the bytes that were written. */
+  public endOne(socket: Socket): void {
+    this.connections.get(socket)?.end();
+  }
+
   /** Resolves when all connections have ended. */
   public waitEnded(): Promise<void> {
     return new Promise((resolve) => {
@@ -70,7 +88,7 @@
     this.responses.delete(socket);
     const connection = this.connections.get(socket);
     connection?.noteWritten();
-    if (this.isEnding) connection?.end();
+    if (this.isEnding || connection?.isOpen === false) connection?.end();
   }
 
   private remove(socket: Socket): void {
@@ -88,3 +106,7 @@
 function hasAnnouncedClose(res: ServerResponse): boolean {
   return res.headersSent && (!res.shouldKeepAlive || res.getHeader('connection') === 'close');
 }
+
+function isReading(res: ServerResponse): boolean {
+  return !res.req.complete && !res.headersSent;
+}
--- a/packages/proxy/src/CallerPort.ts
+++ b/packages/proxy/src/CallerPort.ts
@@ -110,16 +110,20 @@
     );
   }
 
-  /** Refuses a request that cannot be parsed, for example one with contradictory lengths, and closes its connection. */
+  /**
+   * Refuses a request that cannot be parsed, for example one with contradictory lengths, and ends its connection. Requests
+   * before it are answered instead.
+   */
   private rejectMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
     this.logger.log('badSyntax', { step: 'parse', peer: socket.remoteAddress ?? '', code: err.code ?? '' });
-    if (!socket.writable) return;
+    if (!socket.writable || !this.connections.finish(socket)) return;
     const status =
       err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
     const body = '{"error":"badSyntax","ran":"not run","step":"parse","peer":"caller"}';
-    socket.end(
+    socket.write(
       `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\namr-error: badSyntax\r\n` +
         `content-length: ${body.length}\r\n\r\n${body}`,
     );
+    this.connections.endOne(socket);
   }
 }
--- a/packages/proxy/test/connectionEnd.test.ts
+++ b/packages/proxy/test/connectionEnd.test.ts
@@ -62,3 +62,37 @@
   await node.path.waitConnectionsEnded();
   t.ok(performance.now() - startMs < 8_000);
 });
+
+t.test('malformed bytes do not replace the response to the request before them', async (t) => {
+  // The caller read the refusal of the bytes as the response to its request, which ran.
+  const node = await start(t, 2);
+  const caller = new RawCaller(node.port);
+  node.backend.respond = ({ res }) => setTimeout(() => res.end('late'), 200);
+  caller.send('GET /v1/badges/a HTTP/1.1', [], '\r\n');
+  await waitUntil('the request runs', () => node.backend.runs.length === 1);
+  caller.socket.write('\0\0\0');
+  const text = await caller.waitClosed();
+  t.match(text, /^HTTP\/1\.1 200 [^]*late/);
+  t.notMatch(text, / 400 /);
+});
+
+t.test('bytes after malformed ones do not destroy the refusal', async (t) => {
+  const node = await start(t, 2);
+  const caller = new RawCaller(node.port);
+  caller.socket.pause();
+  for (let count = 0; count < 3; count += 1) {
+    caller.socket.write('\0');
+    await sleep(50);
+  }
+  caller.socket.resume();
+  t.match(await caller.waitClosed(), /^HTTP\/1\.1 400 /);
+});
+
+t.test('malformed chunk is refused', async (t) => {
+  const node = await start(t, 2);
+  const caller = new RawCaller(node.port);
+  caller.send('POST /v1/badges/a HTTP/1.1', ['transfer-encoding: chunked'], '5\r\n12345\r\nzz\r\n');
+  const text = await caller.waitClosed();
+  t.match(text, /^HTTP\/1\.1 400 /);
+  t.equal(text.split('HTTP/1.1 ').length, 2, 'one response');
+});
