CallerConnection: log the bytes that are discarded after the end

With no callerConnectionCut and one requestIgnored beside it, no daemon read the others. That they were sent while the process restarts is suspected: 4.5 tries a second and VM are sent there, and a stop costs four to five.

--- a/packages/connection/src/CallerConnection.ts
+++ b/packages/connection/src/CallerConnection.ts
@@ -19,14 +19,17 @@
 export class CallerConnection {
   private readonly socket: Socket;
   private readonly clock: Clock;
+  private readonly onDiscarded: (bytes: number) => void;
   private readonly cursor = new ChartCursor<CallerConnectionEvent>(callerConnectionChart);
   private writtenMs = -Infinity;
   private cancelTimer: Cancel = () => undefined;
+  private discardedBytes = 0;
 
-  /** Takes over the end of a connection that `node:http` serves. */
-  public constructor(socket: Socket, clock: Clock) {
+  /** Takes over the end of a connection that `node:http` serves. `onDiscarded` is told how many bytes were not read. */
+  public constructor(socket: Socket, clock: Clock, onDiscarded: (bytes: number) => void) {
     this.socket = socket;
     this.clock = clock;
+    this.onDiscarded = onDiscarded;
     // `node:http` calls this method after the last response, and would close the socket while the caller still sends.
     socket.destroySoon = () => {
       this.noteWritten();
@@ -66,7 +69,9 @@
     socket.end();
     // The parser of `node:http` no longer gets the bytes; it would keep a response for each request that it reads.
     socket.removeAllListeners('data');
-    socket.on('data', () => undefined);
+    socket.on('data', (chunk: Buffer) => {
+      this.discardedBytes += chunk.length;
+    });
     socket.resume();
   }
 
@@ -75,6 +80,7 @@
   }
 
   private noteClosed(): void {
+    if (this.discardedBytes > 0) this.onDiscarded(this.discardedBytes);
     this.cancelTimer();
     this.cursor.send({ type: 'closed' });
   }
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -96,7 +96,7 @@
   protected override receive(message: CallerMessage): void {
     switch (message.type) {
       case 'connected':
-        this.connections.set(message.socket, new CallerConnection(message.socket, this.options.clock));
+        this.connect(message.socket);
         return;
       case 'request':
         this.open(message.req, message.res);
@@ -148,6 +148,15 @@
     for (const [socket, connection] of this.connections) if (this.exchanges.isIdle(socket)) connection.end();
   }
 
+  private connect(socket: Socket): void {
+    const { clock, logger } = this.options;
+    const peer = socket.remoteAddress ?? '';
+    const connection = new CallerConnection(socket, clock, (bytes) =>
+      logger.log('callerBytesDiscarded', { step: 'parse', peer, bytes }),
+    );
+    this.connections.set(socket, connection);
+  }
+
   private open(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     if (this.connections.get(socket)?.isOpen !== true) {
--- a/packages/proxy/src/CallerConnections.ts
+++ b/packages/proxy/src/CallerConnections.ts
@@ -16,7 +16,7 @@
 
   /** Adds an accepted connection. */
   public add(socket: Socket): void {
-    const connection = new CallerConnection(socket, this.clock);
+    const connection = new CallerConnection(socket, this.clock, () => undefined);
     this.connections.set(socket, connection);
     socket.once('close', () => this.remove(socket));
     if (this.isEnding) connection.end();
