--- a/packages/mesh/test/StartNode.ts
+++ b/packages/mesh/test/StartNode.ts
@@ -19,6 +19,8 @@
   readonly node: MeshNode;
   /** Address for other daemons. */
   readonly peers: Address;
+  /** Address for callers. */
+  readonly callers: Address;
 }
 
 const SLOTS = 200;
@@ -84,7 +86,7 @@
     node.halt();
     server.stop();
   });
-  return { node, peers };
+  return { node, peers, callers };
 }
 
 async function findAddress(): Promise<Address> {
