--- a/packages/connection/src/CallerConnection.ts
+++ b/packages/connection/src/CallerConnection.ts
@@ -2,15 +2,13 @@
 import { ChartCursor } from '#chart/ChartCursor.js';
 import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { callerConnectionChart } from '#connection/CallerConnectionChart.js';
 import type { CallerConnectionEvent } from '#connection/CallerConnectionEvent.js';
 
-/** Time after its last response for which an ended connection waits for the caller to close, in milliseconds. */
+/** Time for which an ended connection waits for the caller to close, in milliseconds. */
 const LINGER_TIMEOUT_MS = 5_000;
 
-/** Least time for which an ended connection waits for the caller to close, in milliseconds. */
-const MIN_LINGER_MS = 100;
-
 /**
  * Ends a caller's connection without losing responses: sends all bytes and the end of the stream, and discards what the caller
  * still sends until it closes or a time limit passes. Closing a socket with unread bytes would reset the connection, and a reset
@@ -21,7 +19,6 @@
   private readonly clock: Clock;
   private readonly onDiscarded: (bytes: number) => void;
   private readonly cursor = new ChartCursor<CallerConnectionEvent>(callerConnectionChart);
-  private writtenMs = -Infinity;
   private cancelTimer: Cancel = () => undefined;
   private discardedBytes = 0;
 
@@ -31,10 +28,7 @@
     this.clock = clock;
     this.onDiscarded = onDiscarded;
     // `node:http` calls this method after the last response, and would close the socket while the caller still sends.
-    socket.destroySoon = () => {
-      this.noteWritten();
-      this.end();
-    };
+    socket.destroySoon = () => this.end();
     socket.once('close', () => this.noteClosed());
   }
 
@@ -53,18 +47,11 @@
     this.cursor.send({ type: 'lastRead' });
   }
 
-  /** Notes that the last byte of a response was handed to the operating system. */
-  public noteWritten(): void {
-    this.writtenMs = this.clock.monotonicMs();
-  }
-
   /** Ends the daemon's side after the bytes that were written, and discards what the caller sends. */
   public end(): void {
     const { socket } = this;
     if (socket.destroyed || !this.cursor.send({ type: 'ended' })) return;
-    const sinceWrittenMs = this.clock.monotonicMs() - this.writtenMs;
-    const lingerMs = Math.max(MIN_LINGER_MS, LINGER_TIMEOUT_MS - sinceWrittenMs);
-    this.cancelTimer = this.clock.schedule(lingerMs, () => this.expire());
+    this.cancelTimer = scheduleAfterReads(this.clock, LINGER_TIMEOUT_MS, () => this.expire());
     socket.setTimeout(0);
     socket.end();
     // The parser of `node:http` no longer gets the bytes; it would keep a response for each request that it reads.
--- a/packages/mesh/src/CallerExchangeTable.ts
+++ b/packages/mesh/src/CallerExchangeTable.ts
@@ -60,4 +60,9 @@
   public isIdle(socket: Socket): boolean {
     return !this.numbersBySocket.has(socket);
   }
+
+  /** Whether all open exchanges of a connection have their response. */
+  public isWritingOnly(socket: Socket): boolean {
+    return this.listOf(socket).every(({ cursor }) => cursor.state === 'responding');
+  }
 }
--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -30,4 +30,6 @@
   /** Requests whose body has not arrived are refused, and so are new ones with a body. */
   | { readonly type: 'refusing' }
   /** The process ends: no more connections are accepted, and those without open requests end. */
-  | { readonly type: 'ending' };
+  | { readonly type: 'ending' }
+  /** Requests that had arrived when the process began to end have been read. */
+  | { readonly type: 'readBeforeEnd' };
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as TcpServer, type Socket } from 'node:net';
-import { Either } from 'purify-ts';
 import { ChartCursor } from '#chart/ChartCursor.js';
 import { BodyBudget } from '#core/BodyBudget.js';
 import type { Cancel } from '#core/Cancel.js';
@@ -21,12 +20,14 @@
 import { createBodyRefusal } from '#mesh/CreateBodyRefusal.js';
 import { createCallerServer } from '#mesh/CreateCallerServer.js';
 import { describeCut } from '#mesh/DescribeCut.js';
+import { ignoreRequest } from '#mesh/IgnoreRequest.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { rejectMalformed } from '#mesh/RejectMalformed.js';
 import { rejectMissingHost } from '#mesh/RejectMissingHost.js';
+import { tryWriteCallerReply } from '#mesh/TryWriteCallerReply.js';
 import { UnsentResponses } from '#mesh/UnsentResponses.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
@@ -45,9 +46,6 @@
 /** A connection whose response makes no progress for this time is closed, in milliseconds. */
 const RESPONSE_STALL_MS = 10_000;
 
-/** Reply to a request whose response cannot be written; it may have run. */
-const INVALID_REPLY: CallerReply = { type: 'refusal', status: 502, code: 'badAnswer', retryAfterMs: 0 };
-
 /**
  * Serves callers over HTTP/1.1. Owns the listening socket and its connections. Responses on a connection keep
  * the order of the requests.
@@ -78,10 +76,11 @@
   }
 
   /**
-   * Number of requests whose body is being read, that have no reply, or whose response is being written, and of
-   * connections that wait for their caller to close after the last response.
+   * Number of requests whose body is being read, that have no reply, or whose response is being written, and at the end of the
+   * process of connections that wait for their caller to close.
    */
   public get load(): number {
+    if (!this.ending) return this.exchanges.size;
     const lingering = [...this.connections.values()].filter((connection) => connection.isLingering);
     return this.exchanges.size + lingering.length;
   }
@@ -136,15 +135,21 @@
         for (const { number } of this.exchanges.list()) this.refuseBody(number, 'stopping');
         return;
       case 'ending':
+        this.stopListening();
+        return;
+      case 'readBeforeEnd':
         this.endIdle();
     }
   }
 
-  /** Accepts no more connections, and ends those without open requests. */
-  private endIdle(): void {
-    this.ending = true;
+  private stopListening(): void {
     // `close` of `node:http` would destroy connections whose responses are not written yet.
     TcpServer.prototype.close.call(this.server);
+    setImmediate(() => this.post({ type: 'readBeforeEnd' }));
+  }
+
+  private endIdle(): void {
+    this.ending = true;
     for (const [socket, connection] of this.connections) if (this.exchanges.isIdle(socket)) connection.end();
   }
 
@@ -160,7 +165,7 @@
   private open(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     if (this.connections.get(socket)?.isOpen !== true) {
-      this.ignore(req);
+      ignoreRequest(req, this.options.headers.requestId, this.options.logger);
       return;
     }
     if (req.headers.host === undefined && req.httpVersion === '1.1') {
@@ -192,12 +197,6 @@
     if (this.refusing && request.hasBody) this.refuseBody(number, 'stopping');
   }
 
-  private ignore(req: IncomingMessage): void {
-    const id = req.headers[this.options.headers.requestId.toLowerCase()]?.toString() ?? '';
-    this.options.logger.log('requestIgnored', { step: 'parse', id, cut: req.socket.destroyed });
-    req.resume();
-  }
-
   private scheduleBodyTimeout(exchange: number, deadlineMs = DEFAULT_BODY_TIMEOUT_MS): Cancel {
     return this.options.clock.schedule(deadlineMs, () =>
       this.post({ type: 'refuse', exchange, fault: 'timeout' }),
@@ -256,7 +255,12 @@
   private noteDiscarded(number: number): void {
     const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'bodyEnded' }) !== true) return;
-    this.remove(exchange);
+    exchange.cancelTimer();
+    this.removeEnded(exchange);
+  }
+
+  private removeEnded(exchange: CallerExchange): void {
+    if (exchange.cursor.state === 'ended') this.remove(exchange);
     this.noteProgress(exchange.socket);
   }
 
@@ -272,25 +276,30 @@
   private reply(number: number, reply: CallerReply): void {
     const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'replied' }) !== true) return;
-    const { socket, body } = exchange;
+    const { socket, res, request, body } = exchange;
     body?.release();
     // While a later request on this connection is open, the connection has to stay open for its response.
     const connection = this.connections.get(socket);
     const closes = this.exchanges.isLast(exchange) && (this.stopping || connection?.isOpen !== true);
     if (closes) connection?.finish();
     this.watchProgress(socket);
-    this.write(exchange, reply, closes);
+    const { headers, logger } = this.options;
+    tryWriteCallerReply(res, reply, request.id, { names: headers, closes, logger });
     this.unsent.add(number, reply.type === 'answer' ? reply.response.body.length : 0);
-    this.limitUnsent();
+    this.limitUnsent(socket);
   }
 
-  /** Ends the connections whose responses have waited longest if all responses together need too much memory. */
-  private limitUnsent(): void {
-    while (this.unsent.isExceeded) {
-      const oldest = this.unsent.findOldest() ?? 0;
-      this.unsent.remove(oldest);
-      const exchange = this.exchanges.find(oldest);
-      if (exchange === undefined) continue;
+  /**
+   * Ends other connections without a request at work while the memory is exceeded, the one whose response has waited longest
+   * first.
+   */
+  private limitUnsent(current: Socket): void {
+    for (const number of this.unsent.list()) {
+      if (!this.unsent.isExceeded) return;
+      const exchange = this.exchanges.find(number);
+      if (exchange === undefined || exchange.socket === current) continue;
+      if (!this.exchanges.isWritingOnly(exchange.socket)) continue;
+      this.unsent.remove(number);
       this.options.logger.log('responseDropped', {
         step: 'deliver',
         id: exchange.request.id,
@@ -300,23 +309,12 @@
     }
   }
 
-  /** Writes a reply. Node.js throws for a header that it cannot write, and the request gets another response. */
-  private write({ res, request }: CallerExchange, reply: CallerReply, closes: boolean): void {
-    const { headers, logger } = this.options;
-    Either.encase(() => writeCallerReply(res, reply, request.id, headers, closes)).ifLeft((err) => {
-      logger.log('replyInvalid', { step: 'deliver', id: request.id, message: err.message });
-      writeCallerReply(res, INVALID_REPLY, request.id, headers, closes);
-    });
-  }
-
   private noteFlushed(number: number, written: boolean): void {
     const exchange = this.exchanges.find(number);
     if (exchange?.cursor.send({ type: 'flushed' }) !== true) return;
-    const { socket, request } = exchange;
-    this.remove(exchange);
-    if (written) this.connections.get(socket)?.noteWritten();
-    else this.options.logger.log('responseCut', { step: 'deliver', id: request.id });
-    this.noteProgress(socket);
+    const { id } = exchange.request;
+    if (!written) this.options.logger.log('responseCut', { step: 'deliver', id });
+    this.removeEnded(exchange);
   }
 
   /** Ends a connection without open requests if no more are handled, or waits for the progress of the next response. */
@@ -366,6 +364,8 @@
     if (by === 'daemon' && exchanges.length > 0)
       this.options.logger.log('callerConnectionCut', describeCut(socket, exchanges));
     for (const exchange of exchanges) {
+      // A caller that has ended its side only may still read the response that is being written.
+      if (!socket.destroyed && exchange.cursor.state === 'responding') continue;
       const isForwarded = exchange.cursor.state === 'forwarded';
       exchange.cursor.send({ type: 'closed' });
       exchange.body?.release();
--- a/packages/mesh/src/CreateCallerServer.ts
+++ b/packages/mesh/src/CreateCallerServer.ts
@@ -28,8 +28,8 @@
     // `node:http` no longer reads the connection.
     socket.on('error', () => undefined).resume();
   });
-  // With this listener, `node:http` does not destroy connections that time out.
-  server.on('timeout', (socket: Socket) => post({ type: 'timedOut', socket }));
+  // With this listener, `node:http` does not destroy connections that time out. A request that has arrived is read first.
+  server.on('timeout', (socket: Socket) => setImmediate(() => post({ type: 'timedOut', socket })));
   server.on('connection', (socket: Socket) => {
     onAccepted();
     post({ type: 'connected', socket });
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -1,4 +1,5 @@
 import { RetryBudget } from '#balance/RetryBudget.js';
+import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
@@ -137,7 +138,8 @@
     const nowMs = this.now();
     this.retries.noteRequest(service, '', nowMs);
     const dueMs = Math.min(computeDueMs(request, route), this.lastDueMs);
-    const cancelDue = this.options.clock.schedule(dueMs - nowMs, () => this.post({ type: 'due', exchange }));
+    const { clock } = this.options;
+    const cancelDue = scheduleAfterReads(clock, dueMs - nowMs, () => this.post({ type: 'due', exchange }));
     this.exchanges.set(
       exchange,
       createExchange({ number: exchange, request, route, service, dueMs, reply, cancelDue }),
--- a/packages/mesh/src/UnsentResponses.ts
+++ b/packages/mesh/src/UnsentResponses.ts
@@ -21,9 +21,8 @@
     this.sizes.delete(exchange);
   }
 
-  /** Returns the exchange whose response has waited longest. */
-  public findOldest(): number | undefined {
-    const [oldest] = this.sizes.keys();
-    return oldest;
+  /** Returns the exchanges, the one whose response has waited longest first. */
+  public list(): readonly number[] {
+    return [...this.sizes.keys()];
   }
 }
--- a/packages/mesh/test/EntryRun.ts
+++ b/packages/mesh/test/EntryRun.ts
@@ -58,6 +58,8 @@
 
   /** Waits until all pending messages are handled. */
   public async settle(): Promise<void> {
+    // Timers of deadlines wait for one round of reads.
+    await new Promise((resolve) => setImmediate(resolve));
     for (let index = 0; index < 10; index += 1) await Promise.resolve();
   }
 
--- a/packages/mesh/test/reviewMemory.test.ts
+++ b/packages/mesh/test/reviewMemory.test.ts
@@ -47,7 +47,7 @@
   run.respond(1, LARGE_BYTES);
   await connectStuck(run, STUCK_CALLERS);
   run.respond(0);
-  await waitFor(() => listResponses(caller.text()).length === 2 || caller.socket.destroyed);
+  await waitFor(() => caller.text().length > LARGE_BYTES || caller.socket.destroyed);
   t.same(listResponses(caller.text()), ['200 2', `200 ${LARGE_BYTES}`]);
 });
 
--- a/packages/proxy/src/CallerConnections.ts
+++ b/packages/proxy/src/CallerConnections.ts
@@ -87,7 +87,6 @@
     }
     this.responses.delete(socket);
     const connection = this.connections.get(socket);
-    connection?.noteWritten();
     if (this.isEnding || connection?.isOpen === false) connection?.end();
   }
 
