--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -294,8 +294,9 @@
    * first.
    */
   private limitUnsent(current: Socket): void {
+    if (!this.unsent.isExceeded()) return;
     for (const number of this.unsent.list()) {
-      if (!this.unsent.isExceeded) return;
+      if (!this.unsent.isExceeded()) return;
       const exchange = this.exchanges.find(number);
       if (exchange === undefined || exchange.socket === current) continue;
       if (!this.exchanges.isWritingOnly(exchange.socket)) continue;
--- a/packages/mesh/src/UnsentResponses.ts
+++ b/packages/mesh/src/UnsentResponses.ts
@@ -7,7 +7,7 @@
   private totalBytes = 0;
 
   /** Whether the responses use more memory than a daemon has for them. */
-  public get isExceeded(): boolean {
+  public isExceeded(): boolean {
     return this.totalBytes > MAX_UNSENT_BYTES;
   }
 
