--- a/packages/mesh/test/StartNode.ts
+++ b/packages/mesh/test/StartNode.ts
@@ -21,6 +21,8 @@
   readonly peers: Address;
   /** Address for callers. */
   readonly callers: Address;
+  /** Store of the daemon; a configuration is in force once it has an object in the collection `routes`. */
+  readonly store: MemoryCollectionStore;
 }
 
 const SLOTS = 200;
@@ -42,6 +44,7 @@
   const server = new RawServer(onRequest);
   const serverAddress = await server.start();
   const [callers, peers, readiness] = await Promise.all([findAddress(), findAddress(), findAddress()]);
+  const store = new MemoryCollectionStore();
   const node = new MeshNode({
     identity: { serverId: 'a', failureDomain: 'd', region: 'r', service: 's' },
     processId: 'p1',
@@ -50,7 +53,7 @@
     readiness,
     metrics: undefined,
     headers: testHeaders,
-    store: new MemoryCollectionStore(),
+    store,
     decoder: new FixedRoutes(),
     clock: new SystemClock(),
     timings: defaultLeaseTimings,
@@ -86,7 +89,7 @@
     node.halt();
     server.stop();
   });
-  return { node, peers, callers };
+  return { node, peers, callers, store };
 }
 
 async function findAddress(): Promise<Address> {
