Hedging: second copies of slow idempotent requests within the operators' limit

Cause: a few slow responses decide the tail of the latency; operators accept extra work for requests that may be repeated. Change: packages/hedging decides and sends second copies (HedgeTask between EntryTask and the senders), settings hedgeFraction (off by default) and hedgePercentile, five counters, a histogram of the estimated gain, log lines hedged and hedgeWon.

--- a/packages/core/src/Step.ts
+++ b/packages/core/src/Step.ts
@@ -7,6 +7,7 @@
   | 'admit'
   | 'route'
   | 'forward'
+  | 'hedge'
   | 'own'
   | 'once'
   | 'quarantine'
--- /dev/null
+++ b/packages/hedging/src/HedgeServer.ts
@@ -0,0 +1,4 @@
+/** A backend server to which a copy of a request can be sent. */
+export interface HedgeServer {
+  readonly serverId: string;
+}
--- /dev/null
+++ b/packages/hedging/src/SecondCopy.ts
@@ -0,0 +1,6 @@
+/** The second copy of a request that was hedged, as it stands when the request ends. */
+export interface SecondCopy<S, T> {
+  readonly server: S;
+  /** Undefined if the copy was cancelled. */
+  readonly result: T | undefined;
+}
--- a/packages/mesh/src/EntryMessage.ts
+++ b/packages/mesh/src/EntryMessage.ts
@@ -1,7 +1,9 @@
+import type { SecondCopy } from '#hedging/SecondCopy.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { MeshView } from '#mesh/MeshView.js';
+import type { ServerEntry } from '#mesh/ServerEntry.js';
 
 /** Requests, results, timers and state changes that `EntryTask` handles. */
 export type EntryMessage =
@@ -20,6 +22,8 @@
       readonly exchange: number;
       readonly attempt: number;
       readonly result: BackendResult;
+      /** The second copy, if the request was hedged. */
+      readonly second: SecondCopy<ServerEntry, BackendResult> | undefined;
     }
   /** The daemon shuts down: requests that arrive from now on are due by `untilMs`, in monotonic time. */
   | { readonly type: 'leaving'; readonly untilMs: number }
--- a/packages/mesh/src/EntryOptions.ts
+++ b/packages/mesh/src/EntryOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '#core/Clock.js';
 import type { Logger } from '#core/Logger.js';
+import type { HedgeOffer } from '#hedging/HedgeOffer.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
@@ -20,8 +21,13 @@
    */
   readonly retryFraction: number;
   readonly retryMinimum: number;
-  /** Sends a request to the daemon of a backend server. */
-  readonly send: (request: BackendRequest, server: ServerEntry, reply: BackendResultCallback) => void;
-  /** Cancels a request that was sent. */
+  /** Sends a request to the daemon of a backend server. A request with an offer may be hedged. */
+  readonly send: (
+    request: BackendRequest,
+    server: ServerEntry,
+    reply: BackendResultCallback,
+    offer: HedgeOffer<ServerEntry> | undefined,
+  ) => void;
+  /** Cancels a request that was sent, and its second copy. */
   readonly cancel: (id: string, server: ServerEntry) => void;
 }
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -2,11 +2,13 @@
 import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
+import type { SecondCopy } from '#hedging/SecondCopy.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import { computeDueMs } from '#mesh/ComputeDueMs.js';
 import { createBackendRequest } from '#mesh/CreateBackendRequest.js';
 import { createEntryRefusal } from '#mesh/CreateEntryRefusal.js';
+import { createHedgeOffer } from '#mesh/CreateHedgeOffer.js';
 import { createExchange } from '#mesh/CreateExchange.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
@@ -83,7 +85,7 @@
         this.noteLeft(message.exchange);
         return;
       case 'result':
-        this.noteResult(message.exchange, message.attempt, message.result);
+        this.noteResult(message);
         return;
       case 'due':
         this.endUnfinished(message.exchange, 'timeout');
@@ -160,7 +162,7 @@
     const server =
       exchange.offers < MAX_ATTEMPTS ? this.options.chooser.choose(candidates, this.now()) : undefined;
     if (server === undefined) this.refuse(exchange);
-    else this.dispatch(exchange, server, 0);
+    else this.dispatch(exchange, server, 0, candidates);
   }
 
   private chooseOwner(exchange: MeshExchange): void {
@@ -204,7 +206,13 @@
     this.choose(number);
   }
 
-  private dispatch(exchange: MeshExchange, server: ServerEntry, resends: number): void {
+  /** Sends a request to a server. `candidates` are the servers to which a second copy may go. */
+  private dispatch(
+    exchange: MeshExchange,
+    server: ServerEntry,
+    resends: number,
+    candidates: readonly ServerEntry[] = [],
+  ): void {
     const attempt = { number: exchange.offers + 1, server, sentMs: this.now(), resends };
     exchange.cursor.send({ type: 'offered' });
     const next = { ...exchange, attempt, offers: attempt.number, copies: exchange.copies + 1 };
@@ -215,29 +223,50 @@
       resends > 0 ? server.processId : '',
     );
     this.options.chooser.noteSent(server.serverId);
-    this.options.send(request, server, (result) =>
-      this.post({ type: 'result', exchange: exchange.number, attempt: attempt.number, result }),
+    this.options.send(
+      request,
+      server,
+      (result, second) =>
+        this.post({ type: 'result', exchange: exchange.number, attempt: attempt.number, result, second }),
+      createHedgeOffer(exchange, candidates),
     );
   }
 
-  private noteResult(number: number, attemptNumber: number, result: BackendResult): void {
-    const exchange = this.exchanges.get(number);
+  private noteResult(message: EntryMessage & { readonly type: 'result' }): void {
+    const { result, second } = message;
+    const exchange = this.exchanges.get(message.exchange);
     const attempt = exchange?.attempt;
-    if (exchange === undefined || attempt?.number !== attemptNumber) return;
+    if (exchange === undefined || attempt?.number !== message.attempt) return;
     this.options.chooser.noteResult(attempt.server.serverId, result, this.now());
+    if (second !== undefined) this.noteSecondCopy(second);
     const arrived = result.type !== 'refused' || result.arrived;
     const next = {
       ...exchange,
       attempt: undefined,
-      arrivals: exchange.arrivals + (arrived ? 1 : 0),
-      tried: new Set([...exchange.tried, attempt.server.serverId]),
+      copies: exchange.copies + (second === undefined ? 0 : 1),
+      arrivals: exchange.arrivals + (arrived ? 1 : 0) + (second === undefined ? 0 : 1),
+      tried: new Set([
+        ...exchange.tried,
+        attempt.server.serverId,
+        ...(second === undefined ? [] : [second.server.serverId]),
+      ]),
     };
-    this.exchanges.set(number, next);
+    this.exchanges.set(exchange.number, next);
     if (result.type === 'answered') this.noteResponse(next, result);
     else if (result.type === 'refused' && !isInconclusive(result, attempt)) this.noteRefused(next, result);
     else this.noteLost(next, toLoss(result), attempt.server, attempt.resends);
   }
 
+  private noteSecondCopy({ server, result }: SecondCopy<ServerEntry, BackendResult>): void {
+    const { chooser } = this.options;
+    chooser.noteSent(server.serverId);
+    chooser.noteResult(
+      server.serverId,
+      result ?? { type: 'lost', code: 'cancelled', load: undefined },
+      this.now(),
+    );
+  }
+
   private noteResponse(exchange: MeshExchange, result: BackendResult & { readonly type: 'answered' }): void {
     const { response } = result;
     if (response.status >= 500 && response.status !== GATEWAY_TIMEOUT && this.mayRunAgain(exchange)) {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -3,6 +3,8 @@
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
 import type { Task } from '#core/Task.js';
+import type { HedgeOffer } from '#hedging/HedgeOffer.js';
+import { HedgeTask } from '#hedging/HedgeTask.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
@@ -21,6 +23,7 @@
 import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
+import type { BackendResult } from '#mesh/BackendResult.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
 import { OwnershipTasks } from '#mesh/OwnershipTasks.js';
 import { ReadinessTask } from '#mesh/ReadinessTask.js';
@@ -71,9 +74,11 @@
   private readonly life = new ChartCursor<DaemonLifeEvent>(daemonLifeChart);
   private readonly metrics = new MetricsRecorder();
   private readonly delays = new PhaseRecorder();
+  private readonly hedgeGains = new PhaseRecorder();
   private readonly directory: DirectoryTask;
   private readonly storeLink: StoreLinkTask;
   private readonly entry: EntryTask;
+  private readonly hedges: HedgeTask<BackendRequest, ServerEntry, BackendResult>;
   private readonly server: ServerTask;
   private readonly crashMarks: CrashMarkTask;
   private readonly ownership: OwnershipTasks;
@@ -114,6 +119,15 @@
       chooser: new NearestLeastWait(identity, random),
       retryFraction: options.retryFraction * RETRY_BUDGET_FRACTION,
       retryMinimum: (options.retrySlack * RETRY_BUDGET_FRACTION) / MIN_DAEMONS / 2,
+      send: (request, server, reply, offer) => this.sendHedged(request, server, reply, offer),
+      cancel: (id, server) => this.cancelHedged(id, server),
+    });
+    this.hedges = new HedgeTask({
+      settings: options.hedging,
+      clock,
+      logger: new Logger('hedging'),
+      metrics: this.metrics,
+      gains: this.hedgeGains,
       send: (request, server, reply) => this.send(request, server, reply),
       cancel: (id, server) => this.cancel(id, server),
     });
@@ -201,7 +215,18 @@
       onLeft: (exchange) => this.arrivals.post({ type: 'left', exchange }),
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
-    this.metricsServer = new MetricsTask(this.metrics, this.delays);
+    this.metricsServer = new MetricsTask(this.metrics, [
+      {
+        name: 'amaranthrouter_read_delay_seconds',
+        help: 'Time from the arrival of a request until work on it begins.',
+        recorder: this.delays,
+      },
+      {
+        name: 'amaranthrouter_hedge_gain_seconds',
+        help: 'Estimated time saved by second copies that ended first.',
+        recorder: this.hedgeGains,
+      },
+    ]);
     this.setFaultPolicies();
   }
 
@@ -257,6 +282,7 @@
     clock.schedule(LEAVE_NOTICE_MS, () => {
       this.server.post({ type: 'stopping' });
       this.entry.post({ type: 'stopping' });
+      this.hedges.post({ type: 'stopping' });
       this.callers.post({ type: 'refusing' });
     });
     await this.waitUntilEmpty(startMs + LEAVE_NOTICE_MS, endMs);
@@ -284,6 +310,7 @@
       this.callers,
       this.arrivals,
       this.entry,
+      this.hedges,
       this.server,
       this.relay,
       this.receiver,
@@ -337,6 +364,7 @@
       this.directory,
       this.storeLink,
       this.entry,
+      this.hedges,
       this.server,
       this.ownership,
       this.crashMarks,
@@ -350,6 +378,8 @@
     const before = this.view;
     this.view = view;
     this.entry.post({ type: 'view', view });
+    if (this.hedgesRequests && view.servers !== before?.servers)
+      this.hedges.post({ type: 'servers', serverIds: new Set(view.servers.keys()) });
     this.server.post({ type: 'view', view });
     this.ownership.applyView(view);
     this.crashMarks.post({ type: 'view', view });
@@ -368,6 +398,25 @@
       this.directory.post({ type: 'hint', revisions });
   }
 
+  private get hedgesRequests(): boolean {
+    return this.options.hedging.fraction > 0;
+  }
+
+  private sendHedged(
+    request: BackendRequest,
+    server: ServerEntry,
+    reply: BackendResultCallback,
+    offer: HedgeOffer<ServerEntry> | undefined,
+  ): void {
+    if (offer === undefined || !this.hedgesRequests) this.send(request, server, reply);
+    else this.hedges.post({ type: 'send', request, server, offer, reply });
+  }
+
+  private cancelHedged(id: string, server: ServerEntry): void {
+    if (this.hedgesRequests) this.hedges.post({ type: 'cancel', id, server });
+    else this.cancel(id, server);
+  }
+
   private send(request: BackendRequest, server: ServerEntry, reply: BackendResultCallback): void {
     if (server.serverId === this.options.identity.serverId)
       this.server.post({ type: 'order', request, reply });
--- a/packages/mesh/src/MetricsTask.ts
+++ b/packages/mesh/src/MetricsTask.ts
@@ -3,8 +3,8 @@
 import { formatHistogram } from '#metrics/FormatHistogram.js';
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
-import type { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { listenAt } from '#mesh/ListenAt.js';
+import type { NamedHistogram } from '#mesh/NamedHistogram.js';
 
 /** An HTTP request for the metrics. */
 interface MetricsMessage {
@@ -14,16 +14,14 @@
 /** Serves counters and histograms in the Prometheus text format. Owns the listening socket. */
 export class MetricsTask extends Task<MetricsMessage> {
   private readonly metrics: MetricsRecorder;
-  private readonly delays: PhaseRecorder;
+  private readonly histograms: readonly NamedHistogram[];
   private readonly server: Server;
 
-  /**
-   * `delays` is the histogram of the times between the arrival of a request and the start of its processing.
-   */
-  public constructor(metrics: MetricsRecorder, delays: PhaseRecorder) {
+  /** `histograms` are served beside the metrics that are recorded by team and class. */
+  public constructor(metrics: MetricsRecorder, histograms: readonly NamedHistogram[]) {
     super();
     this.metrics = metrics;
-    this.delays = delays;
+    this.histograms = histograms;
     this.server = createServer((_req, res) => this.post({ res }));
   }
 
@@ -40,11 +38,9 @@
 
   protected override receive({ res }: MetricsMessage): void {
     res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' });
-    const delays = formatHistogram(
-      'amaranthrouter_read_delay_seconds',
-      'Time from the arrival of a request until work on it begins.',
-      this.delays.buckets(),
+    const histograms = this.histograms.map(({ name, help, recorder }) =>
+      formatHistogram(name, help, recorder.buckets()),
     );
-    res.end(`${formatPrometheus(this.metrics.snapshotBuckets())}${delays}`);
+    res.end([formatPrometheus(this.metrics.snapshotBuckets()), ...histograms].join(''));
   }
 }
--- a/packages/mesh/src/NodeOptions.ts
+++ b/packages/mesh/src/NodeOptions.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '#core/Clock.js';
 import type { LeaseTimings } from '#ranges/LeaseTimings.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
+import type { HedgeSettings } from '#hedging/HedgeSettings.js';
 import type { Address } from '#mesh/Address.js';
 import type { HeaderNames } from '#mesh/HeaderNames.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
@@ -34,6 +35,7 @@
   readonly retryFraction: number;
   /** Retries that all daemons together may make whatever the number of requests. */
   readonly retrySlack: number;
+  readonly hedging: HedgeSettings;
   /** Seed of the random number generator. */
   readonly seed: number;
 }
--- a/packages/mesh/test/StartNode.ts
+++ b/packages/mesh/test/StartNode.ts
@@ -60,6 +60,7 @@
     graceMs,
     retryFraction: 0.2,
     retrySlack: 60,
+    hedging: { fraction: 0, percentile: 95 },
     seed: 1,
   });
   await node.start();
