Callers: limits for connections, heads and unsent responses

Cause: a daemon kept heads of 256 KiB on any number of connections, checked for late heads every 30 s, did not count empty lines before a request, and held 64 MiB of unsent responses in VMs of 250 MB. Change: settings maxCallerConnections, maxHeadBytes and maxUnsentBytes with defaults, CallerGuard and packages/connection, heads are checked each second, a counter and sampled log lines. Ruled out: bodies written in parts of 256 KiB, which lost the end of a response to a half-closed caller at a stop and gained nothing on the known failures of slow readers; taken back.

--- a/packages/mesh/src/CallerMessage.ts
+++ b/packages/mesh/src/CallerMessage.ts
@@ -24,6 +24,8 @@
   | { readonly type: 'closed'; readonly socket: Socket; readonly by: ConnectionSide }
   /** A connection was idle for its time limit, or a response on it made no progress. */
   | { readonly type: 'timedOut'; readonly socket: Socket }
+  /** Connections that send bytes without a request are to be found. */
+  | { readonly type: 'checkHeads' }
   | { readonly type: 'limits'; readonly limits: CallerLimits }
   /** The daemon shuts down: connections are closed after their last response. */
   | { readonly type: 'stopping' }
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -13,6 +13,7 @@
 import type { CallerExchange } from '#mesh/CallerExchange.js';
 import { callerExchangeChart } from '#mesh/CallerExchangeChart.js';
 import { CallerExchangeTable } from '#mesh/CallerExchangeTable.js';
+import { CallerGuard } from '#mesh/CallerGuard.js';
 import type { CallerMessage } from '#mesh/CallerMessage.js';
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
@@ -43,6 +44,9 @@
 /** Time for which the rest of a refused body is read before its connection ends, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 2_000;
 
+/** Error code of Node.js for a head over its limit. */
+const HEAD_TOO_LARGE = 'HPE_HEADER_OVERFLOW';
+
 /** A connection whose response makes no progress for this time is closed, in milliseconds. */
 const RESPONSE_STALL_MS = 10_000;
 
@@ -57,7 +61,8 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Memory for the bodies of all requests without a reply. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
-  private readonly unsent = new UnsentResponses();
+  private readonly unsent: UnsentResponses;
+  private readonly guard: CallerGuard;
   private bodyLimit = maxBodyBytes;
   private nextExchange = 1;
   private stopping = false;
@@ -67,7 +72,10 @@
   public constructor(options: CallerOptions) {
     super();
     this.options = options;
-    this.server = createCallerServer((message) => this.post(message), options.onAccepted);
+    const { maxHeadBytes, maxUnsentBytes } = options.capacity;
+    this.unsent = new UnsentResponses(maxUnsentBytes);
+    this.guard = new CallerGuard(options, () => this.post({ type: 'checkHeads' }));
+    this.server = createCallerServer(maxHeadBytes, (message) => this.post(message), options.onAccepted);
   }
 
   /** Starts listening; rejects if the address is in use. */
@@ -87,6 +95,7 @@
 
   public override stop(): void {
     super.stop();
+    this.guard.stop();
     for (const exchange of this.exchanges.list()) exchange.cancelTimer();
     this.server.close();
     this.server.closeAllConnections();
@@ -112,6 +121,9 @@
       case 'replied':
         this.reply(message.exchange, message.reply);
         return;
+      case 'checkHeads':
+        this.guard.checkHeads();
+        return;
       case 'flushed':
         this.noteFlushed(message.exchange, message.written);
         return;
@@ -160,6 +172,7 @@
       logger.log('callerBytesDiscarded', { step: 'parse', peer, bytes }),
     );
     this.connections.set(socket, connection);
+    this.guard.add(socket);
   }
 
   private open(req: IncomingMessage, res: ServerResponse): void {
@@ -173,6 +186,7 @@
       rejectMissingHost(req, res);
       return;
     }
+    this.guard.noteBusy(socket);
     const number = this.nextExchange;
     this.nextExchange += 1;
     const arrivedMs = this.options.clock.monotonicMs();
@@ -301,6 +315,7 @@
       if (exchange === undefined || exchange.socket === current) continue;
       if (!this.exchanges.isWritingOnly(exchange.socket)) continue;
       this.unsent.remove(number);
+      this.options.metrics.count('callersOutsideLimits');
       this.options.logger.log('responseDropped', {
         step: 'deliver',
         id: exchange.request.id,
@@ -357,10 +372,14 @@
     const reading = exchanges.find(({ res }) => !res.req.complete);
     if (reading !== undefined) this.reply(reading.number, createBodyRefusal('malformed'));
     else if (exchanges.length === 0) rejectMalformed(socket, code);
+    if (code === HEAD_TOO_LARGE) this.guard.noteHeadRefused(socket);
   }
 
   private noteClosed(socket: Socket, by: ConnectionSide): void {
-    if (socket.destroyed) this.connections.delete(socket);
+    if (socket.destroyed) {
+      this.connections.delete(socket);
+      this.guard.remove(socket);
+    }
     const exchanges = this.exchanges.listOf(socket);
     if (by === 'daemon' && exchanges.length > 0)
       this.options.logger.log('callerConnectionCut', describeCut(socket, exchanges));
@@ -380,6 +399,7 @@
     exchange.reader.discard();
     this.unsent.remove(exchange.number);
     this.exchanges.remove(exchange);
+    if (this.exchanges.isIdle(exchange.socket)) this.guard.noteIdle(exchange.socket);
   }
 
   private applyLimits(limits: CallerLimits): void {
@@ -390,6 +410,12 @@
         configured: limits.maxBodyBytes,
         limit: maxBodyBytes,
       });
+    if (limits.maxHeaderBytes > this.options.capacity.maxHeadBytes)
+      this.options.logger.log('headLimitReduced', {
+        step: 'parse',
+        configured: limits.maxHeaderBytes,
+        limit: this.options.capacity.maxHeadBytes,
+      });
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
--- a/packages/mesh/src/CreateCallerServer.ts
+++ b/packages/mesh/src/CreateCallerServer.ts
@@ -2,16 +2,21 @@
 import { Socket } from 'node:net';
 import type { CallerMessage } from '#mesh/CallerMessage.js';
 
-/** Largest request head that the HTTP parser accepts. */
-const MAX_HEADER_BYTES = 256 * 1024;
+/** Interval at which `node:http` looks for heads that do not arrive in time, in milliseconds. */
+const HEAD_CHECK_INTERVAL_MS = 1_000;
 
 /** Idle time of a connection until the configuration is known, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
 /** Creates the HTTP server for callers, which posts its events as messages and ends no connection by itself. */
-export function createCallerServer(post: (message: CallerMessage) => void, onAccepted: () => void): Server {
+export function createCallerServer(
+  maxHeadBytes: number,
+  post: (message: CallerMessage) => void,
+  onAccepted: () => void,
+): Server {
   const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
+    maxHeaderSize: maxHeadBytes,
+    connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     requestTimeout: 0,
     noDelay: true,
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -193,6 +193,8 @@
     this.callers = new CallerTask({
       ...options.callers,
       headers: options.headers,
+      capacity: options.callerCapacity,
+      metrics: this.metrics,
       clock,
       logger: new Logger('callers'),
       onAccepted: () => this.arrivals.post({ type: 'accepted' }),
--- a/packages/mesh/src/NodeOptions.ts
+++ b/packages/mesh/src/NodeOptions.ts
@@ -1,3 +1,4 @@
+import type { CallerCapacity } from '#connection/CallerCapacity.js';
 import type { Clock } from '#core/Clock.js';
 import type { LeaseTimings } from '#ranges/LeaseTimings.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
@@ -13,6 +14,7 @@
   readonly processId: string;
   /** Address for callers. */
   readonly callers: Address;
+  readonly callerCapacity: CallerCapacity;
   /** Address for other daemons. */
   readonly peers: Address;
   /** Address at which the platform asks whether callers should use this daemon. */
--- a/packages/mesh/src/UnsentResponses.ts
+++ b/packages/mesh/src/UnsentResponses.ts
@@ -1,14 +1,16 @@
-/** Memory for response bodies that wait to be written, in bytes. */
-const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
-
 /** Sizes of the responses that are being written, by the number of their exchange. */
 export class UnsentResponses {
+  private readonly maxBytes: number;
   private readonly sizes = new Map<number, number>();
   private totalBytes = 0;
 
+  public constructor(maxBytes: number) {
+    this.maxBytes = maxBytes;
+  }
+
   /** Whether the responses use more memory than a daemon has for them. */
   public isExceeded(): boolean {
-    return this.totalBytes > MAX_UNSENT_BYTES;
+    return this.totalBytes > this.maxBytes;
   }
 
   public add(exchange: number, bytes: number): void {
--- a/packages/mesh/test/StartCallerTask.ts
+++ b/packages/mesh/test/StartCallerTask.ts
@@ -1,4 +1,6 @@
 import { connect, type Socket } from 'node:net';
+import { defaultCallerCapacity } from '#connection/DefaultCallerCapacity.js';
+import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
@@ -42,6 +44,8 @@
     host: '127.0.0.1',
     port,
     headers: testHeaders,
+    capacity: defaultCallerCapacity,
+    metrics: new MetricsRecorder(),
     clock: new SystemClock(),
     logger: new Logger('test'),
     onAccepted: () => undefined,
--- a/packages/mesh/test/StartNode.ts
+++ b/packages/mesh/test/StartNode.ts
@@ -1,4 +1,5 @@
 import { Right } from 'purify-ts';
+import { defaultCallerCapacity } from '#connection/DefaultCallerCapacity.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { defaultLeaseTimings } from '#ranges/DefaultLeaseTimings.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
@@ -50,6 +51,7 @@
     processId: 'p1',
     callers,
     peers,
+    callerCapacity: defaultCallerCapacity,
     readiness,
     metrics: undefined,
     headers: testHeaders,
--- a/packages/mesh/test/StartSlowEntry.ts
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -1,4 +1,5 @@
 import { Worker } from 'node:worker_threads';
+import { defaultCallerCapacity } from '#connection/DefaultCallerCapacity.js';
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
 import { SystemClock } from '#core/SystemClock.js';
@@ -72,6 +73,8 @@
     host: '127.0.0.1',
     port,
     headers: testHeaders,
+    capacity: defaultCallerCapacity,
+    metrics: new MetricsRecorder(),
     clock,
     logger,
     onAccepted: () => arrivals.post({ type: 'accepted' }),
--- a/packages/mesh/test/caller.test.ts
+++ b/packages/mesh/test/caller.test.ts
@@ -2,6 +2,8 @@
 import { connect, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
+import { defaultCallerCapacity } from '#connection/DefaultCallerCapacity.js';
+import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import { CallerTask } from '#mesh/CallerTask.js';
@@ -29,6 +31,8 @@
     host: '127.0.0.1',
     port,
     headers: testHeaders,
+    capacity: defaultCallerCapacity,
+    metrics: new MetricsRecorder(),
     clock: new SystemClock(),
     logger: new Logger('test'),
     onAccepted: () => undefined,
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -12,6 +12,7 @@
   | 'hedges'
   | 'held'
   | 'misdirected'
+  | 'callersOutsideLimits'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
   | 'catalogueChanges';
