--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -16,6 +16,7 @@
   | 'hedgesDeniedByLimit'
   | 'held'
   | 'misdirected'
+  | 'callersOutsideLimits'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
   | 'catalogueChanges';
