FastestCompletion: choose the server where a request is expected to complete first

Cause: NearestLeastWait forgets a report within a second and multiplies the measured service time by the slowdown that it already contains. A daemon sends few requests to each server, so that most of its reports are older, and the costs of distance outweigh waits that it does not learn of.

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -17,8 +17,8 @@
 import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
+import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
@@ -111,7 +111,7 @@
       clock,
       logger: new Logger('entry'),
       metrics: this.metrics,
-      chooser: new NearestLeastWait(identity, random),
+      chooser: new FastestCompletion(identity, random, new Logger('placement'), this.metrics),
       retryFraction: options.retryFraction * RETRY_BUDGET_FRACTION,
       retryMinimum: (options.retrySlack * RETRY_BUDGET_FRACTION) / MIN_DAEMONS / 2,
       send: (request, server, reply) => this.send(request, server, reply),
--- a/packages/mesh/test/EntryRun.ts
+++ b/packages/mesh/test/EntryRun.ts
@@ -4,7 +4,7 @@
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import { EntryTask } from '#mesh/EntryTask.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
@@ -33,7 +33,12 @@
       clock: this.clock,
       logger: new Logger('test'),
       metrics: new MetricsRecorder(),
-      chooser: new NearestLeastWait(identity, new RandomSource(1)),
+      chooser: new FastestCompletion(
+        identity,
+        new RandomSource(1),
+        new Logger('test'),
+        new MetricsRecorder(),
+      ),
       retryFraction: 0.2,
       retryMinimum: 5,
       send: (request, server, reply) => this.sent.push({ request, server, reply }),
--- a/packages/mesh/test/StartSlowEntry.ts
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -7,7 +7,7 @@
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { createEntry } from './CreateEntry.js';
 import { createView } from './CreateView.js';
 import { findFreePort } from './FindFreePort.js';
@@ -43,7 +43,7 @@
     clock,
     logger,
     metrics,
-    chooser: new NearestLeastWait(identity, new RandomSource(1)),
+    chooser: new FastestCompletion(identity, new RandomSource(1), new Logger('test'), metrics),
     retryFraction: 0.2,
     retryMinimum: 5,
     send: ({ callerRequest }, _server, reply) => {
--- a/packages/mesh/test/reviewStall.test.ts
+++ b/packages/mesh/test/reviewStall.test.ts
@@ -9,7 +9,7 @@
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import { EntryTask } from '#mesh/EntryTask.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { createEntry } from './CreateEntry.js';
 import { createTestRequest } from './CreateTestRequest.js';
 import { createView } from './CreateView.js';
@@ -50,7 +50,12 @@
       clock,
       logger: new Logger('test'),
       metrics: new MetricsRecorder(),
-      chooser: new NearestLeastWait(identity, new RandomSource(1)),
+      chooser: new FastestCompletion(
+        identity,
+        new RandomSource(1),
+        new Logger('test'),
+        new MetricsRecorder(),
+      ),
       retryFraction: 0.2,
       retryMinimum: 5,
       send: (_request, _server, reply) => peer.once('data', () => reply(ANSWER)),
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -14,4 +14,7 @@
   | 'misdirected'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
+  | 'placedNear'
+  | 'placedOtherDomain'
+  | 'placedOtherRegion'
   | 'catalogueChanges';
--- /dev/null
+++ b/packages/placement/src/PlacementOrigin.ts
@@ -0,0 +1,5 @@
+/** Location of the daemon that chooses a server. */
+export interface PlacementOrigin {
+  readonly region: string;
+  readonly failureDomain: string;
+}
