Keyed services: shares by the owners' speed, fewer and earlier moves, one write for several

Cause: planShares counted owners by their slots and divided each excess among all owners with room, often into parts too small for a move; a survey followed only a queue; keys that were released within 100 ms of one another were written one after the other, and each write of the table costs a store call of every daemon; a lost owner's keys went to full owners as to idle ones.

Change: planShares weighs owners by slots and speed, ignores an excess below 0.25 unless the owners are short of capacity, and takes as few receivers as have the room. computeSurveyInterval surveys at 0.75 of the slots as with a queue. chooseRelease takes a range in the middle of a row if it has 30 times fewer keys. Free keys wait up to 120 ms for others that are being released, except on a leave or an evacuation. distributeRanges takes shares (takeover: free slots of the receivers), distributeLoad divides a leaving owner's keys by measured load, planReleases counts slots.

Tests: two tests of rangeTask wait the 120 ms before they expect the first write; their assertions are unchanged.

--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -4,6 +4,7 @@
 import { ownerLoadReportCodec } from '#mesh/OwnerLoadReportCodec.js';
 import type { BalanceMessage } from '#mesh/BalanceMessage.js';
 import type { BalanceOptions } from '#mesh/BalanceOptions.js';
+import { computeSurveyInterval } from '#mesh/ComputeSurveyInterval.js';
 import { emptyMeshView } from '#mesh/EmptyMeshView.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
@@ -11,24 +12,12 @@
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
-/** Average wait above which an owner surveys the load of the others, to give keys to one of them. */
-const LONG_WAIT_MS = 80;
-
-/** Shortest time between two surveys while requests wait. */
-const SURVEY_INTERVAL_MS = 600;
-
-/** An owner whose slots are busy for this fraction of the time surveys the others, too, but less often. */
-const BUSY_FRACTION = 0.35;
-const BUSY_SURVEY_INTERVAL_MS = 2_500;
-
 /** Time constant of the average wait; a short slowdown must not move keys. */
 const WAIT_AVERAGE_MS = 1_000;
 
 /** An owner that received keys takes no more for this long, until its load reflects them. */
 const SETTLING_MS = 1_000;
 
-const MS_PER_SECOND = 1_000;
-
 interface Survey {
   readonly pending: number;
   readonly replies: readonly OwnerLoadReport[];
@@ -101,7 +90,7 @@
   private surveyIfDue(): void {
     const nowMs = this.options.clock.monotonicMs();
     if (this.facts?.mayRelease !== true || this.survey !== undefined) return;
-    const intervalMs = this.surveyIntervalMs(this.facts, nowMs);
+    const intervalMs = computeSurveyInterval(this.describeLoad());
     if (intervalMs === undefined || nowMs - this.surveyedMs < intervalMs) return;
     const { serverId, service } = this.options.identity;
     const others = listReceivers(this.view, service).filter((owner) => owner.serverId !== serverId);
@@ -114,12 +103,6 @@
     }
   }
 
-  /** Time that must pass between surveys; undefined if none is needed. */
-  private surveyIntervalMs({ workMsPerSecond, slots }: LeaseReport, nowMs: number): number | undefined {
-    if (this.averageWaitMs(nowMs) >= LONG_WAIT_MS) return SURVEY_INTERVAL_MS;
-    return workMsPerSecond / (slots * MS_PER_SECOND) >= BUSY_FRACTION ? BUSY_SURVEY_INTERVAL_MS : undefined;
-  }
-
   private noteReply(value: unknown): void {
     if (this.survey === undefined) return;
     const decoded = ownerLoadReportCodec.decode(value);
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -52,6 +52,11 @@
 /** Delay after a write conflict, in which the table of the other writer arrives, in milliseconds. */
 const CONFLICT_DELAY_MS = 300;
 
+/** Fraction of the slots that count as free at least, so that the keys of a lost server are divided in any case. */
+const MIN_FREE_FRACTION = 0.2;
+
+const MS_PER_SECOND = 1_000;
+
 const pingReplyCodec = createObjectCodec({ plans: flagCodec });
 
 /**
@@ -233,7 +238,8 @@
     const lost = table.table.rows.filter((row) => isTermEnded(row.term, leases.get(row.serverId)?.record));
     const receivers = this.listLiveReceivers(lost, leases);
     if (lost.length === 0 || receivers.length === 0) return false;
-    const next = transferRanges(table.table, distributeRanges(lost, receivers));
+    const shares = receivers.map(({ serverId }) => computeRoom(leases.get(serverId)?.record));
+    const next = transferRanges(table.table, distributeRanges(lost, receivers, shares));
     this.options.logger.log('takeover', {
       step: 'takeover',
       rows: lost.length,
@@ -355,6 +361,13 @@
   }
 }
 
+/** Slots of a server that its keys leave free, by its last lease record; a full server counts for a little. */
+function computeRoom(record: LeaseEntry['record'] | undefined): number {
+  if (record === undefined) return 1;
+  const slots = Math.max(1, record.slots);
+  return Math.max(slots * MIN_FREE_FRACTION, slots - record.workMsPerSecond / MS_PER_SECOND);
+}
+
 function readPlans(reply: unknown): boolean {
   return pingReplyCodec.decode(reply).caseOf({ Left: () => false, Right: ({ plans }) => plans });
 }
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -13,7 +13,7 @@
 import type { RangeTable } from '#ranges/RangeTable.js';
 import type { RangeTransfer } from '#ranges/RangeTransfer.js';
 import { renewOwner } from '#ranges/RenewOwner.js';
-import { distributeRanges } from '#ranges/DistributeRanges.js';
+import { distributeLoad } from '#ranges/DistributeLoad.js';
 import { subtractRanges } from '#ranges/SubtractRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
@@ -77,6 +77,7 @@
   private writing = false;
   private stopping = false;
   private cancelTick: Cancel = () => undefined;
+  private cancelGather: Cancel = () => undefined;
 
   public constructor(options: RangeOptions) {
     super();
@@ -92,6 +93,7 @@
   public override stop(): void {
     super.stop();
     this.cancelTick();
+    this.cancelGather();
   }
 
   protected override receive(message: RangeMessage): void {
@@ -273,11 +275,22 @@
       this.write(renewed, table.revision, 'ownerRenewed');
       return;
     }
+    const gatherMs = this.mustLeave() ? 0 : this.releases.gatherMs(this.options.clock.monotonicMs());
+    if (gatherMs > 0) {
+      this.gatherFor(gatherMs);
+      return;
+    }
     const free = this.releases.listFree();
     if (free.length > 0) this.transfer(table, free);
     else if (!this.isFenced(table)) this.write(fenceTable(table.table), table.revision, 'tableFenced');
   }
 
+  /** Waits until further keys are released, so that one write of the table moves them all. */
+  private gatherFor(delayMs: number): void {
+    this.cancelGather();
+    this.cancelGather = this.options.clock.schedule(delayMs, () => this.post({ type: 'due' }));
+  }
+
   /** Transfers released keys to their receivers, except those that another daemon took over during the release. */
   private transfer({ table, revision }: StoredRangeTable, transfers: readonly RangeTransfer[]): void {
     const own = intersectRanges(transfers, listRowsOf(table, this.options.identity.serverId));
@@ -299,7 +312,7 @@
     const others = listReceivers(this.view, this.service).filter(
       ({ serverId }) => serverId !== this.options.identity.serverId,
     );
-    const transfers = distributeRanges(unreleased, others);
+    const transfers = distributeLoad(unreleased, others, this.loads, this.now());
     if (transfers.length === 0) return;
     this.options.logger.log('releaseAll', {
       step: 'move',
--- a/packages/mesh/src/ReleaseLedger.ts
+++ b/packages/mesh/src/ReleaseLedger.ts
@@ -12,12 +12,21 @@
 /** Announcement intervals after which a live backend server has certainly announced itself to a restarted daemon. */
 const LIVE_INTERVALS = 2;
 
+/**
+ * Time for which free keys wait for others of the same server that are still being released, so that one write of the
+ * table moves them all, in milliseconds. A server with keys to release announces itself every 100 ms. Each write reaches
+ * every daemon, which costs as many store calls as there are daemons.
+ */
+const GATHER_MS = 120;
+
 /** Tracks the releases of keys in progress at one run of a backend server. */
 export class ReleaseLedger {
   private readonly logger: Logger;
   /** Monotonic time until which announcements may be delayed ones that were sent to a former run of the daemon. */
   private readonly outdatedUntilMs: number;
   private releases: readonly PendingRelease[] = [];
+  /** Monotonic time since which there are free keys. */
+  private freeSinceMs = Infinity;
   private released: readonly ReleasedRow[] = [];
   /** Released rows of the last announcement, and those among them that refer to an earlier grant of the keys. */
   private listed: readonly ReleasedRow[] = [];
@@ -102,6 +111,13 @@
     return subtractRanges(rows, this.releases);
   }
 
+  /** Time for which keys that are free should still wait for those that are being released, in milliseconds. */
+  public gatherMs(nowMs: number): number {
+    const hasFree = this.releases.some(({ step }) => step === 'free');
+    this.freeSinceMs = hasFree ? Math.min(this.freeSinceMs, nowMs) : Infinity;
+    return hasFree && this.hasTold ? Math.max(0, this.freeSinceMs + GATHER_MS - nowMs) : 0;
+  }
+
   /** Lists the transfers of free keys, with the handover tokens of the backend server. */
   public listFree(): readonly RangeTransfer[] {
     return listFreeTransfers(this.releases, this.released);
--- a/packages/mesh/test/balance.test.ts
+++ b/packages/mesh/test/balance.test.ts
@@ -7,6 +7,7 @@
 import { BalanceTask } from '#mesh/BalanceTask.js';
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
+import { computeSurveyInterval } from '#mesh/ComputeSurveyInterval.js';
 import { planShares } from '#mesh/PlanShares.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
@@ -113,6 +114,62 @@
   t.end();
 });
 
+t.test('slow owner receives less than a fast one', (t) => {
+  // By slots alone, keys went to owners that needed three times as long for them.
+  const own = createFacts('a', { workMsPerSecond: 4_000 });
+  const slow = createFacts('b', { baseSlowdown: 2 });
+  const fast = createFacts('c', { baseSlowdown: 0.7 });
+  const shares = new Map(planShares(own, [slow, fast]).map((each) => [each.to, each.workMsPerSecond]));
+  t.ok((shares.get('c') ?? 0) > 3 * (shares.get('b') ?? 0), JSON.stringify([...shares]));
+  t.end();
+});
+
+t.test('owner that is a little above the mean keeps its keys', (t) => {
+  // Each move makes its keys unavailable, and the load of a second varies by chance.
+  const own = createFacts('a', { workMsPerSecond: 2_200 });
+  const others = Array.from({ length: 20 }, (_, index) =>
+    createFacts(`o${index}`, { workMsPerSecond: index === 0 ? 1_000 : 1_600 }),
+  );
+  t.same(planShares(own, others), []);
+  t.end();
+});
+
+t.test('one hot owner needs few receivers', (t) => {
+  // Its excess was divided into 27 parts, each too small for a move, or moved by 27 moves.
+  const own = createFacts('a', { workMsPerSecond: 4_000 });
+  const others = Array.from({ length: 27 }, (_, index) =>
+    createFacts(`o${index}`, { workMsPerSecond: 1_200 + 20 * index }),
+  );
+  const shares = planShares(own, others);
+  const sum = shares.reduce((total, { workMsPerSecond }) => total + workMsPerSecond, 0);
+  t.ok(shares.length > 0 && shares.length <= 20, `${shares.length} receivers`);
+  t.ok(sum > 1_000 && sum < 3_000, `${sum} ms of work a second`);
+  t.ok(
+    shares.every(({ workMsPerSecond }) => workMsPerSecond < 400),
+    'no receiver gets more than its room',
+  );
+  t.end();
+});
+
+t.test('keys are surveyed before a queue forms', (t) => {
+  const load = { workMsPerSecond: 3_400, slots: 4, waitMs: 0 };
+  t.ok((computeSurveyInterval(load) ?? Infinity) <= 1_000);
+  t.equal(computeSurveyInterval({ ...load, workMsPerSecond: 400 }), undefined);
+  t.end();
+});
+
+t.test('busy keys in the middle move without the cold ones beside them', (t) => {
+  // Thousands of cold keys moved together with a few busy ones.
+  const loads = new KeyLoads(0);
+  for (let key = 1_000; key < 1_040; key += 4) loads.add(key, 100);
+  loads.add(2_000, 5_000);
+  const rows = [{ from: 0, to: 2_003, serverId: 'a', term: 1, incarnation: 'a/1', epoch: 1, handover: '' }];
+  const request = { to: 'b', workMsPerSecond: 500, share: 0, speedup: 1 };
+  const range = chooseRelease(rows, loads, request, 0);
+  t.ok(range !== undefined && range.from >= 1_000 && range.to < 1_040, JSON.stringify(range));
+  t.end();
+});
+
 t.test('calls between services are short', (t) => {
   const kinds = new ShortRequestClassifier();
   for (let index = 0; index < 20; index += 1) {
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -11,6 +11,9 @@
 const table = createRangeTable('s', owners);
 
 /** Time after which all grants of a former run of the daemon have expired, in milliseconds. */
+/** Time for which free keys wait for others that are being released, in milliseconds. */
+const GATHER_MS = 120;
+
 const INHERITED_MS = 7_500;
 
 /** Time within which a live backend server has certainly announced itself, in milliseconds. */
@@ -329,6 +332,7 @@
   run.task.post({ type: 'release', requests: [request, request] });
   await run.checkIn([fullRow]);
   await run.checkIn([kept], [{ ...back, handover: 'h' }]);
+  await run.advance(GATHER_MS);
   t.equal(run.table().lastEpoch, 2, 'the second range is still held');
   const returned = transferRanges(run.table(), [{ ...back, owner: owners[0]!, handover: 'g' }]);
   await run.view(there, returned);
@@ -354,6 +358,7 @@
   run.task.post({ type: 'release', requests: [request, request] });
   await run.checkIn([fullRow]);
   await run.checkIn([kept], released);
+  await run.advance(GATHER_MS);
   const returned = transferRanges(run.table(), [{ ...back, owner: owners[0]!, handover: 'g' }]);
   await run.view(there, returned);
   await run.checkIn([kept], released);
@@ -363,6 +368,32 @@
   t.equal(run.table().lastEpoch, 3, 'the server may still receive the reply with the keys');
 });
 
+t.test('keys that are released one after the other move by one write', async (t) => {
+  // Each write of the table reaches all daemons, which costs a store call of each.
+  const run = startRun(t);
+  const there = [createEntry('a'), createEntry('b', { failureDomain: 'e' })];
+  const kept = { from: 0, to: 24_575, epoch: 1 };
+  const first = { from: 24_576, to: 32_767, handover: 'h' };
+  const second = { from: 18_432, to: 24_575, handover: 'i' };
+  await run.view(there, table);
+  await run.lease(1, 60_000);
+  await run.advance(INHERITED_MS);
+  await run.checkIn([]);
+  const request = { to: 'b', workMsPerSecond: 0, share: 0.25, speedup: 1 };
+  run.task.post({ type: 'release', requests: [request, request] });
+  await run.checkIn([fullRow]);
+  await run.checkIn([kept], [first]);
+  t.equal(run.table().lastEpoch, 1, 'waits for the second range');
+  await run.advance(GATHER_MS / 2);
+  await run.checkIn([{ ...kept, to: 18_431 }], [first, second]);
+  t.equal(run.table().lastEpoch, 2);
+  t.match(run.table().rows, [
+    { to: 18_431, serverId: 'a' },
+    { from: 18_432, serverId: 'b', epoch: 2 },
+    { from: 24_576, to: 32_767, serverId: 'b', epoch: 2 },
+  ]);
+});
+
 t.test('malformed stored table does not cause writes in a loop', async (t) => {
   const run = startRun(t);
   await run.view(servers, table);
--- a/packages/ranges/src/KeyLoads.ts
+++ b/packages/ranges/src/KeyLoads.ts
@@ -7,6 +7,9 @@
 /** A range that is cut off may carry more than the wanted load by this factor. */
 const MAX_OVERSHOOT = 1.2;
 
+/** A range that is cut out of the middle carries at least this fraction of the wanted load. */
+const MIN_DENSE_FRACTION = 0.6;
+
 /** Decay is applied only once it reduces the loads to this fraction, as it costs a pass over all buckets. */
 const DECAY_THRESHOLD = 0.95;
 
@@ -63,6 +66,31 @@
       : { from: range.from, to: (first + head.count) * KEYS_PER_BUCKET - 1 };
   }
 
+  /**
+   * Returns the smallest range of whole buckets that carries about the `wanted` load, which may lie in the middle. At least
+   * one whole bucket stays. Returns undefined if there is none.
+   */
+  public cutDensest(range: KeyRange, wanted: number, nowMs: number): KeyRange | undefined {
+    this.decay(nowMs);
+    const most = ((wanted * DECAY_TIME_MS) / 1_000) * MAX_OVERSHOOT;
+    const least = ((wanted * DECAY_TIME_MS) / 1_000) * MIN_DENSE_FRACTION;
+    const first = Math.ceil(range.from / KEYS_PER_BUCKET);
+    const last = Math.floor((range.to + 1) / KEYS_PER_BUCKET) - 1;
+    let best = { from: first, count: last - first + 1 };
+    let from = first;
+    let load = 0;
+    for (let to = first; to <= last; to += 1) {
+      load += this.buckets[to] ?? 0;
+      while (from <= to && (load > most || load - (this.buckets[from] ?? 0) >= least)) {
+        load -= this.buckets[from] ?? 0;
+        from += 1;
+      }
+      if (load >= least && load > 0 && to - from + 1 < best.count) best = { from, count: to - from + 1 };
+    }
+    if (best.count > last - first) return undefined;
+    return { from: best.from * KEYS_PER_BUCKET, to: (best.from + best.count) * KEYS_PER_BUCKET - 1 };
+  }
+
   /** Returns the bucket of keys with the highest load in a range. */
   public findHottest({ from, to }: KeyRange, nowMs: number): KeyRange & { readonly load: number } {
     this.decay(nowMs);
--- a/packages/ranges/test/ranges.test.ts
+++ b/packages/ranges/test/ranges.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import t from 'tap';
 import { ManualClock } from '#core/ManualClock.js';
+import { countKeys } from '#ranges/CountKeys.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { defaultLeaseTimings } from '#ranges/DefaultLeaseTimings.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
@@ -14,7 +15,9 @@
 import { planReleases } from '#ranges/PlanReleases.js';
 import type { RangeTable } from '#ranges/RangeTable.js';
 import { renewOwner } from '#ranges/RenewOwner.js';
+import { distributeLoad } from '#ranges/DistributeLoad.js';
 import { distributeRanges } from '#ranges/DistributeRanges.js';
+import { subtractRanges } from '#ranges/SubtractRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 
 const SEED = Number(process.env.SEED ?? 20261204);
@@ -23,6 +26,8 @@
   return { serverId, term, incarnation };
 }
 
+const threeOwners = [owner('a'), owner('b'), owner('c')];
+
 /** Throws unless the rows are sorted, do not overlap and cover every key. */
 function checkCover(table: RangeTable): void {
   let next = fullKeyRange.from;
@@ -170,6 +175,67 @@
   t.end();
 });
 
+t.test('owner receives keys in proportion to its share', (t) => {
+  // A full owner received as many keys of a lost one as an idle one.
+  const transfers = distributeRanges([{ from: 0, to: 999 }], threeOwners, [1, 3, 1]);
+  const counts = threeOwners.map((receiver) =>
+    countKeys(transfers.filter((each) => each.owner === receiver)),
+  );
+  t.same(counts, [200, 600, 200]);
+  t.end();
+});
+
+t.test('busy keys are divided among all owners', (t) => {
+  // With equal numbers of keys, the owner of the busy ones received most of the load of a leaving server.
+  const loads = new KeyLoads(0);
+  for (let key = 4_000; key < 4_400; key += 4) loads.add(key, 100);
+  const transfers = distributeLoad([{ from: 0, to: 9_999 }], threeOwners, loads, 0);
+  const total = loads.sum({ from: 0, to: 9_999 }, 0);
+  for (const receiver of threeOwners) {
+    const own = transfers.filter((each) => each.owner === receiver);
+    const load = own.reduce((sum, range) => sum + loads.sum(range, 0), 0);
+    t.ok(load > 0.15 * total && load < 0.55 * total, `${receiver.serverId}: ${load / total}`);
+  }
+  t.end();
+});
+
+t.test('keys divided by load have one owner each', (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: 65_535 }), { minLength: 2, maxLength: 8 }),
+      fc.array(fc.tuple(fc.integer({ min: 0, max: 65_535 }), fc.integer({ min: 0, max: 500 }))),
+      fc.integer({ min: 1, max: 3 }),
+      (bounds, demands, count) => {
+        const sorted = [...new Set(bounds)].toSorted((left, right) => left - right);
+        const ranges = sorted.slice(1).flatMap((to, index) => {
+          const from = (sorted[index] ?? 0) + 1;
+          return index % 2 === 0 ? [{ from, to }] : [];
+        });
+        const loads = new KeyLoads(0);
+        for (const [key, workMs] of demands) loads.add(key, workMs);
+        const transfers = distributeLoad(ranges, threeOwners.slice(0, count), loads, 0);
+        t.same(countKeys(transfers), countKeys(ranges));
+        t.same(subtractRanges(ranges, transfers), []);
+      },
+    ),
+    { numRuns: 60, seed: SEED },
+  );
+  t.end();
+});
+
+t.test('densest cut is small, carries about the wanted work and leaves a part', (t) => {
+  const loads = new KeyLoads(0);
+  for (let key = 0; key < 4_000; key += 4) loads.add(key, 1);
+  for (let key = 2_000; key < 2_040; key += 4) loads.add(key, 50);
+  const piece = loads.cutDensest({ from: 1, to: 3_998 }, 300, 0);
+  t.ok(piece !== undefined && piece.from >= 1_996 && piece.to <= 2_043, JSON.stringify(piece));
+  const carried = piece === undefined ? 0 : loads.sum(piece, 0);
+  t.ok(carried >= 180 && carried <= 360, `${carried}`);
+  t.equal(loads.cutDensest({ from: 2_000, to: 2_003 }, 300, 0), undefined, 'a single bucket stays');
+  t.equal(loads.cutDensest({ from: 0, to: 3_999 }, 0, 0), undefined, 'nothing wanted');
+  t.end();
+});
+
 t.test('cut carries about the wanted work', (t) => {
   const loads = new KeyLoads(0);
   for (let key = 0; key < 1_600; key += 16) loads.add(key, 10);
