Surveys in vain become rarer; reports of nothing keep the choice valid

Cause: with the earlier survey, owners that are all overloaded call all others every 0.6 s over billed links. A reported service time or slowdown of zero made weights infinite.

Reported figures have lower bounds.

--- a/packages/mesh/src/BalanceTask.ts
+++ b/packages/mesh/src/BalanceTask.ts
@@ -6,6 +6,7 @@
 import type { BalanceOptions } from '#mesh/BalanceOptions.js';
 import { computeSurveyInterval } from '#mesh/ComputeSurveyInterval.js';
 import { emptyMeshView } from '#mesh/EmptyMeshView.js';
+import { isNearlyFull } from '#mesh/IsNearlyFull.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import { planShares } from '#mesh/PlanShares.js';
@@ -38,6 +39,8 @@
   private receivedMs = -Infinity;
   private survey: Survey | undefined;
   private surveyedMs = -Infinity;
+  /** Number of surveys in a row that this owner made in vain while it was nearly full. */
+  private fruitlessSurveys = 0;
 
   public constructor(options: BalanceOptions) {
     super();
@@ -90,7 +93,7 @@
   private surveyIfDue(): void {
     const nowMs = this.options.clock.monotonicMs();
     if (this.facts?.mayRelease !== true || this.survey !== undefined) return;
-    const intervalMs = computeSurveyInterval(this.describeLoad());
+    const intervalMs = computeSurveyInterval(this.describeLoad(), this.fruitlessSurveys);
     if (intervalMs === undefined || nowMs - this.surveyedMs < intervalMs) return;
     const { serverId, service } = this.options.identity;
     const others = listReceivers(this.view, service).filter((owner) => owner.serverId !== serverId);
@@ -115,6 +118,7 @@
     if (pending > 0) return;
     const own = this.describeLoad();
     const requests = planShares(own, replies);
+    this.fruitlessSurveys = requests.length === 0 && isNearlyFull(own) ? this.fruitlessSurveys + 1 : 0;
     this.options.logger.log('loadSurveyed', {
       step: 'move',
       waitMs: Math.round(own.waitMs),
--- a/packages/mesh/test/KeyedOutcome.ts
+++ b/packages/mesh/test/KeyedOutcome.ts
@@ -11,6 +11,8 @@
   readonly movedKeys: number;
   /** Rounds of moves, each of which writes the table once. */
   readonly rounds: number;
+  /** Surveys of the owners' load, each of which is a call to every owner. */
+  readonly surveys: number;
   readonly rows: number;
   /** Largest number of requests for each slot that one owner received by a single round of moves, as a load. */
   readonly received: number;
--- a/packages/mesh/test/KeyedSimulation.ts
+++ b/packages/mesh/test/KeyedSimulation.ts
@@ -11,6 +11,7 @@
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { computeSurveyInterval } from '#mesh/ComputeSurveyInterval.js';
+import { isNearlyFull } from '#mesh/IsNearlyFull.js';
 import type { OwnerLoadReport } from '#mesh/OwnerLoadReport.js';
 import { planShares } from '#mesh/PlanShares.js';
 import type { KeyedOutcome } from './KeyedOutcome.js';
@@ -34,6 +35,7 @@
   backlogMs: number;
   averageWaitMs: number;
   surveyedMs: number;
+  fruitless: number;
   receivedMs: number;
   moving: readonly RangeTransfer[];
   freeMs: number;
@@ -54,6 +56,7 @@
   private moves = 0;
   private movedKeys = 0;
   private rounds = 0;
+  private surveys = 0;
   private received = 0;
   private busiestSum = 0;
   private samples = 0;
@@ -69,6 +72,7 @@
       backlogMs: 0,
       averageWaitMs: 0,
       surveyedMs: -Infinity,
+      fruitless: 0,
       receivedMs: -Infinity,
       moving: [],
       freeMs: 0,
@@ -99,6 +103,7 @@
       moves: this.moves,
       movedKeys: this.movedKeys / KEYS,
       rounds: this.rounds,
+      surveys: this.surveys,
       rows: this.table.rows.length,
       received: this.received,
     };
@@ -166,11 +171,13 @@
   private balance(owner: Owner): void {
     if (owner.moving.length > 0 || this.listRows(owner).length === 0) return;
     const own = this.describe(owner);
-    const intervalMs = computeSurveyInterval(own);
+    const intervalMs = computeSurveyInterval(own, owner.fruitless);
     if (intervalMs === undefined || this.nowMs - owner.surveyedMs < intervalMs) return;
     owner.surveyedMs = this.nowMs;
     const others = this.owners.filter((each) => each !== owner).map((each) => this.describe(each));
     const requests = planShares(own, others);
+    owner.fruitless = requests.length === 0 && isNearlyFull(own) ? owner.fruitless + 1 : 0;
+    if (this.isMeasured) this.surveys += 1;
     let rows = this.listRows(owner);
     const planned: RangeTransfer[] = [];
     const plan = (from: number, to: number, receiverId: string): void => {
--- a/packages/mesh/test/balance.test.ts
+++ b/packages/mesh/test/balance.test.ts
@@ -153,8 +153,17 @@
 
 t.test('keys are surveyed before a queue forms', (t) => {
   const load = { workMsPerSecond: 3_400, slots: 4, waitMs: 0 };
-  t.ok((computeSurveyInterval(load) ?? Infinity) <= 1_000);
-  t.equal(computeSurveyInterval({ ...load, workMsPerSecond: 400 }), undefined);
+  t.ok((computeSurveyInterval(load, 0) ?? Infinity) <= 1_000);
+  t.equal(computeSurveyInterval({ ...load, workMsPerSecond: 400 }, 0), undefined);
+  t.end();
+});
+
+t.test('surveys that find no room become rarer', (t) => {
+  // If all owners are overloaded, each of them called all others every 0.6 s, over billed links.
+  const load = { workMsPerSecond: 8_000, slots: 4, waitMs: 200 };
+  const intervals = [0, 1, 10].map((fruitless) => computeSurveyInterval(load, fruitless) ?? Infinity);
+  t.ok(intervals[1]! >= 1.5 * intervals[0]! && intervals[2]! >= intervals[1]!, intervals.join());
+  t.ok(intervals[2]! <= 1_500, 'but do not end');
   t.end();
 });
 
--- a/packages/mesh/test/keyedPlacement.test.ts
+++ b/packages/mesh/test/keyedPlacement.test.ts
@@ -58,6 +58,7 @@
   // Moves between overloaded owners gain little, and each of them writes the table.
   const outcomes = runAll(t, { hotKey: 0, nearHotKey: 0, utilization: 1.1 });
   t.ok(average(outcomes, ({ rounds }) => rounds) < 60, 'rounds');
+  t.ok(average(outcomes, ({ surveys }) => surveys) < 800, 'surveys');
   t.ok(average(outcomes, ({ busiest }) => busiest) < 1.4, 'busiest owner');
   t.ok(average(outcomes, ({ rows }) => rows) < 150, 'rows of the table');
   t.end();
--- a/packages/placement/src/PlacementChooser.ts
+++ b/packages/placement/src/PlacementChooser.ts
@@ -163,7 +163,7 @@
     for (let index = 0; index < count; index += 1) lowest = Math.min(lowest, values[index] ?? Infinity);
     let total = 0;
     for (let index = 0; index < count; index += 1) {
-      const rate = (candidates[index]?.slots ?? 1) / (found[index]?.serviceMs ?? 1);
+      const rate = Math.max(1, candidates[index]?.slots ?? 1) / (found[index]?.serviceMs ?? 1);
       total += rate * Math.exp((lowest - (values[index] ?? Infinity)) / spreadMs);
       values[index] = total;
     }
--- a/packages/placement/src/ServerEstimate.ts
+++ b/packages/placement/src/ServerEstimate.ts
@@ -19,6 +19,10 @@
  */
 const AVERAGE_VALIDITY_MS = 5_000;
 
+/** Lower bounds of reported figures: a report of nothing must not make a server infinitely fast. */
+const MIN_SERVICE_MS = 1;
+const MIN_SLOWDOWN = 0.1;
+
 /** Bounds of the present slowdown relative to the average one that the service time contains. */
 const MIN_RELATIVE_SLOWDOWN = 0.5;
 const MAX_RELATIVE_SLOWDOWN = 2.5;
@@ -61,7 +65,7 @@
 
   /** Average service time by the last report, in milliseconds; 0 without a report. */
   public get meanServiceMs(): number {
-    return this.load?.serviceMs ?? 0;
+    return this.load === undefined ? 0 : Math.max(MIN_SERVICE_MS, this.load.serviceMs);
   }
 
   /** Moving average of the slowdown of its VM; 1 if unknown. */
@@ -119,7 +123,7 @@
     // The average service time depends on which kinds of request the server happened to run, the slowdown of its VM does
     // not, but it need not be proportional to the service time. Their geometric mean is used.
     const byVmMs = (otherServiceMs * this.averageSlowdown) / otherSlowdown;
-    const meanMs = Math.max(1, Math.sqrt(load.serviceMs * byVmMs));
+    const meanMs = Math.max(MIN_SERVICE_MS, Math.sqrt(this.meanServiceMs * byVmMs));
     const current = Math.exp(-(nowMs - this.reportedMs) / (VALIDITY_SERVICES * meanMs));
     const averageValidity = Math.exp(-(nowMs - this.reportedMs) / AVERAGE_VALIDITY_MS);
     const mean = (otherLoad + (this.averageLoad - otherLoad) * averageValidity) * slots;
@@ -145,9 +149,10 @@
     const weight = weightAfter(nowMs - this.reportedMs);
     this.averageLoad += (this.load === undefined ? 1 : weight) * (perSlot - this.averageLoad);
     if (hasSlowdown) {
+      const slowdown = Math.max(MIN_SLOWDOWN, load.slowdown);
       const slowdownWeight = this.slowdownMs === -Infinity ? 1 : weightAfter(nowMs - this.slowdownMs);
-      this.averageSlowdown += slowdownWeight * (load.slowdown - this.averageSlowdown);
-      this.slowdown = load.slowdown;
+      this.averageSlowdown += slowdownWeight * (slowdown - this.averageSlowdown);
+      this.slowdown = slowdown;
       this.slowdownMs = nowMs;
     }
     this.load = load;
--- a/packages/placement/test/placementChooser.test.ts
+++ b/packages/placement/test/placementChooser.test.ts
@@ -112,6 +112,18 @@
   t.end();
 });
 
+t.test('reports of nothing do not break the choice', (t) => {
+  // A service time or slowdown of zero made the weights of the other servers meaningless.
+  const zero = { running: 0, queued: 0, slots: 0, waitMs: 0, serviceMs: 0, slowdown: 0 };
+  const candidates = ['a', 'b', 'c'].map((id) => createCandidate(id, { slots: id === 'b' ? 0 : 4 }));
+  const counts = countChoices(createChooser({ a: zero, b: zero }), candidates, 10);
+  t.ok(
+    counts.every((count) => count > 0),
+    counts.join(),
+  );
+  t.end();
+});
+
 t.test('choice among 35 servers takes microseconds', (t) => {
   // It is made for each request, thousands of times a second at the size to design for.
   const candidates = Array.from({ length: 35 }, (_, index) =>
