--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { ManualClock } from '#core/ManualClock.js';
+import { countKeys } from '#ranges/CountKeys.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { defaultLeaseTimings } from '#ranges/DefaultLeaseTimings.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
@@ -34,17 +35,19 @@
   };
 }
 
-/** A `PlannerTask` of server `a` or `b`, with leases of both in the store. */
+/** A `PlannerTask` of server `a` or `b`, with leases of both, or of the given servers, in the store. */
 class PlannerRun {
   public readonly store = new MemoryCollectionStore();
   public readonly clock = new ManualClock();
   public readonly task: PlannerTask;
   /** Methods that the task called on other daemons. */
   public readonly calls: string[] = [];
+  private readonly servers: typeof servers;
   private renewals = 0;
 
   /** `reply` is the result of each call to another daemon. */
-  public constructor(ownId = 'a', reply?: unknown) {
+  public constructor(ownId = 'a', reply?: unknown, shown = servers, divided = table) {
+    this.servers = shown;
     this.task = new PlannerTask({
       identity: { serverId: ownId, failureDomain: 'd', region: 'r', service: 's' },
       timings: defaultLeaseTimings,
@@ -56,22 +59,26 @@
         respond(reply);
       },
     });
-    this.setTable(table);
-    for (const id of ['a', 'b']) this.store.set('leases', id, createLease(id));
+    this.setTable(divided);
+    for (const { serverId: id } of shown) this.store.set('leases', id, createLease(id));
   }
 
   /** Advances the clock while the named servers renew their leases. */
-  public async advance(ms: number, renewing: readonly string[]): Promise<void> {
+  public async advance(
+    ms: number,
+    renewing: readonly string[],
+    change: Readonly<Record<string, Partial<LeaseRecord>>> = {},
+  ): Promise<void> {
     for (let passed = 0; passed < ms; passed += 500) {
-      if (passed % 3_000 === 0) for (const id of renewing) this.renew(id);
+      if (passed % 3_000 === 0) for (const id of renewing) this.renew(id, change[id]);
       this.clock.advance(500);
       for (let index = 0; index < 20; index += 1) await Promise.resolve();
     }
   }
 
-  private renew(id: string): void {
+  private renew(id: string, change: Partial<LeaseRecord> = {}): void {
     this.renewals += 1;
-    this.store.set('leases', id, createLease(id, { renewal: this.renewals }));
+    this.store.set('leases', id, createLease(id, { ...change, renewal: this.renewals }));
   }
 
   public setTable(shown: RangeTable): void {
@@ -84,7 +91,12 @@
     const { value, revision } = this.store.read('ranges', 's')!;
     const shown = rangeTableCodec.decode(value).unsafeCoerce();
     const tables = new Map([['s', { table: shown, revision }]]);
-    this.task.post({ type: 'view', view: { ...createView(servers, {}, undefined, true), tables } });
+    this.task.post({ type: 'view', view: { ...createView(this.servers, {}, undefined, true), tables } });
+  }
+
+  public countKeys(serverId: string): number {
+    const stored = rangeTableCodec.decode(this.store.read('ranges', 's')?.value);
+    return countKeys(listRowsOf(stored.unsafeCoerce(), serverId));
   }
 
   public countRows(serverId: string): number {
@@ -110,6 +122,22 @@
   t.match(run.store.read('leases', 'b')?.value, { revoked: true }, 'its later renewals fail');
 });
 
+t.test('full owner takes over fewer keys of a lost holder', async (t) => {
+  // Keys of a lost holder were divided equally, and those that went to a full owner were refused.
+  const three = ['a', 'b', 'c'].map((id) => createEntry(id));
+  const divided = createRangeTable(
+    's',
+    three.map(({ serverId, term, incarnation }) => ({ serverId, term, incarnation })),
+  );
+  const run = new PlannerRun('a', undefined, three, divided);
+  t.teardown(() => run.task.stop());
+  const before = run.countKeys('a');
+  await run.advance(21_000, ['a', 'c'], { c: { workMsPerSecond: 4_000 } });
+  t.equal(run.countKeys('b'), 0);
+  const [free, full] = [run.countKeys('a') - before, run.countKeys('c') - before];
+  t.ok(full > 0 && free > 3 * full, `${free} and ${full} keys`);
+});
+
 t.test('resigned term is taken over at once', async (t) => {
   const run = new PlannerRun();
   t.teardown(() => run.task.stop());
