--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -19,8 +19,8 @@
 import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
+import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
@@ -116,7 +116,7 @@
       clock,
       logger: new Logger('entry'),
       metrics: this.metrics,
-      chooser: new NearestLeastWait(identity, random),
+      chooser: new FastestCompletion(identity, random, new Logger('placement'), this.metrics),
       retryFraction: options.retryFraction * RETRY_BUDGET_FRACTION,
       retryMinimum: (options.retrySlack * RETRY_BUDGET_FRACTION) / MIN_DAEMONS / 2,
       send: (request, server, reply, offer) => this.sendHedged(request, server, reply, offer),
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -19,4 +19,7 @@
   | 'callersOutsideLimits'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
+  | 'placedNear'
+  | 'placedOtherDomain'
+  | 'placedOtherRegion'
   | 'catalogueChanges';
