--- a/packages/admission/src/QuotaClient.ts
+++ b/packages/admission/src/QuotaClient.ts
@@ -5,6 +5,7 @@
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 import type { QuotaGrant } from '#admission/QuotaGrant.js';
 import type { RateLimits } from '#admission/RateLimits.js';
+import type { TokenRequest } from '#admission/TokenRequest.js';
 import { refuseAdmission } from '#admission/RefuseAdmission.js';
 import { computeReservedShare } from '#admission/ComputeReservedShare.js';
 import { TokenBucket } from '#admission/TokenBucket.js';
@@ -157,6 +158,36 @@
     use.bucket.add(grant.tokens);
   }
 
+  /** Takes a token for a request that was refused before and has waited for one; returns whether it got one. */
+  public retry(key: string, nowMs: number): boolean {
+    const use = this.entries.get(key);
+    if (use === undefined) return false;
+    this.expireGrant(use, nowMs);
+    return use.bucket.take(nowMs) || use.reservedBucket.take(nowMs);
+  }
+
+  /** Returns the number of unused tokens from the holder, which may be a fraction. */
+  public tokens(key: string, nowMs: number): number {
+    const use = this.entries.get(key);
+    if (use === undefined) return 0;
+    this.expireGrant(use, nowMs);
+    return use.bucket.available(nowMs);
+  }
+
+  /**
+   * Creates a request for `tokens`, or, if that is 0, for the return of all unused ones, which are given up at once.
+   */
+  public requestTokens(key: string, limits: RateLimits, tokens: number, nowMs: number): TokenRequest {
+    const use = this.findUse(key, limits, nowMs);
+    this.expireGrant(use, nowMs);
+    const returned = tokens > 0 ? 0 : use.bucket.takeUpTo(Infinity, nowMs);
+    const held = { ratePerSecond: 0, burst: use.bucket.available(nowMs), concurrency: 0 };
+    const { client } = this;
+    const { applied } = use;
+    const demand = { ratePerSecond: 0, concurrency: 0, inFlight: 0 };
+    return { entry: key, client, applied, held, ...demand, sentMs: nowMs, tokens, returned };
+  }
+
   /** Returns the number of admitted requests of the entry that were not yet released. */
   public inFlight(key: string): number {
     return this.entries.get(key)?.inFlight ?? 0;
--- a/packages/admission/src/QuotaHolder.ts
+++ b/packages/admission/src/QuotaHolder.ts
@@ -5,6 +5,8 @@
 import type { QuotaSettings } from '#admission/QuotaSettings.js';
 import type { QuotaGrant } from '#admission/QuotaGrant.js';
 import type { RateLimits } from '#admission/RateLimits.js';
+import type { TokenGrant } from '#admission/TokenGrant.js';
+import type { TokenRequest } from '#admission/TokenRequest.js';
 import { computeGrantSize } from '#admission/ComputeGrantSize.js';
 import { TokenBucket } from '#admission/TokenBucket.js';
 
@@ -53,7 +55,7 @@
 class EntryUse {
   public readonly clients = new Map<string, ClientUse>();
   /** Tokens that accrue at the rate that no client holds, so that a new client does not have to wait for a token. */
-  public readonly spare: TokenBucket;
+  public spare: TokenBucket;
   public limits: EntryLimits;
   public held = ZERO_LIMITS;
   public demand = ZERO_LIMITS;
@@ -102,19 +104,60 @@
     return { entry: request.entry, number: client.number, ...part, tokens, sentMs: request.sentMs, sliceMs };
   }
 
+  /**
+   * Returns tokens for a token request. All unused tokens, at the clients and here, together are at most the burst, and
+   * tokens accrue at the whole rate. They are not granted until the grants of earlier holders have expired.
+   */
+  public grantTokens(request: TokenRequest, limits: EntryLimits, nowMs: number): TokenGrant {
+    const entry = this.findEntry(request.entry, limits, nowMs);
+    const client = entry.clients.get(request.client) ?? new ClientUse();
+    entry.clients.set(request.client, client);
+    const counted = client.held.burst;
+    this.change(entry, client, nowMs, () => noteRequest(client, request, nowMs));
+    this.limitSpareTokens(entry, nowMs);
+    const readyInMs = Math.max(0, this.readyMs(entry) - nowMs);
+    if (readyInMs === 0) entry.spare.add(Math.min(request.returned, counted));
+    const tokens =
+      readyInMs > 0 ? 0 : Math.floor(Math.min(request.tokens, entry.spare.available(nowMs) + 1e-9));
+    entry.spare.takeUpTo(tokens, nowMs);
+    const part = { ratePerSecond: 0, burst: request.held.burst + tokens, concurrency: 1 };
+    this.change(entry, client, nowMs, () => this.record(entry, client, part, nowMs));
+    this.limitSpareTokens(entry, nowMs);
+    const { number } = client;
+    const sliceMs = this.grantMsOf(entry);
+    return { entry: request.entry, number, ...part, tokens, sentMs: request.sentMs, sliceMs, readyInMs };
+  }
+
   /** Returns the upper bound of what clients may use of the entry, without the reserved part. */
   public outstanding(entryName: string): RateLimits {
     return this.entries.get(entryName)?.held ?? ZERO_LIMITS;
   }
 
   private findEntry(name: string, limits: EntryLimits, nowMs: number): EntryUse {
-    const entry = this.entries.get(name) ?? new EntryUse(limits, nowMs);
+    const entry = this.entries.get(name) ?? this.createEntry(limits, nowMs);
     entry.limits = limits;
     this.entries.set(name, entry);
     if (nowMs - entry.countedMs >= this.grantMsOf(entry) * RECOUNT_AFTER_FRACTION) this.recount(entry, nowMs);
     return entry;
   }
 
+  private createEntry(limits: EntryLimits, nowMs: number): EntryUse {
+    const entry = new EntryUse(limits, nowMs);
+    if (this.settings.tokens === undefined) return entry;
+    const whole = this.distributable(limits);
+    // Tokens have accrued since the holder became ready, even if nobody has asked for them yet.
+    const { initialTokens } = this.settings.tokens;
+    const sinceMs = Math.max(Number.MIN_SAFE_INTEGER, this.readyMs(entry));
+    entry.spare = new TokenBucket(whole.ratePerSecond, whole.burst, initialTokens, sinceMs);
+    return entry;
+  }
+
+  /** Limits the unused tokens here to the part of the burst that no client has. */
+  private limitSpareTokens(entry: EntryUse, nowMs: number): void {
+    const whole = this.distributable(entry.limits);
+    entry.spare.resize(whole.ratePerSecond, Math.max(0, whole.burst - entry.held.burst), nowMs);
+  }
+
   private recount(entry: EntryUse, nowMs: number): void {
     entry.countedMs = nowMs;
     entry.held = ZERO_LIMITS;
@@ -174,7 +217,11 @@
   }
 
   private knowsAllGrants(entry: EntryUse, nowMs: number): boolean {
-    return nowMs >= this.sinceMs + this.addDriftBound(this.grantMsOf(entry));
+    return nowMs >= this.readyMs(entry);
+  }
+
+  private readyMs(entry: EntryUse): number {
+    return this.sinceMs + this.addDriftBound(this.grantMsOf(entry));
   }
 
   private knowsAllRequests(entry: EntryUse, nowMs: number): boolean {
--- a/packages/admission/src/TokenBucket.ts
+++ b/packages/admission/src/TokenBucket.ts
@@ -29,6 +29,12 @@
     return taken;
   }
 
+  /** Returns the number of tokens, which may be a fraction. */
+  public available(nowMs: number): number {
+    this.accrue(nowMs);
+    return this.tokens;
+  }
+
   /** Changes rate and burst; tokens above the new burst are lost. */
   public resize(ratePerSecond: number, burst: number, nowMs: number): void {
     this.accrue(nowMs);
--- a/packages/mesh/src/CallerRequest.ts
+++ b/packages/mesh/src/CallerRequest.ts
@@ -17,6 +17,8 @@
   readonly deadlineMs: number | undefined;
   /** Key of the request in a keyed service; undefined without one. */
   readonly key: number | undefined;
+  /** API key of the caller; empty if it is not given in the expected form, undefined if there is none. */
+  readonly credential: string | undefined;
   /**
    * Estimated monotonic time of its arrival, in milliseconds; until it is estimated, the time at which its head
    * was read.
--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -36,6 +36,7 @@
     [rpcMethods.ping]: async () => ({ processId, plans: await links.describePlanner() }),
     [rpcMethods.load]: () => links.describeLoad(),
     [rpcMethods.resigned]: (params) => links.onResigned(params),
+    [rpcMethods.quota]: (params) => links.onQuota(params),
     [rpcMethods.cancel]: (params) => links.onCancel(decode(rpcMethods.cancel, cancel, params).id),
     [rpcMethods.release]: (params) => links.onRelease(decode(rpcMethods.release, release, params)),
     [rpcMethods.marks]: (params) => links.onMarks(decode(rpcMethods.marks, marks, params).marks),
--- a/packages/mesh/src/DecodeBackendRequest.ts
+++ b/packages/mesh/src/DecodeBackendRequest.ts
@@ -110,6 +110,7 @@
       hasBody: hasBody === 1,
       deadlineMs: leftMs,
       key: key ?? undefined,
+      credential: undefined,
       arrivedMs: sentMs,
     },
     service,
--- a/packages/mesh/src/EntryMessage.ts
+++ b/packages/mesh/src/EntryMessage.ts
@@ -1,3 +1,4 @@
+import type { CallerRefusal } from '#mesh/CallerRefusal.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
@@ -14,6 +15,12 @@
     }
   /** The caller closed its connection. */
   | { readonly type: 'left'; readonly exchange: number }
+  /** The rate limit of the tenant was checked; `refusal` is undefined if the request is within it. */
+  | {
+      readonly type: 'admitted';
+      readonly exchange: number;
+      readonly refusal: CallerRefusal | undefined;
+    }
   /** An attempt ended. */
   | {
       readonly type: 'result';
--- a/packages/mesh/src/EntryOptions.ts
+++ b/packages/mesh/src/EntryOptions.ts
@@ -6,6 +6,7 @@
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
 import type { ServerChooser } from '#mesh/ServerChooser.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { TenantGate } from '#mesh/TenantGate.js';
 
 /** Dependencies and callbacks of `EntryTask`. */
 export interface EntryOptions {
@@ -14,6 +15,7 @@
   readonly logger: Logger;
   readonly metrics: MetricsRecorder;
   readonly chooser: ServerChooser;
+  readonly tenants: TenantGate;
   /**
    * Retry budget of each service: fraction of its requests that may be retried, and number of retries that are
    * always allowed.
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -3,6 +3,8 @@
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
+import { isLimited } from '#tenants/IsLimited.js';
+import type { CallerRefusal } from '#mesh/CallerRefusal.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import { computeDueMs } from '#mesh/ComputeDueMs.js';
 import { createBackendRequest } from '#mesh/CreateBackendRequest.js';
@@ -82,6 +84,9 @@
       case 'left':
         this.noteLeft(message.exchange);
         return;
+      case 'admitted':
+        this.noteAdmission(message.exchange, message.refusal);
+        return;
       case 'result':
         this.noteResult(message.exchange, message.attempt, message.result);
         return;
@@ -135,16 +140,45 @@
       reply({ type: 'refusal', status: NOT_FOUND, code: 'noRoute', retryAfterMs: 0 });
       return;
     }
+    const access = this.options.tenants.check(request, route, routes.table);
+    if (access.type === 'refused') {
+      reply(access.reply);
+      return;
+    }
     const nowMs = this.now();
-    this.retries.noteRequest(service, '', nowMs);
     const dueMs = Math.min(computeDueMs(request, route), this.lastDueMs);
     const { clock } = this.options;
     const cancelDue = scheduleAfterReads(clock, dueMs - nowMs, () => this.post({ type: 'due', exchange }));
+    const { tenant } = access;
     this.exchanges.set(
       exchange,
-      createExchange({ number: exchange, request, route, service, dueMs, reply, cancelDue }),
+      createExchange({
+        number: exchange,
+        request: access.request,
+        route: access.route,
+        tenant,
+        service,
+        dueMs,
+        reply,
+        cancelDue,
+      }),
     );
-    this.choose(exchange);
+    if (!isLimited(tenant)) this.noteAdmission(exchange, undefined);
+    else
+      this.options.tenants.admit(tenant, request.id, (refusal) =>
+        this.post({ type: 'admitted', exchange, refusal }),
+      );
+  }
+
+  private noteAdmission(number: number, refusal: CallerRefusal | undefined): void {
+    const exchange = this.exchanges.get(number);
+    if (exchange === undefined) return;
+    if (refusal !== undefined) {
+      this.finish(exchange, refusal, 'refused');
+      return;
+    }
+    this.retries.noteRequest(exchange.service, '', this.now());
+    this.choose(number);
   }
 
   private choose(number: number): void {
@@ -357,7 +391,9 @@
     exchange.cancelWait();
     this.exchanges.delete(exchange.number);
     const version = this.directory.view.routes?.table.version;
-    this.recorder.record(exchange, outcome, detail, version, this.now());
+    const nowMs = this.now();
+    this.recorder.record(exchange, outcome, detail, version, nowMs);
+    this.options.tenants.noteEnd(exchange.tenant, outcome, nowMs - exchange.request.arrivedMs);
   }
 
   private noteView(view: MeshView): void {
--- a/packages/mesh/src/HeaderNames.ts
+++ b/packages/mesh/src/HeaderNames.ts
@@ -18,4 +18,8 @@
   readonly load: string;
   /** Key of a request to a keyed service. */
   readonly key: string;
+  /** API key of the caller. */
+  readonly authorization: string;
+  /** Name of the tenant to which a request belongs. */
+  readonly tenant: string;
 }
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -1,6 +1,7 @@
 import type { ChartCursor } from '#chart/ChartCursor.js';
 import type { Cancel } from '#core/Cancel.js';
 import type { Route } from '#routes/Route.js';
+import type { Tenant } from '#routes/Tenant.js';
 import type { BackendResponse } from '#mesh/BackendResponse.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
@@ -12,7 +13,10 @@
 export interface MeshExchange {
   readonly number: number;
   readonly request: CallerRequest;
+  /** The route, with the priority and the home regions of the tenant. */
   readonly route: Route;
+  /** Undefined if the request belongs to no tenant. */
+  readonly tenant: Tenant | undefined;
   readonly service: string;
   /** Deadline of the final reply: monotonic time, in milliseconds. */
   readonly dueMs: number;
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -6,6 +6,8 @@
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
+import { QuotaTask } from '#tenants/QuotaTask.js';
+import { TenantMetrics } from '#tenants/TenantMetrics.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
@@ -31,6 +33,7 @@
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { ServerTask } from '#mesh/ServerTask.js';
 import { StoreLinkTask } from '#mesh/StoreLinkTask.js';
+import { TenantGate } from '#mesh/TenantGate.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
 /**
@@ -71,6 +74,7 @@
   private readonly life = new ChartCursor<DaemonLifeEvent>(daemonLifeChart);
   private readonly metrics = new MetricsRecorder();
   private readonly delays = new PhaseRecorder();
+  private readonly tenantMetrics = new TenantMetrics();
   private readonly directory: DirectoryTask;
   private readonly storeLink: StoreLinkTask;
   private readonly entry: EntryTask;
@@ -78,6 +82,7 @@
   private readonly crashMarks: CrashMarkTask;
   private readonly ownership: OwnershipTasks;
   private readonly balance: BalanceTask;
+  private readonly quotas: QuotaTask;
   private readonly relay: RelayTask;
   private readonly receiver: ReceiverTask;
   private readonly arrivals: ArrivalTask;
@@ -106,12 +111,27 @@
       onReachability: (address, reachable, untilMs) =>
         this.entry.post({ type: 'reach', address, reachable, untilMs }),
     });
+    this.quotas = new QuotaTask({
+      serverId: identity.serverId,
+      processId,
+      clock,
+      logger: new Logger('quota'),
+      call: (address, params, reply) =>
+        this.relay.post({ type: 'call', address, method: rpcMethods.quota, params, reply }),
+    });
     this.entry = new EntryTask({
       identity,
       clock,
       logger: new Logger('entry'),
       metrics: this.metrics,
       chooser: new NearestLeastWait(identity, random),
+      tenants: new TenantGate({
+        headers: options.headers,
+        clock,
+        logger: new Logger('entry'),
+        metrics: this.tenantMetrics,
+        admit: (tenant, decide) => this.quotas.post({ type: 'admit', tenant, decide }),
+      }),
       retryFraction: options.retryFraction * RETRY_BUDGET_FRACTION,
       retryMinimum: (options.retrySlack * RETRY_BUDGET_FRACTION) / MIN_DAEMONS / 2,
       send: (request, server, reply) => this.send(request, server, reply),
@@ -179,6 +199,7 @@
         onResigned: (value) => postTo(this.ownership.planner, { type: 'resigned', value }),
         onCancel: (id) => postTo(this.server, { type: 'cancel', id }),
         onRelease: (request) => postTo(this.ownership.ranges, { type: 'release', requests: [request] }),
+        onQuota: (value) => this.quotas.ask((reply) => ({ type: 'asked', value, reply })),
         onMarks: (marks) => postTo(this.server, { type: 'marks', marks }),
       }),
     });
@@ -201,7 +222,7 @@
       onLeft: (exchange) => this.arrivals.post({ type: 'left', exchange }),
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
-    this.metricsServer = new MetricsTask(this.metrics, this.delays);
+    this.metricsServer = new MetricsTask(this.metrics, this.delays, this.tenantMetrics);
     this.setFaultPolicies();
   }
 
@@ -284,6 +305,7 @@
       this.callers,
       this.arrivals,
       this.entry,
+      this.quotas,
       this.server,
       this.relay,
       this.receiver,
@@ -341,6 +363,7 @@
       this.ownership,
       this.crashMarks,
       this.balance,
+      this.quotas,
       this.relay,
       this.receiver,
     ];
@@ -357,6 +380,12 @@
     const { routes } = view;
     if (routes !== undefined && routes !== before?.routes)
       this.callers.post({ type: 'limits', limits: routes.table.limits });
+    if (routes !== undefined && routes !== before?.routes) {
+      this.tenantMetrics.retain(routes.table.tenants);
+      this.quotas.post({ type: 'tenants', tenants: routes.table.tenants });
+    }
+    if (view.complete && (before?.complete !== true || view.servers !== before.servers))
+      this.quotas.post({ type: 'members', members: [...view.servers.values()] });
     if (!view.complete || routes === undefined || !this.life.send({ type: 'informed' })) return;
     this.readiness.post({ type: 'ready', ready: true });
     this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
--- a/packages/mesh/src/MetricsTask.ts
+++ b/packages/mesh/src/MetricsTask.ts
@@ -4,6 +4,7 @@
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { PhaseRecorder } from '#metrics/PhaseRecorder.js';
+import type { TenantMetrics } from '#tenants/TenantMetrics.js';
 import { listenAt } from '#mesh/ListenAt.js';
 
 /** An HTTP request for the metrics. */
@@ -15,15 +16,17 @@
 export class MetricsTask extends Task<MetricsMessage> {
   private readonly metrics: MetricsRecorder;
   private readonly delays: PhaseRecorder;
+  private readonly tenants: TenantMetrics;
   private readonly server: Server;
 
   /**
    * `delays` is the histogram of the times between the arrival of a request and the start of its processing.
    */
-  public constructor(metrics: MetricsRecorder, delays: PhaseRecorder) {
+  public constructor(metrics: MetricsRecorder, delays: PhaseRecorder, tenants: TenantMetrics) {
     super();
     this.metrics = metrics;
     this.delays = delays;
+    this.tenants = tenants;
     this.server = createServer((_req, res) => this.post({ res }));
   }
 
@@ -45,6 +48,6 @@
       'Time from the arrival of a request until work on it begins.',
       this.delays.buckets(),
     );
-    res.end(`${formatPrometheus(this.metrics.snapshotBuckets())}${delays}`);
+    res.end(`${formatPrometheus(this.metrics.snapshotBuckets())}${delays}${this.tenants.format()}`);
   }
 }
--- a/packages/mesh/src/PeerCallHandlers.ts
+++ b/packages/mesh/src/PeerCallHandlers.ts
@@ -11,5 +11,7 @@
   readonly onResigned: (value: unknown) => boolean;
   readonly onCancel: (id: string) => boolean;
   readonly onRelease: (request: RangeReleaseRequest) => boolean;
+  /** Answers the token requests of a daemon; see `QuotaTask`. */
+  readonly onQuota: (value: unknown) => Promise<unknown>;
   readonly onMarks: (marks: readonly CrashMark[]) => boolean;
 }
--- a/packages/mesh/src/ReadCallerRequest.ts
+++ b/packages/mesh/src/ReadCallerRequest.ts
@@ -6,6 +6,7 @@
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { isConnectionHeader } from '#mesh/IsConnectionHeader.js';
 import { pairHeaders } from '#mesh/PairHeaders.js';
+import { readCredential } from '#mesh/ReadCredential.js';
 
 /** Reads the request of a caller from its head and its body. A request without an id receives a random one. */
 export function readCallerRequest(
@@ -28,6 +29,7 @@
     hasBody: req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined,
     deadlineMs: readCount(findHeader(pairs, names.deadlineMs)),
     key: readCount(findHeader(pairs, names.key)),
+    credential: readCredential(pairs, names.authorization),
     arrivedMs,
   };
 }
--- a/packages/mesh/src/RequestRecorder.ts
+++ b/packages/mesh/src/RequestRecorder.ts
@@ -40,6 +40,7 @@
       service,
       outcome,
       detail,
+      tenant: exchange.tenant?.name,
       key: request.key,
       servers: [...exchange.tried].join(','),
       offers: exchange.offers,
--- a/packages/mesh/src/RpcMethods.ts
+++ b/packages/mesh/src/RpcMethods.ts
@@ -6,4 +6,5 @@
   marks: 'marks',
   load: 'load',
   resigned: 'resigned',
+  quota: 'quota',
 });
--- a/packages/mesh/test/CreateTestRequest.ts
+++ b/packages/mesh/test/CreateTestRequest.ts
@@ -20,6 +20,7 @@
       hasBody: false,
       deadlineMs: 1_000,
       key,
+      credential: undefined,
       arrivedMs: 0,
     },
     service: 's',
--- a/packages/mesh/test/CreateView.ts
+++ b/packages/mesh/test/CreateView.ts
@@ -15,6 +15,7 @@
   maxAttempts: 2,
   priority: 0,
   homeRegions: [],
+  isPublic: false,
 };
 
 /** Creates a complete view with one route to the service `s`, which is keyed if there is a table. */
@@ -30,6 +31,8 @@
       limits: { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
       routes: [{ ...ROUTE, ...route }],
       services: new Map([['s', { name: 's', maxConnections: 50, coldPerSecond: 5, keyed }]]),
+      tenants: new Map(),
+      tenantByKey: new Map(),
     }),
     evacuated: new Set(),
     servers: new Map(servers.map((entry) => [entry.serverId, entry])),
--- a/packages/mesh/test/EntryRun.ts
+++ b/packages/mesh/test/EntryRun.ts
@@ -3,13 +3,23 @@
 import { RandomSource } from '#core/RandomSource.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
+import type { CallerRequest } from '#mesh/CallerRequest.js';
 import { EntryTask } from '#mesh/EntryTask.js';
+import type { Tenant } from '#routes/Tenant.js';
+import type { QuotaDecision } from '#tenants/QuotaDecision.js';
+import { TenantMetrics } from '#tenants/TenantMetrics.js';
 import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { MeshView } from '#mesh/MeshView.js';
 import { createTestRequest } from './CreateTestRequest.js';
+import { createTestGate } from './CreateTestGate.js';
+
+interface QuotaQuestion {
+  readonly tenant: Tenant;
+  readonly decide: (decision: QuotaDecision) => void;
+}
 
 interface Sent {
   readonly request: BackendRequest;
@@ -23,6 +33,8 @@
   public readonly sent: Sent[] = [];
   public readonly cancelled: string[] = [];
   public readonly replies: CallerReply[] = [];
+  public readonly questions: QuotaQuestion[] = [];
+  public readonly tenantMetrics = new TenantMetrics();
   public readonly task: EntryTask;
   private exchanges = 0;
 
@@ -34,6 +46,11 @@
       logger: new Logger('test'),
       metrics: new MetricsRecorder(),
       chooser: new NearestLeastWait(identity, new RandomSource(1)),
+      tenants: createTestGate({
+        clock: this.clock,
+        metrics: this.tenantMetrics,
+        admit: (tenant, decide) => this.questions.push({ tenant, decide }),
+      }),
       retryFraction: 0.2,
       retryMinimum: 5,
       send: (request, server, reply) => this.sent.push({ request, server, reply }),
@@ -43,9 +60,10 @@
   }
 
   /** Delivers a caller's request, and returns the number of its exchange. */
-  public async arrive(id: string, key?: number): Promise<number> {
+  public async arrive(id: string, key?: number, change: Partial<CallerRequest> = {}): Promise<number> {
     this.exchanges += 1;
-    const request = { ...createTestRequest(id, {}, key).callerRequest, arrivedMs: this.clock.monotonicMs() };
+    const { callerRequest } = createTestRequest(id, {}, key);
+    const request = { ...callerRequest, arrivedMs: this.clock.monotonicMs(), ...change };
     this.task.post({
       type: 'arrived',
       exchange: this.exchanges,
--- a/packages/mesh/test/StartSlowEntry.ts
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -9,6 +9,7 @@
 import { EntryTask } from '#mesh/EntryTask.js';
 import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import { createEntry } from './CreateEntry.js';
+import { createTestGate } from './CreateTestGate.js';
 import { createView } from './CreateView.js';
 import { findFreePort } from './FindFreePort.js';
 import { testHeaders } from './TestHeaders.js';
@@ -44,6 +45,7 @@
     logger,
     metrics,
     chooser: new NearestLeastWait(identity, new RandomSource(1)),
+    tenants: createTestGate(),
     retryFraction: 0.2,
     retryMinimum: 5,
     send: ({ callerRequest }, _server, reply) => {
--- a/packages/mesh/test/TestHeaders.ts
+++ b/packages/mesh/test/TestHeaders.ts
@@ -10,4 +10,6 @@
   notExecuted: 'X-Not-Run',
   load: 'X-Load',
   key: 'X-Key',
+  authorization: 'X-Auth',
+  tenant: 'X-Tenant',
 };
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -12,7 +12,14 @@
 class VersionDecoder extends RouteDecoder {
   public override decode(_name: string, value: unknown): ReturnType<RouteDecoder['decode']> {
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const table: RouteTable = { version: value as number, limits, routes: [], services: new Map() };
+    const table: RouteTable = {
+      version: value as number,
+      limits,
+      routes: [],
+      services: new Map(),
+      tenants: new Map(),
+      tenantByKey: new Map(),
+    };
     return Right(table);
   }
 }
--- a/packages/mesh/test/malformed.test.ts
+++ b/packages/mesh/test/malformed.test.ts
@@ -160,6 +160,7 @@
     onResigned: unused,
     onCancel: unused,
     onRelease: unused,
+    onQuota: () => Promise.resolve(undefined),
     onMarks: unused,
   });
   const release = { to: 'b', workMsPerSecond: 1, share: 0, speedup: 1 };
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -316,6 +316,7 @@
     onResigned: () => true,
     onCancel: (id) => cancelled.push(id) > 0,
     onRelease: () => true,
+    onQuota: () => Promise.resolve(undefined),
     onMarks: () => true,
   });
   t.throws(() => calls.cancel?.({ id: 5 }), { message: /cancel/ });
--- a/packages/mesh/test/reviewStall.test.ts
+++ b/packages/mesh/test/reviewStall.test.ts
@@ -12,6 +12,7 @@
 import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import { createEntry } from './CreateEntry.js';
 import { createTestRequest } from './CreateTestRequest.js';
+import { createTestGate } from './CreateTestGate.js';
 import { createView } from './CreateView.js';
 
 const TIMEOUT_MS = 300;
@@ -51,6 +52,7 @@
       logger: new Logger('test'),
       metrics: new MetricsRecorder(),
       chooser: new NearestLeastWait(identity, new RandomSource(1)),
+      tenants: createTestGate(),
       retryFraction: 0.2,
       retryMinimum: 5,
       send: (_request, _server, reply) => peer.once('data', () => reply(ANSWER)),
--- a/packages/mesh/test/server.test.ts
+++ b/packages/mesh/test/server.test.ts
@@ -17,6 +17,8 @@
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     routes: [],
     services: new Map([['s', { name: 's', maxConnections: 50, coldPerSecond: 5, keyed: true }]]),
+    tenants: new Map(),
+    tenantByKey: new Map(),
   }),
 };
 
@@ -145,6 +147,8 @@
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     routes: [],
     services: new Map([['s', { name: 's', maxConnections: 50, coldPerSecond: 5, keyed: false }]]),
+    tenants: new Map(),
+    tenantByKey: new Map(),
   });
   task.post({
     type: 'view',
--- a/packages/routes/src/Route.ts
+++ b/packages/routes/src/Route.ts
@@ -19,4 +19,6 @@
   readonly priority: number;
   /** Regions in which requests may be served; any region if empty. */
   readonly homeRegions: readonly string[];
+  /** Whether requests need no API key. */
+  readonly isPublic: boolean;
 }
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -15,6 +15,7 @@
     maxAttempts: 2,
     priority: 0,
     homeRegions: [],
+    isPublic: false,
   };
 }
 
@@ -23,6 +24,8 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   routes: [route('root', '/'), route('long', '/x/y/'), route('short', '/x/')],
   services: new Map(),
+  tenants: new Map(),
+  tenantByKey: new Map(),
 });
 
 t.test('longest prefix wins', (t) => {
