--- a/packages/admission/src/ComputeQuotaGrantMs.ts
+++ b/packages/admission/src/ComputeQuotaGrantMs.ts
@@ -7,9 +7,9 @@
 /** Returns the duration of a quota grant for an entry with these limits, in milliseconds. */
 export function computeQuotaGrantMs(settings: QuotaSettings, limits: RateLimits): number {
   if (settings.tokens !== undefined) {
-    const { minGrantMs, burstFraction } = settings.tokens;
-    const fillMs = (limits.burst / Math.max(limits.ratePerSecond, 1e-9)) * 1_000;
-    return Math.min(settings.grantMs, Math.max(minGrantMs, fillMs * burstFraction));
+    const { minGrantMs, unreportedTokens } = settings.tokens;
+    const accrualMs = (unreportedTokens / Math.max(limits.ratePerSecond, 1e-9)) * 1_000;
+    return Math.min(settings.grantMs, minGrantMs + accrualMs);
   }
   const isSmall = Math.min(limits.burst, limits.concurrency) < SMALL_UNITS;
   return isSmall ? (settings.smallEntryGrantMs ?? settings.grantMs) : settings.grantMs;
--- a/packages/admission/src/QuotaSettings.ts
+++ b/packages/admission/src/QuotaSettings.ts
@@ -8,12 +8,12 @@
   readonly smallEntryGrantMs?: number;
   /**
    * If present, the holder grants tokens instead of shares of the rate (`QuotaHolder.grantTokens`). The unused tokens at
-   * daemons count towards the burst, so a grant lasts no longer than the burst suffices at the rate.
+   * daemons count towards the burst until the grant ends or the daemon reports their use, so grants have to be short.
    */
   readonly tokens?: {
     readonly minGrantMs: number;
-    /** Duration of a grant, as a fraction of the time in which the rate fills the burst. */
-    readonly burstFraction: number;
+    /** Tokens that may be granted and used without a report; the time in which they accrue is added to `minGrantMs`. */
+    readonly unreportedTokens: number;
     /** Tokens with which a holder starts that knows nothing of the tokens granted before. */
     readonly initialTokens: number;
   };
--- a/packages/tenants/src/ComputeTenantLimits.ts
+++ b/packages/tenants/src/ComputeTenantLimits.ts
@@ -3,15 +3,15 @@
 
 /**
  * Rate to divide, relative to the tenant's rate. Without the reserved part, it still has to be above the tenant's rate:
- * 1.055 x 0.95 > 1.
+ * 1.035 x 0.97 > 1.
  */
-const RATE_FACTOR = 1.055;
+const RATE_FACTOR = 1.035;
 
 /**
- * In any 5 s, (rate x 5 + burst) x 1.1 + 20 requests may run. The rate factor takes 5.275 of the 5.5 x rate; the rest is
- * used as burst, which allows daemons to hold tokens for a fraction of a second.
+ * In any 5 s, (rate x 5 + burst) x 1.1 + 20 requests may run. The rate factor takes 5.175 of the 5.5 x rate. Most
+ * of the rest is used as burst, which allows daemons to hold tokens for a fraction of a second.
  */
-const BURST_PER_RATE = 0.22;
+const BURST_PER_RATE = 0.3;
 const BURST_FACTOR = 1.1;
 const SPARE_BURST = 14;
 
--- a/packages/tenants/src/HolderHistory.ts
+++ b/packages/tenants/src/HolderHistory.ts
@@ -12,6 +12,7 @@
 export class HolderHistory {
   private sets: readonly DaemonSet[] = [];
   private readonly holders = new Map<string, string | undefined>();
+  private readonly starts = new Map<string, number | undefined>();
 
   /** Notes the daemons of a view; returns whether they differ from the last ones. `sinceMs` is when they became valid. */
   public note(serverIds: readonly string[], sinceMs: number): boolean {
@@ -19,7 +20,7 @@
     const last = this.sets.at(-1)?.serverIds;
     if (last?.length === sorted.length && last.every((id, index) => id === sorted[index])) return false;
     this.sets = [...this.sets, { serverIds: sorted, sinceMs }].slice(-MAX_SETS);
-    this.holders.clear();
+    this.clearHolders();
     return true;
   }
 
@@ -39,10 +40,13 @@
   /** Returns the time since which a daemon has been the holder without interruption; undefined if it is not. */
   public heldSinceMs(serverId: string, tenant: string): number | undefined {
     if (this.findHolder(tenant) !== serverId) return undefined;
+    if (this.starts.has(tenant)) return this.starts.get(tenant);
     const before = this.sets.findLastIndex(
       ({ serverIds }) => chooseQuotaHolder(serverIds, tenant) !== serverId,
     );
-    return this.sets[before + 1]?.sinceMs;
+    const startMs = this.sets[before + 1]?.sinceMs;
+    this.starts.set(tenant, startMs);
+    return startMs;
   }
 
   /**
@@ -78,5 +82,6 @@
   /** Forgets the holders that were found. Called when the tenants change, so that their number stays bounded. */
   public clearHolders(): void {
     this.holders.clear();
+    this.starts.clear();
   }
 }
--- a/packages/tenants/src/QuotaHolding.ts
+++ b/packages/tenants/src/QuotaHolding.ts
@@ -98,7 +98,7 @@
   /** Notes that another daemon has stopped granting the tokens of a tenant. */
   public noteYielded(serverId: string, tenant: string, nowMs: number): void {
     const known = this.confirmations.get(tenant);
-    if (known === undefined || !known.pending.has(serverId)) return;
+    if (!known?.pending.has(serverId)) return;
     const pending = new Set([...known.pending].filter((each) => each !== serverId));
     if (pending.size > 0) {
       this.confirmations.set(tenant, { ...known, pending });
--- a/packages/tenants/src/QuotaLink.ts
+++ b/packages/tenants/src/QuotaLink.ts
@@ -1,5 +1,5 @@
 /** Shortest time between two calls to the same holder; requests for all its tenants are collected meanwhile. */
-const MIN_INTERVAL_MS = 100;
+const MIN_INTERVAL_MS = 125;
 
 /** Time after which a call without a reply counts as failed. */
 const REPLY_TIMEOUT_MS = 300;
--- a/packages/tenants/src/TenantShare.ts
+++ b/packages/tenants/src/TenantShare.ts
@@ -11,19 +11,23 @@
 import type { WaitingAdmission } from '#tenants/WaitingAdmission.js';
 
 /** Longest time for which a request waits for tokens: several round trips between regions. */
-const MAX_WAIT_MS = 250;
+const MAX_WAIT_MS = 300;
 
 /** Limit of the requests of one tenant that wait at this daemon; further ones are refused at once. */
 const MAX_WAITING = 256;
 
 /** Time covered by the tokens that are obtained ahead of need, as a fraction of the duration of a grant. */
-const AHEAD_FRACTION = 0.6;
+const AHEAD_FRACTION = 0.9;
 
 /** Tokens are obtained again when fewer than this fraction of those for the demand is left. */
-const REFILL_FRACTION = 0.4;
+const REFILL_FRACTION = 0.5;
 
-/** Unused tokens are returned after this time without requests, as other daemons may need them. */
-const IDLE_MS = 120;
+/**
+ * Unused tokens are returned after this time without requests, as other daemons may need them, but not before several
+ * times the usual interval between requests: they would be requested again at once.
+ */
+const IDLE_MS = 150;
+const IDLE_INTERVALS = 4;
 
 /** Shortest time between a grant that did not suffice and the next token request. */
 const MIN_PAUSE_MS = 100;
@@ -31,6 +35,9 @@
 /** The same while the holder cannot be reached. */
 const UNREACHABLE_PAUSE_MS = 300;
 
+/** Fewer tokens are not obtained ahead: if requests come by turns to many daemons, most of them would expire unused. */
+const MIN_AHEAD = 4;
+
 const MS_PER_SECOND = 1_000;
 
 /** What this daemon may use of the rate limit of one tenant, and the requests that wait for more of it. */
@@ -46,6 +53,8 @@
   private refusedInPause = 0;
   private lastArrivalMs = -Infinity;
   private failures = 0;
+  /** Requests that waited when tokens were last requested. */
+  private asked = 0;
 
   public constructor(client: QuotaClient, tenant: Tenant) {
     this.client = client;
@@ -87,13 +96,15 @@
     const left = this.client.tokens(this.tenant.name, nowMs);
     const aheadMs = computeQuotaGrantMs(tenantQuotaSettings, this.limits) * AHEAD_FRACTION;
     const ahead = Math.floor((this.demand.ratePerSecond(nowMs) * aheadMs) / MS_PER_SECOND);
-    const isShort = ahead > 0 && left < ahead * REFILL_FRACTION;
+    const isShort = ahead >= MIN_AHEAD && left < ahead * REFILL_FRACTION;
     if (this.waiting.length === 0 && !isShort) return undefined;
-    return Math.max(1, this.waiting.length + Math.ceil(ahead - left));
+    const spare = ahead >= MIN_AHEAD ? Math.ceil(ahead - left) : 0;
+    return Math.max(1, this.waiting.length + spare);
   }
 
   /** Creates the request for a number of tokens. */
   public createRequest(tokens: number, nowMs: number): TokenRequest {
+    this.asked = this.waiting.length;
     return this.client.requestTokens(this.tenant.name, this.limits, tokens, nowMs);
   }
 
@@ -109,7 +120,7 @@
     } else if (grant.readyInMs > 0) {
       this.pausedUntilMs = nowMs + Math.min(UNREACHABLE_PAUSE_MS, Math.max(MIN_PAUSE_MS, grant.readyInMs));
       this.refuseWaiting(({ untilMs }) => nowMs + grant.readyInMs < untilMs, nowMs);
-    } else if (this.waiting.length > 0) {
+    } else if (grant.tokens < this.asked) {
       this.pausedUntilMs = nowMs + MIN_PAUSE_MS;
       this.refuseWaiting(
         ({ untilMs }, index) => nowMs + this.expectedWaitMs(index + 1, nowMs) <= untilMs,
@@ -130,7 +141,7 @@
     const times = [
       first?.untilMs ?? Infinity,
       first === undefined ? Infinity : this.pausedUntilMs,
-      hasTokens ? Math.max(this.lastArrivalMs + IDLE_MS, this.pausedUntilMs) : Infinity,
+      hasTokens ? Math.max(this.returnMs(), this.pausedUntilMs) : Infinity,
     ];
     return Math.min(...times.filter((timeMs) => timeMs > nowMs));
   }
@@ -141,10 +152,16 @@
   }
 
   private mayReturn(nowMs: number): boolean {
-    if (this.waiting.length > 0 || nowMs - this.lastArrivalMs < IDLE_MS) return false;
+    if (this.waiting.length > 0 || nowMs < this.returnMs()) return false;
     return this.client.tokens(this.tenant.name, nowMs) >= 1;
   }
 
+  /** Time at which unused tokens are returned. */
+  private returnMs(): number {
+    const intervalMs = MS_PER_SECOND / Math.max(this.demand.ratePerSecond(this.lastArrivalMs), 1e-9);
+    return this.lastArrivalMs + Math.max(IDLE_MS, intervalMs * IDLE_INTERVALS);
+  }
+
   private serveWaiting(nowMs: number): void {
     let served = 0;
     while (served < this.waiting.length && this.client.retry(this.tenant.name, nowMs)) {
