--- a/packages/mesh/src/MetricsTask.ts
+++ b/packages/mesh/src/MetricsTask.ts
@@ -3,6 +3,7 @@
 import { formatHistogram } from '#metrics/FormatHistogram.js';
 import { formatPrometheus } from '#metrics/FormatPrometheus.js';
 import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
+import type { TenantMetrics } from '#tenants/TenantMetrics.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import type { NamedHistogram } from '#mesh/NamedHistogram.js';
 
@@ -15,13 +16,19 @@
 export class MetricsTask extends Task<MetricsMessage> {
   private readonly metrics: MetricsRecorder;
   private readonly histograms: readonly NamedHistogram[];
+  private readonly tenants: TenantMetrics;
   private readonly server: Server;
 
-  /** `histograms` are served beside the metrics that are recorded by team and class. */
-  public constructor(metrics: MetricsRecorder, histograms: readonly NamedHistogram[]) {
+  /** `histograms` are served beside the metrics that are recorded by team and class, and those of tenants. */
+  public constructor(
+    metrics: MetricsRecorder,
+    histograms: readonly NamedHistogram[],
+    tenants: TenantMetrics,
+  ) {
     super();
     this.metrics = metrics;
     this.histograms = histograms;
+    this.tenants = tenants;
     this.server = createServer((_req, res) => this.post({ res }));
   }
 
@@ -41,6 +48,8 @@
     const histograms = this.histograms.map(({ name, help, recorder }) =>
       formatHistogram(name, help, recorder.buckets()),
     );
-    res.end([formatPrometheus(this.metrics.snapshotBuckets()), ...histograms].join(''));
+    res.end(
+      [formatPrometheus(this.metrics.snapshotBuckets()), ...histograms, this.tenants.format()].join(''),
+    );
   }
 }
--- a/packages/mesh/test/StartSlowEntry.ts
+++ b/packages/mesh/test/StartSlowEntry.ts
@@ -10,6 +10,7 @@
 import { EntryTask } from '#mesh/EntryTask.js';
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { createEntry } from './CreateEntry.js';
+import { createTestGate } from './CreateTestGate.js';
 import { createView } from './CreateView.js';
 import { findFreePort } from './FindFreePort.js';
 import { testHeaders } from './TestHeaders.js';
@@ -45,6 +46,7 @@
     logger,
     metrics,
     chooser: new FastestCompletion(identity, new RandomSource(1), new Logger('test'), metrics),
+    tenants: createTestGate(),
     retryFraction: 0.2,
     retryMinimum: 5,
     send: ({ callerRequest }, _server, reply) => {
--- a/packages/mesh/test/reviewStall.test.ts
+++ b/packages/mesh/test/reviewStall.test.ts
@@ -12,6 +12,7 @@
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { createEntry } from './CreateEntry.js';
 import { createTestRequest } from './CreateTestRequest.js';
+import { createTestGate } from './CreateTestGate.js';
 import { createView } from './CreateView.js';
 
 const TIMEOUT_MS = 300;
@@ -56,6 +57,7 @@
         new Logger('test'),
         new MetricsRecorder(),
       ),
+      tenants: createTestGate(),
       retryFraction: 0.2,
       retryMinimum: 5,
       send: (_request, _server, reply) => peer.once('data', () => reply(ANSWER)),
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -51,6 +51,8 @@
   'settings',
   'routes',
   'ranges',
+  'tenants',
+  'hedging',
   'placement',
 ];
 // Source folders of the entries that are not in packages/.
