Read the store through two daemons of each failure domain

Every daemon watched the four collections itself, so that each change cost a call by every daemon and was read whole across regions by each of them. Two daemons of a failure domain, chosen by rendezvous hashing, now watch the store. The others get the changes of all collections from them by one long poll (RPC method changes), whose reply has the age of the reader's last confirmation. They turn to the next reader, and then to the store, if a reader fails, is silent, or is not confirmed. Watches wait 30 s. Probes of the store are sent by daemons that read it, at a fixed rate.

--- a/packages/mesh/src/CreatePeerCalls.ts
+++ b/packages/mesh/src/CreatePeerCalls.ts
@@ -5,6 +5,8 @@
 import { idCodec } from '#codec/IdCodec.js';
 import { measureCodec } from '#codec/MeasureCodec.js';
 import { RouterError } from '#core/RouterError.js';
+import { changesReplyCodec } from '#fanout/ChangesReplyCodec.js';
+import { changesRequestCodec } from '#fanout/ChangesRequestCodec.js';
 import { crashMarkCodec } from '#mesh/CrashMarkCodec.js';
 import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
 import type { PeerCallHandlers } from '#mesh/PeerCallHandlers.js';
@@ -38,6 +40,10 @@
     [rpcMethods.resigned]: (params) => links.onResigned(params),
     [rpcMethods.cancel]: (params) => links.onCancel(decode(rpcMethods.cancel, cancel, params).id),
     [rpcMethods.release]: (params) => links.onRelease(decode(rpcMethods.release, release, params)),
+    [rpcMethods.changes]: (params) =>
+      links
+        .readChanges(decode(rpcMethods.changes, changesRequestCodec, params))
+        .then((reply) => changesReplyCodec.encode(reply)),
     [rpcMethods.marks]: (params) => links.onMarks(decode(rpcMethods.marks, marks, params).marks),
   };
 }
--- a/packages/mesh/src/DirectoryMessage.ts
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -1,6 +1,8 @@
 import type { RouterError } from '#core/RouterError.js';
 import type { CollectionChanges } from '#store/CollectionChanges.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
+import type { CollectionPosition } from '#fanout/CollectionPosition.js';
+import type { CollectionUpdate } from '#fanout/CollectionUpdate.js';
 import type { ViewListener } from '#mesh/ViewListener.js';
 import type { WatchedCollection } from '#mesh/WatchedCollection.js';
 
@@ -29,5 +31,13 @@
   | { readonly type: 'hint'; readonly revisions: readonly number[] }
   /** The connections to the store were replaced, and the calls that wait on former ones get no response. */
   | { readonly type: 'reconnected' }
+  /** Reads the revisions up to which the collections are known. */
+  | { readonly type: 'positions'; readonly reply: (positions: readonly CollectionPosition[]) => void }
+  /** Another daemon reads the store for this one, and has sent `updates`. The store is no longer watched. */
+  | { readonly type: 'followed'; readonly updates: readonly CollectionUpdate[] }
+  /** This daemon watches the store itself again. */
+  | { readonly type: 'direct' }
+  /** The store's connections carried the response to a call that was sent at `sentMs`. */
+  | { readonly type: 'confirmed'; readonly sentMs: number }
   /** The delay before the next call of the store is over. */
   | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -8,9 +8,11 @@
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
 import type { UnreadableObject } from '#store/UnreadableObject.js';
+import type { CollectionUpdate } from '#fanout/CollectionUpdate.js';
 import { ChangeApplier } from '#mesh/ChangeApplier.js';
 import type { DirectoryMessage } from '#mesh/DirectoryMessage.js';
 import { emptyMeshView } from '#mesh/EmptyMeshView.js';
+import type { ReadReport } from '#mesh/ReadReport.js';
 import type { RouteDecoder } from '#mesh/RouteDecoder.js';
 import type { MeshView } from '#mesh/MeshView.js';
 import type { ViewListener } from '#mesh/ViewListener.js';
@@ -19,8 +21,8 @@
 import { watchedCollections } from '#mesh/WatchedCollections.js';
 import type { WatchEvent } from '#mesh/WatchEvent.js';
 
-/** Timeout of one watch call; the store then replies without changes. */
-const WATCH_TIMEOUT_MS = 20_000;
+/** Timeout of one watch call, the longest that the store accepts; it then replies without changes. */
+const WATCH_TIMEOUT_MS = 30_000;
 
 /** Delay between two watch calls, so that changes in quick succession arrive in one reply. */
 const WATCH_PAUSE_MS: Readonly<Record<WatchedCollection, number>> = {
@@ -46,25 +48,39 @@
   readonly listed: boolean;
   /** Number of the current call; replies to earlier ones are ignored. */
   readonly call: number;
+  /** Monotonic time at which the current call was sent, in milliseconds. */
+  readonly sentMs: number;
   /** Revision of the last changed object. */
   readonly changedRevision: number;
   /** Monotonic time of the last listing caused by a hint, in milliseconds. */
   readonly hintedMs: number;
 }
 
-/** Watches the store's collections and passes each new view to its listeners. Owns the view. */
+/**
+ * Reads the store's collections, by watches or from what another daemon has read, and passes each new view to its listeners.
+ * Owns the view.
+ */
 export class DirectoryTask extends Task<DirectoryMessage> {
   private readonly store: CollectionStore;
   private readonly clock: Clock;
   private readonly logger: Logger;
   private readonly applier: ChangeApplier;
+  private readonly onRead: (report: ReadReport) => void;
   private readonly watches = new Map<WatchedCollection, WatchState>();
   private listeners: readonly ViewListener[] = [];
   private view: MeshView = emptyMeshView;
   private reachable = true;
 
-  public constructor(store: CollectionStore, decoder: RouteDecoder, clock: Clock, logger: Logger) {
+  /** `onRead` receives what was read, so that it can be passed on to other daemons. */
+  public constructor(
+    store: CollectionStore,
+    decoder: RouteDecoder,
+    clock: Clock,
+    logger: Logger,
+    onRead: (report: ReadReport) => void = () => undefined,
+  ) {
     super();
+    this.onRead = onRead;
     this.store = store;
     this.clock = clock;
     this.logger = logger;
@@ -81,6 +97,7 @@
         names: new Set(),
         listed: false,
         call: 0,
+        sentMs: 0,
         changedRevision: 0,
         hintedMs: -Infinity,
       });
@@ -110,6 +127,21 @@
       case 'reconnected':
         this.restartCalls();
         return;
+      case 'positions':
+        message.reply(
+          watchedCollections.map((collection) => ({ collection, revision: this.find(collection).revision })),
+        );
+        return;
+      case 'followed':
+        this.follow(message.updates);
+        return;
+      case 'direct':
+        for (const collection of watchedCollections)
+          if (this.find(collection).cursor.send({ type: 'direct' })) this.callStore(collection);
+        return;
+      case 'confirmed':
+        this.confirm(message.sentMs);
+        return;
       case 'proceed':
         this.proceed(message.collection);
     }
@@ -139,8 +171,47 @@
     }
   }
 
+  /** Takes in what another daemon has read. Calls of the store that are in progress are ignored from then on. */
+  private follow(updates: readonly CollectionUpdate[]): void {
+    for (const collection of watchedCollections)
+      if (this.find(collection).cursor.send({ type: 'followed' })) this.beginCall(collection);
+    for (const update of updates) {
+      const collection = watchedCollections.find((each) => each === update.collection);
+      if (collection !== undefined) this.applyUpdate(collection, update);
+    }
+  }
+
+  /** Applies an update unless a later state is known, so that no collection goes back if the source changes. */
+  private applyUpdate(collection: WatchedCollection, update: CollectionUpdate): void {
+    const { revision } = update.type === 'listed' ? update.listing : update.changes;
+    if (revision < this.find(collection).revision) return;
+    this.onRead({ type: 'read', update, sentMs: undefined });
+    if (update.type === 'listed') {
+      this.applyListing(collection, update.listing);
+      return;
+    }
+    this.update(collection, { revision, failures: 0 });
+    this.apply(collection, update.changes.changes);
+  }
+
+  /** Reports collections whose watch was sent before an answered call, and is pending or has just ended, as confirmed. */
+  private confirm(sentMs: number): void {
+    for (const collection of watchedCollections) {
+      const { cursor, sentMs: callMs } = this.find(collection);
+      const isRead = cursor.state === 'watching' || cursor.state === 'resting';
+      if (isRead && callMs <= sentMs) this.onRead({ type: 'confirmed', collection, sentMs });
+    }
+  }
+
   private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
     this.noteReachable();
+    const { sentMs } = this.find(collection);
+    this.onRead({ type: 'read', update: { type: 'listed', collection, listing }, sentMs });
+    this.applyListing(collection, listing);
+    this.advance(collection, { type: 'listed' }, WATCH_PAUSE_MS[collection]);
+  }
+
+  private applyListing(collection: WatchedCollection, listing: CollectionListing): void {
     const before = this.find(collection).names;
     const names = new Set([...listing.items, ...listing.unreadable].map(({ name }) => name));
     this.reportUnreadable(collection, listing.unreadable);
@@ -153,14 +224,13 @@
     const present = listing.items.map((item) => ({ item, deleted: false }));
     this.update(collection, { revision: listing.revision, failures: 0, names, listed: true });
     this.apply(collection, [...deleted, ...present]);
-    this.advance(collection, { type: 'listed' }, WATCH_PAUSE_MS[collection]);
   }
 
-  private noteChanges(
-    collection: WatchedCollection,
-    { changes, unreadable, revision }: CollectionChanges,
-  ): void {
+  private noteChanges(collection: WatchedCollection, read: CollectionChanges): void {
+    const { changes, unreadable, revision } = read;
+    const { sentMs } = this.find(collection);
     this.noteReachable();
+    this.onRead({ type: 'read', update: { type: 'changed', collection, changes: read }, sentMs });
     this.reportUnreadable(collection, unreadable);
     this.update(collection, { revision, failures: 0 });
     this.apply(collection, changes);
@@ -253,7 +323,7 @@
 
   private beginCall(collection: WatchedCollection): number {
     const call = this.find(collection).call + 1;
-    this.update(collection, { call });
+    this.update(collection, { call, sentMs: this.clock.monotonicMs() });
     return call;
   }
 
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -11,12 +11,14 @@
 import { ArrivalTask } from '#mesh/ArrivalTask.js';
 import { BalanceTask } from '#mesh/BalanceTask.js';
 import { CallerTask } from '#mesh/CallerTask.js';
+import { ChangeFeedTask } from '#mesh/ChangeFeedTask.js';
 import { CrashMarkTask } from '#mesh/CrashMarkTask.js';
 import { createPeerCalls } from '#mesh/CreatePeerCalls.js';
 import { daemonLifeChart } from '#mesh/DaemonLifeChart.js';
 import type { DaemonLifeEvent } from '#mesh/DaemonLifeEvent.js';
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
+import { FollowTask } from '#mesh/FollowTask.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
 import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
@@ -72,6 +74,8 @@
   private readonly metrics = new MetricsRecorder();
   private readonly delays = new PhaseRecorder();
   private readonly directory: DirectoryTask;
+  private readonly feed: ChangeFeedTask;
+  private readonly follow: FollowTask;
   private readonly storeLink: StoreLinkTask;
   private readonly entry: EntryTask;
   private readonly server: ServerTask;
@@ -91,12 +95,35 @@
     const { identity, processId, clock, store, timings } = options;
     const elapsed = new ElapsedClock(clock);
     const random = new RandomSource(options.seed);
-    this.directory = new DirectoryTask(store, options.decoder, clock, new Logger('directory'));
+    this.feed = new ChangeFeedTask(clock);
+    this.directory = new DirectoryTask(store, options.decoder, clock, new Logger('directory'), (report) =>
+      this.feed.post(report),
+    );
     this.storeLink = new StoreLinkTask({
       store,
       clock,
       logger: new Logger('storeLink'),
       onReplaced: () => this.directory.post({ type: 'reconnected' }),
+      onConfirmed: (sentMs) => this.directory.post({ type: 'confirmed', sentMs }),
+    });
+    this.follow = new FollowTask({
+      identity,
+      clock,
+      logger: new Logger('follow'),
+      metrics: this.metrics,
+      random,
+      call: (address, method, params, isLongPoll, reply) =>
+        this.relay.post({ type: 'call', address, method, params, isLongPoll, reply }),
+      readPositions: (reply) => this.directory.post({ type: 'positions', reply }),
+      onFollowed: (updates) => {
+        this.storeLink.post({ type: 'pause' });
+        this.directory.post({ type: 'followed', updates });
+      },
+      onDirect: () => {
+        // A probe confirms the watches that were sent before it.
+        this.directory.post({ type: 'direct' });
+        this.storeLink.post({ type: 'resume' });
+      },
     });
     this.relay = new RelayTask({
       clock,
@@ -180,6 +207,7 @@
         onCancel: (id) => postTo(this.server, { type: 'cancel', id }),
         onRelease: (request) => postTo(this.ownership.ranges, { type: 'release', requests: [request] }),
         onMarks: (marks) => postTo(this.server, { type: 'marks', marks }),
+        readChanges: (request) => this.feed.ask((reply) => ({ type: 'asked', request, reply })),
       }),
     });
     this.arrivals = new ArrivalTask({
@@ -264,6 +292,7 @@
     this.callers.post({ type: 'ending' });
     this.server.post({ type: 'ending' });
     this.entry.post({ type: 'ending' });
+    this.feed.post({ type: 'ending' });
     this.receiver.post({ type: 'ending' });
     const exitMs = Math.max(lastMs, startMs + graceMs - EXIT_MARGIN_MS);
     await Promise.all([this.resign(), this.waitUntilEmpty(lastMs, exitMs)]);
@@ -335,6 +364,8 @@
       this.readiness,
       this.metricsServer,
       this.directory,
+      this.feed,
+      this.follow,
       this.storeLink,
       this.entry,
       this.server,
@@ -354,6 +385,7 @@
     this.ownership.applyView(view);
     this.crashMarks.post({ type: 'view', view });
     this.balance.post({ type: 'view', view });
+    this.follow.post({ type: 'view', view });
     const { routes } = view;
     if (routes !== undefined && routes !== before?.routes)
       this.callers.post({ type: 'limits', limits: routes.table.limits });
@@ -364,8 +396,10 @@
 
   private noteHint(revisions: readonly number[]): void {
     const own = this.view?.revisions ?? [];
-    if (revisions.some((revision, index) => revision > (own[index] ?? 0)))
-      this.directory.post({ type: 'hint', revisions });
+    if (!revisions.some((revision, index) => revision > (own[index] ?? 0))) return;
+    // One of the two reads the collections, and the other ignores the hint.
+    this.directory.post({ type: 'hint', revisions });
+    this.follow.post({ type: 'hint', revisions });
   }
 
   private send(request: BackendRequest, server: ServerEntry, reply: BackendResultCallback): void {
--- a/packages/mesh/src/PeerCallHandlers.ts
+++ b/packages/mesh/src/PeerCallHandlers.ts
@@ -1,4 +1,6 @@
 import type { CrashMark } from '#admission/CrashMark.js';
+import type { ChangesReply } from '#fanout/ChangesReply.js';
+import type { ChangesRequest } from '#fanout/ChangesRequest.js';
 import type { OwnerLoadReport } from '#mesh/OwnerLoadReport.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
 
@@ -11,5 +13,7 @@
   readonly onResigned: (value: unknown) => boolean;
   readonly onCancel: (id: string) => boolean;
   readonly onRelease: (request: RangeReleaseRequest) => boolean;
+  /** Resolves to the changes that follow the positions of the request, or after its wait. */
+  readonly readChanges: (request: ChangesRequest) => Promise<ChangesReply>;
   readonly onMarks: (marks: readonly CrashMark[]) => boolean;
 }
--- a/packages/mesh/src/PeerSession.ts
+++ b/packages/mesh/src/PeerSession.ts
@@ -37,6 +37,7 @@
   readonly head: RelayHead;
   readonly body: Buffer;
   readonly reply: (result: PeerReply) => void;
+  readonly isLongPoll: boolean;
 }
 
 /**
@@ -52,6 +53,7 @@
   private readonly createdMs: number;
   /** Calls that wait until the peer is heard. */
   private readonly held = new Set<PeerCall>();
+  /** Calls that wait for a reply, without long polls. */
   private calls = 0;
   private receivedMs: number;
   /** Whether the peer ended the session with an error. */
@@ -98,7 +100,7 @@
     return !this.session.closed && !this.session.destroyed && this.cursor.state !== 'closed';
   }
 
-  /** Whether calls are waiting for a reply. */
+  /** Whether calls other than long polls are waiting for a reply. */
   public get isBusy(): boolean {
     return this.calls > 0;
   }
@@ -108,11 +110,22 @@
     return this.cursor.state === 'probing';
   }
 
-  /** Sends a call with a head and a body. `reply` receives its outcome exactly once. */
-  public send(path: string, head: RelayHead, body: Buffer, reply: (result: PeerReply) => void): void {
-    if (this.calls === 0) this.receivedMs = this.now();
-    this.calls += 1;
-    const call = { path, head, body, reply };
+  /**
+   * Sends a call with a head and a body. `reply` receives its outcome exactly once. The session is not pinged for a long
+   * poll, whose caller bounds its time: pings for calls that mostly wait would cost more than the calls.
+   */
+  public send(
+    path: string,
+    head: RelayHead,
+    body: Buffer,
+    reply: (result: PeerReply) => void,
+    isLongPoll = false,
+  ): void {
+    if (!isLongPoll) {
+      if (this.calls === 0) this.receivedMs = this.now();
+      this.calls += 1;
+    }
+    const call = { path, head, body, reply, isLongPoll };
     if (this.cursor.state === 'up') this.transmit(call);
     else this.held.add(call);
   }
@@ -147,7 +160,7 @@
     this.session.destroy();
   }
 
-  private transmit({ path, head, body, reply }: PeerCall): void {
+  private transmit({ path, head, body, reply, isLongPoll }: PeerCall): void {
     const packed = packBody(body);
     const stream = this.session.request(
       {
@@ -163,7 +176,7 @@
       { endStream: body.length === 0 },
     );
     if (body.length > 0) stream.end(packed.bytes);
-    this.collectReply(stream, reply);
+    this.collectReply(stream, reply, isLongPoll);
   }
 
   private sendHeld(): void {
@@ -175,14 +188,18 @@
 
   /** Reports the held calls as not sent. */
   private dropHeld(): void {
-    for (const { reply } of this.held) {
-      this.calls -= 1;
+    for (const { reply, isLongPoll } of this.held) {
+      if (!isLongPoll) this.calls -= 1;
       reply({ ok: false, sent: false });
     }
     this.held.clear();
   }
 
-  private collectReply(stream: ClientHttp2Stream, reply: (result: PeerReply) => void): void {
+  private collectReply(
+    stream: ClientHttp2Stream,
+    reply: (result: PeerReply) => void,
+    isLongPoll: boolean,
+  ): void {
     let head: RelayHead | undefined;
     const body = new BodyBuffer(maxBodyBytes, this.budget);
     let fault: string | undefined;
@@ -211,7 +228,7 @@
     // A close event follows each error.
     stream.on('error', () => undefined);
     stream.on('close', () => {
-      this.calls -= 1;
+      if (!isLongPoll) this.calls -= 1;
       const bytes = body.take();
       if (fault !== undefined) {
         reply({ ok: false, sent: true, fault });
--- a/packages/mesh/src/RelayMessage.ts
+++ b/packages/mesh/src/RelayMessage.ts
@@ -17,6 +17,8 @@
       readonly address: string;
       readonly method: string;
       readonly params: unknown;
+      /** Whether the peer may take long to reply. The caller bounds the time, and the session is not pinged meanwhile. */
+      readonly isLongPoll?: boolean;
       /** Receives the result; undefined if the call failed. */
       readonly reply: (result: unknown) => void;
     }
--- a/packages/mesh/src/RelayTask.ts
+++ b/packages/mesh/src/RelayTask.ts
@@ -59,7 +59,13 @@
         this.call(message.address, 'cancel', { id: message.id }, () => undefined);
         break;
       case 'call':
-        this.call(message.address, message.method, message.params, message.reply);
+        this.call(
+          message.address,
+          message.method,
+          message.params,
+          message.reply,
+          message.isLongPoll === true,
+        );
         break;
       case 'closed':
         this.noteClosed(message.address, message.session, message.failed);
@@ -88,7 +94,13 @@
     });
   }
 
-  private call(address: string, method: string, params: unknown, reply: (result: unknown) => void): void {
+  private call(
+    address: string,
+    method: string,
+    params: unknown,
+    reply: (result: unknown) => void,
+    isLongPoll = false,
+  ): void {
     const session = this.findSession(address);
     if (session === undefined) {
       reply(undefined);
@@ -97,7 +109,7 @@
     const body = Buffer.from(JSON.stringify({ jsonrpc: '2.0', id: this.nextCallId, method, params }));
     this.nextCallId += 1;
     const head = { kind: 'call', detail: '', revisions: this.options.revisions() };
-    session.send(relayPaths.calls, head, body, (result) => reply(readCallResult(result)));
+    session.send(relayPaths.calls, head, body, (result) => reply(readCallResult(result)), isLongPoll);
   }
 
   private findSession(address: string): PeerSession | undefined {
--- a/packages/mesh/src/RpcMethods.ts
+++ b/packages/mesh/src/RpcMethods.ts
@@ -5,5 +5,6 @@
   cancel: 'cancel',
   marks: 'marks',
   load: 'load',
+  changes: 'changes',
   resigned: 'resigned',
 });
--- a/packages/mesh/src/StoreLinkEvent.ts
+++ b/packages/mesh/src/StoreLinkEvent.ts
@@ -1,4 +1,5 @@
 /** Events of `storeLinkChart`. */
 export interface StoreLinkEvent {
-  readonly type: 'due' | 'answered' | 'silent' | 'failed' | 'newAnswered' | 'newFailed';
+  readonly type:
+    'due' | 'answered' | 'silent' | 'failed' | 'newAnswered' | 'newFailed' | 'paused' | 'resumed';
 }
--- a/packages/mesh/src/StoreLinkOptions.ts
+++ b/packages/mesh/src/StoreLinkOptions.ts
@@ -9,4 +9,6 @@
   readonly logger: Logger;
   /** Reports that the connections were replaced, so that calls which wait on former ones have to be repeated. */
   readonly onReplaced: () => void;
+  /** Reports that the kept connection carried the response to a probe that was sent at `sentMs`. */
+  readonly onConfirmed: (sentMs: number) => void;
 }
--- a/packages/mesh/src/StoreLinkTask.ts
+++ b/packages/mesh/src/StoreLinkTask.ts
@@ -8,11 +8,14 @@
 import type { StoreLinkOptions } from '#mesh/StoreLinkOptions.js';
 
 /**
- * Pause between two probes. With `SILENCE_TIMEOUT_MS` it bounds how long a change can go unnoticed, which has to stay well
+ * Time from one probe to the next. With `SILENCE_TIMEOUT_MS` it bounds how long a change can go unnoticed, which has to stay well
  * below the time in which a configuration takes effect.
  */
 const PROBE_INTERVAL_MS = 1_000;
 
+/** Least pause after the response to a slow probe, in milliseconds. */
+const MIN_PAUSE_MS = 500;
+
 /** Time without a response to a probe after which it is compared with a probe of a new connection, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 600;
 
@@ -26,7 +29,9 @@
   private readonly cursor = new ChartCursor<StoreLinkEvent>(storeLinkChart);
   /** Number of the current round of probes; results of earlier rounds are ignored. */
   private round = 0;
+  /** Monotonic times of the last probe of the kept connection, and of the last round, in milliseconds. */
   private probedMs = 0;
+  private roundMs = 0;
   private cancelDue: Cancel = () => undefined;
   private cancelSilent: Cancel = () => undefined;
 
@@ -52,6 +57,15 @@
       case 'due':
         this.beginRound();
         return;
+      case 'pause':
+        if (!this.cursor.send({ type: 'paused' })) return;
+        this.round += 1;
+        this.cancelDue();
+        this.cancelSilent();
+        return;
+      case 'resume':
+        if (this.cursor.send({ type: 'resumed' })) this.beginRound();
+        return;
       case 'silent':
         if (this.cursor.send({ type: 'silent' })) this.probe('new');
         return;
@@ -64,13 +78,14 @@
   private beginRound(): void {
     if (!this.cursor.send({ type: 'due' })) return;
     this.round += 1;
+    this.roundMs = this.options.clock.monotonicMs();
     if (this.cursor.state === 'comparing') {
       this.probe('new');
       return;
     }
     const { round } = this;
     const { clock } = this.options;
-    this.probedMs = clock.monotonicMs();
+    this.probedMs = this.roundMs;
     this.cancelSilent = clock.schedule(SILENCE_TIMEOUT_MS, () => this.post({ type: 'silent', round }));
     this.probe('kept');
   }
@@ -78,8 +93,10 @@
   private noteKept(answered: boolean): void {
     if (!this.cursor.send({ type: answered ? 'answered' : 'failed' })) return;
     this.cancelSilent();
-    if (answered) this.scheduleRound();
-    else this.probe('new');
+    if (answered) {
+      this.options.onConfirmed(this.probedMs);
+      this.scheduleRound();
+    } else this.probe('new');
   }
 
   private noteNew(answered: boolean): void {
@@ -101,6 +118,8 @@
   }
 
   private scheduleRound(): void {
-    this.cancelDue = this.options.clock.schedule(PROBE_INTERVAL_MS, () => this.post({ type: 'due' }));
+    const { clock } = this.options;
+    const delayMs = Math.max(MIN_PAUSE_MS, this.roundMs + PROBE_INTERVAL_MS - clock.monotonicMs());
+    this.cancelDue = clock.schedule(delayMs, () => this.post({ type: 'due' }));
   }
 }
--- a/packages/mesh/src/WatchEvent.ts
+++ b/packages/mesh/src/WatchEvent.ts
@@ -1,4 +1,13 @@
 /** Events of `watchChart`. */
 export interface WatchEvent {
-  readonly type: 'listed' | 'changed' | 'failed' | 'historyLost' | 'hinted' | 'reconnected' | 'proceed';
+  readonly type:
+    | 'listed'
+    | 'changed'
+    | 'failed'
+    | 'historyLost'
+    | 'hinted'
+    | 'reconnected'
+    | 'proceed'
+    | 'followed'
+    | 'direct';
 }
--- a/packages/mesh/test/malformed.test.ts
+++ b/packages/mesh/test/malformed.test.ts
@@ -161,6 +161,7 @@
     onCancel: unused,
     onRelease: unused,
     onMarks: unused,
+    readChanges: unused,
   });
   const release = { to: 'b', workMsPerSecond: 1, share: 0, speedup: 1 };
   const mark = { fingerprint: 'f', death: 'i/1', cleared: false };
@@ -170,6 +171,9 @@
     ['release', { ...release, share: 2 }],
     ['release', { ...release, to: nested }],
     ['marks', { marks: [{ ...mark, fingerprint: nested }] }],
+    ['changes', { positions: [{ collection: 'routes', revision: -1 }], waitMs: 1 }],
+    ['changes', { positions: nested, waitMs: 1 }],
+    ['changes', { positions: [], waitMs: JSON.parse('1e400') as unknown }],
     ['marks', { marks: Array.from({ length: 100_000 }, () => mark) }],
     ['cancel', { id: nested }],
     ['cancel', nested],
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -317,6 +317,7 @@
     onCancel: (id) => cancelled.push(id) > 0,
     onRelease: () => true,
     onMarks: () => true,
+    readChanges: () => Promise.reject(new Error('not asked')),
   });
   t.throws(() => calls.cancel?.({ id: 5 }), { message: /cancel/ });
   t.throws(() => calls.release?.(undefined));
--- a/packages/mesh/test/storeLink.test.ts
+++ b/packages/mesh/test/storeLink.test.ts
@@ -40,6 +40,7 @@
     onReplaced: () => {
       this.reports += 1;
     },
+    onConfirmed: () => undefined,
   });
 
   public async start(): Promise<void> {
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -12,6 +12,8 @@
   | 'hedges'
   | 'held'
   | 'misdirected'
+  | 'followReplies'
+  | 'followFailures'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
   | 'catalogueChanges';
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -9,4 +9,6 @@
   | 'backendConnections'
   | 'onceRecords'
   | 'leaseLeftMs'
+  | 'readsStore'
+  | 'readAgeMs'
   | 'storeReachable';
