--- a/packages/mesh/src/FollowMessage.ts
+++ b/packages/mesh/src/FollowMessage.ts
@@ -12,8 +12,9 @@
   | { readonly type: 'contact' }
   /** The pause after a reply is over. */
   | { readonly type: 'proceed' }
-  /** The delay before the store is read is over. */
-  | { readonly type: 'direct' }
+  /** The delay before the store is tried is over. */
+  | { readonly type: 'probe' }
+  | { readonly type: 'probed'; readonly answered: boolean }
   | {
       readonly type: 'positions';
       readonly call: number;
--- a/packages/mesh/src/FollowOptions.ts
+++ b/packages/mesh/src/FollowOptions.ts
@@ -25,6 +25,8 @@
   readonly readPositions: (reply: (positions: readonly CollectionPosition[]) => void) => void;
   /** Passes on what a reader sent. The store is no longer watched from then on. */
   readonly onFollowed: (updates: readonly CollectionUpdate[]) => void;
+  /** Makes a small call of the store over a new connection. */
+  readonly probeStore: (reply: (answered: boolean) => void) => void;
   /** Reports that this daemon has to watch the store itself. */
   readonly onDirect: () => void;
 }
--- a/packages/mesh/src/FollowTask.ts
+++ b/packages/mesh/src/FollowTask.ts
@@ -31,11 +31,11 @@
 /** Age of the last confirmed state from which no further source is tried before the store, in milliseconds. */
 const MAX_DOUBT_MS = 1_900;
 
-/** Longest delay before a follower without a source reads the store, so that those of a domain do not all begin at once. */
+/** Longest delay before a follower without a source turns to the store, so that those of a domain do not all begin at once. */
 const MAX_DIRECT_DELAY_MS = 300;
 
 /** Pause before a daemon that is not a reader tries the readers again: at least this, and up to as much again. */
-const RETRY_MS = 1_000;
+const RETRY_MS = 700;
 
 /**
  * Time in which a reader has to send a change that another daemon knows already, in milliseconds. It covers the pause of the
@@ -64,6 +64,12 @@
   private confirmedMs = -Infinity;
   /** Whether this daemon watches the store itself. */
   private isDirect = true;
+  /** Whether a source has replied and the store has not been turned to since. */
+  private isFollowing = false;
+  /** Whether a probe of the store is in progress. */
+  private isProbing = false;
+  /** Why the last source was left. */
+  private reason = '';
   /** Highest hinted revisions, and those for which the reader gets time now. */
   private hinted: readonly number[] = [];
   private awaited: readonly number[] = [];
@@ -104,13 +110,18 @@
       case 'contact':
         this.cancelContact = undefined;
         this.index = 0;
-        if (this.sources.length > 0 && this.cursor.send({ type: 'contact' })) this.callSource();
+        if (this.sources.length === 0) this.probeStore();
+        else if (this.cursor.send({ type: 'contact' })) this.callSource();
         return;
       case 'proceed':
         if (this.cursor.send({ type: 'proceed' })) this.callSource();
         return;
-      case 'direct':
-        this.beginDirect();
+      case 'probe':
+        this.probeStore();
+        return;
+      case 'probed':
+        this.isProbing = false;
+        if (message.answered) this.beginDirect();
         return;
       case 'positions':
         this.sendCall(message.positions);
@@ -202,6 +213,7 @@
     metrics.count('followReplies');
     if (isFirst) {
       this.isDirect = false;
+      this.isFollowing = true;
       metrics.setGauge('readsStore', 0);
       logger.log('follows', { step: 'spread', peer: this.source?.serverId ?? '', ageMs: Math.round(ageMs) });
     }
@@ -220,7 +232,7 @@
     this.cancelPause();
     this.call += 1;
     if (this.cursor.state === 'direct') return;
-    if (!this.isDirect) {
+    if (this.isFollowing) {
       metrics.count('followFailures');
       logger.log('readerLost', {
         step: 'spread',
@@ -230,7 +242,7 @@
       });
     }
     this.index += 1;
-    const isUrgent = !this.isDirect && this.nowMs - this.confirmedMs > MAX_DOUBT_MS;
+    const isUrgent = this.isFollowing && this.nowMs - this.confirmedMs > MAX_DOUBT_MS;
     if (this.index >= this.sources.length || isUrgent) {
       this.leave(reason, this.options.random.integer(MAX_DIRECT_DELAY_MS));
       return;
@@ -244,18 +256,30 @@
     this.cancelTimeout();
     this.cancelPause();
     this.call += 1;
+    this.reason = reason;
+    this.isFollowing = false;
     this.cursor.send({ type: 'exhausted' });
-    if (this.sources.length > 0) this.scheduleContact(RETRY_MS + this.options.random.integer(RETRY_MS));
-    if (this.isDirect) return;
-    this.options.logger.log('readsStore', { step: 'spread', reason, delayMs });
-    this.cancelPause = this.options.clock.schedule(delayMs, () => this.post({ type: 'direct' }));
+    if (this.sources.length > 0 || !this.isDirect)
+      this.scheduleContact(RETRY_MS + this.options.random.integer(RETRY_MS));
+    if (!this.isDirect)
+      this.cancelPause = this.options.clock.schedule(delayMs, () => this.post({ type: 'probe' }));
+  }
+
+  /** Finds out whether the store can be reached, so that an outage does not make every follower watch it. */
+  private probeStore(): void {
+    if (this.isDirect || this.isProbing || this.cursor.state !== 'direct') return;
+    this.isProbing = true;
+    this.options.probeStore((answered) => this.post({ type: 'probed', answered }));
   }
 
   private beginDirect(): void {
-    if (this.cursor.state !== 'direct' || this.isDirect) return;
+    if (this.isDirect || this.cursor.state !== 'direct') return;
+    const { logger, metrics, onDirect } = this.options;
+    const ageMs = Math.round(this.nowMs - this.confirmedMs);
     this.isDirect = true;
-    this.options.metrics.setGauge('readsStore', 1);
-    this.options.onDirect();
+    metrics.setGauge('readsStore', 1);
+    logger.log('readsStore', { step: 'spread', reason: this.reason, ageMs });
+    onDirect();
   }
 
   private scheduleContact(delayMs: number): void {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -119,7 +119,12 @@
         this.storeLink.post({ type: 'pause' });
         this.directory.post({ type: 'followed', updates });
       },
+      probeStore: (reply) => {
+        void store.probe('new').then((result) => reply(result.isRight()));
+      },
       onDirect: () => {
+        // Connections from before may have gone silent, which no probe has checked meanwhile.
+        store.replaceConnections();
         // A probe confirms the watches that were sent before it.
         this.directory.post({ type: 'direct' });
         this.storeLink.post({ type: 'resume' });
