--- a/packages/mesh/src/ChangeFeedMessage.ts
+++ b/packages/mesh/src/ChangeFeedMessage.ts
@@ -12,6 +12,5 @@
     }
   /** A waiting call may have to be answered. */
   | { readonly type: 'due'; readonly waiter: number }
-  | { readonly type: 'described'; readonly reply: (ageMs: number) => void }
   /** The daemon stops: waiting calls are answered, and later ones tell that this daemon reads nothing. */
   | { readonly type: 'ending' };
--- a/packages/mesh/src/ChangeFeedTask.ts
+++ b/packages/mesh/src/ChangeFeedTask.ts
@@ -1,6 +1,7 @@
 import type { Cancel } from '#core/Cancel.js';
 import type { Clock } from '#core/Clock.js';
 import { Task } from '#core/Task.js';
+import type { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { ChangeHistory } from '#fanout/ChangeHistory.js';
 import type { ChangesReply } from '#fanout/ChangesReply.js';
 import type { ChangesRequest } from '#fanout/ChangesRequest.js';
@@ -32,6 +33,7 @@
  */
 export class ChangeFeedTask extends Task<ChangeFeedMessage> {
   private readonly clock: Clock;
+  private readonly metrics: MetricsRecorder;
   private readonly histories = new Map(
     watchedCollections.map((collection): [string, ChangeHistory] => [
       collection,
@@ -43,8 +45,9 @@
   private nextWaiter = 1;
   private ending = false;
 
-  public constructor(clock: Clock) {
+  public constructor(clock: Clock, metrics: MetricsRecorder) {
     super();
+    this.metrics = metrics;
     this.clock = clock;
   }
 
@@ -59,7 +62,7 @@
         this.noteRead(message.update, message.sentMs);
         return;
       case 'confirmed':
-        this.confirmations.note(message.collection, message.sentMs);
+        this.noteConfirmed(message.collection, message.sentMs);
         return;
       case 'asked':
         this.noteAsked(message.request, message.reply);
@@ -67,9 +70,6 @@
       case 'due':
         this.noteDue(message.waiter);
         return;
-      case 'described':
-        message.reply(this.ageMs);
-        return;
       case 'ending':
         this.ending = true;
         for (const waiter of [...this.waiters.keys()]) this.answer(waiter);
@@ -86,10 +86,15 @@
     const history = this.histories.get(update.collection);
     if (update.type === 'listed') history?.noteListing(update.listing);
     else history?.noteChanges(update.changes);
-    if (sentMs !== undefined) this.confirmations.note(update.collection, sentMs);
+    if (sentMs !== undefined) this.noteConfirmed(update.collection, sentMs);
     for (const [waiter, { request }] of this.waiters) if (this.hasChanges(request)) this.answer(waiter);
   }
 
+  private noteConfirmed(collection: string, sentMs: number): void {
+    this.confirmations.note(collection, sentMs);
+    this.metrics.setGauge('readAgeMs', Math.round(this.ageMs));
+  }
+
   private noteAsked(request: ChangesRequest, reply: (reply: ChangesReply) => void): void {
     const waitMs = Math.min(request.waitMs, MAX_WAIT_MS);
     const mayWait = waitMs > 0 && this.ageMs < maxReadAgeMs && this.waiters.size < MAX_WAITERS;
@@ -112,6 +117,7 @@
     const delayMs = Math.min(untilMs - this.clock.monotonicMs(), Math.max(0, maxReadAgeMs - this.ageMs));
     const cancel = this.clock.schedule(delayMs, () => this.post({ type: 'due', waiter }));
     this.waiters.set(waiter, { request, reply, untilMs, cancel });
+    this.metrics.setGauge('followersWaiting', this.waiters.size);
   }
 
   private noteDue(waiter: number): void {
@@ -126,6 +132,7 @@
     const waiting = this.waiters.get(waiter);
     if (waiting === undefined) return;
     this.waiters.delete(waiter);
+    this.metrics.setGauge('followersWaiting', this.waiters.size);
     waiting.cancel();
     waiting.reply(this.createReply(waiting.request));
   }
--- a/packages/mesh/src/FollowTask.ts
+++ b/packages/mesh/src/FollowTask.ts
@@ -197,7 +197,7 @@
     changesReplyCodec.decode(result).caseOf({
       Left: () => this.refuse('failed'),
       Right: (reply) => {
-        this.options.metrics.setGauge('readAgeMs', reply.ageMs);
+        this.options.metrics.setGauge('readAgeMs', Math.round(reply.ageMs));
         if (reply.ageMs < maxReadAgeMs) this.noteFresh(reply);
         else this.refuse('stale', reply.ageMs);
       },
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -95,7 +95,7 @@
     const { identity, processId, clock, store, timings } = options;
     const elapsed = new ElapsedClock(clock);
     const random = new RandomSource(options.seed);
-    this.feed = new ChangeFeedTask(clock);
+    this.feed = new ChangeFeedTask(clock, this.metrics);
     this.directory = new DirectoryTask(store, options.decoder, clock, new Logger('directory'), (report) =>
       this.feed.post(report),
     );
--- a/packages/mesh/test/FleetDaemon.ts
+++ b/packages/mesh/test/FleetDaemon.ts
@@ -68,7 +68,7 @@
     this.realClock = realClock;
     this.clock = new StallingClock(realClock);
     this.link = new FleetStoreLink(store, this.clock, realClock, STORE_DELAY_MS);
-    this.feed = new ChangeFeedTask(this.clock);
+    this.feed = new ChangeFeedTask(this.clock, new MetricsRecorder());
     this.directory = new DirectoryTask(
       this.link,
       new VersionDecoder(),
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -11,4 +11,5 @@
   | 'leaseLeftMs'
   | 'readsStore'
   | 'readAgeMs'
+  | 'followersWaiting'
   | 'storeReachable';
