--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -142,3 +142,66 @@
   await run.advance(400);
   t.equal(run.view.routes?.table.version, 5);
 });
+
+t.test('reader that is behind changes nothing', async (t) => {
+  // Guards against a view that goes back when a daemon turns from the store, or from another reader, to a slower reader.
+  const run = new DirectoryRun();
+  run.store.set('servers', 'a', createEntry('a', { slots: 2 }));
+  await run.start();
+  const before = { name: 'a', revision: 1, value: createEntry('a', { slots: 1 }) };
+  const listing = { items: [], unreadable: [], revision: 1 };
+  const changes = { changes: [{ item: before, deleted: false }], unreadable: [], revision: 1 };
+  run.task.post({ type: 'followed', updates: [{ type: 'changed', collection: 'servers', changes }] });
+  run.task.post({ type: 'followed', updates: [{ type: 'listed', collection: 'servers', listing }] });
+  await run.advance(0);
+  t.equal(run.view.servers.get('a')?.slots, 2);
+});
+
+t.test('store is watched again from what a reader has sent', async (t) => {
+  // Guards against changes that are lost, or read twice, when the source changes.
+  const run = new DirectoryRun();
+  run.store.set('routes', 'main', 4);
+  await run.start();
+  await run.advance(400);
+  run.task.post({ type: 'followed', updates: [] });
+  await run.advance(0);
+  const { revision } = run.store.set('routes', 'main', 5);
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 4, 'the reply to a watch from before is ignored');
+  const item = { name: 'main', revision, value: 5 };
+  const changes = { changes: [{ item, deleted: false }], unreadable: [], revision };
+  run.task.post({ type: 'followed', updates: [{ type: 'changed', collection: 'routes', changes }] });
+  await run.advance(0);
+  t.equal(run.view.routes?.table.version, 5);
+  run.store.set('routes', 'main', 6);
+  run.task.post({ type: 'direct' });
+  await run.advance(0);
+  t.equal(run.view.routes?.table.version, 6);
+});
+
+t.test('answered probe confirms only watches that were sent before it', async (t) => {
+  // Guards against a reader that passes for current while its first watch after an outage is under way.
+  const confirmed: string[] = [];
+  const store = new MemoryCollectionStore();
+  const clock = new ManualClock();
+  const task = new DirectoryTask(store, new VersionDecoder(), clock, new Logger('test'), (report) => {
+    if (report.type === 'confirmed') confirmed.push(report.collection);
+  });
+  const settle = async (): Promise<void> => {
+    for (let index = 0; index < 10; index += 1) await new Promise((resolve) => setImmediate(resolve));
+  };
+  task.start();
+  await settle();
+  clock.advance(400);
+  await settle();
+  task.post({ type: 'confirmed', sentMs: 0 });
+  await settle();
+  t.same(confirmed, [], 'the watches are younger than the probe');
+  task.post({ type: 'confirmed', sentMs: 400 });
+  await settle();
+  t.equal(confirmed.length, 4);
+  task.post({ type: 'followed', updates: [] });
+  task.post({ type: 'confirmed', sentMs: 500 });
+  await settle();
+  t.equal(confirmed.length, 4, 'a follower has no confirmation of its own');
+});
--- a/packages/mesh/test/storeLink.test.ts
+++ b/packages/mesh/test/storeLink.test.ts
@@ -3,6 +3,7 @@
 import { Logger } from '#core/Logger.js';
 import { ManualClock } from '#core/ManualClock.js';
 import { RouterError } from '#core/RouterError.js';
+import type { StoreLinkMessage } from '#mesh/StoreLinkMessage.js';
 import { StoreLinkTask } from '#mesh/StoreLinkTask.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import type { ProbedConnection } from '#store/ProbedConnection.js';
@@ -33,6 +34,7 @@
   public readonly store = new ProbedStore();
   public readonly clock = new ManualClock();
   public reports = 0;
+  public confirmed: number[] = [];
   private readonly task = new StoreLinkTask({
     store: this.store,
     clock: this.clock,
@@ -40,9 +42,14 @@
     onReplaced: () => {
       this.reports += 1;
     },
-    onConfirmed: () => undefined,
+    onConfirmed: (sentMs) => this.confirmed.push(sentMs),
   });
 
+  public async post(message: StoreLinkMessage): Promise<void> {
+    this.task.post(message);
+    await this.advance(0);
+  }
+
   public async start(): Promise<void> {
     this.task.start();
     await this.advance(0);
@@ -111,3 +118,32 @@
   await run.answer('new');
   t.equal(run.store.replacements, 1);
 });
+
+t.test('answer of the kept connection confirms the time of its probe', async (t) => {
+  // Guards against an age of the state that leaves out the time of the answer.
+  const run = new LinkRun();
+  await run.start();
+  await run.advance(300);
+  await run.answer('kept');
+  t.same(run.confirmed, [0]);
+  await run.advance(700);
+  t.same(run.store.probes, ['kept', 'kept'], 'the next probe is sent a second after the last one');
+  await run.advance(600);
+  await run.answer('new');
+  t.same(run.confirmed, [0], 'a new connection confirms nothing about the watches');
+});
+
+t.test('daemon that reads through another one sends no probes', async (t) => {
+  // Guards against a fleet whose probes grow with its size, and against one that is never probed again.
+  const run = new LinkRun();
+  await run.start();
+  await run.post({ type: 'pause' });
+  await run.answer('kept');
+  await run.advance(5_000);
+  t.same(run.store.probes, ['kept']);
+  t.same(run.confirmed, []);
+  await run.post({ type: 'resume' });
+  t.same(run.store.probes, ['kept', 'kept']);
+  await run.answer('kept');
+  t.same(run.confirmed, [5_000]);
+});
