--- a/packages/mesh/src/PeerCallHandlers.ts
+++ b/packages/mesh/src/PeerCallHandlers.ts
@@ -1,4 +1,6 @@
 import type { CrashMark } from '#admission/CrashMark.js';
+import type { ChangesReply } from '#fanout/ChangesReply.js';
+import type { ChangesRequest } from '#fanout/ChangesRequest.js';
 import type { OwnerLoadReport } from '#mesh/OwnerLoadReport.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
 
@@ -13,5 +15,7 @@
   readonly onRelease: (request: RangeReleaseRequest) => boolean;
   /** Answers the token requests of a daemon; see `QuotaTask`. */
   readonly onQuota: (value: unknown) => Promise<unknown>;
+  /** Resolves to the changes that follow the positions of the request, or after its wait. */
+  readonly readChanges: (request: ChangesRequest) => Promise<ChangesReply>;
   readonly onMarks: (marks: readonly CrashMark[]) => boolean;
 }
--- a/packages/mesh/src/RpcMethods.ts
+++ b/packages/mesh/src/RpcMethods.ts
@@ -5,6 +5,7 @@
   cancel: 'cancel',
   marks: 'marks',
   load: 'load',
+  changes: 'changes',
   resigned: 'resigned',
   quota: 'quota',
 });
--- a/packages/mesh/test/relay.test.ts
+++ b/packages/mesh/test/relay.test.ts
@@ -318,6 +318,7 @@
     onRelease: () => true,
     onQuota: () => Promise.resolve(undefined),
     onMarks: () => true,
+    readChanges: () => Promise.reject(new Error('not asked')),
   });
   t.throws(() => calls.cancel?.({ id: 5 }), { message: /cancel/ });
   t.throws(() => calls.release?.(undefined));
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -17,6 +17,8 @@
   | 'held'
   | 'misdirected'
   | 'callersOutsideLimits'
+  | 'followReplies'
+  | 'followFailures'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
   | 'placedNear'
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -9,4 +9,7 @@
   | 'backendConnections'
   | 'onceRecords'
   | 'leaseLeftMs'
+  | 'readsStore'
+  | 'readAgeMs'
+  | 'followersWaiting'
   | 'storeReachable';
