Store: versions that combine era and revision

Cause: after a restore from a backup the store issues revisions again, so that views went back and the condition of an old write could match another object. The stand-in stores can be restored from a copy.

--- a/packages/standin/src/MemoryCollectionStore.ts
+++ b/packages/standin/src/MemoryCollectionStore.ts
@@ -5,6 +5,8 @@
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import { CollectionStore } from '#store/CollectionStore.js';
+import { StoreVersion } from '#store/StoreVersion.js';
+import type { MemoryStoreBackup } from '#standin/MemoryStoreBackup.js';
 import type { MemoryStoreFaultMode } from '#standin/MemoryStoreFaultMode.js';
 
 type Result<T> = Promise<Either<RouterError, T>>;
@@ -22,27 +24,33 @@
   public putCalls = 0;
   private readonly collections = new Map<string, Map<string, CollectionItem>>();
   private revision = 1;
+  private era = 0;
+  private reportedEra: number | undefined;
   private waitingWatches: readonly (() => void)[] = [];
 
   public override list(collection: string): Result<CollectionListing> {
-    if (this.faultMode === 'down') return this.fail('storeUnreachable');
-    const items = [...this.getCollection(collection).values()];
-    return Promise.resolve(Right({ items, unreadable: [], revision: this.revision }));
+    if (!this.answers()) return this.fail('storeUnreachable');
+    const items = [...this.getCollection(collection).values()].map((item) => this.toVersioned(item));
+    const revision = StoreVersion.combine(this.era, this.revision);
+    return Promise.resolve(Right({ items, unreadable: [], revision }));
   }
 
   public override get(collection: string, name: string): Result<CollectionItem | undefined> {
-    if (this.faultMode === 'down') return this.fail('storeUnreachable');
-    return Promise.resolve(Right(this.getCollection(collection).get(name)));
+    if (!this.answers()) return this.fail('storeUnreachable');
+    return Promise.resolve(Right(this.read(collection, name)));
   }
 
   public override async watch(collection: string, revision: number): Result<CollectionChanges> {
-    if (this.faultMode === 'down') return this.fail('storeUnreachable');
+    if (!this.answers()) return this.fail('storeUnreachable');
+    if (StoreVersion.eraOf(revision) < this.era) return this.fail('storeHistoryLost');
     if (this.listItemsAfter(collection, revision).length === 0)
       await new Promise<void>((resolve) => {
         this.waitingWatches = [...this.waitingWatches, resolve];
       });
+    if (!this.answers()) return this.fail('storeUnreachable');
+    if (StoreVersion.eraOf(revision) < this.era) return this.fail('storeHistoryLost');
     const changes = this.listItemsAfter(collection, revision).map((item) => ({ item, deleted: false }));
-    return Right({ changes, unreadable: [], revision: this.revision });
+    return Right({ changes, unreadable: [], revision: StoreVersion.combine(this.era, this.revision) });
   }
 
   public override put(
@@ -52,8 +60,8 @@
     ifRevision: number,
   ): Result<CollectionPutResult> {
     this.putCalls += 1;
-    if (this.faultMode === 'down') return this.fail('storeUnreachable');
-    const current = this.getCollection(collection).get(name);
+    if (!this.answers()) return this.fail('storeUnreachable');
+    const current = this.read(collection, name);
     if ((current?.revision ?? 0) !== ifRevision) return Promise.resolve(Right({ type: 'conflict', current }));
     const item = this.set(collection, name, value);
     return this.faultMode === 'repliesLost'
@@ -62,7 +70,7 @@
   }
 
   public override probe(): Result<undefined> {
-    return this.faultMode === 'down' ? this.fail('storeUnreachable') : Promise.resolve(Right(undefined));
+    return this.answers() ? Promise.resolve(Right(undefined)) : this.fail('storeUnreachable');
   }
 
   public override replaceConnections(): void {
@@ -77,7 +85,8 @@
   /** Writes an object without a condition, like another writer. If the value is the same, the revision stays. */
   public set(collection: string, name: string, value: unknown): CollectionItem {
     const current = this.getCollection(collection).get(name);
-    if (current !== undefined && JSON.stringify(current.value) === JSON.stringify(value)) return current;
+    if (current !== undefined && JSON.stringify(current.value) === JSON.stringify(value))
+      return this.toVersioned(current);
     this.revision += 1;
     this.acceptedWrites += 1;
     const item: CollectionItem = {
@@ -87,16 +96,58 @@
     };
     this.getCollection(collection).set(name, item);
     if (!this.stallsWatches) this.notifyWatches();
-    return item;
+    return this.toVersioned(item);
+  }
+
+  /** Removes an object without a condition; watches are not notified. */
+  public remove(collection: string, name: string): void {
+    this.revision += 1;
+    this.getCollection(collection).delete(name);
+  }
+
+  /** Returns a copy to which the store can be restored. */
+  public backUp(): MemoryStoreBackup {
+    const { revision, collections } = this;
+    return {
+      revision,
+      collections: new Map([...collections].map(([name, items]) => [name, new Map(items)])),
+    };
+  }
+
+  /** Restores the store from a copy. Revisions go back and the era increases; the next answer reports it. */
+  public restore({ revision, collections }: MemoryStoreBackup): void {
+    this.era += 1;
+    this.revision = revision;
+    this.collections.clear();
+    for (const [name, items] of collections) this.collections.set(name, new Map(items));
+    this.notifyWatches();
   }
 
   /** Returns the current version of an object, in every fault mode. */
   public read(collection: string, name: string): CollectionItem | undefined {
-    return this.getCollection(collection).get(name);
+    const item = this.getCollection(collection).get(name);
+    return item === undefined ? undefined : this.toVersioned(item);
+  }
+
+  /** Whether calls are answered now. The first answer in an era reports it. */
+  private answers(): boolean {
+    if (this.faultMode === 'down') return false;
+    if (this.reportedEra !== this.era) {
+      const isFirst = this.reportedEra === undefined;
+      this.reportedEra = this.era;
+      this.reportEra({ era: this.era, isFirst });
+    }
+    return true;
+  }
+
+  private toVersioned(item: CollectionItem): CollectionItem {
+    return { ...item, revision: StoreVersion.combine(this.era, item.revision) };
   }
 
   private listItemsAfter(collection: string, revision: number): readonly CollectionItem[] {
-    return [...this.getCollection(collection).values()].filter((item) => item.revision > revision);
+    return [...this.getCollection(collection).values()]
+      .map((item) => this.toVersioned(item))
+      .filter((item) => item.revision > revision);
   }
 
   private getCollection(collection: string): Map<string, CollectionItem> {
--- a/packages/store/src/CollectionStore.ts
+++ b/packages/store/src/CollectionStore.ts
@@ -4,14 +4,27 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { ProbedConnection } from '#store/ProbedConnection.js';
 
 /**
- * A store of JSON objects in collections, with one revision counter, conditional writes and watches.
+ * A store of JSON objects in collections, with one revision counter, conditional writes and watches. Revisions are versions
+ * as `StoreVersion` defines them: after a restore from a backup, the store is in a later era and all its versions are higher.
+ * A write whose condition is of an earlier era is answered as a conflict, and a watch from such a version loses its history.
  * Errors have the step `store`. Their code is `storeUnreachable` or `storeRefused` if a call had no effect,
  * `storeReplyLost` if a write may have had one, and `storeHistoryLost` if a watch must start again from a listing.
  */
 export abstract class CollectionStore {
+  private eraListener: (change: EraChange) => void = () => undefined;
+
+  /**
+   * Sets the listener for changes of the era. It is called before the result of the call that showed the change is passed
+   * on, and not for a first era of 0.
+   */
+  public setEraListener(listener: (change: EraChange) => void): void {
+    this.eraListener = listener;
+  }
+
   /** Lists all objects of a collection. */
   public abstract list(collection: string): Promise<Either<RouterError, CollectionListing>>;
 
@@ -50,4 +63,9 @@
 
   /** Closes all connections; pending calls fail. */
   public abstract close(): Promise<void>;
+
+  /** Passes a change of the era to the listener. */
+  protected reportEra(change: EraChange): void {
+    if (!change.isFirst || change.era > 0) this.eraListener(change);
+  }
 }
