Mesh: daemons write again what a restore of the store has lost

Cause: after a restore from a backup, the table of key ranges may name earlier owners, leases and entries are lost, and the planner could take keys over that are still held. Change: messages eraChanged to the tasks that keep state in the store. Owners keep their rows while the lease from before the restore lasts and claim them in the restored table; other rows of a restored table are granted only after the longest lease; tokens start at era x 2^32; takeovers wait; entries, leases and crash marks are written again; leaves and evacuations are kept.

--- a/packages/mesh/src/ChangeApplier.ts
+++ b/packages/mesh/src/ChangeApplier.ts
@@ -3,6 +3,7 @@
 import type { RangeTable } from '#ranges/RangeTable.js';
 import { RouteIndex } from '#routes/RouteIndex.js';
 import type { CollectionChange } from '#store/CollectionChange.js';
+import { LeaveMemory } from '#mesh/LeaveMemory.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import type { RouteDecoder } from '#mesh/RouteDecoder.js';
 import { serverEntryCodec } from '#mesh/ServerEntryCodec.js';
@@ -18,6 +19,7 @@
 export class ChangeApplier {
   private readonly decoder: RouteDecoder;
   private readonly logger: Logger;
+  private readonly leaves = new LeaveMemory();
   private readonly appliers: Readonly<Record<WatchedCollection, Apply>>;
 
   public constructor(decoder: RouteDecoder, logger: Logger) {
@@ -79,7 +81,15 @@
     }
     return serverEntryCodec.decode(item.value).caseOf({
       Left: (message) => this.ignore(view, item.name, message),
-      Right: (entry) => {
+      Right: (stored) => {
+        const entry = this.leaves.apply(stored, item.revision);
+        if (entry !== stored)
+          this.logger.log('leaveKept', {
+            step: 'store',
+            server: entry.serverId,
+            state: entry.state,
+            incarnation: entry.incarnation,
+          });
         servers.set(item.name, entry);
         this.logger.log('serverChanged', {
           server: entry.serverId,
--- a/packages/mesh/src/CrashMarkMessage.ts
+++ b/packages/mesh/src/CrashMarkMessage.ts
@@ -3,6 +3,7 @@
 import type { RouterError } from '#core/RouterError.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
 /** Messages to `CrashMarkTask`. */
@@ -10,6 +11,7 @@
   /** Marks that this daemon set or cleared. */
   | { readonly type: 'marked'; readonly marks: readonly CrashMark[] }
   | { readonly type: 'view'; readonly view: MeshView }
+  | { readonly type: 'eraChanged'; readonly change: EraChange }
   | { readonly type: 'listed'; readonly result: Either<RouterError, CollectionListing> }
   | {
       readonly type: 'written';
--- a/packages/mesh/src/CrashMarkTask.ts
+++ b/packages/mesh/src/CrashMarkTask.ts
@@ -5,6 +5,8 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 import { collections } from '#mesh/Collections.js';
 import { CrashMarkList } from '#mesh/CrashMarkList.js';
 import type { CrashMarkMessage } from '#mesh/CrashMarkMessage.js';
@@ -45,6 +47,8 @@
   private readonly sending = new Set<string>();
   private revision = 0;
   private writtenVersion = 0;
+  /** Last known era of the store. */
+  private era = 0;
   private writtenMs = -Infinity;
   private isWriting = false;
   private isListed = false;
@@ -74,6 +78,9 @@
       case 'view':
         this.noteView(message.view);
         break;
+      case 'eraChanged':
+        this.noteEra(message.change);
+        break;
       case 'listed':
         this.noteListing(message.result);
         break;
@@ -93,6 +100,13 @@
     this.sendAll();
   }
 
+  /** Writes the marks again after a restore of the store, which may have lost the last ones. */
+  private noteEra({ era }: EraChange): void {
+    this.era = era;
+    this.writtenVersion = 0;
+    this.write();
+  }
+
   private noteView(view: MeshView): void {
     this.view = view;
     for (const serverId of this.deliveries.keys())
@@ -170,7 +184,8 @@
           return;
         }
         this.revision = put.item.revision;
-        this.writtenVersion = version;
+        // A write before a restore of the store is lost.
+        if (StoreVersion.eraOf(put.item.revision) === this.era) this.writtenVersion = version;
       },
     });
     this.write();
--- a/packages/mesh/src/CreateServerEntry.ts
+++ b/packages/mesh/src/CreateServerEntry.ts
@@ -6,12 +6,16 @@
 
 type Publisher = Pick<PresenceOptions, 'identity' | 'address' | 'processId'>;
 
-/** Creates the entry in which a daemon publishes itself, its lease's term, and the run of the backend server beside it. */
+/**
+ * Creates the entry in which a daemon publishes itself, its lease's term, the first era of the store that it knew, and the
+ * run of the backend server beside it.
+ */
 export function createServerEntry(
   { identity, address, processId }: Publisher,
   presence: Presence,
   run: ServerRun | undefined,
   term: number,
+  bornEra: number,
 ): ServerEntry {
   const leave = run === undefined ? undefined : describeLeave(run);
   return {
@@ -26,6 +30,7 @@
     slots: presence.slots,
     term,
     processId,
+    ...(bornEra === 0 ? {} : { bornEra }),
     ...(leave === undefined ? {} : { leave }),
   };
 }
--- a/packages/mesh/src/DirectoryMessage.ts
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -27,7 +27,11 @@
     }
   /** Revisions that another daemon has seen, in the order of `watchedCollections`. */
   | { readonly type: 'hint'; readonly revisions: readonly number[] }
+  /** The store was restored from a backup, so that all collections have to be listed again. */
+  | { readonly type: 'eraChanged' }
   /** The connections to the store were replaced, and the calls that wait on former ones get no response. */
   | { readonly type: 'reconnected' }
+  /** A collection has to be listed again to remove objects that were kept. */
+  | { readonly type: 'relist'; readonly collection: WatchedCollection }
   /** The delay before the next call of the store is over. */
   | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -7,6 +7,7 @@
 import type { CollectionChanges } from '#store/CollectionChanges.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 import type { UnreadableObject } from '#store/UnreadableObject.js';
 import { ChangeApplier } from '#mesh/ChangeApplier.js';
 import type { DirectoryMessage } from '#mesh/DirectoryMessage.js';
@@ -33,6 +34,9 @@
 /** Shortest time between two listings of a collection that are caused by hints. */
 const MIN_HINT_INTERVAL_MS = 500;
 
+/** Time for which evacuations that are missing after a restore of the store stay in force, in milliseconds. */
+const EVACUATION_GRACE_MS = 10_000;
+
 /** Delays before a failed call is repeated, with exponential backoff. */
 const INITIAL_RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 800;
@@ -107,9 +111,15 @@
       case 'hint':
         this.noteHint(message.revisions);
         return;
+      case 'eraChanged':
+        this.listAll();
+        return;
       case 'reconnected':
         this.restartCalls();
         return;
+      case 'relist':
+        if (this.find(message.collection).cursor.send({ type: 'hinted' })) this.list(message.collection);
+        return;
       case 'proceed':
         this.proceed(message.collection);
     }
@@ -131,6 +141,12 @@
     }
   }
 
+  /** Lists all collections anew after a restore of the store. */
+  private listAll(): void {
+    for (const collection of watchedCollections)
+      if (this.find(collection).cursor.send({ type: 'restored' })) this.list(collection);
+  }
+
   /** Repeats the calls that wait for a response on connections that were closed. */
   private restartCalls(): void {
     for (const collection of watchedCollections) {
@@ -144,18 +160,33 @@
     const before = this.find(collection).names;
     const names = new Set([...listing.items, ...listing.unreadable].map(({ name }) => name));
     this.reportUnreadable(collection, listing.unreadable);
+    // The operator writes evacuations again that a restore of the store has undone; until then they stay in force.
+    const isUndone = collection === 'evacuations' && this.isRestored(collection, listing.revision);
+    if (isUndone) this.clock.schedule(EVACUATION_GRACE_MS, () => this.post({ type: 'relist', collection }));
+    const kept = isUndone ? [...before] : [];
     const deleted = [...before]
-      .filter((name) => !names.has(name))
+      .filter((name) => !names.has(name) && !isUndone)
       .map((name) => ({
         item: { name, revision: listing.revision, value: undefined },
         deleted: true,
       }));
     const present = listing.items.map((item) => ({ item, deleted: false }));
-    this.update(collection, { revision: listing.revision, failures: 0, names, listed: true });
+    this.update(collection, {
+      revision: listing.revision,
+      failures: 0,
+      names: new Set([...names, ...kept]),
+      listed: true,
+    });
     this.apply(collection, [...deleted, ...present]);
     this.advance(collection, { type: 'listed' }, WATCH_PAUSE_MS[collection]);
   }
 
+  /** Whether a listing is the first one since a restore of the store. */
+  private isRestored(collection: WatchedCollection, revision: number): boolean {
+    const { listed, revision: before } = this.find(collection);
+    return listed && StoreVersion.eraOf(before) < StoreVersion.eraOf(revision);
+  }
+
   private noteChanges(
     collection: WatchedCollection,
     { changes, unreadable, revision }: CollectionChanges,
--- a/packages/mesh/src/EntryPublisher.ts
+++ b/packages/mesh/src/EntryPublisher.ts
@@ -2,6 +2,7 @@
 import type { Cancel } from '#core/Cancel.js';
 import type { RouterError } from '#core/RouterError.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 import { collections } from '#mesh/Collections.js';
 import type { EntryPublisherOptions } from '#mesh/EntryPublisherOptions.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
@@ -18,6 +19,8 @@
   private published: ServerEntry | undefined;
   private pending: ServerEntry | undefined;
   private revision = 0;
+  /** Last known era of the store. */
+  private era = 0;
   private cancelPublish: Cancel | undefined;
 
   public constructor(options: EntryPublisherOptions) {
@@ -34,6 +37,13 @@
     this.revision = revision;
   }
 
+  /** Notes that the store was restored, so that it no longer contains what was published. */
+  public noteEra(era: number): void {
+    this.era = era;
+    this.published = undefined;
+    this.schedule(0);
+  }
+
   /** Publishes the entry soon, unless the store contains it already. */
   public schedule(delayMs = PUBLISH_DELAY_MS): void {
     if (this.cancelPublish !== undefined || this.pending !== undefined) return;
@@ -61,8 +71,13 @@
       },
       Right: (put) => {
         if (put.type === 'accepted') {
-          this.published = entry;
           this.revision = put.item.revision;
+          // The store was restored after this write.
+          if (StoreVersion.eraOf(put.item.revision) < this.era) {
+            this.schedule(0);
+            return;
+          }
+          this.published = entry;
           if (entry !== undefined) this.options.onStored(entry);
           this.schedule();
           return;
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -5,6 +5,7 @@
 import type { Task } from '#core/Task.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
+import type { EraChange } from '#store/EraChange.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
@@ -202,6 +203,7 @@
     });
     this.readiness = new ReadinessTask(options.readiness.host, options.readiness.port);
     this.metricsServer = new MetricsTask(this.metrics, this.delays);
+    store.setEraListener((change) => this.noteEra(change));
     this.setFaultPolicies();
   }
 
@@ -362,6 +364,17 @@
     this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
   }
 
+  /** Passes a restore of the store on to the tasks that keep state in it. */
+  private noteEra(change: EraChange): void {
+    const { era, isFirst } = change;
+    this.logger.log(isFirst ? 'storeEra' : 'storeRestored', { step: 'store', era });
+    if (!isFirst) this.metrics.count('storeRestores');
+    this.metrics.setGauge('storeEra', era);
+    this.ownership.noteEra(change);
+    this.crashMarks.post({ type: 'eraChanged', change });
+    if (!isFirst) this.directory.post({ type: 'eraChanged' });
+  }
+
   private noteHint(revisions: readonly number[]): void {
     const own = this.view?.revisions ?? [];
     if (revisions.some((revision, index) => revision > (own[index] ?? 0)))
--- a/packages/mesh/src/OwnershipTasks.ts
+++ b/packages/mesh/src/OwnershipTasks.ts
@@ -1,3 +1,4 @@
+import type { EraChange } from '#store/EraChange.js';
 import type { OwnershipOptions } from '#mesh/OwnershipOptions.js';
 import { PlannerTask } from '#mesh/PlannerTask.js';
 import { PresenceTask } from '#mesh/PresenceTask.js';
@@ -45,6 +46,14 @@
     this.presence.start();
   }
 
+  /**
+   * Passes a change of the store's era on. The ranges are first, as they keep what the lease covered before the restore.
+   */
+  public noteEra(change: EraChange): void {
+    for (const task of [this.ranges, this.lease, this.planner, this.presence])
+      task.post({ type: 'eraChanged', change });
+  }
+
   public stop(): void {
     for (const task of [this.presence, this.ranges, this.lease, this.planner]) task.stop();
   }
--- a/packages/mesh/src/PlannerMessage.ts
+++ b/packages/mesh/src/PlannerMessage.ts
@@ -2,6 +2,7 @@
 import type { RouterError } from '#core/RouterError.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { StoredRangeTable } from '#mesh/StoredRangeTable.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
@@ -9,6 +10,7 @@
 export type PlannerMessage =
   | { readonly type: 'view'; readonly view: MeshView }
   | { readonly type: 'tick' }
+  | { readonly type: 'eraChanged'; readonly change: EraChange }
   /** Another daemon stopped and resigned its lease term. */
   | { readonly type: 'resigned'; readonly value: unknown }
   /** Reply of the daemon at `rank` to the question whether it plans. */
--- a/packages/mesh/src/PlannerTask.ts
+++ b/packages/mesh/src/PlannerTask.ts
@@ -4,17 +4,21 @@
 import type { Cancel } from '#core/Cancel.js';
 import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
+import { computeLongestLeaseMs } from '#ranges/ComputeLongestLeaseMs.js';
+import { computeTokenFloor } from '#ranges/ComputeTokenFloor.js';
 import { countKeys } from '#ranges/CountKeys.js';
 import { isTermEnded } from '#ranges/IsTermEnded.js';
 import { LeaseMonitor } from '#ranges/LeaseMonitor.js';
 import type { RangeOwnerLoad } from '#ranges/RangeOwnerLoad.js';
 import { planReleases } from '#ranges/PlanReleases.js';
+import { raiseTokens } from '#ranges/RaiseTokens.js';
 import type { RangeRow } from '#ranges/RangeRow.js';
 import { distributeRanges } from '#ranges/DistributeRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
 import { collections } from '#mesh/Collections.js';
 import { createEmptyLease } from '#mesh/CreateEmptyLease.js';
 import { emptyMeshView } from '#mesh/EmptyMeshView.js';
@@ -69,6 +73,11 @@
   private listingMs = -Infinity;
   /** Monotonic time since which every listing of the leases has succeeded. */
   private readableSinceMs: number | undefined;
+  /** Last known era of the store, and the monotonic time until which holders may still write again after its restore. */
+  private era = 0;
+  private suspendedUntilMs = -Infinity;
+  /** Whether the restore may have happened long before this process started, so that other daemons can plan. */
+  private isNew = false;
   private isJoining = false;
   /** Owners whose revocation failed by a write conflict; they are retried after the other ended owners. */
   private conflicting: ReadonlySet<string> = new Set();
@@ -97,12 +106,15 @@
         this.schedule(PLAN_INTERVAL_MS);
         if (!this.isPlanInProgress()) this.elect(0);
         return;
+      case 'eraChanged':
+        this.noteEra(message.change);
+        return;
       case 'pinged':
         if (message.plans) this.planning = false;
         else this.elect(message.rank + 1);
         return;
       case 'asked':
-        message.reply(this.options.clock.monotonicMs() - this.listingMs < LISTING_VALID_MS);
+        message.reply(this.canPlan());
         return;
       case 'resigned':
         this.noteResignation(message.value);
@@ -125,6 +137,24 @@
     return this.options.identity.service;
   }
 
+  /**
+   * Suspends takeovers until holders have had time to write their leases and keys again after a restore: until then the
+   * table may name earlier owners, and leases may lack renewals.
+   */
+  private noteEra({ era, isFirst }: EraChange): void {
+    const waitMs = computeLongestLeaseMs(this.options.timings);
+    this.era = era;
+    this.isNew = isFirst;
+    this.suspendedUntilMs = this.options.clock.monotonicMs() + waitMs;
+    this.options.logger.log('takeoversSuspended', { step: 'takeover', era, waitMs: Math.round(waitMs) });
+  }
+
+  private canPlan(): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.isNew && nowMs < this.suspendedUntilMs) return false;
+    return nowMs - this.listingMs < LISTING_VALID_MS;
+  }
+
   private noteJoining(): void {
     const table = this.view.tables.get(this.service);
     if (table === undefined) return;
@@ -205,7 +235,8 @@
     this.monitor.retain(new Set([...owners, ...leases.keys()]));
     for (const id of new Set([...owners, ...leases.keys()]))
       this.monitor.note(id, leases.get(id)?.revision ?? 0, nowMs);
-    if (this.takeOver(table, leases) || this.revokeEnded(owners, leases, nowMs)) return;
+    const isSuspended = nowMs < this.suspendedUntilMs;
+    if (!isSuspended && (this.takeOver(table, leases) || this.revokeEnded(owners, leases, nowMs))) return;
     this.endPlan();
     this.balanceLoad(owners, leases, nowMs);
   }
@@ -233,7 +264,8 @@
     const lost = table.table.rows.filter((row) => isTermEnded(row.term, leases.get(row.serverId)?.record));
     const receivers = this.listLiveReceivers(lost, leases);
     if (lost.length === 0 || receivers.length === 0) return false;
-    const next = transferRanges(table.table, distributeRanges(lost, receivers));
+    const current = raiseTokens(table.table, computeTokenFloor(this.era));
+    const next = transferRanges(current, distributeRanges(lost, receivers));
     this.options.logger.log('takeover', {
       step: 'takeover',
       rows: lost.length,
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -1,6 +1,7 @@
 import type { RouterError } from '#core/RouterError.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { Either } from 'purify-ts';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
@@ -29,5 +30,6 @@
   | { readonly type: 'term'; readonly term: number }
   /** The result of reading the entry that a former process of this daemon left. */
   | { readonly type: 'read'; readonly result: Either<RouterError, CollectionItem | undefined> }
+  | { readonly type: 'eraChanged'; readonly change: EraChange }
   | { readonly type: 'publish' }
   | { readonly type: 'published'; readonly result: Either<RouterError, CollectionPutResult> };
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -4,6 +4,7 @@
 import type { RouterError } from '#core/RouterError.js';
 import { Task } from '#core/Task.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import { collections } from '#mesh/Collections.js';
@@ -66,6 +67,10 @@
   private waitingCalls: readonly ServerCall[] = [];
   private run: ServerRun | undefined;
   private term = 0;
+  /** First era of the store that this process knew. */
+  private bornEra = 0;
+  /** Whether the entry of a former process may be older than the last one, as the store was restored after it was written. */
+  private isEntryDoubtful = false;
   private readonly publisher: EntryPublisher;
   private refusedConnection: RefusedConnection | undefined;
   private cancelRead: Cancel = () => undefined;
@@ -77,7 +82,7 @@
     this.successor = new RunConfirmation(options.announceEveryMs);
     this.publisher = new EntryPublisher({
       ...options,
-      createEntry: () => createServerEntry(options, this.describe(), this.run, this.term),
+      createEntry: () => createServerEntry(options, this.describe(), this.run, this.term, this.bornEra),
       onDue: () => this.post({ type: 'publish' }),
       onWritten: (result) => this.post({ type: 'published', result }),
       onStored: (entry) => this.noteStored(entry),
@@ -116,6 +121,9 @@
         this.term = message.term;
         this.publisher.schedule();
         return;
+      case 'eraChanged':
+        this.noteEra(message.change);
+        return;
       case 'publish':
         this.publisher.publish();
         return;
@@ -124,6 +132,12 @@
     }
   }
 
+  /** Writes the entry again after a restore of the store, which has lost its last state or holds an earlier one. */
+  private noteEra({ era, isFirst }: EraChange): void {
+    if (isFirst) this.bornEra = era;
+    this.publisher.noteEra(era);
+  }
+
   private handleCall(call: ServerCall): void {
     if (call.type === 'announced') this.noteAnnouncement(call.announcement, call.reply);
     else this.noteWithdrawal(call.instanceId, call.bornMs, call.reply);
@@ -159,8 +173,9 @@
 
   /** Adopts the stored entry of a former process. A run that has left stays so. */
   private adopt(item: CollectionItem | undefined): void {
-    this.recordCursor.send({ type: 'read' });
     const entry = item === undefined ? undefined : this.decodeEntry(item);
+    if (this.recordCursor.send({ type: 'read' }))
+      this.isEntryDoubtful = entry !== undefined && (entry.bornEra ?? 0) < this.bornEra;
     this.publisher.noteFormer(entry, item?.revision ?? 0);
     if (entry === undefined) return;
     if (entry.processId !== this.options.processId) this.restoreLeave(entry);
@@ -276,11 +291,13 @@
   }
 
   /**
-   * Whether a run may be used as far as a former process is concerned. While its entry cannot be read, the run must show by
-   * repeated announcements that it goes on: a server that has left sends none, but one may arrive late.
+   * Whether a run may be used as far as a former process is concerned. While its entry cannot be read, or may lack a leave
+   * that a restore of the store has undone, the run must show by repeated announcements that it goes on: a server that has
+   * left sends none, but one may arrive late.
    */
   private isConfirmed(announcement: Announcement, incarnation: string, nowMs: number): boolean {
-    if (this.recordCursor.state === 'known' || announcement.draining) return true;
+    const isKnown = this.recordCursor.state === 'known' && !this.isEntryDoubtful;
+    if (isKnown || announcement.draining) return true;
     if (this.run?.incarnation === incarnation) return true;
     return this.confirmation.note(incarnation, announcement, nowMs);
   }
--- a/packages/mesh/src/RangeLeaseTask.ts
+++ b/packages/mesh/src/RangeLeaseTask.ts
@@ -5,6 +5,8 @@
 import { Task } from '#core/Task.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
+import type { EraChange } from '#store/EraChange.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 import { collections } from '#mesh/Collections.js';
 import { leaseChart } from '#mesh/LeaseChart.js';
 import type { LeaseEvent } from '#mesh/LeaseEvent.js';
@@ -32,6 +34,8 @@
   private hasResigned = false;
   private renewal = 0;
   private revision = 0;
+  /** Last known era of the store. */
+  private era = 0;
   private term = FIRST_TERM;
   private untilMs = 0;
   private cancelRenew: Cancel = () => undefined;
@@ -66,6 +70,9 @@
       case 'renew':
         this.renew();
         return;
+      case 'eraChanged':
+        this.noteEra(message.change);
+        return;
       case 'resign':
         this.resign(message.reply);
         return;
@@ -76,6 +83,19 @@
     }
   }
 
+  /**
+   * Writes the record again after a restore of the store. A term that has lapsed may have been revoked after the backup, so
+   * another one begins.
+   */
+  private noteEra({ era, isFirst }: EraChange): void {
+    this.era = era;
+    if (isFirst || !this.isWanted) return;
+    const hasLapsed = this.cursor.state !== 'none' && this.options.elapsed.nowMs() > this.untilMs;
+    if (hasLapsed) this.term += 1;
+    this.options.logger.log('leaseRewritten', { step: 'lease', term: this.term, lapsed: hasLapsed });
+    this.renew();
+  }
+
   private renew(): void {
     if (this.isWriting || this.hasResigned) return;
     this.isWriting = true;
@@ -154,11 +174,21 @@
           return;
         }
         this.revision = put.item.revision;
+        // A renewal that was answered before the term changed says nothing about the new one.
+        if (term !== this.term) {
+          this.renew();
+          return;
+        }
         this.untilMs = sentMs + this.options.timings.leaseMs;
         if (this.cursor.state !== 'held') this.options.logger.log('leaseHeld', { step: 'lease', term });
         this.cursor.send({ type: 'acquired' });
-        this.options.onLease({ term, untilMs: this.untilMs });
-        this.scheduleRenew(this.options.timings.renewEveryMs);
+        this.options.onLease({
+          term,
+          untilMs: this.untilMs,
+          era: StoreVersion.eraOf(put.item.revision),
+        });
+        const isLost = StoreVersion.eraOf(put.item.revision) < this.era;
+        this.scheduleRenew(isLost ? 0 : this.options.timings.renewEveryMs);
       },
     });
   }
@@ -173,13 +203,14 @@
     leaseRecordCodec.decode(current.value).caseOf({
       Left: (message) => this.options.logger.log('leaseMalformed', { step: 'lease', message }),
       Right: (record) => {
-        const ended = record.revoked || record.term > this.term;
+        // A restored record may contain the revocation of an earlier term.
+        const ended = (record.revoked && record.term >= this.term) || record.term > this.term;
         this.term = Math.max(this.term, record.revoked ? record.term + 1 : record.term);
         if (!ended || this.cursor.state === 'none') return;
         this.cursor.send({ type: 'revoked' });
         this.untilMs = 0;
         this.options.logger.log('leaseRevoked', { step: 'lease', term: record.term });
-        this.options.onLease({ term: this.term, untilMs: 0 });
+        this.options.onLease({ term: this.term, untilMs: 0, era: 0 });
       },
     });
   }
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -1,4 +1,5 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
@@ -13,6 +14,9 @@
   /** A request for a key arrived whose expected service time is `workMs`. */
   | { readonly type: 'demanded'; readonly key: number; readonly workMs: number }
   | { readonly type: 'release'; readonly requests: readonly RangeReleaseRequest[] }
+  | { readonly type: 'eraChanged'; readonly change: EraChange }
+  /** The table as it was read after a restore of the store in `era`; undefined if there is none. */
+  | { readonly type: 'restored'; readonly era: number; readonly item: CollectionItem | undefined }
   /** A write of the table has ended; `item` is the stored table, undefined if it could not be read. */
   | { readonly type: 'settled'; readonly item: CollectionItem | undefined }
   /** The daemon stops. The reply tells whether it owns keys that its backend server no longer holds. */
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -1,5 +1,6 @@
 import type { Cancel } from '#core/Cancel.js';
 import { Task } from '#core/Task.js';
+import { computeLongestLeaseMs } from '#ranges/ComputeLongestLeaseMs.js';
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { fenceTable } from '#ranges/FenceTable.js';
 import { computeGrantMs } from '#ranges/ComputeGrantMs.js';
@@ -17,7 +18,9 @@
 import { subtractRanges } from '#ranges/SubtractRanges.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
 import type { CollectionItem } from '#store/CollectionItem.js';
+import type { EraChange } from '#store/EraChange.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
+import { collections } from '#mesh/Collections.js';
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { describeTransfer } from '#mesh/DescribeTransfer.js';
@@ -26,12 +29,14 @@
 import { InitialAssignmentDelay } from '#mesh/InitialAssignmentDelay.js';
 import { GrantExpiry } from '#mesh/GrantExpiry.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
+import type { HeldRow } from '#mesh/HeldRow.js';
 import { HeldReply } from '#mesh/HeldReply.js';
 import { isGranted } from '#mesh/IsGranted.js';
 import { isSameGrant } from '#mesh/IsSameGrant.js';
 import { listGrantChange } from '#mesh/ListGrantChange.js';
 import { listReceivers } from '#mesh/ListReceivers.js';
 import type { RangeMessage } from '#mesh/RangeMessage.js';
+import { RangeRestore } from '#mesh/RangeRestore.js';
 import type { RangeOptions } from '#mesh/RangeOptions.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { ReleaseLedger } from '#mesh/ReleaseLedger.js';
@@ -42,9 +47,24 @@
 
 const TICK_INTERVAL_MS = 250;
 
+/** Delay before the table is read again after a restore of the store, in milliseconds. */
+const READ_RETRY_MS = 250;
+
+/** Delay between the claims of two daemons after a restore, in order of rank, so that few of them conflict, in milliseconds. */
+const CLAIM_INTERVAL_MS = 40;
+
+/**
+ * Announcement intervals after a restore, or after the start, from which the keys that a backend server lists are held now.
+ * Earlier announcements may have waited in a socket.
+ */
+const EVIDENCE_INTERVALS = 2;
+
 /** Backend servers ignore replies that arrive later than this after their announcement, in milliseconds. */
 const REPLY_VALID_MS = 1_000;
 
+/** Fencing token of a service's first table. */
+const FIRST_EPOCH = 1;
+
 /** Maximum number of rows in a reply to an announcement. */
 const MAX_GRANTED_ROWS = 60;
 
@@ -62,7 +82,22 @@
   private readonly assignmentDelay = new InitialAssignmentDelay();
   private view: MeshView = emptyMeshView;
   private table: StoredRangeTable | undefined;
-  private lease: HeldLease = { term: 0, untilMs: 0 };
+  private lease: HeldLease = { term: 0, untilMs: 0, era: 0 };
+  private readonly restore = new RangeRestore();
+  /**
+   * Rows that this daemon owned by the last table before a restore of the store, until the restored table contains them. They
+   * are granted only while `lease` lasts, which was renewed before the restore.
+   */
+  private kept: readonly RangeRow[] | undefined;
+  /** The table in which the kept rows have to be claimed, with revision 0 if the store has none. */
+  private restored: StoredRangeTable | undefined;
+  /** The lease that was renewed after the restore. */
+  private nextLease: HeldLease | undefined;
+  private claimMs = 0;
+  /** Keys that the backend server holds although the restored table does not prove it. */
+  private evidence: readonly KeyRange[] = [];
+  /** Keys in a pending write that gives them away. */
+  private transferring: readonly KeyRange[] = [];
   private incarnation = '';
   private slots = 1;
   private isAlive = false;
@@ -106,7 +141,13 @@
         this.noteEnded(message.incarnation, message.proven);
         break;
       case 'lease':
-        if (!this.stopping) this.lease = message.lease;
+        if (!this.stopping) this.noteLease(message.lease);
+        break;
+      case 'eraChanged':
+        this.noteEra(message.change);
+        break;
+      case 'restored':
+        if (message.era === this.restore.currentEra) this.noteRestored(message.item);
         break;
       case 'demanded':
         this.loads.add(message.key, message.workMs);
@@ -126,6 +167,7 @@
         message.reply(this.listOwnRows().length > 0 && this.grants.hasEnded);
         this.stopping = true;
         this.lease = { ...this.lease, untilMs: 0 };
+        this.nextLease = undefined;
         break;
     }
     this.changeTable();
@@ -154,13 +196,108 @@
     if (this.isKeyed() && this.incarnation !== '') this.options.onKeyed();
   }
 
+  private noteLease(lease: HeldLease): void {
+    if (this.kept !== undefined && lease.era === this.restore.currentEra) this.nextLease = lease;
+    else this.lease = lease;
+  }
+
+  /**
+   * Keeps the rows that this daemon owns, as the restored table may name an earlier owner, and reads that table. A daemon
+   * whose lease has lapsed keeps none: others may have taken its keys over, and the store has forgotten it.
+   */
+  private noteEra({ era, isFirst }: EraChange): void {
+    const { clock, timings, logger } = this.options;
+    const nowMs = clock.monotonicMs();
+    this.kept ??= isFirst ? undefined : this.listKept();
+    this.restore.noteEra(era, isFirst, nowMs, computeLongestLeaseMs(timings));
+    this.restored = undefined;
+    this.nextLease = undefined;
+    this.evidence = [];
+    if (isFirst) return;
+    const rank = listReceivers(this.view, this.service).findIndex(
+      ({ serverId }) => serverId === this.options.identity.serverId,
+    );
+    this.claimMs = nowMs + Math.max(0, rank) * CLAIM_INTERVAL_MS;
+    logger.log('rowsKept', { step: 'move', era, rows: this.kept?.length ?? 0 });
+    if (this.isKeyed()) this.readRestored(era);
+  }
+
+  private listKept(): readonly RangeRow[] | undefined {
+    const { table, lease } = this;
+    if (table === undefined || lease.untilMs <= this.now() || !this.isFenced(table)) return undefined;
+    const own = listRowsOf(table.table, this.options.identity.serverId).filter(
+      (row) => row.term === lease.term && this.restore.isProven(row),
+    );
+    const rows = subtractRanges(own, this.transferring);
+    return rows.length === 0 ? undefined : rows;
+  }
+
+  private readRestored(era: number): void {
+    const { store, clock } = this.options;
+    void store.get(collections.ranges, this.service).then((result) =>
+      result.caseOf({
+        Left: () => {
+          clock.schedule(READ_RETRY_MS, () => {
+            if (era === this.restore.currentEra) this.readRestored(era);
+          });
+        },
+        Right: (item) => this.post({ type: 'restored', era, item }),
+      }),
+    );
+  }
+
+  private noteRestored(item: CollectionItem | undefined): void {
+    if (item !== undefined) {
+      this.adoptItem(item);
+      return;
+    }
+    this.options.logger.log('tableMissing', { step: 'store', service: this.service });
+    if (this.kept === undefined) {
+      if (this.table !== undefined && this.restore.isOutdated(this.table.revision)) this.table = undefined;
+      return;
+    }
+    const receivers = listReceivers(this.view, this.service);
+    // The rows of this table are not proven, so that no daemon grants one before it has been claimed.
+    const table = createRangeTable(this.service, receivers.length === 0 ? [this.owner] : receivers);
+    this.restored ??= { table, revision: 0 };
+  }
+
+  /** Writes the kept rows into the restored table, or gives them up once the lease under which they are granted has ended. */
+  private claimKept(kept: readonly RangeRow[]): void {
+    const { restored, nextLease } = this;
+    if (this.lease.untilMs <= this.now()) {
+      this.options.logger.log('rowsGivenUp', { step: 'move', rows: kept.length });
+      this.endClaim();
+      return;
+    }
+    if (restored === undefined || nextLease === undefined || nextLease.untilMs <= this.now()) return;
+    if (this.options.clock.monotonicMs() < this.claimMs) return;
+    const owner = { ...this.owner, term: nextLease.term };
+    const next = this.restore.claim(restored.table, owner, kept);
+    if (next === restored.table) this.endClaim();
+    else this.write(next, restored.revision, 'keysClaimed');
+  }
+
+  private endClaim(): void {
+    const { restored } = this;
+    this.lease = this.nextLease ?? this.lease;
+    this.kept = undefined;
+    this.nextLease = undefined;
+    this.restored = undefined;
+    this.evidence = [];
+    this.table = undefined;
+    if (restored !== undefined && restored.revision > 0) this.adopt(restored);
+  }
+
   private noteCheckIn({ incarnation, holds, released, leaving, slots, reply }: CheckIn): void {
     if (incarnation !== this.incarnation) {
       this.incarnation = incarnation;
       this.releases.clear();
       this.granted = [];
+      this.evidence = [];
     }
     this.isAlive = true;
+    this.noteEvidence(holds);
     // A server that counted as ended and announces itself again keeps the keys that it was not yet told to release.
     if (this.leaving && !leaving) this.releases.cancelPlanned();
     this.leaving = leaving;
@@ -172,6 +309,17 @@
     this.options.clock.schedule(this.heldReply.holdMs, () => this.post({ type: 'due' }));
   }
 
+  /**
+   * Notes the keys that the backend server holds. After a restore they prove that no other one holds them, also if a former
+   * process of this daemon granted them.
+   */
+  private noteEvidence(holds: readonly HeldRow[]): void {
+    for (const { epoch } of holds) this.restore.noteToken(epoch);
+    const ageMs = this.restore.ageMs(this.options.clock.monotonicMs());
+    const isCurrent = ageMs >= EVIDENCE_INTERVALS * this.options.announceEveryMs;
+    this.evidence = isCurrent ? holds.filter((row) => !this.restore.isProven(row)) : [];
+  }
+
   /**
    * Replies to the waiting announcement if the reply is due or the keys have changed. Until then the reply is held back,
    * so that a change of the keys reaches the backend server at once instead of after its next announcement.
@@ -255,7 +403,20 @@
     const receivers = listReceivers(this.view, this.service);
     const rank = receivers.findIndex(({ serverId }) => serverId === this.options.identity.serverId);
     if (!this.assignmentDelay.isDue(receivers.length, rank, this.now())) return;
-    this.write(createRangeTable(this.service, receivers), 0, 'keysDivided');
+    if (!this.mayDivide()) return;
+    const epoch = Math.max(FIRST_EPOCH, this.restore.nextToken);
+    this.write(createRangeTable(this.service, receivers, epoch), 0, 'keysDivided');
+  }
+
+  /**
+   * Whether a missing table proves that nobody holds keys. After a restore it may have been lost, which this process cannot
+   * know if it started later, but daemons that started earlier say so in their entries.
+   */
+  private mayDivide(): boolean {
+    if (this.restore.hasSettled(this.options.clock.monotonicMs())) return true;
+    const entries = [...this.view.servers.values()].filter(({ service }) => service === this.service);
+    const wasRestored = entries.some(({ bornEra = 0 }) => bornEra < this.restore.currentEra);
+    return !this.restore.hasChanged && !wasRestored;
   }
 
   private mustLeave(): boolean {
@@ -264,25 +425,64 @@
 
   /** Starts the next due change of the table. At most one write is in progress. */
   private changeTable(): void {
+    if (this.kept !== undefined) {
+      if (!this.writing) this.claimKept(this.kept);
+      return;
+    }
     const { table } = this;
     if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
     if (this.mustLeave()) this.releaseAll(table.table);
     if (this.grants.hasEnded) this.releases.noteGrantsEnded();
-    const renewed = this.isAlive && !this.leaving ? renewOwner(table.table, this.owner) : table.table;
+    const renewed = this.isAlive && !this.leaving ? this.renewOwner(table.table) : table.table;
     if (renewed !== table.table) {
       this.write(renewed, table.revision, 'ownerRenewed');
       return;
     }
+    const claimed = this.claimProvable(table.table);
+    if (claimed !== table.table) {
+      this.write(claimed, table.revision, 'keysClaimed');
+      return;
+    }
     const free = this.releases.listFree();
-    if (free.length > 0) this.transfer(table, free);
+    if (intersectRanges(free, this.listProven(table.table)).length > 0) this.transfer(table, free);
     else if (!this.isFenced(table)) this.write(fenceTable(table.table), table.revision, 'tableFenced');
   }
 
+  /** Renews the proven rows of this daemon; the others may be held by a later owner that the restored table does not name. */
+  private renewOwner(table: RangeTable): RangeTable {
+    if (this.restore.currentEra === 0) return renewOwner(table, this.owner);
+    const outdated = this.listProven(table).filter((row) => !isSameOwner(row, this.owner));
+    if (outdated.length === 0) return table;
+    return transferRanges(
+      this.restore.raise(table),
+      outdated.map(({ from, to }) => ({ from, to, owner: this.owner, handover: '' })),
+    );
+  }
+
+  /**
+   * Claims the keys that the backend server holds, and the other rows of this daemon once all grants that were given before
+   * the restore have expired.
+   */
+  private claimProvable(table: RangeTable): RangeTable {
+    if (this.restore.currentEra === 0 || this.incarnation === '') return table;
+    const own = this.restore.hasSettled(this.options.clock.monotonicMs())
+      ? listRowsOf(table, this.options.identity.serverId).filter((row) => !this.restore.isProven(row))
+      : [];
+    const held = this.isAlive && !this.leaving ? this.evidence : [];
+    return this.restore.claim(table, this.owner, [...held, ...subtractRanges(own, held)]);
+  }
+
+  /** Lists the rows of this daemon that no other one can hold; all of its rows unless the store was restored. */
+  private listProven(table: RangeTable): readonly RangeRow[] {
+    return listRowsOf(table, this.options.identity.serverId).filter((row) => this.restore.isProven(row));
+  }
+
   /** Transfers released keys to their receivers, except those that another daemon took over during the release. */
   private transfer({ table, revision }: StoredRangeTable, transfers: readonly RangeTransfer[]): void {
-    const own = intersectRanges(transfers, listRowsOf(table, this.options.identity.serverId));
+    const own = intersectRanges(transfers, this.listProven(table));
     this.options.logger.log('transfer', describeTransfer(transfers, own));
-    this.write(transferRanges(table, own), revision, 'keysTransferred');
+    this.transferring = own;
+    this.write(transferRanges(this.restore.raise(table), own), revision, 'keysTransferred');
   }
 
   /**
@@ -294,7 +494,7 @@
   }
 
   private releaseAll(table: RangeTable): void {
-    const unreleased = this.releases.subtractFrom(listRowsOf(table, this.options.identity.serverId));
+    const unreleased = this.releases.subtractFrom(this.listProven(table));
     if (unreleased.length === 0) return;
     const others = listReceivers(this.view, this.service).filter(
       ({ serverId }) => serverId !== this.options.identity.serverId,
@@ -348,6 +548,7 @@
 
   private noteWritten(item: CollectionItem | undefined): void {
     this.writing = false;
+    this.transferring = [];
     if (item !== undefined) this.adoptItem(item);
   }
 
@@ -359,8 +560,14 @@
   }
 
   private adopt(table: StoredRangeTable): void {
+    if (this.restore.isOutdated(table.revision)) return;
+    if (this.kept !== undefined) {
+      if (this.restored === undefined || this.restored.revision < table.revision) this.restored = table;
+      return;
+    }
     if (this.table !== undefined && this.table.revision >= table.revision) return;
     this.table = table;
+    this.restore.noteToken(table.table.lastEpoch);
     const mine = listRowsOf(table.table, this.options.identity.serverId);
     this.releases.retain(mine);
     this.noteFirstTable(mine.length > 0 ? table.revision : 0);
@@ -374,9 +581,7 @@
 
   private listOwnRows(): readonly RangeRow[] {
     if (this.table === undefined) return [];
-    return listRowsOf(this.table.table, this.options.identity.serverId).filter((row) =>
-      isSameOwner(row, this.owner),
-    );
+    return (this.kept ?? this.listProven(this.table.table)).filter((row) => isSameOwner(row, this.owner));
   }
 
   private listGrantable(): readonly RangeRow[] {
--- a/packages/mesh/src/ServerEntry.ts
+++ b/packages/mesh/src/ServerEntry.ts
@@ -18,6 +18,8 @@
   readonly term: number;
   /** Identifies the run of the daemon. */
   readonly processId: string;
+  /** First era of the store that this run of the daemon knew; absent if 0. */
+  readonly bornEra?: number | undefined;
   /** Absent unless the backend server drains or has withdrawn. */
   readonly leave?: LeaveRecord | undefined;
 }
--- a/packages/mesh/src/ServerEntryCodec.ts
+++ b/packages/mesh/src/ServerEntryCodec.ts
@@ -20,5 +20,6 @@
   slots: countCodec,
   term: ordinalCodec,
   processId: idCodec,
+  bornEra: createOptionalCodec(ordinalCodec),
   leave: createOptionalCodec(createObjectCodec({ bornMs: ordinalCodec, sequence: ordinalCodec })),
 });
--- a/packages/mesh/src/WatchEvent.ts
+++ b/packages/mesh/src/WatchEvent.ts
@@ -1,4 +1,5 @@
 /** Events of `watchChart`. */
 export interface WatchEvent {
-  readonly type: 'listed' | 'changed' | 'failed' | 'historyLost' | 'hinted' | 'reconnected' | 'proceed';
+  readonly type:
+    'listed' | 'changed' | 'failed' | 'historyLost' | 'hinted' | 'reconnected' | 'restored' | 'proceed';
 }
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -45,9 +45,9 @@
     });
   }
 
-  /** Grants the task a lease of `term` that expires in `leftMs`. */
-  public async lease(term: number, leftMs = 12_000): Promise<void> {
-    this.task.post({ type: 'lease', lease: { term, untilMs: this.elapsed.nowMs() + leftMs } });
+  /** Grants the task a lease of `term` that expires in `leftMs` and was renewed in `era`. */
+  public async lease(term: number, leftMs = 12_000, era = 0): Promise<void> {
+    this.task.post({ type: 'lease', lease: { term, untilMs: this.elapsed.nowMs() + leftMs, era } });
     await this.settle();
   }
 
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -14,4 +14,5 @@
   | 'misdirected'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
-  | 'catalogueChanges';
+  | 'catalogueChanges'
+  | 'storeRestores';
--- a/packages/ranges/src/CreateRangeTable.ts
+++ b/packages/ranges/src/CreateRangeTable.ts
@@ -5,12 +5,16 @@
 
 const FIRST_EPOCH = 1;
 
-/** Creates a service's first table, with all keys divided evenly among the owners. */
-export function createRangeTable(service: string, owners: readonly RangeOwner[]): RangeTable {
+/** Creates a service's first table, with all keys divided evenly among the owners and the token `epoch` in each row. */
+export function createRangeTable(
+  service: string,
+  owners: readonly RangeOwner[],
+  epoch = FIRST_EPOCH,
+): RangeTable {
   const ranges = divideKeys(fullKeyRange, owners.length);
   const rows = owners.flatMap((owner, index) => {
     const range = ranges[index];
-    return range === undefined ? [] : [{ ...range, ...owner, epoch: FIRST_EPOCH, handover: '' }];
+    return range === undefined ? [] : [{ ...range, ...owner, epoch, handover: '' }];
   });
-  return { service, lastEpoch: FIRST_EPOCH, rows };
+  return { service, lastEpoch: epoch, rows };
 }
--- a/packages/ranges/src/LeaseMonitor.ts
+++ b/packages/ranges/src/LeaseMonitor.ts
@@ -1,8 +1,6 @@
+import { computeLongestLeaseMs } from '#ranges/ComputeLongestLeaseMs.js';
 import type { LeaseTimings } from '#ranges/LeaseTimings.js';
 
-/** Fraction by which the rates of two VMs' clocks may differ. */
-const MAX_RATE_DIFFERENCE = 0.02;
-
 interface Observation {
   readonly revision: number;
   readonly sinceMs: number;
@@ -31,8 +29,7 @@
   public hasEnded(serverId: string, nowMs: number): boolean {
     const observation = this.observations.get(serverId);
     if (observation === undefined) return false;
-    const { leaseMs, marginMs } = this.timings;
-    return nowMs - observation.sinceMs > (leaseMs + marginMs) * (1 + MAX_RATE_DIFFERENCE);
+    return nowMs - observation.sinceMs > computeLongestLeaseMs(this.timings);
   }
 
   /** Time since the record last changed, in milliseconds. */
