--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -351,6 +351,7 @@
   private noteView(view: MeshView): void {
     const before = this.view;
     this.view = view;
+    for (const revision of view.revisions) this.options.store.learnVersion(revision);
     this.entry.post({ type: 'view', view });
     this.server.post({ type: 'view', view });
     this.ownership.applyView(view);
--- a/packages/mesh/test/FaultPlan.ts
+++ b/packages/mesh/test/FaultPlan.ts
@@ -7,6 +7,8 @@
   public abstract readonly clockSpread: number;
   /** Whether callers send keyed requests, so that keys move by load. */
   public abstract readonly hasDemand: boolean;
+  /** Whether the store is restored from backups. */
+  public readonly hasRestores: boolean = false;
   protected readonly random: RandomSource;
 
   public constructor(random: RandomSource) {
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -81,6 +81,7 @@
     const { daemon } = this;
     if (this.storePath === 'cut' || daemon?.clock.isPaused === true) return;
     daemon?.clock.run(() => {
+      for (const { revision } of view.tables.values()) daemon.store.learnVersion(revision);
       daemon.tasks.applyView(view);
       daemon.balance.post({ type: 'view', view });
     });
@@ -278,6 +279,7 @@
       call,
       onRelease: (requests) => tasks.ranges.post({ type: 'release', requests }),
     });
+    store.setEraListener((change) => tasks.noteEra(change));
     this.daemon = { clock, store, tasks, balance };
     this.applyPath(this.storePath);
     clock.run(() => tasks.start());
--- a/packages/mesh/test/ownership.test.ts
+++ b/packages/mesh/test/ownership.test.ts
@@ -1,8 +1,10 @@
 import t from 'tap';
 import { BasicFaults } from './BasicFaults.js';
+import { BasicRestoreFaults } from './BasicRestoreFaults.js';
 import { HarshFaults } from './HarshFaults.js';
 import { LoadFaults } from './LoadFaults.js';
 import { OwnershipRun } from './OwnershipRun.js';
+import { RestoreFaults } from './RestoreFaults.js';
 
 const VMS = 5;
 const RUN_MS = 90_000;
--- a/packages/store/src/CollectionStore.ts
+++ b/packages/store/src/CollectionStore.ts
@@ -5,7 +5,9 @@
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionPutResult } from '#store/CollectionPutResult.js';
 import type { EraChange } from '#store/EraChange.js';
+import { EraGuard } from '#store/EraGuard.js';
 import type { ProbedConnection } from '#store/ProbedConnection.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 
 /**
  * A store of JSON objects in collections, with one revision counter, conditional writes and watches. Revisions are versions
@@ -15,6 +17,7 @@
  * `storeReplyLost` if a write may have had one, and `storeHistoryLost` if a watch must start again from a listing.
  */
 export abstract class CollectionStore {
+  protected readonly guard = new EraGuard();
   private eraListener: (change: EraChange) => void = () => undefined;
 
   /**
@@ -64,8 +67,27 @@
   /** Closes all connections; pending calls fail. */
   public abstract close(): Promise<void>;
 
-  /** Passes a change of the era to the listener. */
-  protected reportEra(change: EraChange): void {
-    if (!change.isFirst || change.era > 0) this.eraListener(change);
+  /** Notes a version that another daemon has read: its era may be later than those of the answers so far. */
+  public learnVersion(version: number): void {
+    const era = StoreVersion.eraOf(version);
+    if (era > 0) this.reportEra(this.guard.learn(era));
+  }
+
+  /**
+   * Notes the era that an answer names, if it does. Returns false if the answer is of an earlier era than one before, and so
+   * is outdated. `nowMs` is monotonic.
+   */
+  protected noteEra(named: number | undefined, nowMs: number): boolean {
+    const isCurrent = !this.isOutdated(named ?? 0);
+    this.reportEra(this.guard.noteAnswer(named, nowMs));
+    return isCurrent;
+  }
+
+  protected isOutdated(era: number | undefined): boolean {
+    return era !== undefined && era < (this.guard.era ?? 0);
+  }
+
+  private reportEra(change: EraChange | undefined): void {
+    if (change !== undefined && (!change.isFirst || change.era > 0)) this.eraListener(change);
   }
 }
--- a/packages/store/src/EraGuard.ts
+++ b/packages/store/src/EraGuard.ts
@@ -43,6 +43,16 @@
     return { era, isFirst };
   }
 
+  /** Notes an era that another process has seen. Returns the change if this one did not know it. */
+  public learn(era: number): EraChange | undefined {
+    if (this.known !== undefined && era <= this.known) return undefined;
+    this.isNamed = true;
+    this.isDoubtful = true;
+    const isFirst = this.known === undefined;
+    this.known = era;
+    return { era, isFirst };
+  }
+
   /** Whether the era must be confirmed by a read before the next conditional write. */
   public isInDoubt(nowMs: number): boolean {
     return this.isNamed && (this.isDoubtful || nowMs - this.answeredMs > MAX_SILENCE_MS);
