--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -270,7 +270,8 @@
       this.endClaim();
       return;
     }
-    if (restored === undefined || nextLease === undefined || nextLease.untilMs <= this.now()) return;
+    if (this.writing || restored === undefined || nextLease === undefined || nextLease.untilMs <= this.now())
+      return;
     if (this.options.clock.monotonicMs() < this.claimMs) return;
     const owner = { ...this.owner, term: nextLease.term };
     const next = this.restore.claim(restored.table, owner, kept);
@@ -426,7 +427,7 @@
   /** Starts the next due change of the table. At most one write is in progress. */
   private changeTable(): void {
     if (this.kept !== undefined) {
-      if (!this.writing) this.claimKept(this.kept);
+      this.claimKept(this.kept);
       return;
     }
     const { table } = this;
--- a/packages/mesh/test/crashMarks.test.ts
+++ b/packages/mesh/test/crashMarks.test.ts
@@ -198,3 +198,21 @@
   await second.advance(0);
   t.equal(second.restored.length, 1);
 });
+
+t.test('marks are written again after a restore', async (t) => {
+  // Guards against a request that crashes more servers because the store has forgotten its marks.
+  const run = new MarkRun();
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  await run.mark(createMark('x'));
+  const backup = run.store.backUp();
+  await run.advance(2_000);
+  await run.mark(createMark('y'));
+  run.store.restore(backup);
+  await run.store.probe();
+  for (let index = 0; index < 4; index += 1) await run.advance(1_000);
+  const { marks } = run.store.read('crashes', 'a')?.value as { readonly marks: readonly CrashMark[] };
+  t.same(
+    marks.map(({ fingerprint }) => fingerprint),
+    ['x', 'y'],
+  );
+});
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -142,3 +142,68 @@
   await run.advance(400);
   t.equal(run.view.routes?.table.version, 5);
 });
+
+t.test('restore lists all collections again and takes back no configuration', async (t) => {
+  // Guards against a view that stays at versions which the store does not have, and against an earlier configuration.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  run.store.set('routes', 'main', 4);
+  run.store.set('servers', 'a', createEntry('a'));
+  const backup = run.store.backUp();
+  run.store.set('routes', 'main', 5);
+  run.store.set('servers', 'b', createEntry('b'));
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 5);
+  t.same([...run.view.servers.keys()], ['a']);
+  run.store.set('servers', 'b', createEntry('b', { slots: 9 }));
+  await run.advance(400);
+  await run.advance(400);
+  t.equal(run.view.servers.get('b')?.slots, 9, 'changes after the restore are seen');
+});
+
+t.test('restore undoes no leave that a daemon knows of', async (t) => {
+  // Guards against new work for a server whose daemon was lost before it could write the leave again.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  run.store.set('servers', 'a', createEntry('a'));
+  run.store.set('servers', 'b', createEntry('b'));
+  const backup = run.store.backUp();
+  const leave = { bornMs: 1, sequence: 2 };
+  run.store.set('servers', 'a', createEntry('a', { state: 'gone', leave }));
+  run.store.set('servers', 'b', createEntry('b', { state: 'draining', leave }));
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'gone');
+  t.equal(run.view.servers.get('b')?.state, 'draining');
+  run.store.set('servers', 'a', createEntry('a', { slots: 5, processId: 'p-next' }));
+  run.store.set('servers', 'b', createEntry('b', { slots: 5 }));
+  for (let index = 0; index < 3; index += 1) await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'gone', 'a later process has forgotten the leave');
+  t.equal(run.view.servers.get('b')?.state, 'ready', 'the daemon that drained it says so');
+  run.store.set('servers', 'a', createEntry('a', { incarnation: 'a/2' }));
+  for (let index = 0; index < 3; index += 1) await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'ready', 'another run');
+});
+
+t.test('evacuation that a restore has undone stays in force for some time', async (t) => {
+  // Guards against new work in a failure domain until the operator has written its evacuation again.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  const backup = run.store.backUp();
+  run.store.set('evacuations', 'd', {});
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.ok(run.view.evacuated.has('d'));
+  for (let index = 0; index < 6; index += 1) await run.advance(2_000);
+  t.notOk(run.view.evacuated.has('d'), 'the operator has not written it again');
+});
--- a/packages/mesh/test/lease.test.ts
+++ b/packages/mesh/test/lease.test.ts
@@ -123,3 +123,52 @@
   t.equal(run.leases.length, before);
   t.match(run.record, { term: 1, revoked: true });
 });
+
+t.test('lease is written again after a restore', async (t) => {
+  // Guards against a planner that takes the keys over because the store has lost the renewals.
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  const backup = run.store.backUp();
+  await run.advance(500);
+  run.store.restore(backup);
+  t.equal(run.record, undefined);
+  await run.store.probe();
+  await run.advance(500);
+  t.match(run.record, { term: 1, revoked: false }, 'the term goes on');
+  t.match(run.leases.at(-1), { term: 1, era: 1 });
+});
+
+t.test('restored revocation of an earlier term does not end the present one', async (t) => {
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  await run.advance(500);
+  run.store.set('leases', 'a', { ...run.record, revoked: true });
+  const backup = run.store.backUp();
+  await run.advance(3_500);
+  t.equal(run.leases.at(-1)?.term, 2);
+  const before = run.leases.length;
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(1_000);
+  t.notOk(
+    run.leases.slice(before).some(({ untilMs }) => untilMs === 0),
+    'the lease continues',
+  );
+  t.match(run.record, { term: 2, revoked: false });
+});
+
+t.test('term that lapsed before a restore does not continue', async (t) => {
+  // It may have been revoked after the backup, which the restored store has forgotten.
+  const run = new LeaseRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  await run.advance(500);
+  run.store.faultMode = 'down';
+  await run.advance(14_000);
+  run.store.restore(run.store.backUp());
+  run.store.faultMode = 'none';
+  await run.advance(2_000);
+  t.match(run.leases.at(-1), { term: 2, era: 1 });
+});
--- a/packages/mesh/test/planner.test.ts
+++ b/packages/mesh/test/planner.test.ts
@@ -219,3 +219,43 @@
   t.equal(run.countRows('c'), 0);
   t.ok(run.store.putCalls < 20, `${run.store.putCalls} conditional writes`);
 });
+
+t.test('takeovers wait after a restore', async (t) => {
+  // The restored table names an owner whose restored lease is revoked, while a later holder has not written yet.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  await run.advance(4_000, ['a', 'b']);
+  run.store.set('leases', 'b', createLease('b', { revoked: true }));
+  run.store.restore(run.store.backUp());
+  await run.store.probe();
+  run.postStoredView();
+  await run.advance(12_000, ['a']);
+  t.equal(run.countRows('b'), 1);
+  await run.advance(6_000, ['a']);
+  t.equal(run.countRows('b'), 0);
+  const stored = rangeTableCodec.decode(run.store.read('ranges', 's')?.value).unsafeCoerce();
+  t.ok(stored.lastEpoch >= 2 ** 32, 'the tokens are above those of the earlier era');
+});
+
+t.test('takeover planned before a restore is not written', async (t) => {
+  // Guards against a planner whose view is of the time before the restore.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  await run.advance(4_000, ['a', 'b']);
+  run.store.set('leases', 'b', createLease('b', { revoked: true }));
+  run.store.restore(run.store.backUp());
+  await run.advance(9_000, ['a']);
+  t.equal(run.countRows('b'), 1, 'the condition of the write is of the earlier era');
+});
+
+t.test('new planner leaves the planning to others after a restore', async (t) => {
+  // Guards against keys of a lost daemon that nobody takes over because the first planner has just started.
+  const run = new PlannerRun();
+  t.teardown(() => run.task.stop());
+  run.task.post({ type: 'eraChanged', change: { era: 1, isFirst: true } });
+  await run.advance(6_000, ['a', 'b']);
+  t.equal(await run.task.ask<boolean>((reply) => ({ type: 'asked', reply })), false);
+  await run.advance(9_000, ['a', 'b']);
+  t.equal(await run.task.ask<boolean>((reply) => ({ type: 'asked', reply })), true);
+});
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -403,3 +403,52 @@
   }
   t.same(run.ended, []);
 });
+
+t.test('leave is written again after a restore', async (t) => {
+  // Guards against an acknowledged leave that is forgotten with the daemon's entry.
+  const run = new PresenceRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  await run.announce();
+  await run.settle();
+  const backup = run.store.backUp();
+  t.equal(await run.withdraw(), true);
+  run.store.restore(backup);
+  t.match(run.store.read('servers', 'a')?.value, { state: 'ready' });
+  await run.store.probe();
+  await run.settle();
+  t.match(run.store.read('servers', 'a')?.value, { state: 'gone', leave: { bornMs: 5_000 } });
+});
+
+t.test('entry that a restore has lost is written again', async (t) => {
+  const run = new PresenceRun();
+  t.teardown(() => run.task.stop());
+  run.store.setEraListener((change) => run.task.post({ type: 'eraChanged', change }));
+  const backup = run.store.backUp();
+  await run.announce();
+  await run.settle();
+  for (const era of [1, 2]) {
+    run.store.restore(backup);
+    await run.store.probe();
+    await run.settle();
+    t.match(run.store.read('servers', 'a')?.value, { state: 'ready' }, `restore ${era}`);
+  }
+});
+
+t.test('run needs confirmation where a restore may have undone its leave', async (t) => {
+  // The daemon starts in the middle of the restore, and a delayed announcement of the run that has left arrives.
+  const first = new PresenceRun();
+  await first.announce();
+  await first.settle();
+  const backup = first.store.backUp();
+  await first.withdraw();
+  first.task.stop();
+  first.store.restore(backup);
+  const run = new PresenceRun(first.store, 'p2');
+  t.teardown(() => run.task.stop());
+  run.task.post({ type: 'eraChanged', change: { era: 1, isFirst: true } });
+  await run.settle();
+  await run.announce({ sequence: 9 });
+  await run.settle();
+  t.equal(run.state, 'absent');
+});
