--- a/packages/mesh/test/SimulatedStore.ts
+++ b/packages/mesh/test/SimulatedStore.ts
@@ -65,7 +65,7 @@
     const era = ifRevision === 0 ? this.guard.era : StoreVersion.eraOf(ifRevision);
     if (this.guard.isInDoubt(this.clock.monotonicMs()) || this.isOutdated(era)) {
       const read = await this.get(collection, name);
-      if (read.isLeft()) return Left(read.extract() as RouterError);
+      if (read.isLeft()) return Left(read.extract());
       if (this.isOutdated(era)) return Right({ type: 'conflict', current: read.unsafeCoerce() });
     }
     const revision = StoreVersion.revisionOf(ifRevision);
