--- a/packages/mesh/test/TableAudit.ts
+++ b/packages/mesh/test/TableAudit.ts
@@ -55,13 +55,7 @@
       );
   }
 
-  private checkChange(
-    writer: string,
-    row: RangeRow,
-    next: RangeRow,
-    lowest: number,
-    eraFloor: number,
-  ): void {
+  private checkChange(writer: string, row: RangeRow, next: RangeRow, lowest: number, eraFloor: number): void {
     // A daemon that does not know of the restore wrote this row. No daemon that knows of it grants the row.
     if (next.epoch < eraFloor) return;
     const change = `${describe(row)} to ${describe(next)}`;
