--- a/packages/mesh/src/DirectoryMessage.ts
+++ b/packages/mesh/src/DirectoryMessage.ts
@@ -29,6 +29,8 @@
     }
   /** Revisions that another daemon has seen, in the order of `watchedCollections`. */
   | { readonly type: 'hint'; readonly revisions: readonly number[] }
+  /** The store was restored from a backup, so that all collections have to be listed again. */
+  | { readonly type: 'eraChanged' }
   /** The connections to the store were replaced, and the calls that wait on former ones get no response. */
   | { readonly type: 'reconnected' }
   /** Reads the revisions up to which the collections are known. */
@@ -39,5 +41,7 @@
   | { readonly type: 'direct' }
   /** The store's connections carried the response to a call that was sent at `sentMs`. */
   | { readonly type: 'confirmed'; readonly sentMs: number }
+  /** A collection has to be listed again to remove objects that were kept. */
+  | { readonly type: 'relist'; readonly collection: WatchedCollection }
   /** The delay before the next call of the store is over. */
   | { readonly type: 'proceed'; readonly collection: WatchedCollection };
--- a/packages/mesh/src/DirectoryTask.ts
+++ b/packages/mesh/src/DirectoryTask.ts
@@ -7,6 +7,7 @@
 import type { CollectionChanges } from '#store/CollectionChanges.js';
 import type { CollectionListing } from '#store/CollectionListing.js';
 import type { CollectionStore } from '#store/CollectionStore.js';
+import { StoreVersion } from '#store/StoreVersion.js';
 import type { UnreadableObject } from '#store/UnreadableObject.js';
 import type { CollectionUpdate } from '#fanout/CollectionUpdate.js';
 import { ChangeApplier } from '#mesh/ChangeApplier.js';
@@ -35,6 +36,9 @@
 /** Shortest time between two listings of a collection that are caused by hints. */
 const MIN_HINT_INTERVAL_MS = 500;
 
+/** Time for which evacuations that are missing after a restore of the store stay in force, in milliseconds. */
+const EVACUATION_GRACE_MS = 10_000;
+
 /** Delays before a failed call is repeated, with exponential backoff. */
 const INITIAL_RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 800;
@@ -124,6 +128,9 @@
       case 'hint':
         this.noteHint(message.revisions);
         return;
+      case 'eraChanged':
+        this.listAll();
+        return;
       case 'reconnected':
         this.restartCalls();
         return;
@@ -142,6 +149,9 @@
       case 'confirmed':
         this.confirm(message.sentMs);
         return;
+      case 'relist':
+        if (this.find(message.collection).cursor.send({ type: 'hinted' })) this.list(message.collection);
+        return;
       case 'proceed':
         this.proceed(message.collection);
     }
@@ -163,6 +173,12 @@
     }
   }
 
+  /** Lists all collections anew after a restore of the store. */
+  private listAll(): void {
+    for (const collection of watchedCollections)
+      if (this.find(collection).cursor.send({ type: 'restored' })) this.list(collection);
+  }
+
   /** Repeats the calls that wait for a response on connections that were closed. */
   private restartCalls(): void {
     for (const collection of watchedCollections) {
@@ -206,8 +222,9 @@
   private noteListing(collection: WatchedCollection, listing: CollectionListing): void {
     this.noteReachable();
     const { sentMs } = this.find(collection);
-    this.onRead({ type: 'read', update: { type: 'listed', collection, listing }, sentMs });
-    this.applyListing(collection, listing);
+    const kept = this.keepUndone(collection, listing);
+    this.onRead({ type: 'read', update: { type: 'listed', collection, listing: kept }, sentMs });
+    this.applyListing(collection, kept);
     this.advance(collection, { type: 'listed' }, WATCH_PAUSE_MS[collection]);
   }
 
@@ -226,6 +243,28 @@
     this.apply(collection, [...deleted, ...present]);
   }
 
+  /**
+   * Adds the evacuations to a listing that a restore of the store has undone. The operator writes them again; until then, they stay
+   * in force here and at the daemons that read through this one.
+   */
+  private keepUndone(collection: WatchedCollection, listing: CollectionListing): CollectionListing {
+    if (collection !== 'evacuations' || !this.isRestored(collection, listing.revision)) return listing;
+    this.clock.schedule(EVACUATION_GRACE_MS, () => this.post({ type: 'relist', collection }));
+    const { revision } = listing;
+    const present = new Set([...listing.items, ...listing.unreadable].map(({ name }) => name));
+    const undone = [...this.find(collection).names].filter((name) => !present.has(name));
+    return {
+      ...listing,
+      items: [...listing.items, ...undone.map((name) => ({ name, revision, value: {} }))],
+    };
+  }
+
+  /** Whether a listing is the first one since a restore of the store. */
+  private isRestored(collection: WatchedCollection, revision: number): boolean {
+    const { listed, revision: before } = this.find(collection);
+    return listed && StoreVersion.eraOf(before) < StoreVersion.eraOf(revision);
+  }
+
   private noteChanges(collection: WatchedCollection, read: CollectionChanges): void {
     const { changes, unreadable, revision } = read;
     const { sentMs } = this.find(collection);
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -7,6 +7,7 @@
 import { HedgeTask } from '#hedging/HedgeTask.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import { PhaseRecorder } from '#metrics/PhaseRecorder.js';
+import type { EraChange } from '#store/EraChange.js';
 import { ElapsedClock } from '#ranges/ElapsedClock.js';
 import { QuotaTask } from '#tenants/QuotaTask.js';
 import { TenantMetrics } from '#tenants/TenantMetrics.js';
@@ -287,6 +288,7 @@
       ],
       this.tenantMetrics,
     );
+    store.setEraListener((change) => this.noteEra(change));
     this.setFaultPolicies();
   }
 
@@ -442,6 +444,7 @@
   private noteView(view: MeshView): void {
     const before = this.view;
     this.view = view;
+    for (const revision of view.revisions) this.options.store.learnVersion(revision);
     this.entry.post({ type: 'view', view });
     if (this.hedgesRequests && view.servers !== before?.servers)
       this.hedges.post({ type: 'servers', serverIds: new Set(view.servers.keys()) });
@@ -464,6 +467,17 @@
     this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
   }
 
+  /** Passes a restore of the store on to the tasks that keep state in it. */
+  private noteEra(change: EraChange): void {
+    const { era, isFirst } = change;
+    this.logger.log(isFirst ? 'storeEra' : 'storeRestored', { step: 'store', era });
+    if (!isFirst) this.metrics.count('storeRestores');
+    this.metrics.setGauge('storeEra', era);
+    this.ownership.noteEra(change);
+    this.crashMarks.post({ type: 'eraChanged', change });
+    if (!isFirst) this.directory.post({ type: 'eraChanged' });
+  }
+
   private noteHint(revisions: readonly number[]): void {
     const own = this.view?.revisions ?? [];
     if (!revisions.some((revision, index) => revision > (own[index] ?? 0))) return;
--- a/packages/mesh/src/WatchEvent.ts
+++ b/packages/mesh/src/WatchEvent.ts
@@ -7,6 +7,7 @@
     | 'historyLost'
     | 'hinted'
     | 'reconnected'
+    | 'restored'
     | 'proceed'
     | 'followed'
     | 'direct';
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -3,6 +3,7 @@
 import { Logger } from '#core/Logger.js';
 import { ManualClock } from '#core/ManualClock.js';
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
+import type { ReadReport } from '#mesh/ReadReport.js';
 import { RouteDecoder } from '#mesh/RouteDecoder.js';
 import type { MeshView } from '#mesh/MeshView.js';
 import type { RouteTable } from '#routes/RouteTable.js';
@@ -38,9 +39,12 @@
   public readonly clock = new ManualClock();
   public readonly task: DirectoryTask;
   public views: MeshView[] = [];
+  public readonly reads: ReadReport[] = [];
 
   public constructor(decoder: RouteDecoder = new VersionDecoder()) {
-    this.task = new DirectoryTask(this.store, decoder, this.clock, new Logger('test'));
+    this.task = new DirectoryTask(this.store, decoder, this.clock, new Logger('test'), (read) =>
+      this.reads.push(read),
+    );
   }
 
   public get view(): MeshView {
@@ -212,3 +216,74 @@
   await settle();
   t.equal(confirmed.length, 4, 'a follower has no confirmation of its own');
 });
+
+t.test('restore lists all collections again and takes back no configuration', async (t) => {
+  // Guards against a view that stays at versions which the store does not have, and against an earlier configuration.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  run.store.set('routes', 'main', 4);
+  run.store.set('servers', 'a', createEntry('a'));
+  const backup = run.store.backUp();
+  run.store.set('routes', 'main', 5);
+  run.store.set('servers', 'b', createEntry('b'));
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.equal(run.view.routes?.table.version, 5);
+  t.same([...run.view.servers.keys()], ['a']);
+  run.store.set('servers', 'b', createEntry('b', { slots: 9 }));
+  await run.advance(400);
+  await run.advance(400);
+  t.equal(run.view.servers.get('b')?.slots, 9, 'changes after the restore are seen');
+});
+
+t.test('restore undoes no leave that a daemon knows of', async (t) => {
+  // Guards against new work for a server whose daemon was lost before it could write the leave again.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  run.store.set('servers', 'a', createEntry('a'));
+  run.store.set('servers', 'b', createEntry('b'));
+  const backup = run.store.backUp();
+  const leave = { bornMs: 1, sequence: 2 };
+  run.store.set('servers', 'a', createEntry('a', { state: 'gone', leave }));
+  run.store.set('servers', 'b', createEntry('b', { state: 'draining', leave }));
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'gone');
+  t.equal(run.view.servers.get('b')?.state, 'draining');
+  run.store.set('servers', 'a', createEntry('a', { slots: 5, processId: 'p-next' }));
+  run.store.set('servers', 'b', createEntry('b', { slots: 5 }));
+  for (let index = 0; index < 3; index += 1) await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'gone', 'a later process has forgotten the leave');
+  t.equal(run.view.servers.get('b')?.state, 'ready', 'the daemon that drained it says so');
+  run.store.set('servers', 'a', createEntry('a', { incarnation: 'a/2' }));
+  for (let index = 0; index < 3; index += 1) await run.advance(400);
+  t.equal(run.view.servers.get('a')?.state, 'ready', 'another run');
+});
+
+t.test('evacuation that a restore has undone stays in force for some time', async (t) => {
+  // Guards against new work in a failure domain until the operator has written its evacuation again.
+  const run = new DirectoryRun();
+  run.store.setEraListener(() => run.task.post({ type: 'eraChanged' }));
+  const backup = run.store.backUp();
+  run.store.set('evacuations', 'd', {});
+  await run.start();
+  await run.advance(400);
+  run.store.restore(backup);
+  await run.store.probe();
+  await run.advance(400);
+  t.ok(run.view.evacuated.has('d'));
+  const last = run.reads.findLast((read) => 'update' in read && read.update.collection === 'evacuations');
+  t.match(
+    last,
+    { update: { listing: { items: [{ name: 'd' }] } } },
+    'also at daemons that read through this one',
+  );
+  for (let index = 0; index < 6; index += 1) await run.advance(2_000);
+  t.notOk(run.view.evacuated.has('d'), 'the operator has not written it again');
+});
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -24,4 +24,5 @@
   | 'placedNear'
   | 'placedOtherDomain'
   | 'placedOtherRegion'
-  | 'catalogueChanges';
+  | 'catalogueChanges'
+  | 'storeRestores';
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -12,4 +12,5 @@
   | 'readsStore'
   | 'readAgeMs'
   | 'followersWaiting'
-  | 'storeReachable';
+  | 'storeReachable'
+  | 'storeEra';
