mesh: refuse at the entry while all servers of a service are full

Cause: a request was offered to up to four full servers one after the other, although earlier results had shown that none had room. Change: the entry daemon keeps an outlook of each service from load reports and refusals (ServiceOutlook, decideEntry). It sends requests only to servers that are not known to be full, and refuses at once if there is none. Information older than a second refuses nothing, one of eight requests is forwarded as a probe, and calls of running work, repeats after a loss and kinds below their minimum share are exempt. A displaced request is final. Retry-After is left out if it exceeds 0.3 of the time left. Calls are recognised by the addresses of their connection; the mark is sent to the server's daemon.

--- a/packages/mesh/src/BackendRequest.ts
+++ b/packages/mesh/src/BackendRequest.ts
@@ -23,4 +23,6 @@
    * Number of this copy, counted over all that the sender sent to any backend server for the caller's request.
    */
   readonly copy: number;
+  /** Whether a backend server sent it while it ran another request. */
+  readonly isCall?: boolean;
 }
--- a/packages/mesh/src/CallerRequest.ts
+++ b/packages/mesh/src/CallerRequest.ts
@@ -22,4 +22,6 @@
    * was read.
    */
   readonly arrivedMs: number;
+  /** Whether its connection comes from the VM of this daemon. */
+  readonly isFromOwnVm?: boolean;
 }
--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -21,6 +21,7 @@
 import { createCallerServer } from '#mesh/CreateCallerServer.js';
 import { describeCut } from '#mesh/DescribeCut.js';
 import { ignoreRequest } from '#mesh/IgnoreRequest.js';
+import { isFromOwnVm } from '#mesh/IsFromOwnVm.js';
 import { listenAt } from '#mesh/ListenAt.js';
 import { maxBodiesBytes } from '#mesh/MaxBodiesBytes.js';
 import { maxBodyBytes } from '#mesh/MaxBodyBytes.js';
@@ -176,7 +177,8 @@
     const number = this.nextExchange;
     this.nextExchange += 1;
     const arrivedMs = this.options.clock.monotonicMs();
-    const request = readCallerRequest(req, Buffer.alloc(0), this.options.headers, arrivedMs);
+    const read = readCallerRequest(req, Buffer.alloc(0), this.options.headers, arrivedMs);
+    const request = { ...read, isFromOwnVm: isFromOwnVm(socket) };
     const reader = new CallerBodyReader(req, this.bodyLimit, this.budget, (signal) =>
       this.post({ type: 'body', exchange: number, signal }),
     );
--- a/packages/mesh/src/CreateBackendRequest.ts
+++ b/packages/mesh/src/CreateBackendRequest.ts
@@ -23,5 +23,6 @@
     dueMs,
     resumes,
     copy: copies,
+    isCall: exchange.isCall,
   };
 }
--- a/packages/mesh/src/CreateExchange.ts
+++ b/packages/mesh/src/CreateExchange.ts
@@ -4,7 +4,7 @@
 
 type NewExchange = Pick<
   MeshExchange,
-  'number' | 'request' | 'route' | 'service' | 'dueMs' | 'reply' | 'cancelDue'
+  'number' | 'request' | 'route' | 'service' | 'isCall' | 'isShort' | 'dueMs' | 'reply' | 'cancelDue'
 >;
 
 /** Creates the state of a request for which no server was chosen yet. */
--- a/packages/mesh/src/DecodeBackendRequest.ts
+++ b/packages/mesh/src/DecodeBackendRequest.ts
@@ -29,6 +29,8 @@
   idempotent: number,
   priority: number,
   targetLatencyMs: number,
+  /** Absent in requests of older daemons. */
+  isCall?: number,
 ];
 
 const bitCodec = createIntegerCodec(0, 1);
@@ -44,6 +46,7 @@
   bitCodec,
   countCodec,
   durationCodec,
+  createOptionalCodec(bitCodec),
 ] as const;
 
 type Detail = readonly [
@@ -95,7 +98,7 @@
 /** `sentMs` is the monotonic time of this process at which the request was sent. */
 function build(kind: Kind, detail: Detail, body: Buffer, sentMs: number): Either<string, BackendRequest> {
   const [method, host, names, idIndex, hasBody, service, callerService] = kind;
-  const [, , , , , , , idempotent, priority, targetLatencyMs] = kind;
+  const [, , , , , , , idempotent, priority, targetLatencyMs, isCall] = kind;
   const [target, key, leftMs, targetLeftMs, resumes, values, copy = 0] = detail;
   if (names.length !== values.length) return Left('numbers of header names and values differ');
   const headers = names.map((name, index): HeaderPair => [name, textOf(values[index], host)]);
@@ -121,6 +124,7 @@
     dueMs: sentMs + leftMs,
     resumes,
     copy,
+    isCall: isCall === 1,
   });
 }
 
--- a/packages/mesh/src/EncodeBackendRequest.ts
+++ b/packages/mesh/src/EncodeBackendRequest.ts
@@ -23,6 +23,7 @@
     backendRequest.idempotent ? 1 : 0,
     backendRequest.priority,
     backendRequest.targetLatencyMs,
+    backendRequest.isCall === true ? 1 : 0,
   ];
   const detail = [
     callerRequest.target,
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -2,12 +2,15 @@
 import { scheduleAfterReads } from '#core/ScheduleAfterReads.js';
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
+import type { EntryDecision } from '#overload/EntryDecision.js';
+import { earlierRetry } from '#overload/EarlierRetry.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import { computeDueMs } from '#mesh/ComputeDueMs.js';
 import { createBackendRequest } from '#mesh/CreateBackendRequest.js';
 import { createEntryRefusal } from '#mesh/CreateEntryRefusal.js';
 import { createExchange } from '#mesh/CreateExchange.js';
+import { EntryAdmission } from '#mesh/EntryAdmission.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
 import { findRangeOwner } from '#mesh/FindRangeOwner.js';
@@ -37,7 +40,12 @@
 const MIN_RETRY_MS = 60;
 
 /** Refusals after which no other server is tried. */
-const FINAL_REFUSALS: ReadonlySet<RefusalCode> = new Set(['quarantined', 'tooLate', 'notGranted']);
+const FINAL_REFUSALS: ReadonlySet<RefusalCode> = new Set([
+  'quarantined',
+  'tooLate',
+  'notGranted',
+  'displaced',
+]);
 
 const NOT_FOUND = 404;
 const BAD_GATEWAY = 502;
@@ -55,6 +63,7 @@
   private readonly exchanges = new Map<number, MeshExchange>();
   private readonly splits = new SplitChooser();
   private readonly retries: RetryBudget;
+  private readonly admission: EntryAdmission;
   private stopping = false;
   /** Latest deadline of a new request: monotonic time, in milliseconds. */
   private lastDueMs = Infinity;
@@ -66,6 +75,7 @@
     this.options = options;
     this.directory = new ServerDirectory(options.identity.serverId);
     this.recorder = new RequestRecorder(options.logger, options.metrics);
+    this.admission = new EntryAdmission(options.logger, options.metrics);
     this.retries = new RetryBudget(options.retryFraction, options.retryMinimum);
   }
 
@@ -140,9 +150,10 @@
     const dueMs = Math.min(computeDueMs(request, route), this.lastDueMs);
     const { clock } = this.options;
     const cancelDue = scheduleAfterReads(clock, dueMs - nowMs, () => this.post({ type: 'due', exchange }));
+    const origin = this.admission.noteArrival(request, service, route.targetLatencyMs);
     this.exchanges.set(
       exchange,
-      createExchange({ number: exchange, request, route, service, dueMs, reply, cancelDue }),
+      createExchange({ number: exchange, request, route, service, ...origin, dueMs, reply, cancelDue }),
     );
     this.choose(exchange);
   }
@@ -157,8 +168,15 @@
   private chooseServer(exchange: MeshExchange): void {
     const { route, service, tried } = exchange;
     const candidates = this.directory.listUntriedCandidates(route, service, tried, this.now());
+    const decision = this.decideEntry(exchange, candidates);
+    if (decision.type === 'refuse') {
+      this.refuseForCapacity(exchange, decision.retryAfterMs);
+      return;
+    }
     const server =
-      exchange.offers < MAX_ATTEMPTS ? this.options.chooser.choose(candidates, this.now()) : undefined;
+      exchange.offers < MAX_ATTEMPTS
+        ? this.options.chooser.choose(decision.candidates, this.now())
+        : undefined;
     if (server === undefined) this.refuse(exchange);
     else this.dispatch(exchange, server, 0);
   }
@@ -175,9 +193,29 @@
       this.directory.isReachable(server, this.now()) &&
       (server.state === 'ready' || server.state === 'draining' || server.state === 'gone') &&
       (!exchange.tried.has(server.serverId) || revision > exchange.tableRevision);
-    if (maySend && exchange.offers < MAX_ATTEMPTS)
-      this.dispatch({ ...exchange, tableRevision: revision }, server, 0);
-    else this.waitForOwner(exchange);
+    if (!maySend || exchange.offers >= MAX_ATTEMPTS) {
+      this.waitForOwner(exchange);
+      return;
+    }
+    const decision = this.decideEntry(exchange, [server]);
+    if (decision.type === 'refuse') this.refuseForCapacity(exchange, decision.retryAfterMs);
+    else this.dispatch({ ...exchange, tableRevision: revision }, server, 0);
+  }
+
+  private decideEntry(
+    exchange: MeshExchange,
+    candidates: readonly ServerEntry[],
+  ): EntryDecision<ServerEntry> {
+    return this.admission.decide(exchange, candidates, this.directory.view.servers.size, this.now());
+  }
+
+  /** Refuses a request for which no server has room. */
+  private refuseForCapacity(exchange: MeshExchange, retryAfterMs: number): void {
+    this.refuse({
+      ...exchange,
+      lastRefusal: 'noCapacity',
+      retryAfterMs: earlierRetry(exchange.retryAfterMs, retryAfterMs),
+    });
   }
 
   /** Waits for a limited time until the owner of the key is known and ready. */
@@ -215,6 +253,7 @@
       resends > 0 ? server.processId : '',
     );
     this.options.chooser.noteSent(server.serverId);
+    this.admission.noteSent(exchange.service, server.serverId);
     this.options.send(request, server, (result) =>
       this.post({ type: 'result', exchange: exchange.number, attempt: attempt.number, result }),
     );
@@ -225,6 +264,7 @@
     const attempt = exchange?.attempt;
     if (exchange === undefined || attempt?.number !== attemptNumber) return;
     this.options.chooser.noteResult(attempt.server.serverId, result, this.now());
+    this.admission.noteResult(exchange, attempt.server.serverId, result, this.now());
     const arrived = result.type !== 'refused' || result.arrived;
     const next = {
       ...exchange,
@@ -251,7 +291,7 @@
 
   private noteRefused(exchange: MeshExchange, result: BackendResult & { readonly type: 'refused' }): void {
     exchange.cursor.send({ type: 'refused' });
-    const retryAfterMs = Math.max(exchange.retryAfterMs, result.retryAfterMs);
+    const retryAfterMs = earlierRetry(exchange.retryAfterMs, result.retryAfterMs);
     const next = { ...exchange, lastRefusal: result.code, retryAfterMs };
     this.exchanges.set(exchange.number, next);
     if (FINAL_REFUSALS.has(result.code) || this.isOwnerFull(next)) this.refuse(next);
@@ -305,7 +345,9 @@
       return;
     }
     const outcome = exchange.mayHaveRun ? 'failed' : 'refused';
-    this.finish(exchange, createEntryRefusal(exchange, this.now()), outcome);
+    const reply = createEntryRefusal(exchange, this.now());
+    this.admission.noteReply(reply);
+    this.finish(exchange, reply, outcome);
   }
 
   /** Ends a request that has no result yet. While an attempt is under way, it may have run. */
@@ -357,6 +399,7 @@
     exchange.cancelWait();
     this.exchanges.delete(exchange.number);
     const version = this.directory.view.routes?.table.version;
+    this.admission.noteEnded(exchange, outcome, this.now());
     this.recorder.record(exchange, outcome, detail, version, this.now());
   }
 
@@ -364,6 +407,7 @@
     const before = this.directory.view;
     this.directory.update(view);
     this.options.chooser.retain(new Set(view.servers.keys()));
+    this.admission.retain(view.servers);
     if (view.routes !== undefined && view.routes !== before.routes)
       this.splits.retain(view.routes.table.routes);
     if (view.tables === before.tables && view.servers === before.servers) return;
--- a/packages/mesh/src/LoadReport.ts
+++ b/packages/mesh/src/LoadReport.ts
@@ -11,4 +11,6 @@
   readonly serviceMs: number;
   /** Factor by which work on its VM takes longer than usual now. */
   readonly slowdown: number;
+  /** Priority of the least urgent queued request that another one may displace; absent if there is none. */
+  readonly leastUrgent?: number | undefined;
 }
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -14,6 +14,10 @@
   readonly request: CallerRequest;
   readonly route: Route;
   readonly service: string;
+  /** Whether the backend server on the VM of this daemon sent it while it ran another request. */
+  readonly isCall: boolean;
+  /** Whether its target latency is short compared with that of other requests of the service, as that of calls is. */
+  readonly isShort: boolean;
   /** Deadline of the final reply: monotonic time, in milliseconds. */
   readonly dueMs: number;
   readonly cursor: ChartCursor<MeshExchangeEvent>;
--- a/packages/mesh/src/RefusalCode.ts
+++ b/packages/mesh/src/RefusalCode.ts
@@ -10,6 +10,8 @@
   | 'notGranted'
   | 'cold'
   | 'full'
+  | 'displaced'
+  | 'noCapacity'
   | 'tooLate'
   | 'quarantined'
   | 'shed'
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -191,3 +191,36 @@
   await run.complete(answered(200));
   t.match(run.replies[1], { type: 'answer' }, 'an accepted request is answered');
 });
+
+t.test('request is refused at once while all servers are full', async (t) => {
+  // Guards against callers that are held by one full server after the other.
+  const run = new EntryRun(createView(two, { idempotent: false }));
+  const load = { running: 4, queued: 40, slots: 4, waitMs: 900, serviceMs: 50, slowdown: 1 };
+  await run.arrive('1');
+  await run.complete({ ...refused, load });
+  await run.complete({ ...refused, load });
+  t.equal(run.sent.length, 2);
+  await run.arrive('2');
+  t.equal(run.sent.length, 2, 'not sent');
+  t.match(run.replies[1], { status: 503, code: 'noCapacity' });
+  await run.advance(1_100);
+  await run.arrive('3');
+  t.equal(run.sent.length, 3, 'sent once the outlook is old');
+});
+
+t.test('displaced request is not sent to another server', async (t) => {
+  // Guards against holding a request that was displaced while other servers refuse it, too.
+  const run = new EntryRun(createView(two, { idempotent: false }));
+  await run.arrive('1');
+  await run.complete({ ...refused, code: 'displaced' });
+  t.equal(run.sent.length, 1);
+  t.match(run.replies, [{ status: 503, code: 'displaced', retryAfterMs: 100 }]);
+});
+
+t.test('no time is stated if capacity is expected too late', async (t) => {
+  // Guards against a time that is earlier than the capacity, and one after which callers have given up.
+  const run = new EntryRun(createView(two, { timeoutMs: 1_000 }));
+  await run.arrive('1');
+  await run.complete({ ...refused, code: 'displaced', retryAfterMs: 600 });
+  t.match(run.replies, [{ status: 503, retryAfterMs: 0 }]);
+});
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -14,4 +14,9 @@
   | 'misdirected'
   | 'arrivalsLeft'
   | 'arrivalsRefused'
+  | 'entryRefused'
+  | 'entryProbes'
+  | 'displaced'
+  | 'returnsScheduled'
+  | 'returnsUnscheduled'
   | 'catalogueChanges';
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -9,4 +9,5 @@
   | 'backendConnections'
   | 'onceRecords'
   | 'leaseLeftMs'
-  | 'storeReachable';
+  | 'storeReachable'
+  | 'outlookAgeMs';
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -51,6 +51,7 @@
   'settings',
   'routes',
   'ranges',
+  'overload',
 ];
 // Source folders of the entries that are not in packages/.
 const SOURCE_FOLDERS = { platform: 'platform/src', fixtures: 'platform/fixtures', soak: 'platform/soak' };
