mesh: displacement, minimum shares and return schedule at the server's daemon

Cause: a queued request of low priority kept its place until its deadline and was then refused; each refusal stated the wait of the whole queue, so that callers came back together; a refusal that came 5 ms before the deadline arrived after the entry daemon had replied with 504. Change: ServerAdmission (queue order, displacement by more urgent arrivals, shares of kinds, return schedule). Queued requests that cannot end are found with the work that runs, and refused 40 ms before they are due. The load report carries the priority of the least urgent queued request. After a restart of the daemon, slots that the server reports to use for other requests are not used (OccupiedSlots).

--- a/packages/mesh/src/BackendRequestOutcomes.ts
+++ b/packages/mesh/src/BackendRequestOutcomes.ts
@@ -15,8 +15,12 @@
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { RunningBackendRequest } from '#mesh/RunningBackendRequest.js';
+import type { ServerAdmission } from '#mesh/ServerAdmission.js';
 import type { ServerOptions } from '#mesh/ServerOptions.js';
 
+/** Refusals for lack of capacity: their callers get a place in the return schedule. */
+const CAPACITY_REFUSALS: ReadonlySet<RefusalCode> = new Set(['full', 'displaced', 'tooLate']);
+
 /** State of `ServerTask` and callbacks that the results depend on. */
 interface OutcomeDependencies {
   readonly options: ServerOptions;
@@ -25,7 +29,10 @@
   readonly meter: LoadMeter;
   readonly crashes: CrashRecord;
   readonly presence: () => Presence;
+  readonly admission: ServerAdmission;
   readonly report: () => LoadReport;
+  /** Receives the number of requests that the backend server reported to run with the response to one of them. */
+  readonly onReported: (running: number) => void;
 }
 
 /**
@@ -47,13 +54,16 @@
 
   /** Ends a request that received a complete response. */
   public finish(running: RunningBackendRequest, response: BackendResponse): void {
-    const { options, times, meter, crashes, report } = this.dependencies;
+    const { options, times, meter, crashes, report, onReported } = this.dependencies;
     const { request, sentMs } = running;
     const nowMs = this.now();
     this.lastResponseAtMs = nowMs;
     const kind = classifyResponse(response, options.headers);
     const reported = parseLoad(findHeader(response.headers, options.headers.load));
-    if (reported !== undefined) meter.note(reported, nowMs);
+    if (reported !== undefined) {
+      meter.note(reported, nowMs);
+      onReported(reported.running);
+    }
     if (kind === 'shed' || kind === 'misdirected') {
       this.end(request, this.refuse(request, kind, true));
       return;
@@ -92,7 +102,8 @@
 
   /** Logs and returns a refusal. `arrived` tells whether the backend server itself refused the request. */
   public refuse(request: BackendRequest, code: RefusalCode, arrived: boolean): BackendResult {
-    const { options, report } = this.dependencies;
+    const { options, admission, report } = this.dependencies;
+    const nowMs = this.now();
     const load = report();
     options.logger.log('orderRefused', {
       step: 'queue',
@@ -101,9 +112,11 @@
       running: load.running,
       queued: load.queued,
       waitMs: Math.round(load.waitMs),
-      leftMs: Math.round(request.dueMs - this.now()),
+      leftMs: Math.round(request.dueMs - nowMs),
     });
-    return createRefusal(code, load, arrived);
+    if (!CAPACITY_REFUSALS.has(code)) return createRefusal(code, load, arrived, undefined);
+    admission.noteOutcome(request, false, nowMs);
+    return createRefusal(code, load, arrived, admission.reserveReturn(load, nowMs));
   }
 
   private end(request: BackendRequest, result: BackendResult): void {
--- a/packages/mesh/src/BackendRequestQueue.ts
+++ b/packages/mesh/src/BackendRequestQueue.ts
@@ -1,21 +1,44 @@
+import { compareUrgency } from '#overload/CompareUrgency.js';
 import { findRow } from '#ranges/FindRow.js';
 import type { KeyRange } from '#ranges/KeyRange.js';
 import { canEnd } from '#mesh/CanEnd.js';
-import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 
-type Ranked = Pick<QueuedBackendRequest, 'request' | 'isShort'>;
-
-/** Requests that wait for a slot: short ones first, then by priority, then by deadline. */
+/** Requests that wait for a slot, in the order of `compareUrgency`. Times are monotonic, in milliseconds. */
 export class BackendRequestQueue {
+  private readonly isOwed: (kind: string) => boolean;
   private queued: readonly QueuedBackendRequest[] = [];
 
+  /** `isOwed` tells whether a kind of request is below its minimum share. */
+  public constructor(isOwed: (kind: string) => boolean) {
+    this.isOwed = isOwed;
+  }
+
   public get size(): number {
     return this.queued.length;
   }
 
-  public add(queued: QueuedBackendRequest): void {
-    const position = this.positionOf(queued);
+  /** Priority of the least urgent request that another one may displace; undefined if there is none. */
+  public get leastUrgent(): number | undefined {
+    const priorities = this.queued
+      .filter(({ isShort, kind }) => !isShort && !this.isOwed(kind))
+      .map(({ request }) => request.priority);
+    return priorities.length === 0 ? undefined : Math.max(...priorities);
+  }
+
+  /** Lists all requests in order. */
+  public list(): readonly QueuedBackendRequest[] {
+    return this.queued;
+  }
+
+  /** Restores the order, which changes as time passes. */
+  public sort(nowMs: number): void {
+    if (this.queued.length < 2) return;
+    this.queued = this.queued.toSorted((left, right) => compareUrgency(left, right, this.isOwed, nowMs));
+  }
+
+  public add(queued: QueuedBackendRequest, nowMs: number): void {
+    const position = this.positionOf(queued, nowMs);
     this.queued = this.queued.toSpliced(position, 0, queued);
   }
 
@@ -39,13 +62,16 @@
   }
 
   /**
-   * Removes and returns the requests that can no longer end `relayMarginMs` before they are due, the time reserved for
-   * returning the response.
+   * Removes and returns the requests that can no longer end `marginMs` before they are due, the time reserved for
+   * returning the result. `waitMs` is the expected time until a slot is free behind an amount of queued work.
    */
-  public removeLate(slots: number, relayMarginMs: number, nowMs: number): readonly QueuedBackendRequest[] {
+  public removeLate(
+    waitMs: (workAheadMs: number) => number,
+    marginMs: number,
+    nowMs: number,
+  ): readonly QueuedBackendRequest[] {
     return this.removeMatching(
-      ({ request, serviceMs }, aheadMs) =>
-        !canEnd(request, nowMs + aheadMs / Math.max(1, slots) + relayMarginMs, serviceMs),
+      ({ request, serviceMs }, aheadMs) => !canEnd(request, nowMs + waitMs(aheadMs) + marginMs, serviceMs),
     );
   }
 
@@ -80,8 +106,8 @@
   }
 
   /** Work that is queued before a request that arrives now, in milliseconds. */
-  public workAheadMs(request: BackendRequest, isShort: boolean): number {
-    const ahead = this.queued.slice(0, this.positionOf({ request, isShort }));
+  public workAheadMs(queued: QueuedBackendRequest, nowMs: number): number {
+    const ahead = this.queued.slice(0, this.positionOf(queued, nowMs));
     return ahead.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
   }
 
@@ -90,14 +116,8 @@
     return this.queued.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
   }
 
-  private positionOf(added: Ranked): number {
-    const index = this.queued.findIndex((queued) => precedes(added, queued));
+  private positionOf(added: QueuedBackendRequest, nowMs: number): number {
+    const index = this.queued.findIndex((queued) => compareUrgency(added, queued, this.isOwed, nowMs) < 0);
     return index < 0 ? this.queued.length : index;
   }
 }
-
-function precedes(left: Ranked, right: Ranked): boolean {
-  if (left.isShort !== right.isShort) return left.isShort;
-  if (left.request.priority !== right.request.priority) return left.request.priority < right.request.priority;
-  return left.request.dueMs < right.request.dueMs;
-}
--- a/packages/mesh/src/DecodeBackendResult.ts
+++ b/packages/mesh/src/DecodeBackendResult.ts
@@ -79,7 +79,15 @@
 }
 
 function decodeLoad(load: Load): LoadReport | undefined {
-  const [running, queued, slots, waitMs, serviceMs, slowdown] = load;
+  const [running, queued, slots, waitMs, serviceMs, slowdown, leastUrgent] = load;
   if (running === undefined || queued === undefined || slots === undefined) return undefined;
-  return { running, queued, slots, waitMs: waitMs ?? 0, serviceMs: serviceMs ?? 0, slowdown: slowdown ?? 1 };
+  return {
+    running,
+    queued,
+    slots,
+    waitMs: waitMs ?? 0,
+    serviceMs: serviceMs ?? 0,
+    slowdown: slowdown ?? 1,
+    ...(leastUrgent === undefined ? {} : { leastUrgent }),
+  };
 }
--- a/packages/mesh/src/EncodeBackendResult.ts
+++ b/packages/mesh/src/EncodeBackendResult.ts
@@ -24,7 +24,15 @@
   }
 }
 
-function encodeLoad({ running, queued, slots, waitMs, serviceMs, slowdown }: LoadReport): readonly number[] {
+function encodeLoad({
+  running,
+  queued,
+  slots,
+  waitMs,
+  serviceMs,
+  slowdown,
+  leastUrgent,
+}: LoadReport): readonly number[] {
   return [
     running,
     queued,
@@ -32,5 +40,6 @@
     Math.round(waitMs),
     Math.round(serviceMs),
     Math.round(slowdown * 100) / 100,
+    ...(leastUrgent === undefined ? [] : [leastUrgent]),
   ];
 }
--- a/packages/mesh/src/LoadMeter.ts
+++ b/packages/mesh/src/LoadMeter.ts
@@ -36,6 +36,7 @@
     serviceMs: number,
     nowMs: number,
   ): LoadReport {
+    const { leastUrgent } = queue;
     return {
       running: running.size,
       queued: queue.size,
@@ -43,6 +44,7 @@
       waitMs: running.waitMs(queue.workMs(), slots, nowMs),
       serviceMs,
       slowdown: nowMs - this.slowdownMs < SLOWDOWN_VALIDITY_MS ? this.slowdown : 1,
+      ...(leastUrgent === undefined ? {} : { leastUrgent }),
     };
   }
 }
--- a/packages/mesh/src/QueuedBackendRequest.ts
+++ b/packages/mesh/src/QueuedBackendRequest.ts
@@ -9,4 +9,6 @@
   readonly serviceMs: number;
   /** Whether it takes precedence in the queue and may use the slot that is reserved for short requests. */
   readonly isShort: boolean;
+  /** Kind of request, by which shares are counted. */
+  readonly kind: string;
 }
--- /dev/null
+++ b/packages/mesh/src/ServerAdmission.ts
@@ -0,0 +1,78 @@
+import { chooseDisplaced } from '#overload/ChooseDisplaced.js';
+import { KindShares } from '#overload/KindShares.js';
+import { mayDisplace } from '#overload/MayDisplace.js';
+import { ReturnSchedule } from '#overload/ReturnSchedule.js';
+import type { BackendRequest } from '#mesh/BackendRequest.js';
+import { BackendRequestQueue } from '#mesh/BackendRequestQueue.js';
+import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
+import { formatKind } from '#mesh/FormatKind.js';
+import type { LoadReport } from '#mesh/LoadReport.js';
+import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
+
+/** Maximum length of the queue, as a multiple of the slots. */
+const MAX_QUEUED_PER_SLOT = 12;
+
+/** Fraction of the wait of a full queue after which the first refused caller may return. */
+const RETURN_WAIT_FRACTION = 0.5;
+
+/** State of the server that admission depends on. */
+interface ServerCapacity {
+  readonly slots: number;
+  readonly nowMs: number;
+  /** Expected time until a slot is free behind `workAheadMs` of queued work, in milliseconds. */
+  readonly waitMs: (workAheadMs: number) => number;
+}
+
+/**
+ * Admission of requests to the queue of a backend server. Times are monotonic, in milliseconds. Keeps the queue, the shares
+ * of the kinds of request, and the return schedule.
+ */
+export class ServerAdmission {
+  public readonly queue: BackendRequestQueue;
+  private readonly shares = new KindShares();
+  private readonly returns = new ReturnSchedule();
+
+  public constructor() {
+    this.queue = new BackendRequestQueue(this.isOwed);
+  }
+
+  /** Whether there is room for a request whose response must be ready by `dueMs`, also by displacing another one. */
+  public hasRoom(
+    queued: QueuedBackendRequest,
+    dueMs: number,
+    { slots, nowMs, waitMs }: ServerCapacity,
+  ): boolean {
+    const isFull = this.queue.size >= slots * MAX_QUEUED_PER_SLOT;
+    if (isFull && !this.queue.some((each) => mayDisplace(queued, each, this.isOwed))) return false;
+    return fitsBeforeTarget(queued, waitMs(this.queue.workAheadMs(queued, nowMs)), dueMs, nowMs);
+  }
+
+  /** Queues a request, and removes and returns those that it displaces. */
+  public add(
+    queued: QueuedBackendRequest,
+    { slots, nowMs, waitMs }: ServerCapacity,
+  ): readonly QueuedBackendRequest[] {
+    this.queue.add(queued, nowMs);
+    const displaced = chooseDisplaced(this.queue.list(), queued, {
+      maxQueued: slots * MAX_QUEUED_PER_SLOT,
+      nowMs,
+      isOwed: this.isOwed,
+      waitMs,
+    });
+    const chosen = new Set(displaced);
+    return chosen.size === 0 ? [] : this.queue.removeMatching((each) => chosen.has(each));
+  }
+
+  /** Notes whether a request got a slot. */
+  public noteOutcome(request: BackendRequest, started: boolean, nowMs: number): void {
+    this.shares.note(formatKind(request), started, nowMs);
+  }
+
+  /** Reserves the next place for the return of a refused caller; 0 if there is none in time. */
+  public reserveReturn({ waitMs, serviceMs, slots }: LoadReport, nowMs: number): number {
+    const earliestMs = nowMs + waitMs * RETURN_WAIT_FRACTION;
+    return Math.ceil(this.returns.reserve(nowMs, serviceMs / Math.max(1, slots), earliestMs) ?? 0);
+  }
+
+  private readonly isOwed = (kind: string): boolean => this.shares.isOwed(kind);
+}
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -5,8 +5,9 @@
 import { canEnd } from '#mesh/CanEnd.js';
 import { checkAdmission } from '#mesh/CheckAdmission.js';
 import { CrashRecord } from '#mesh/CrashRecord.js';
-import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
+import { OccupiedSlots } from '#overload/OccupiedSlots.js';
 import { formatBackendRequest } from '#mesh/FormatBackendRequest.js';
+import { formatKind } from '#mesh/FormatKind.js';
 import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import { initialServerState } from '#mesh/InitialServerState.js';
 import { ServiceTimesByKind } from '#mesh/ServiceTimesByKind.js';
@@ -14,7 +15,6 @@
 import type { LoadReport } from '#mesh/LoadReport.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import { BackendRequestTable } from '#mesh/BackendRequestTable.js';
-import { BackendRequestQueue } from '#mesh/BackendRequestQueue.js';
 import { BackendRequestOutcomes } from '#mesh/BackendRequestOutcomes.js';
 import type { BackendResultCallback } from '#mesh/BackendResultCallback.js';
 import type { Presence } from '#mesh/Presence.js';
@@ -23,6 +23,7 @@
 import type { RunningBackendRequest } from '#mesh/RunningBackendRequest.js';
 import { RunningBackendRequests } from '#mesh/RunningBackendRequests.js';
 import type { ServerLink } from '#mesh/ServerLink.js';
+import { ServerAdmission } from '#mesh/ServerAdmission.js';
 import { ServerLinks } from '#mesh/ServerLinks.js';
 import type { ServerLinkSignal } from '#mesh/ServerLinkSignal.js';
 import type { ServerMessage } from '#mesh/ServerMessage.js';
@@ -34,12 +35,15 @@
 /** Time before a request is due that is reserved for returning its response to the caller's daemon, in milliseconds. */
 const RELAY_MARGIN_MS = 5;
 
+/**
+ * Time before a request is due that is reserved for returning its refusal, in milliseconds. A later refusal from another
+ * region (20 ms one way) arrives when the caller has already got 504, which does not tell that the request has not run.
+ */
+const REFUSAL_MARGIN_MS = 40;
+
 /** Fraction of the target latency for which a request waits until its key is granted to the server. */
 const GRANT_WAIT_FRACTION = 0.6;
 
-/** Maximum length of the queue, as a multiple of the slots. */
-const MAX_QUEUED_PER_SLOT = 12;
-
 /** Number of consecutive failed connection attempts after which queued requests are refused. */
 const MAX_FAILED_CONNECTS = 2;
 
@@ -50,7 +54,8 @@
 export class ServerTask extends Task<ServerMessage> {
   private readonly options: ServerOptions;
   private readonly links: ServerLinks;
-  private readonly queue = new BackendRequestQueue();
+  private readonly admission = new ServerAdmission();
+  private readonly queue = this.admission.queue;
   private readonly requestTable = new BackendRequestTable();
   private readonly serviceTimes = new ServiceTimesByKind();
   private readonly meter = new LoadMeter();
@@ -58,6 +63,7 @@
   private readonly crashes: CrashRecord;
   private readonly running = new RunningBackendRequests();
   private readonly outcomes: BackendRequestOutcomes;
+  private occupied: OccupiedSlots;
   private failedConnects = 0;
   private cancelTick: Cancel | undefined;
   private state = initialServerState;
@@ -66,6 +72,7 @@
     super();
     this.options = options;
     this.startRule = new StartRule(options);
+    this.occupied = new OccupiedSlots(this.now());
     this.crashes = new CrashRecord(options.logger, options.onMarks);
     this.outcomes = new BackendRequestOutcomes({
       options,
@@ -74,7 +81,10 @@
       meter: this.meter,
       crashes: this.crashes,
       presence: () => this.state.presence,
+      admission: this.admission,
       report: () => this.report(),
+      // The request with this response is not counted any more, but the server may have counted it.
+      onReported: (count) => this.occupied.note(count, this.running.size + 1, this.now()),
     });
     this.links = new ServerLinks(options.headers.requestId, (link, signal) =>
       this.post({ type: 'signal', link, signal }),
@@ -153,12 +163,13 @@
     }
     const nowMs = this.now();
     if (isRepeat) this.requestTable.noteResent(id, backendRequest.copy, nowMs);
-    const isShort = this.startRule.noteArrival(backendRequest, nowMs);
+    const isShort = this.startRule.noteArrival(backendRequest, nowMs) || backendRequest.isCall === true;
     const queued = {
       request: backendRequest,
       queuedMs: nowMs,
       serviceMs: this.serviceTimes.estimateMs(backendRequest),
       isShort,
+      kind: formatKind(backendRequest),
     };
     const admission = checkAdmission(backendRequest, this.state, this.options, nowMs);
     // Refused requests count as demand, too: the running requests of a full server do not show how much its keys are used.
@@ -170,16 +181,23 @@
       return;
     }
     this.requestTable.open(id, reply, nowMs);
-    this.queue.add(queued);
+    this.outcomes.refuseAll(this.admission.add(queued, this.capacity(nowMs)), 'displaced');
   }
 
   private checkRoom(queued: QueuedBackendRequest, nowMs: number): RefusalCode | undefined {
-    const { request, isShort } = queued;
-    const { slots } = this.state.presence;
+    const { request } = queued;
     if (this.crashes.isQuarantined(request, nowMs)) return 'quarantined';
-    if (this.queue.size >= slots * MAX_QUEUED_PER_SLOT) return 'full';
-    const waitMs = this.running.waitMs(this.queue.workAheadMs(request, isShort), slots, nowMs);
-    return fitsBeforeTarget(queued, waitMs, request.dueMs - RELAY_MARGIN_MS, nowMs) ? undefined : 'full';
+    const dueMs = request.dueMs - RELAY_MARGIN_MS;
+    return this.admission.hasRoom(queued, dueMs, this.capacity(nowMs)) ? undefined : 'full';
+  }
+
+  private capacity(nowMs: number): Parameters<ServerAdmission['add']>[1] {
+    const slots = this.usableSlots(nowMs);
+    return { slots, nowMs, waitMs: (aheadMs) => this.running.waitMs(aheadMs, slots, nowMs) };
+  }
+
+  private usableSlots(nowMs: number): number {
+    return this.occupied.usable(this.state.presence.slots, nowMs);
   }
 
   private cancel(id: string): void {
@@ -203,6 +221,9 @@
     if (before.incarnation === presence.incarnation && presence.state !== 'absent') return;
     this.failedConnects = 0;
     if (before.incarnation !== presence.incarnation) this.links.closeAll();
+    // A later run of the backend server has no requests of a former run of this daemon.
+    if (before.incarnation !== '' && before.incarnation !== presence.incarnation)
+      this.occupied = new OccupiedSlots(-Infinity);
     if (presence.state === 'absent') this.outcomes.refuseAll(this.queue.removeAll(), 'noServer');
   }
 
@@ -254,10 +275,9 @@
     this.cancelTick = undefined;
     const nowMs = this.now();
     this.requestTable.expire(nowMs);
-    this.outcomes.refuseAll(
-      this.queue.removeLate(this.state.presence.slots, RELAY_MARGIN_MS, nowMs),
-      'tooLate',
-    );
+    this.queue.sort(nowMs);
+    const { waitMs } = this.capacity(nowMs);
+    this.outcomes.refuseAll(this.queue.removeLate(waitMs, REFUSAL_MARGIN_MS, nowMs), 'tooLate');
     const notGranted = this.queue.removeMatching(
       ({ request, queuedMs }) =>
         this.state.keyed &&
@@ -298,8 +318,9 @@
         return;
       }
       const nowMs = this.now();
+      const otherSlots = this.state.presence.slots - this.usableSlots(nowMs);
       const mayStart = (each: QueuedBackendRequest): boolean =>
-        this.startRule.allows(each, this.state, this.running.size, nowMs);
+        this.startRule.allows(each, this.state, this.running.size + otherSlots, nowMs);
       const queued = this.queue.take(
         (each) => mayStart(each) && this.links.findFor(each.request.callerRequest.id) !== undefined,
       );
@@ -342,6 +363,7 @@
       return;
     }
     this.startRule.noteStart(nowMs);
+    this.admission.noteOutcome(backendRequest, true, nowMs);
     this.links.markUsed(link);
     this.running.add({ request: backendRequest, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
--- a/packages/mesh/src/ServiceTimesByKind.ts
+++ b/packages/mesh/src/ServiceTimesByKind.ts
@@ -1,4 +1,5 @@
 import type { BackendRequest } from '#mesh/BackendRequest.js';
+import { formatKind } from '#mesh/FormatKind.js';
 
 /** Weight of a new measurement in the moving averages. */
 const MEASUREMENT_WEIGHT = 0.08;
@@ -31,7 +32,3 @@
     return this.overallMs;
   }
 }
-
-function formatKind(request: BackendRequest): string {
-  return `${request.priority} ${request.targetLatencyMs}`;
-}
