--- a/packages/mesh/src/BackendRequestOutcomes.ts
+++ b/packages/mesh/src/BackendRequestOutcomes.ts
@@ -115,7 +115,7 @@
       leftMs: Math.round(request.dueMs - nowMs),
     });
     if (!CAPACITY_REFUSALS.has(code)) return createRefusal(code, load, arrived, undefined);
-    admission.noteOutcome(request, false, nowMs);
+    admission.noteRefused(request, nowMs);
     return createRefusal(code, load, arrived, admission.reserveReturn(load, nowMs));
   }
 
--- a/packages/mesh/src/BackendRequestQueue.ts
+++ b/packages/mesh/src/BackendRequestQueue.ts
@@ -4,14 +4,16 @@
 import { canEnd } from '#mesh/CanEnd.js';
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 
-/** Requests that wait for a slot, in the order of `compareUrgency`. Times are monotonic, in milliseconds. */
+/** Requests that wait for a slot, in their order, by default that of `compareUrgency`. Times are monotonic, in milliseconds. */
 export class BackendRequestQueue {
   private readonly isOwed: (kind: string) => boolean;
+  private readonly compare: typeof compareUrgency;
   private queued: readonly QueuedBackendRequest[] = [];
 
   /** `isOwed` tells whether a kind of request is below its minimum share. */
-  public constructor(isOwed: (kind: string) => boolean) {
+  public constructor(isOwed: (kind: string) => boolean, compare = compareUrgency) {
     this.isOwed = isOwed;
+    this.compare = compare;
   }
 
   public get size(): number {
@@ -34,7 +36,7 @@
   /** Restores the order, which changes as time passes. */
   public sort(nowMs: number): void {
     if (this.queued.length < 2) return;
-    this.queued = this.queued.toSorted((left, right) => compareUrgency(left, right, this.isOwed, nowMs));
+    this.queued = this.queued.toSorted((left, right) => this.compare(left, right, this.isOwed, nowMs));
   }
 
   public add(queued: QueuedBackendRequest, nowMs: number): void {
@@ -63,15 +65,16 @@
 
   /**
    * Removes and returns the requests that can no longer end `marginMs` before they are due, the time reserved for
-   * returning the result. `waitMs` is the expected time until a slot is free behind an amount of queued work.
+   * returning the result. `waitMs` is the expected time until a request gets a slot behind an amount of work.
    */
   public removeLate(
-    waitMs: (workAheadMs: number) => number,
+    waitMs: (queued: QueuedBackendRequest, workAheadMs: number) => number,
     marginMs: number,
     nowMs: number,
   ): readonly QueuedBackendRequest[] {
     return this.removeMatching(
-      ({ request, serviceMs }, aheadMs) => !canEnd(request, nowMs + waitMs(aheadMs) + marginMs, serviceMs),
+      (queued, aheadMs) =>
+        !canEnd(queued.request, nowMs + waitMs(queued, aheadMs) + marginMs, queued.serviceMs),
     );
   }
 
@@ -117,7 +120,7 @@
   }
 
   private positionOf(added: QueuedBackendRequest, nowMs: number): number {
-    const index = this.queued.findIndex((queued) => compareUrgency(added, queued, this.isOwed, nowMs) < 0);
+    const index = this.queued.findIndex((queued) => this.compare(added, queued, this.isOwed, nowMs) < 0);
     return index < 0 ? this.queued.length : index;
   }
 }
--- a/packages/mesh/src/ServerAdmission.ts
+++ b/packages/mesh/src/ServerAdmission.ts
@@ -1,6 +1,8 @@
 import { chooseDisplaced } from '#overload/ChooseDisplaced.js';
+import { compareUrgency } from '#overload/CompareUrgency.js';
 import { KindShares } from '#overload/KindShares.js';
 import { mayDisplace } from '#overload/MayDisplace.js';
+import { PassingLoad } from '#overload/PassingLoad.js';
 import { ReturnSchedule } from '#overload/ReturnSchedule.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import { BackendRequestQueue } from '#mesh/BackendRequestQueue.js';
@@ -30,42 +32,52 @@
 export class ServerAdmission {
   public readonly queue: BackendRequestQueue;
   private readonly shares = new KindShares();
+  private readonly passing = new PassingLoad();
   private readonly returns = new ReturnSchedule();
 
-  public constructor() {
-    this.queue = new BackendRequestQueue(this.isOwed);
+  public constructor(compare = compareUrgency) {
+    this.queue = new BackendRequestQueue(this.isOwed, compare);
   }
 
   /** Whether there is room for a request whose response must be ready by `dueMs`, also by displacing another one. */
-  public hasRoom(
-    queued: QueuedBackendRequest,
-    dueMs: number,
-    { slots, nowMs, waitMs }: ServerCapacity,
-  ): boolean {
+  public hasRoom(queued: QueuedBackendRequest, dueMs: number, capacity: ServerCapacity): boolean {
+    const { slots, nowMs } = capacity;
     const isFull = this.queue.size >= slots * MAX_QUEUED_PER_SLOT;
     if (isFull && !this.queue.some((each) => mayDisplace(queued, each, this.isOwed))) return false;
-    return fitsBeforeTarget(queued, waitMs(this.queue.workAheadMs(queued, nowMs)), dueMs, nowMs);
+    const waitMs = this.waitMs(queued, this.queue.workAheadMs(queued, nowMs), capacity);
+    return fitsBeforeTarget(queued, waitMs, dueMs, nowMs);
   }
 
   /** Queues a request, and removes and returns those that it displaces. */
-  public add(
-    queued: QueuedBackendRequest,
-    { slots, nowMs, waitMs }: ServerCapacity,
-  ): readonly QueuedBackendRequest[] {
+  public add(queued: QueuedBackendRequest, capacity: ServerCapacity): readonly QueuedBackendRequest[] {
+    const { slots, nowMs } = capacity;
     this.queue.add(queued, nowMs);
     const displaced = chooseDisplaced(this.queue.list(), queued, {
       maxQueued: slots * MAX_QUEUED_PER_SLOT,
       nowMs,
       isOwed: this.isOwed,
-      waitMs,
+      waitMs: (each, aheadMs) => this.waitMs(each, aheadMs, capacity),
     });
     const chosen = new Set(displaced);
     return chosen.size === 0 ? [] : this.queue.removeMatching((each) => chosen.has(each));
   }
 
-  /** Notes whether a request got a slot. */
-  public noteOutcome(request: BackendRequest, started: boolean, nowMs: number): void {
-    this.shares.note(formatKind(request), started, nowMs);
+  /** Removes and returns the requests that can no longer end `marginMs` before they are due. */
+  public removeLate(capacity: ServerCapacity, marginMs: number): readonly QueuedBackendRequest[] {
+    const { nowMs } = capacity;
+    this.queue.sort(nowMs);
+    return this.queue.removeLate((each, aheadMs) => this.waitMs(each, aheadMs, capacity), marginMs, nowMs);
+  }
+
+  /** Notes that a request got a slot. */
+  public noteStarted(queued: QueuedBackendRequest, nowMs: number): void {
+    this.shares.note(queued.kind, true, nowMs);
+    this.passing.noteStart(queued, nowMs);
+  }
+
+  /** Notes that a request was refused for lack of capacity. */
+  public noteRefused(request: BackendRequest, nowMs: number): void {
+    this.shares.note(formatKind(request), false, nowMs);
   }
 
   /** Reserves the next place for the return of a refused caller; 0 if there is none in time. */
@@ -74,5 +86,14 @@
     return Math.ceil(this.returns.reserve(nowMs, serviceMs / Math.max(1, slots), earliestMs) ?? 0);
   }
 
+  /** Expected time until a request gets a slot, including the work that passes ahead of it meanwhile. */
+  private waitMs(
+    queued: QueuedBackendRequest,
+    workAheadMs: number,
+    { slots, nowMs, waitMs }: ServerCapacity,
+  ): number {
+    return waitMs(workAheadMs) * this.passing.stretch(queued, slots, this.isOwed, nowMs);
+  }
+
   private readonly isOwed = (kind: string): boolean => this.shares.isOwed(kind);
 }
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -275,9 +275,8 @@
     this.cancelTick = undefined;
     const nowMs = this.now();
     this.requestTable.expire(nowMs);
-    this.queue.sort(nowMs);
-    const { waitMs } = this.capacity(nowMs);
-    this.outcomes.refuseAll(this.queue.removeLate(waitMs, REFUSAL_MARGIN_MS, nowMs), 'tooLate');
+    const late = this.admission.removeLate(this.capacity(nowMs), REFUSAL_MARGIN_MS);
+    this.outcomes.refuseAll(late, 'tooLate');
     const notGranted = this.queue.removeMatching(
       ({ request, queuedMs }) =>
         this.state.keyed &&
@@ -363,7 +362,7 @@
       return;
     }
     this.startRule.noteStart(nowMs);
-    this.admission.noteOutcome(backendRequest, true, nowMs);
+    this.admission.noteStarted(queued, nowMs);
     this.links.markUsed(link);
     this.running.add({ request: backendRequest, link, sentMs: nowMs, expectedMs: serviceMs });
     const { instanceId } = this.state.presence;
--- a/packages/overload/src/ChooseDisplaced.ts
+++ b/packages/overload/src/ChooseDisplaced.ts
@@ -10,15 +10,15 @@
 export function chooseDisplaced<T extends QueuedWork>(
   queue: readonly T[],
   arrival: T,
-  { maxQueued, nowMs, isOwed, waitMs }: DisplacementFacts,
+  { maxQueued, nowMs, isOwed, waitMs }: DisplacementFacts<T>,
 ): readonly T[] {
   const position = queue.indexOf(arrival);
   if (position < 0) return [];
   let aheadMs = queue.slice(0, position + 1).reduce((sum, { serviceMs }) => sum + serviceMs, 0);
   const displaced = new Set<T>();
   for (const each of queue.slice(position + 1)) {
-    const endMs = nowMs + waitMs(aheadMs) + each.serviceMs;
-    const endBeforeMs = nowMs + waitMs(aheadMs - arrival.serviceMs) + each.serviceMs;
+    const endMs = nowMs + waitMs(each, aheadMs) + each.serviceMs;
+    const endBeforeMs = nowMs + waitMs(each, aheadMs - arrival.serviceMs) + each.serviceMs;
     const { targetMs } = each.request;
     if (endMs > targetMs && endBeforeMs <= targetMs && mayDisplace(arrival, each, isOwed))
       displaced.add(each);
--- a/packages/overload/src/CompareUrgency.ts
+++ b/packages/overload/src/CompareUrgency.ts
@@ -16,7 +16,9 @@
   if (left.request.priority !== right.request.priority) return left.request.priority - right.request.priority;
   const isLeftLate = isLate(left, nowMs);
   if (isLeftLate !== isLate(right, nowMs)) return isLeftLate ? 1 : -1;
-  return left.request.dueMs - right.request.dueMs;
+  return isLeftLate
+    ? left.request.dueMs - right.request.dueMs
+    : left.request.targetMs - right.request.targetMs;
 }
 
 function isLate({ request, serviceMs }: QueuedWork, nowMs: number): boolean {
