--- a/packages/mesh/test/OverloadSimulation.ts
+++ b/packages/mesh/test/OverloadSimulation.ts
@@ -68,6 +68,8 @@
   public lostCalls = 0;
   public calls = 0;
   private readonly settings: Settings;
+  /** Sources for the requests of callers and for service times, so that the former do not depend on the latter. */
+  private readonly demand: RandomSource;
   private readonly random: RandomSource;
   private readonly servers = new Map<string, OverloadServer>();
   private readonly entriesByService = new Map<string, readonly ServerEntry[]>();
@@ -79,6 +81,7 @@
 
   public constructor(settings: Settings) {
     this.settings = settings;
+    this.demand = new RandomSource(settings.seed + 1);
     this.random = new RandomSource(settings.seed);
     let address = 0;
     for (const [service, speeds] of settings.servers) {
@@ -156,7 +159,7 @@
 
   private scheduleArrival(service: string): void {
     const rate = this.settings.rate(service, this.events.nowMs);
-    const gapMs = (-Math.log(1 - this.random.fraction()) * 1_000) / Math.max(1, rate);
+    const gapMs = (-Math.log(1 - this.demand.fraction()) * 1_000) / Math.max(1, rate);
     this.events.schedule(gapMs, () => {
       if (this.events.nowMs > this.stopMs) return;
       const kind = this.pickKind(service);
@@ -167,7 +170,7 @@
 
   private pickKind(service: string): OverloadKind {
     const kinds = this.settings.kinds.filter((kind) => kind.service === service && kind.fraction > 0);
-    let left = this.random.fraction() * kinds.reduce((sum, { fraction }) => sum + fraction, 0);
+    let left = this.demand.fraction() * kinds.reduce((sum, { fraction }) => sum + fraction, 0);
     for (const kind of kinds) {
       left -= kind.fraction;
       if (left <= 0) return kind;
