--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -3,6 +3,8 @@
 import { Task } from '#core/Task.js';
 import type { Outcome } from '#delivery/Outcome.js';
 import type { SecondCopy } from '#hedging/SecondCopy.js';
+import type { EntryDecision } from '#overload/EntryDecision.js';
+import { earlierRetry } from '#overload/EarlierRetry.js';
 import { SplitChooser } from '#routes/SplitChooser.js';
 import { isLimited } from '#tenants/IsLimited.js';
 import type { CallerRefusal } from '#mesh/CallerRefusal.js';
@@ -12,6 +14,7 @@
 import { createEntryRefusal } from '#mesh/CreateEntryRefusal.js';
 import { createHedgeOffer } from '#mesh/CreateHedgeOffer.js';
 import { createExchange } from '#mesh/CreateExchange.js';
+import { EntryAdmission } from '#mesh/EntryAdmission.js';
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
 import { findRangeOwner } from '#mesh/FindRangeOwner.js';
@@ -41,7 +44,12 @@
 const MIN_RETRY_MS = 60;
 
 /** Refusals after which no other server is tried. */
-const FINAL_REFUSALS: ReadonlySet<RefusalCode> = new Set(['quarantined', 'tooLate', 'notGranted']);
+const FINAL_REFUSALS: ReadonlySet<RefusalCode> = new Set([
+  'quarantined',
+  'tooLate',
+  'notGranted',
+  'displaced',
+]);
 
 const NOT_FOUND = 404;
 const BAD_GATEWAY = 502;
@@ -59,6 +67,7 @@
   private readonly exchanges = new Map<number, MeshExchange>();
   private readonly splits = new SplitChooser();
   private readonly retries: RetryBudget;
+  private readonly admission: EntryAdmission;
   private stopping = false;
   /** Latest deadline of a new request: monotonic time, in milliseconds. */
   private lastDueMs = Infinity;
@@ -70,6 +79,7 @@
     this.options = options;
     this.directory = new ServerDirectory(options.identity.serverId);
     this.recorder = new RequestRecorder(options.logger, options.metrics);
+    this.admission = new EntryAdmission(options.logger, options.metrics);
     this.retries = new RetryBudget(options.retryFraction, options.retryMinimum);
   }
 
@@ -152,6 +162,7 @@
     const { clock } = this.options;
     const cancelDue = scheduleAfterReads(clock, dueMs - nowMs, () => this.post({ type: 'due', exchange }));
     const { tenant } = access;
+    const origin = this.admission.noteArrival(access.request, service, route.targetLatencyMs);
     this.exchanges.set(
       exchange,
       createExchange({
@@ -160,6 +171,7 @@
         route: access.route,
         tenant,
         service,
+        ...origin,
         dueMs,
         reply,
         cancelDue,
@@ -193,10 +205,17 @@
   private chooseServer(exchange: MeshExchange): void {
     const { route, service, tried } = exchange;
     const candidates = this.directory.listUntriedCandidates(route, service, tried, this.now());
+    const decision = this.decideEntry(exchange, candidates);
+    if (decision.type === 'refuse') {
+      this.refuseForCapacity(exchange, decision.retryAfterMs);
+      return;
+    }
     const server =
-      exchange.offers < MAX_ATTEMPTS ? this.options.chooser.choose(candidates, this.now()) : undefined;
+      exchange.offers < MAX_ATTEMPTS
+        ? this.options.chooser.choose(decision.candidates, this.now())
+        : undefined;
     if (server === undefined) this.refuse(exchange);
-    else this.dispatch(exchange, server, 0, candidates);
+    else this.dispatch(exchange, server, 0, decision.candidates);
   }
 
   private chooseOwner(exchange: MeshExchange): void {
@@ -211,9 +230,29 @@
       this.directory.isReachable(server, this.now()) &&
       (server.state === 'ready' || server.state === 'draining' || server.state === 'gone') &&
       (!exchange.tried.has(server.serverId) || revision > exchange.tableRevision);
-    if (maySend && exchange.offers < MAX_ATTEMPTS)
-      this.dispatch({ ...exchange, tableRevision: revision }, server, 0);
-    else this.waitForOwner(exchange);
+    if (!maySend || exchange.offers >= MAX_ATTEMPTS) {
+      this.waitForOwner(exchange);
+      return;
+    }
+    const decision = this.decideEntry(exchange, [server]);
+    if (decision.type === 'refuse') this.refuseForCapacity(exchange, decision.retryAfterMs);
+    else this.dispatch({ ...exchange, tableRevision: revision }, server, 0);
+  }
+
+  private decideEntry(
+    exchange: MeshExchange,
+    candidates: readonly ServerEntry[],
+  ): EntryDecision<ServerEntry> {
+    return this.admission.decide(exchange, candidates, this.directory.view.servers.size, this.now());
+  }
+
+  /** Refuses a request for which no server has room. */
+  private refuseForCapacity(exchange: MeshExchange, retryAfterMs: number): void {
+    this.refuse({
+      ...exchange,
+      lastRefusal: 'noCapacity',
+      retryAfterMs: earlierRetry(exchange.retryAfterMs, retryAfterMs),
+    });
   }
 
   /** Waits for a limited time until the owner of the key is known and ready. */
@@ -257,6 +296,7 @@
       resends > 0 ? server.processId : '',
     );
     this.options.chooser.noteSent(server.serverId);
+    this.admission.noteSent(exchange.service, server.serverId);
     this.options.send(
       request,
       server,
@@ -272,7 +312,8 @@
     const attempt = exchange?.attempt;
     if (exchange === undefined || attempt?.number !== message.attempt) return;
     this.options.chooser.noteResult(attempt.server.serverId, result, this.now());
-    if (second !== undefined) this.noteSecondCopy(second);
+    if (second !== undefined) this.noteSecondCopy(exchange, second);
+    this.admission.noteResult(exchange, attempt.server.serverId, result, this.now());
     const arrived = result.type !== 'refused' || result.arrived;
     const next = {
       ...exchange,
@@ -291,14 +332,17 @@
     else this.noteLost(next, toLoss(result), attempt.server, attempt.resends);
   }
 
-  private noteSecondCopy({ server, result }: SecondCopy<ServerEntry, BackendResult>): void {
+  private noteSecondCopy(
+    exchange: MeshExchange,
+    { server, result }: SecondCopy<ServerEntry, BackendResult>,
+  ): void {
     const { chooser } = this.options;
-    chooser.noteSent(server.serverId);
-    chooser.noteResult(
-      server.serverId,
-      result ?? { type: 'lost', code: 'cancelled', load: undefined },
-      this.now(),
-    );
+    const { serverId } = server;
+    const known = result ?? { type: 'lost', code: 'cancelled', load: undefined };
+    chooser.noteSent(serverId);
+    chooser.noteResult(serverId, known, this.now());
+    this.admission.noteSent(exchange.service, serverId);
+    this.admission.noteResult(exchange, serverId, known, this.now());
   }
 
   private noteResponse(exchange: MeshExchange, result: BackendResult & { readonly type: 'answered' }): void {
@@ -314,7 +358,7 @@
 
   private noteRefused(exchange: MeshExchange, result: BackendResult & { readonly type: 'refused' }): void {
     exchange.cursor.send({ type: 'refused' });
-    const retryAfterMs = Math.max(exchange.retryAfterMs, result.retryAfterMs);
+    const retryAfterMs = earlierRetry(exchange.retryAfterMs, result.retryAfterMs);
     const next = { ...exchange, lastRefusal: result.code, retryAfterMs };
     this.exchanges.set(exchange.number, next);
     if (FINAL_REFUSALS.has(result.code) || this.isOwnerFull(next)) this.refuse(next);
@@ -368,7 +412,9 @@
       return;
     }
     const outcome = exchange.mayHaveRun ? 'failed' : 'refused';
-    this.finish(exchange, createEntryRefusal(exchange, this.now()), outcome);
+    const reply = createEntryRefusal(exchange, this.now());
+    this.admission.noteReply(reply);
+    this.finish(exchange, reply, outcome);
   }
 
   /** Ends a request that has no result yet. While an attempt is under way, it may have run. */
@@ -421,6 +467,7 @@
     this.exchanges.delete(exchange.number);
     const version = this.directory.view.routes?.table.version;
     const nowMs = this.now();
+    this.admission.noteEnded(exchange, outcome, nowMs);
     this.recorder.record(exchange, outcome, detail, version, nowMs);
     this.options.tenants.noteEnd(exchange.tenant, outcome, nowMs - exchange.request.arrivedMs);
   }
@@ -429,6 +476,7 @@
     const before = this.directory.view;
     this.directory.update(view);
     this.options.chooser.retain(new Set(view.servers.keys()));
+    this.admission.retain(view.servers);
     if (view.routes !== undefined && view.routes !== before.routes)
       this.splits.retain(view.routes.table.routes);
     if (view.tables === before.tables && view.servers === before.servers) return;
--- a/packages/mesh/src/MeshExchange.ts
+++ b/packages/mesh/src/MeshExchange.ts
@@ -18,6 +18,10 @@
   /** Undefined if the request belongs to no tenant. */
   readonly tenant: Tenant | undefined;
   readonly service: string;
+  /** Whether the backend server on the VM of this daemon sent it while it ran another request. */
+  readonly isCall: boolean;
+  /** Whether its target latency is short compared with that of other requests of the service, as that of calls is. */
+  readonly isShort: boolean;
   /** Deadline of the final reply: monotonic time, in milliseconds. */
   readonly dueMs: number;
   readonly cursor: ChartCursor<MeshExchangeEvent>;
--- a/packages/metrics/src/CounterName.ts
+++ b/packages/metrics/src/CounterName.ts
@@ -24,5 +24,10 @@
   | 'placedNear'
   | 'placedOtherDomain'
   | 'placedOtherRegion'
+  | 'entryRefused'
+  | 'entryProbes'
+  | 'displaced'
+  | 'returnsScheduled'
+  | 'returnsUnscheduled'
   | 'catalogueChanges'
   | 'storeRestores';
--- a/packages/metrics/src/GaugeName.ts
+++ b/packages/metrics/src/GaugeName.ts
@@ -13,4 +13,5 @@
   | 'readAgeMs'
   | 'followersWaiting'
   | 'storeReachable'
-  | 'storeEra';
+  | 'storeEra'
+  | 'outlookAgeMs';
--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -54,6 +54,7 @@
   'tenants',
   'hedging',
   'placement',
+  'overload',
 ];
 // Source folders of the entries that are not in packages/.
 const SOURCE_FOLDERS = { platform: 'platform/src', fixtures: 'platform/fixtures', soak: 'platform/soak' };
