Hedging: no second copy to a server that leaves or is evacuated

The candidates were listed when the first copy was sent, and the second copy follows after the 95th percentile of its route, which may be seconds. It went to a server that had begun to leave or whose failure domain was evacuated in between, whose refusal then kept the whole service from hedging for 3 s. HedgeTask was told the servers that exist, and is now told those that may get new requests.

--- a/packages/hedging/src/HedgeMessage.ts
+++ b/packages/hedging/src/HedgeMessage.ts
@@ -20,7 +20,7 @@
     }
   /** The request with this id that was sent to this server first is no longer needed. */
   | { readonly type: 'cancel'; readonly id: string; readonly server: S }
-  /** The backend servers that exist. */
+  /** The backend servers that may get new requests. */
   | { readonly type: 'servers'; readonly serverIds: ReadonlySet<string> }
   /** The daemon shuts down: no further copies are sent. */
   | { readonly type: 'stopping' };
--- a/packages/hedging/src/HedgePolicy.ts
+++ b/packages/hedging/src/HedgePolicy.ts
@@ -67,7 +67,7 @@
     return this.latencies.find(kind).meanRestMs(elapsedMs);
   }
 
-  /** Forgets all servers except the given ones. */
+  /** Notes the servers that may get new requests, and forgets all others. */
   public retain(serverIds: ReadonlySet<string>, nowMs: number): void {
     this.room.retain(serverIds, nowMs);
   }
--- a/packages/hedging/src/ServiceRoom.ts
+++ b/packages/hedging/src/ServiceRoom.ts
@@ -19,6 +19,8 @@
 export class ServiceRoom {
   private readonly reports = new Map<string, Report>();
   private readonly refusedMs = new Map<string, number>();
+  /** Servers that may get new requests; undefined until they are known. */
+  private usable: ReadonlySet<string> | undefined;
 
   /** Notes the result of a request to a server. */
   public note(service: string, serverId: string, result: HedgeResult, nowMs: number): void {
@@ -31,16 +33,20 @@
     return nowMs - (this.refusedMs.get(service) ?? -Infinity) >= REFUSAL_MEMORY_MS;
   }
 
-  /** Number of slots that the server reported as free; 0 without a recent report. */
+  /** Number of slots that the server reported as free; 0 without a recent report, or if it may get no new requests. */
   public countFreeSlots(serverId: string, nowMs: number): number {
     const report = this.reports.get(serverId);
-    if (report === undefined || nowMs - report.atMs > REPORT_VALID_MS) return 0;
+    if (this.usable?.has(serverId) === false || report === undefined || nowMs - report.atMs > REPORT_VALID_MS)
+      return 0;
     const { running, queued, slots } = report.load;
     return Math.max(0, slots - running - queued);
   }
 
-  /** Forgets all servers except the given ones, and the services that refused nothing lately. */
+  /**
+   * Notes the servers that may get new requests, and forgets all others and the services that refused nothing lately.
+   */
   public retain(serverIds: ReadonlySet<string>, nowMs: number): void {
+    this.usable = serverIds;
     for (const id of this.reports.keys()) if (!serverIds.has(id)) this.reports.delete(id);
     for (const service of this.refusedMs.keys())
       if (this.isServing(service, nowMs)) this.refusedMs.delete(service);
--- a/packages/hedging/test/hedge.test.ts
+++ b/packages/hedging/test/hedge.test.ts
@@ -121,6 +121,19 @@
   t.equal(run.sent.length, 1);
 });
 
+t.test('server that leaves gets no second copy', async (t) => {
+  // The servers were chosen when the first copy was sent, which may be seconds before.
+  const run = new HedgeRun(['a', 'b']);
+  await run.learn(20);
+  await run.send('slow', 'a');
+  await run.send('other', 'b');
+  run.task.post({ type: 'servers', serverIds: new Set(['a']) });
+  await run.complete(1, success);
+  await run.advance(25);
+  t.equal(run.sent.length, 2);
+  t.match(run.counters, { hedgesDeniedByRoom: 1 });
+});
+
 t.test('limit of the operators is kept', async (t) => {
   const run = new HedgeRun(['a', 'b'], { fraction: 0.1, percentile: 95 });
   await run.learn(20, 100);
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -20,6 +20,7 @@
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
 import { EntryTask } from '#mesh/EntryTask.js';
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
+import { listUsableServers } from '#mesh/ListUsableServers.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
@@ -380,8 +381,8 @@
     const before = this.view;
     this.view = view;
     this.entry.post({ type: 'view', view });
-    if (this.hedgesRequests && view.servers !== before?.servers)
-      this.hedges.post({ type: 'servers', serverIds: new Set(view.servers.keys()) });
+    if (this.hedgesRequests && (view.servers !== before?.servers || view.evacuated !== before.evacuated))
+      this.hedges.post({ type: 'servers', serverIds: listUsableServers(view) });
     this.server.post({ type: 'view', view });
     this.ownership.applyView(view);
     this.crashMarks.post({ type: 'view', view });
