Hedging: results of both copies count for their own servers; no resend after two failures

If the second copy ended first, EntryTask noted its result and load report for the server of the first copy: the slow server counted as free and successful. HedgeTask now tells the result of each copy.

If one copy was lost with its session and the other one refused, the request was resent to the daemon of the first copy as one that it had received; its refusal became a 503, although the other copy may have run. After two copies nothing is resent; the request is retried at a third server or ends with 502.

Requests whose copies both failed were counted neither as won nor as lost, unlike docs/operations/metrics.md says.

--- a/packages/hedging/src/HedgeTask.ts
+++ b/packages/hedging/src/HedgeTask.ts
@@ -157,8 +157,9 @@
       reply(result);
       return;
     }
-    const hedge = { server: second.server, result: second.result };
+    const hedge = { server: second.server, result: second.result, firstResult: first.result };
     if (!isSuccess(result)) {
+      this.options.metrics.count('hedgesLost');
       reply(chooseFailure(first.result, second.result) ?? result, hedge);
       return;
     }
--- a/packages/hedging/src/SecondCopy.ts
+++ b/packages/hedging/src/SecondCopy.ts
@@ -3,4 +3,6 @@
   readonly server: S;
   /** Undefined if the copy was cancelled. */
   readonly result: T | undefined;
+  /** Result of the first copy; undefined if that one was cancelled. */
+  readonly firstResult: T | undefined;
 }
--- a/packages/hedging/test/hedge.test.ts
+++ b/packages/hedging/test/hedge.test.ts
@@ -72,6 +72,7 @@
     await run.complete(0, first);
     await run.complete(1, second);
     t.equal(run.replies[0]?.result, expected);
+    t.match(run.counters, { hedges: 1, hedgesLost: 1 });
   }
 });
 
@@ -134,6 +135,16 @@
   t.match(run.counters, { hedgesDeniedByRoom: 1 });
 });
 
+t.test('result is told for each copy', async (t) => {
+  const run = await startRace();
+  await run.complete(0, error);
+  await run.complete(1, success);
+  t.match(run.replies, [{ result: success, second: { result: success, firstResult: error } }]);
+  const other = await startRace();
+  await other.complete(1, success);
+  t.match(other.replies, [{ result: success, second: { result: success, firstResult: undefined } }]);
+});
+
 t.test('limit of the operators is kept', async (t) => {
   const run = new HedgeRun(['a', 'b'], { fraction: 0.1, percentile: 95 });
   await run.learn(20, 100);
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -46,6 +46,8 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+const CANCELLED: BackendResult = { type: 'lost', code: 'cancelled', load: undefined };
+
 type Loss = BackendResult & { readonly type: 'lost' };
 
 /**
@@ -237,8 +239,7 @@
     const exchange = this.exchanges.get(message.exchange);
     const attempt = exchange?.attempt;
     if (exchange === undefined || attempt?.number !== message.attempt) return;
-    this.options.chooser.noteResult(attempt.server.serverId, result, this.now());
-    if (second !== undefined) this.noteSecondCopy(second);
+    this.noteCopies(attempt.server, result, second);
     const arrived = result.type !== 'refused' || result.arrived;
     const next = {
       ...exchange,
@@ -254,17 +255,28 @@
     this.exchanges.set(exchange.number, next);
     if (result.type === 'answered') this.noteResponse(next, result);
     else if (result.type === 'refused' && !isInconclusive(result, attempt)) this.noteRefused(next, result);
-    else this.noteLost(next, toLoss(result), attempt.server, attempt.resends);
+    // What the daemon of one copy still knows does not tell whether the other copy ran, so neither is resent.
+    else
+      this.noteLost(
+        next,
+        toLoss(result),
+        attempt.server,
+        second === undefined ? attempt.resends : MAX_RESENDS,
+      );
   }
 
-  private noteSecondCopy({ server, result }: SecondCopy<ServerEntry, BackendResult>): void {
+  /** Notes each result, with its load report, for the server that it came from. */
+  private noteCopies(
+    first: ServerEntry,
+    result: BackendResult,
+    second: SecondCopy<ServerEntry, BackendResult> | undefined,
+  ): void {
     const { chooser } = this.options;
-    chooser.noteSent(server.serverId);
-    chooser.noteResult(
-      server.serverId,
-      result ?? { type: 'lost', code: 'cancelled', load: undefined },
-      this.now(),
-    );
+    const firstResult = second === undefined ? result : (second.firstResult ?? CANCELLED);
+    chooser.noteResult(first.serverId, firstResult, this.now());
+    if (second === undefined) return;
+    chooser.noteSent(second.server.serverId);
+    chooser.noteResult(second.server.serverId, second.result ?? CANCELLED, this.now());
   }
 
   private noteResponse(exchange: MeshExchange, result: BackendResult & { readonly type: 'answered' }): void {
--- a/packages/mesh/test/EntryRun.ts
+++ b/packages/mesh/test/EntryRun.ts
@@ -68,9 +68,9 @@
     for (let index = 0; index < 10; index += 1) await Promise.resolve();
   }
 
-  /** Supplies the result of the last request that was sent. */
-  public async complete(result: Parameters<BackendResultCallback>[0]): Promise<void> {
-    this.sent.at(-1)?.reply(result);
+  /** Supplies the result of the last request that was sent, and its second copy if it was hedged. */
+  public async complete(...result: Parameters<BackendResultCallback>): Promise<void> {
+    this.sent.at(-1)?.reply(...result);
     await this.settle();
   }
 
--- a/packages/mesh/test/chooser.test.ts
+++ b/packages/mesh/test/chooser.test.ts
@@ -49,3 +49,29 @@
   await run.arrive('next');
   t.equal(listServers(run).at(-1), 'b');
 });
+
+t.test('report of the second copy is not taken for one of the first server', async (t) => {
+  // A full server counted as free after another one had ended a second copy.
+  const run = new EntryRun(createView([near, createEntry('c')]));
+  await run.arrive('0');
+  const first = run.sent[0]?.server.serverId ?? '';
+  const server = first === 'a' ? createEntry('c') : near;
+  const full = { running: 4, queued: 40, slots: 4, waitMs: 900, serviceMs: 40, slowdown: 1 };
+  const free = { ...full, running: 0, queued: 0, waitMs: 0 };
+  const headers: readonly (readonly [string, string])[] = [];
+  const response = { status: 200, headers, body: Buffer.from('x') };
+  await run.complete(
+    { type: 'answered', response, load: free },
+    {
+      server,
+      result: { type: 'answered', response, load: free },
+      firstResult: { type: 'lost', code: 'connectionLost', load: full },
+    },
+  );
+  for (let index = 1; index <= 20; index += 1) await run.arrive(String(index));
+  const again = listServers(run).slice(1);
+  t.ok(
+    again.every((id) => id !== first),
+    `first ${first}, then ${again.join()}`,
+  );
+});
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -191,3 +191,15 @@
   await run.complete(answered(200));
   t.match(run.replies[1], { type: 'answer' }, 'an accepted request is answered');
 });
+
+t.test('request whose copies were refused and lost is not resent to the server that refused', async (t) => {
+  // Its refusal of the resent copy was reported as 503 although the other copy may have run.
+  const run = new EntryRun(createView(two));
+  await run.arrive('1');
+  const other = run.sent[0]?.server.serverId === 'a' ? 'b' : 'a';
+  const peerLost: BackendResult = { type: 'lost', code: 'peerLost', load: undefined };
+  await run.complete(peerLost, { server: createEntry(other), result: peerLost, firstResult: refused });
+  if (run.sent.length > 1) await run.complete(refused);
+  t.equal(run.sent.length, 1);
+  t.match(run.replies, [{ status: 502 }]);
+});
