CallerGuard: connections that have ended are not reset for the bytes they discard

A connection that waits for its caller to close discards what the caller sends, for at most 5 s. Since the check of heads, it was destroyed once this was more than a head, which resets it and takes away the response that the caller has not read.

--- a/packages/mesh/src/CallerGuard.ts
+++ b/packages/mesh/src/CallerGuard.ts
@@ -61,11 +61,14 @@
     this.report('callerHeadRefused', socket, 'headBytes');
   }
 
-  /** Ends connections that have sent more bytes than a head may have, and no request. */
+  /**
+   * Ends connections that have sent more bytes than a head may have, and no request. What an ended connection still sends is
+   * discarded for a limited time; to destroy it earlier would reset it, and a reset destroys the response before.
+   */
   public checkHeads(): void {
     this.cancelCheck = undefined;
     for (const socket of this.limit.listQuiet())
-      if (this.heads.isExceeded(socket)) this.end(socket, 'headBytes');
+      if (!socket.writableEnded && this.heads.isExceeded(socket)) this.end(socket, 'headBytes');
     this.scheduleCheck();
   }
 
--- a/packages/mesh/test/callerEnd.test.ts
+++ b/packages/mesh/test/callerEnd.test.ts
@@ -141,3 +141,20 @@
   t.equal(run.forwarded.length, 1);
   t.equal(countResponses(caller.text()), 1);
 });
+
+t.test('bytes behind the last request do not destroy its response', async (t) => {
+  // The connection was reset as one that sends bytes without a request, before the caller had read the response.
+  const run = await startCallerTask(t);
+  const caller = run.send(get('1').replace('Host: a', 'Host: a\r\nConnection: close'));
+  caller.socket.pause();
+  await waitFor(() => run.forwarded.length === 1);
+  run.respond(0);
+  for (let sent = 0; sent < 20; sent += 1) {
+    caller.socket.write('x'.repeat(4_096));
+    await sleep(100);
+  }
+  caller.socket.resume();
+  await waitFor(() => countResponses(caller.text()) === 1 || caller.error() !== '');
+  t.equal(countResponses(caller.text()), 1);
+  t.equal(caller.error(), '');
+});
