--- a/packages/mesh/src/FastestCompletion.ts
+++ b/packages/mesh/src/FastestCompletion.ts
@@ -12,7 +12,6 @@
 /** Chooses the server where a request is expected to complete first. */
 export class FastestCompletion extends ServerChooser {
   private readonly placement: PlacementChooser;
-
   private readonly recorder: PlacementRecorder;
 
   public constructor(
--- a/packages/mesh/src/NearestLeastWait.ts
+++ b/packages/mesh/test/NearestLeastWait.ts
@@ -3,7 +3,7 @@
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
 import { ServerChooser } from '#mesh/ServerChooser.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
-import type { ServerScore } from '#mesh/ServerScore.js';
+import type { ServerScore } from './ServerScore.js';
 
 /** Costs of leaving the failure domain and the region: the added latency and the price of the bytes, in milliseconds. */
 const OTHER_DOMAIN_COST_MS = 25;
--- a/packages/mesh/test/placement.test.ts
+++ b/packages/mesh/test/placement.test.ts
@@ -4,7 +4,7 @@
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { NearestLeastWait } from './NearestLeastWait.js';
 import type { PlacementOutcome } from './PlacementOutcome.js';
 import type { PlacementSettings } from './PlacementSettings.js';
 import { PlacementSimulation } from './PlacementSimulation.js';
