--- a/packages/mesh/src/CallerTask.ts
+++ b/packages/mesh/src/CallerTask.ts
@@ -28,8 +28,9 @@
 import { readCallerRequest } from '#mesh/ReadCallerRequest.js';
 import { rejectMalformed } from '#mesh/RejectMalformed.js';
 import { rejectMissingHost } from '#mesh/RejectMissingHost.js';
+import { reportReducedLimits } from '#mesh/ReportReducedLimits.js';
 import { tryWriteCallerReply } from '#mesh/TryWriteCallerReply.js';
-import { UnsentResponses } from '#mesh/UnsentResponses.js';
+import { UnsentLimit } from '#mesh/UnsentLimit.js';
 import { writeCallerReply } from '#mesh/WriteCallerReply.js';
 
 /** Added to the configured idle timeout before an idle connection is closed. */
@@ -61,7 +62,7 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Memory for the bodies of all requests without a reply. */
   private readonly budget = new BodyBudget(maxBodiesBytes);
-  private readonly unsent: UnsentResponses;
+  private readonly unsent: UnsentLimit;
   private readonly guard: CallerGuard;
   private bodyLimit = maxBodyBytes;
   private nextExchange = 1;
@@ -72,10 +73,10 @@
   public constructor(options: CallerOptions) {
     super();
     this.options = options;
-    const { maxHeadBytes, maxUnsentBytes } = options.capacity;
-    this.unsent = new UnsentResponses(maxUnsentBytes);
+    this.unsent = new UnsentLimit(options, this.exchanges);
     this.guard = new CallerGuard(options, () => this.post({ type: 'checkHeads' }));
-    this.server = createCallerServer(maxHeadBytes, (message) => this.post(message), options.onAccepted);
+    const { capacity, onAccepted } = options;
+    this.server = createCallerServer(capacity.maxHeadBytes, (message) => this.post(message), onAccepted);
   }
 
   /** Starts listening; rejects if the address is in use. */
@@ -299,30 +300,7 @@
     this.watchProgress(socket);
     const { headers, logger } = this.options;
     tryWriteCallerReply(res, reply, request.id, { names: headers, closes, logger });
-    this.unsent.add(number, reply.type === 'answer' ? reply.response.body.length : 0);
-    this.limitUnsent(socket);
-  }
-
-  /**
-   * Ends other connections without a request at work while the memory is exceeded, the one whose response has waited longest
-   * first.
-   */
-  private limitUnsent(current: Socket): void {
-    if (!this.unsent.isExceeded()) return;
-    for (const number of this.unsent.list()) {
-      if (!this.unsent.isExceeded()) return;
-      const exchange = this.exchanges.find(number);
-      if (exchange === undefined || exchange.socket === current) continue;
-      if (!this.exchanges.isWritingOnly(exchange.socket)) continue;
-      this.unsent.remove(number);
-      this.options.metrics.count('callersOutsideLimits');
-      this.options.logger.log('responseDropped', {
-        step: 'deliver',
-        id: exchange.request.id,
-        reason: 'memory',
-      });
-      exchange.socket.destroy();
-    }
+    this.unsent.add(number, reply.type === 'answer' ? reply.response.body.length : 0, socket);
   }
 
   private noteFlushed(number: number, written: boolean): void {
@@ -404,18 +382,7 @@
 
   private applyLimits(limits: CallerLimits): void {
     this.bodyLimit = Math.min(limits.maxBodyBytes, maxBodyBytes);
-    if (limits.maxBodyBytes > maxBodyBytes)
-      this.options.logger.log('bodyLimitReduced', {
-        step: 'parse',
-        configured: limits.maxBodyBytes,
-        limit: maxBodyBytes,
-      });
-    if (limits.maxHeaderBytes > this.options.capacity.maxHeadBytes)
-      this.options.logger.log('headLimitReduced', {
-        step: 'parse',
-        configured: limits.maxHeaderBytes,
-        limit: this.options.capacity.maxHeadBytes,
-      });
+    reportReducedLimits(limits, this.options.capacity, this.options.logger);
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
