UnsentLimit: log lines about dropped responses are limited

As for the other limits of callers, at most five lines a second are written, and the next one counts those left out.

--- a/packages/mesh/src/UnsentLimit.ts
+++ b/packages/mesh/src/UnsentLimit.ts
@@ -1,18 +1,21 @@
 import type { Socket } from 'node:net';
+import { LogSampler } from '#core/LogSampler.js';
 import type { CallerExchangeTable } from '#mesh/CallerExchangeTable.js';
 import type { CallerOptions } from '#mesh/CallerOptions.js';
 import { UnsentResponses } from '#mesh/UnsentResponses.js';
 
+const MAX_LINES_PER_SECOND = 5;
+
+type LimitOptions = Pick<CallerOptions, 'capacity' | 'clock' | 'logger' | 'metrics'>;
+
 /** Limits the memory of responses that callers have not read, by ending connections. */
 export class UnsentLimit {
-  private readonly options: Pick<CallerOptions, 'capacity' | 'logger' | 'metrics'>;
+  private readonly options: LimitOptions;
   private readonly exchanges: CallerExchangeTable;
   private readonly unsent: UnsentResponses;
+  private readonly sampler = new LogSampler(MAX_LINES_PER_SECOND);
 
-  public constructor(
-    options: Pick<CallerOptions, 'capacity' | 'logger' | 'metrics'>,
-    exchanges: CallerExchangeTable,
-  ) {
+  public constructor(options: LimitOptions, exchanges: CallerExchangeTable) {
     this.options = options;
     this.exchanges = exchanges;
     this.unsent = new UnsentResponses(options.capacity.maxUnsentBytes);
@@ -40,9 +43,11 @@
     if (exchange === undefined || exchange.socket === current) return;
     if (!this.exchanges.isWritingOnly(exchange.socket)) return;
     this.unsent.remove(number);
-    const { metrics, logger } = this.options;
+    const { clock, metrics, logger } = this.options;
     metrics.count('callersOutsideLimits');
-    logger.log('responseDropped', { step: 'deliver', id: exchange.request.id, reason: 'memory' });
+    const omitted = this.sampler.admit(clock.monotonicMs());
+    if (omitted !== undefined)
+      logger.log('responseDropped', { step: 'deliver', id: exchange.request.id, reason: 'memory', omitted });
     exchange.socket.destroy();
   }
 }
--- a/packages/mesh/test/StartCallerTask.ts
+++ b/packages/mesh/test/StartCallerTask.ts
@@ -1,12 +1,12 @@
 import { connect, type Socket } from 'node:net';
 import { defaultCallerCapacity } from '#connection/DefaultCallerCapacity.js';
 import { MetricsRecorder } from '#metrics/MetricsRecorder.js';
-import { Logger } from '#core/Logger.js';
 import { SystemClock } from '#core/SystemClock.js';
 import type { CallerReply } from '#mesh/CallerReply.js';
 import type { CallerRequest } from '#mesh/CallerRequest.js';
 import { CallerTask } from '#mesh/CallerTask.js';
 import { findFreePort } from './FindFreePort.js';
+import { RecordingLogger } from './RecordingLogger.js';
 import { testHeaders } from './TestHeaders.js';
 
 interface Forwarded {
@@ -24,6 +24,7 @@
 
 interface CallerRun {
   readonly task: CallerTask;
+  readonly logger: RecordingLogger;
   readonly forwarded: readonly Forwarded[];
   /** Exchange numbers of requests whose callers left. */
   readonly left: readonly number[];
@@ -40,6 +41,7 @@
   const port = await findFreePort();
   const forwarded: Forwarded[] = [];
   const left: number[] = [];
+  const logger = new RecordingLogger('test');
   const task = new CallerTask({
     host: '127.0.0.1',
     port,
@@ -47,7 +49,7 @@
     capacity: defaultCallerCapacity,
     metrics: new MetricsRecorder(),
     clock: new SystemClock(),
-    logger: new Logger('test'),
+    logger,
     onAccepted: () => undefined,
     onRequest: (_exchange, request, reply) => forwarded.push({ request, reply }),
     onLeft: (exchange) => left.push(exchange),
@@ -68,5 +70,5 @@
     const body = Buffer.alloc(bytes, 'x');
     forwarded[index]?.reply({ type: 'answer', response: { status: 200, headers: [], body } });
   };
-  return { task, forwarded, left, send, respond };
+  return { task, logger, forwarded, left, send, respond };
 }
--- a/packages/mesh/test/callerEnd.test.ts
+++ b/packages/mesh/test/callerEnd.test.ts
@@ -158,3 +158,16 @@
   t.equal(countResponses(caller.text()), 1);
   t.equal(caller.error(), '');
 });
+
+t.test('log lines about dropped responses are limited', async (t) => {
+  // Each dropped response had a line, so that callers that read nothing filled the log.
+  const run = await startCallerTask(t);
+  const callers = Array.from({ length: 14 }, (_, index) => run.send(get(String(index))));
+  for (const { socket } of callers) socket.pause();
+  await waitFor(() => run.forwarded.length === callers.length);
+  for (const index of callers.keys()) run.respond(index, LARGE_BYTES);
+  await sleep(20);
+  const dropped = run.logger.records.filter(({ event }) => event === 'responseDropped');
+  t.ok(dropped.length > 0);
+  t.ok(dropped.length <= 5, `${dropped.length} lines`);
+});
