--- a/packages/placement/src/ServerEstimate.ts
+++ b/packages/placement/src/ServerEstimate.ts
@@ -102,8 +102,8 @@
 
   /**
    * Predicts the state of the server now. A report that ages gives way to the average load of the server, and that one in
-   * turn, as for a server without reports, to the given load for each slot and service time. `otherSlowdown` is the mean slowdown of the servers
-   * whose mean service time is `otherServiceMs`.
+   * turn, as for a server without reports, to the given load for each slot and service time. `otherSlowdown` is the mean
+   * slowdown of the servers whose mean service time is `otherServiceMs`.
    */
   public predict(
     slots: number,
