--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -56,6 +56,8 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+const CANCELLED: BackendResult = { type: 'lost', code: 'cancelled', load: undefined };
+
 type Loss = BackendResult & { readonly type: 'lost' };
 
 /**
@@ -311,9 +313,7 @@
     const exchange = this.exchanges.get(message.exchange);
     const attempt = exchange?.attempt;
     if (exchange === undefined || attempt?.number !== message.attempt) return;
-    this.options.chooser.noteResult(attempt.server.serverId, result, this.now());
-    if (second !== undefined) this.noteSecondCopy(exchange, second);
-    this.admission.noteResult(exchange, attempt.server.serverId, result, this.now());
+    this.noteCopies(exchange, attempt.server, result, second);
     const arrived = result.type !== 'refused' || result.arrived;
     const next = {
       ...exchange,
@@ -329,20 +329,38 @@
     this.exchanges.set(exchange.number, next);
     if (result.type === 'answered') this.noteResponse(next, result);
     else if (result.type === 'refused' && !isInconclusive(result, attempt)) this.noteRefused(next, result);
-    else this.noteLost(next, toLoss(result), attempt.server, attempt.resends);
+    // What the daemon of one copy still knows does not tell whether the other copy ran, so neither is resent.
+    else
+      this.noteLost(
+        next,
+        toLoss(result),
+        attempt.server,
+        second === undefined ? attempt.resends : MAX_RESENDS,
+      );
   }
 
-  private noteSecondCopy(
+  /** Notes each result, with its load report, for the server that it came from. */
+  private noteCopies(
     exchange: MeshExchange,
-    { server, result }: SecondCopy<ServerEntry, BackendResult>,
+    first: ServerEntry,
+    result: BackendResult,
+    second: SecondCopy<ServerEntry, BackendResult> | undefined,
   ): void {
-    const { chooser } = this.options;
-    const { serverId } = server;
-    const known = result ?? { type: 'lost', code: 'cancelled', load: undefined };
-    chooser.noteSent(serverId);
-    chooser.noteResult(serverId, known, this.now());
+    if (second === undefined) {
+      this.noteCopy(exchange, first.serverId, result);
+      return;
+    }
+    const { serverId } = second.server;
+    this.noteCopy(exchange, first.serverId, second.firstResult ?? CANCELLED);
+    this.options.chooser.noteSent(serverId);
     this.admission.noteSent(exchange.service, serverId);
-    this.admission.noteResult(exchange, serverId, known, this.now());
+    this.noteCopy(exchange, serverId, second.result ?? CANCELLED);
+  }
+
+  private noteCopy(exchange: MeshExchange, serverId: string, result: BackendResult): void {
+    const nowMs = this.now();
+    this.options.chooser.noteResult(serverId, result, nowMs);
+    this.admission.noteResult(exchange, serverId, result, nowMs);
   }
 
   private noteResponse(exchange: MeshExchange, result: BackendResult & { readonly type: 'answered' }): void {
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -25,6 +25,7 @@
 import { EntryTask } from '#mesh/EntryTask.js';
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { FollowTask } from '#mesh/FollowTask.js';
+import { listUsableServers } from '#mesh/ListUsableServers.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
@@ -446,8 +447,8 @@
     this.view = view;
     for (const revision of view.revisions) this.options.store.learnVersion(revision);
     this.entry.post({ type: 'view', view });
-    if (this.hedgesRequests && view.servers !== before?.servers)
-      this.hedges.post({ type: 'servers', serverIds: new Set(view.servers.keys()) });
+    if (this.hedgesRequests && (view.servers !== before?.servers || view.evacuated !== before.evacuated))
+      this.hedges.post({ type: 'servers', serverIds: listUsableServers(view) });
     this.server.post({ type: 'view', view });
     this.ownership.applyView(view);
     this.crashMarks.post({ type: 'view', view });
--- a/packages/mesh/test/OverloadEntry.ts
+++ b/packages/mesh/test/OverloadEntry.ts
@@ -12,7 +12,7 @@
 import { createExchange } from '#mesh/CreateExchange.js';
 import { EntryAdmission } from '#mesh/EntryAdmission.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
-import { NearestLeastWait } from '#mesh/NearestLeastWait.js';
+import { NearestLeastWait } from './NearestLeastWait.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { EventQueue } from './EventQueue.js';
 
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -224,3 +224,15 @@
   await run.complete({ ...refused, code: 'displaced', retryAfterMs: 600 });
   t.match(run.replies, [{ status: 503, retryAfterMs: 0 }]);
 });
+
+t.test('request whose copies were refused and lost is not resent to the server that refused', async (t) => {
+  // Its refusal of the resent copy was reported as 503 although the other copy may have run.
+  const run = new EntryRun(createView(two));
+  await run.arrive('1');
+  const other = run.sent[0]?.server.serverId === 'a' ? 'b' : 'a';
+  const peerLost: BackendResult = { type: 'lost', code: 'peerLost', load: undefined };
+  await run.complete(peerLost, { server: createEntry(other), result: peerLost, firstResult: refused });
+  if (run.sent.length > 1) await run.complete(refused);
+  t.equal(run.sent.length, 1);
+  t.match(run.replies, [{ status: 502 }]);
+});
