check: manifests of the platform are checked before they are sent

Cause: operators want to see errors, entries that can never match, contradicting limits and differences before they send a configuration. The option is not called --in-force, as the command line moves that flag of another command behind all arguments.

--- a/packages/cli/src/CheckCommand.ts
+++ b/packages/cli/src/CheckCommand.ts
@@ -1,37 +1,36 @@
 import type { DefaultValue } from '#catalogue/DefaultValue.js';
-import type { DocumentFault } from '#catalogue/DocumentFault.js';
 import { formatFault } from '#catalogue/FormatFault.js';
 import { listCatalogueDefaults } from '#catalogue/ListCatalogueDefaults.js';
 import { parseCatalogue } from '#catalogue/ParseCatalogue.js';
 import { listSettingsDefaults } from '#settings/ListSettingsDefaults.js';
 import { parseDeployment } from '#settings/ParseDeployment.js';
 import { parseSettings } from '#settings/ParseSettings.js';
+import { checkManifest } from '#cli/CheckManifest.js';
+import type { CheckedFile } from '#cli/CheckedFile.js';
 import { Command } from '#cli/Command.js';
 import type { CommandCall } from '#cli/CommandCall.js';
 import type { ExitCode } from '#cli/ExitCode.js';
 import { exitCodes } from '#cli/ExitCodes.js';
 import { findDocumentKind } from '#cli/FindDocumentKind.js';
+import { formatDifference } from '#cli/FormatDifference.js';
 import { formatTextTable } from '#cli/FormatTextTable.js';
 import { readTextFile } from '#cli/ReadTextFile.js';
 import { UsageError } from '#cli/UsageError.js';
 
-interface CheckedFile {
-  readonly file: string;
-  readonly kind: string;
-  readonly faults: readonly DocumentFault[];
-}
-
-/** Validates settings, catalogues and deployments without a daemon. */
+/** Validates settings, catalogues, deployments and manifests of the platform without a daemon. */
 export class CheckCommand extends Command {
   public override readonly usage = 'check [...files]';
-  public override readonly summary = 'Check settings, catalogues and deployments for faults';
+  public override readonly summary = 'Check settings, catalogues, deployments and manifests for faults';
   public override readonly options = [
     { usage: '--defaults', summary: 'Print every default instead of checking files' },
+    { usage: '--current <file>', summary: 'Manifest in force, to list what differs from it' },
+    { usage: '--regions <names>', summary: 'Regions that exist, separated by commas, to check a manifest' },
   ];
   public override readonly examples = [
     'check settings.jsonc catalogue.jsonc',
     'check --defaults',
     'check --json catalogue.jsonc',
+    'check --current current.json --regions west,east next.json',
   ];
 
   public override run({ args, options, terminal }: CommandCall): Promise<ExitCode> {
@@ -41,22 +40,31 @@
       return Promise.resolve(exitCodes.done);
     }
     if (args.length === 0) throw new UsageError('specify at least one file');
-    const files = args.map(checkFile);
+    const inForce = typeof options.current === 'string' ? options.current : undefined;
+    const regions = typeof options.regions === 'string' ? options.regions.split(',') : [];
+    const files = args.map((file) => checkFile(file, { inForce, regions }));
     terminal.print(asJson ? JSON.stringify({ files }, null, 2) : files.map(formatFile).join('\n'));
     const hasFaults = files.some(({ faults }) => faults.length > 0);
     return Promise.resolve(hasFaults ? exitCodes.faults : exitCodes.done);
   }
 }
 
-function checkFile(file: string): CheckedFile {
+function checkFile(file: string, options: Parameters<typeof checkManifest>[2]): CheckedFile {
   const text = readTextFile(file);
   const kind = findDocumentKind(text);
+  if (kind === 'manifest') return checkManifest(text, file, options);
   const parse = { catalogue: parseCatalogue, deployment: parseDeployment, settings: parseSettings }[kind];
-  return { file, kind, faults: parse(text, file).swap().orDefault([]) };
+  const faults = parse(text, file).swap().orDefault([]);
+  return { file, kind, faults, warnings: [], differences: undefined };
 }
 
-function formatFile({ file, kind, faults }: CheckedFile): string {
-  return faults.length === 0 ? `${file}: no faults (${kind})` : faults.map(formatFault).join('\n');
+function formatFile({ file, kind, faults, warnings, differences }: CheckedFile): string {
+  const lines = [
+    ...(faults.length === 0 ? [`${file}: no faults (${kind})`] : faults.map(formatFault)),
+    ...warnings.map((each) => `${formatFault(each)} (warning)`),
+    ...(differences?.length === 0 ? ['no differences'] : (differences ?? []).map(formatDifference)),
+  ];
+  return lines.join('\n');
 }
 
 function listDefaults(): Readonly<Record<'settings' | 'catalogue', readonly DefaultValue[]>> {
--- a/packages/cli/src/FindDocumentKind.ts
+++ b/packages/cli/src/FindDocumentKind.ts
@@ -1,9 +1,10 @@
 import { parse } from 'jsonc-parser';
 
-/** Determines from its properties whether a document is a catalogue, a deployment or settings. */
-export function findDocumentKind(text: string): 'catalogue' | 'deployment' | 'settings' {
+/** Determines from its properties whether a document is a catalogue, a deployment, settings or a manifest of the platform. */
+export function findDocumentKind(text: string): 'catalogue' | 'deployment' | 'settings' | 'manifest' {
   const value: unknown = parse(text);
   if (typeof value !== 'object' || value === null) return 'settings';
+  if ('listeners' in value) return 'manifest';
   if ('entries' in value || 'services' in value || 'owners' in value) return 'catalogue';
   return 'instances' in value ? 'deployment' : 'settings';
 }
