--- a/packages/cli/src/CheckCommand.ts
+++ b/packages/cli/src/CheckCommand.ts
@@ -5,7 +5,7 @@
 import { listSettingsDefaults } from '#settings/ListSettingsDefaults.js';
 import { parseDeployment } from '#settings/ParseDeployment.js';
 import { parseSettings } from '#settings/ParseSettings.js';
-import { checkManifest } from '#cli/CheckManifest.js';
+import { checkRoutes } from '#cli/CheckRoutes.js';
 import type { CheckedFile } from '#cli/CheckedFile.js';
 import { Command } from '#cli/Command.js';
 import type { CommandCall } from '#cli/CommandCall.js';
@@ -17,14 +17,15 @@
 import { readTextFile } from '#cli/ReadTextFile.js';
 import { UsageError } from '#cli/UsageError.js';
 
-/** Validates settings, catalogues, deployments and manifests of the platform without a daemon. */
+/** Validates settings, catalogues, deployments and configurations of routes without a daemon. */
 export class CheckCommand extends Command {
   public override readonly usage = 'check [...files]';
-  public override readonly summary = 'Check settings, catalogues, deployments and manifests for faults';
+  public override readonly summary =
+    'Check settings, catalogues, deployments and configurations of routes for faults';
   public override readonly options = [
     { usage: '--defaults', summary: 'Print every default instead of checking files' },
-    { usage: '--current <file>', summary: 'Manifest in force, to list what differs from it' },
-    { usage: '--regions <names>', summary: 'Regions that exist, separated by commas, to check a manifest' },
+    { usage: '--current <file>', summary: 'Configuration in force, to list what differs from it' },
+    { usage: '--regions <names>', summary: 'Regions that exist, separated by commas, to check routes' },
   ];
   public override readonly examples = [
     'check settings.jsonc catalogue.jsonc',
@@ -49,10 +50,10 @@
   }
 }
 
-function checkFile(file: string, options: Parameters<typeof checkManifest>[2]): CheckedFile {
+function checkFile(file: string, options: Parameters<typeof checkRoutes>[2]): CheckedFile {
   const text = readTextFile(file);
   const kind = findDocumentKind(text);
-  if (kind === 'manifest') return checkManifest(text, file, options);
+  if (kind === 'routes') return checkRoutes(text, file, options);
   const parse = { catalogue: parseCatalogue, deployment: parseDeployment, settings: parseSettings }[kind];
   const faults = parse(text, file).swap().orDefault([]);
   return { file, kind, faults, warnings: [], differences: undefined };
--- a/packages/cli/src/CheckManifest.ts
+++ b/packages/cli/src/CheckRoutes.ts
@@ -1,5 +1,5 @@
 import type { DocumentFault } from '#catalogue/DocumentFault.js';
-import { readManifest } from '#platform/ReadManifest.js';
+import { readConfiguration } from '#platform/ReadConfiguration.js';
 import { checkRouteTable } from '#routes/CheckRouteTable.js';
 import { diffRouteTables } from '#routes/DiffRouteTables.js';
 import type { RouteTable } from '#routes/RouteTable.js';
@@ -16,10 +16,10 @@
 }
 
 /** Checks a configuration in the platform's format before it is sent. */
-export function checkManifest(text: string, file: string, { inForce, regions }: Options): CheckedFile {
+export function checkRoutes(text: string, file: string, { inForce, regions }: Options): CheckedFile {
   const current = inForce === undefined ? undefined : readInForce(inForce);
-  return readManifest(text, file).caseOf<CheckedFile>({
-    Left: (faults) => ({ file, kind: 'manifest', faults, warnings: [], differences: undefined }),
+  return readConfiguration(text, file).caseOf<CheckedFile>({
+    Left: (faults) => ({ file, kind: 'routes', faults, warnings: [], differences: undefined }),
     Right: ({ table, locate }) => {
       const findings = checkRouteTable(table, regions);
       const select = (severity: 'error' | 'warning'): readonly DocumentFault[] =>
@@ -37,7 +37,7 @@
           : [];
       return {
         file,
-        kind: 'manifest',
+        kind: 'routes',
         faults: [...outdated, ...select('error')],
         warnings: select('warning'),
         differences: current === undefined ? undefined : diffRouteTables(current, table),
@@ -47,7 +47,7 @@
 }
 
 function readInForce(file: string): RouteTable {
-  return readManifest(readTextFile(file), file).caseOf({
+  return readConfiguration(readTextFile(file), file).caseOf({
     Left: ([fault]) => {
       const fields = { code: 'unreadable', step: 'settings', peer: file } as const;
       throw new CommandError(
--- a/packages/cli/test/checkManifest.test.ts
+++ b/packages/cli/test/checkRoutes.test.ts
@@ -41,13 +41,13 @@
   };
 }
 
-/** Creates a manifest with one listener for each rule. */
-function createManifest(
+/** Creates a configuration with one listener for each rule. */
+function createConfiguration(
   version: number,
   rules: readonly RuleOptions[],
   tenants: readonly TenantOptions[] = [],
 ): string {
-  const manifest = {
+  const configuration = {
     version,
     limits: {
       max_header_bytes: 16_384,
@@ -65,7 +65,7 @@
       allowed_regions: regions ?? [],
     })),
   };
-  return JSON.stringify(manifest, null, 1);
+  return JSON.stringify(configuration, null, 1);
 }
 
 async function check(
@@ -81,15 +81,18 @@
   return { code, output: terminal.output };
 }
 
-t.test('sound manifest has no findings', async (t) => {
-  const dir = t.testdir({ 'm.json': createManifest(1, [{ name: 'r' }], [{ name: 't' }]) });
-  t.same(await check(`${dir}/m.json`), { code: 0, output: `${dir}/m.json: no faults (manifest)\n` });
+t.test('sound configuration has no findings', async (t) => {
+  const dir = t.testdir({ 'm.json': createConfiguration(1, [{ name: 'r' }], [{ name: 't' }]) });
+  t.same(await check(`${dir}/m.json`), { code: 0, output: `${dir}/m.json: no faults (routes)\n` });
 });
 
 t.test('errors have positions', async (t) => {
   const dir = t.testdir({
     'syntax.json': '{ "listeners": [',
-    'field.json': createManifest(1, [{ name: 'r' }]).replace('"timeout_ms": 1000', '"timeout_ms": "soon"'),
+    'field.json': createConfiguration(1, [{ name: 'r' }]).replace(
+      '"timeout_ms": 1000',
+      '"timeout_ms": "soon"',
+    ),
   });
   t.match(await check(`${dir}/syntax.json`), { code: 3, output: /syntax\.json:1:\d+: syntax error/ });
   t.match(await check(`${dir}/field.json`), { code: 3, output: /timeout_ms/ });
@@ -118,7 +121,7 @@
   ],
 ] as const) {
   t.test(`${name} is an error`, async (t) => {
-    const dir = t.testdir({ 'm.json': createManifest(1, rules, tenants) });
+    const dir = t.testdir({ 'm.json': createConfiguration(1, rules, tenants) });
     t.match(await check('--regions', 'west,east', `${dir}/m.json`), { code: 3, output: expected });
   });
 }
@@ -143,7 +146,7 @@
   ['keys that are never needed', [{ name: 'a', isPublic: true }], [{ name: 't' }], /all routes are public/],
 ] as const) {
   t.test(`${name} is a warning`, async (t) => {
-    const dir = t.testdir({ 'm.json': createManifest(1, rules, tenants) });
+    const dir = t.testdir({ 'm.json': createConfiguration(1, rules, tenants) });
     const { code, output } = await check('--regions', 'west,east', `${dir}/m.json`);
     t.equal(code, 0);
     t.match(output, expected);
@@ -153,8 +156,12 @@
 
 t.test('differences from the version in force are listed', async (t) => {
   const dir = t.testdir({
-    'current.json': createManifest(1, [{ name: 'a' }, { name: 'old' }], [{ name: 't', regions: ['west'] }]),
-    'next.json': createManifest(
+    'current.json': createConfiguration(
+      1,
+      [{ name: 'a' }, { name: 'old' }],
+      [{ name: 't', regions: ['west'] }],
+    ),
+    'next.json': createConfiguration(
       2,
       [{ name: 'a', timeoutMs: 2_000 }, { name: 'new' }],
       [{ name: 't', rate: 5, keys: ['other-key'] }],
@@ -172,7 +179,7 @@
 });
 
 t.test('version that is not above the one in force is an error', async (t) => {
-  const text = createManifest(3, [{ name: 'a' }]);
+  const text = createConfiguration(3, [{ name: 'a' }]);
   const dir = t.testdir({ 'current.json': text, 'next.json': text });
   const result = await check('--current', `${dir}/current.json`, `${dir}/next.json`);
   t.match(result, { code: 3, output: /version 3 is not above 3/ });
@@ -180,7 +187,7 @@
 });
 
 t.test('findings and differences are printed as JSON', async (t) => {
-  const dir = t.testdir({ 'm.json': createManifest(1, [{ name: 'a', targetMs: 2_000 }]) });
+  const dir = t.testdir({ 'm.json': createConfiguration(1, [{ name: 'a', targetMs: 2_000 }]) });
   const { output } = await check('--json', `${dir}/m.json`);
-  t.match(JSON.parse(output), { files: [{ kind: 'manifest', faults: [], warnings: [{ line: Number }] }] });
+  t.match(JSON.parse(output), { files: [{ kind: 'routes', faults: [], warnings: [{ line: Number }] }] });
 });
