Quotas: a daemon whose backend server has left does not divide rate limits

Cause: entries of removed VMs stay in the store, so that tenants held by one kept the reserved 3 % of their rate for good. Change: only daemons whose backend server has not left are candidates. A holder that is lost without a leave still keeps its tenants at 3 %, as it cannot be told from one behind a cut link (docs/design/tenants.md).

--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -25,6 +25,7 @@
 import { EntryTask } from '#mesh/EntryTask.js';
 import { FastestCompletion } from '#mesh/FastestCompletion.js';
 import { FollowTask } from '#mesh/FollowTask.js';
+import { listQuotaMembers } from '#mesh/ListQuotaMembers.js';
 import { listUsableServers } from '#mesh/ListUsableServers.js';
 import { MetricsTask } from '#mesh/MetricsTask.js';
 import type { NodeOptions } from '#mesh/NodeOptions.js';
@@ -462,7 +463,7 @@
       this.quotas.post({ type: 'tenants', tenants: routes.table.tenants });
     }
     if (view.complete && (before?.complete !== true || view.servers !== before.servers))
-      this.quotas.post({ type: 'members', members: [...view.servers.values()] });
+      this.quotas.post({ type: 'members', members: listQuotaMembers(view) });
     if (!view.complete || routes === undefined || !this.life.send({ type: 'informed' })) return;
     this.readiness.post({ type: 'ready', ready: true });
     this.logger.log('serving', { version: routes.table.version, servers: view.servers.size });
