--- a/packages/mesh/src/ServerAdmission.ts
+++ b/packages/mesh/src/ServerAdmission.ts
@@ -18,8 +18,8 @@
 const RETURN_WAIT_FRACTION = 0.5;
 
 /**
- * Exponent of the stretch of the wait by overtaking work when a request is queued. With 1, twice as many requests were held
- * for over half their target latency and reached no server (simulation, 1.3 times the capacity).
+ * Exponent of the stretch of the wait by overtaking work when a request is queued. With 1, an overloaded service held twice as many
+ * requests for over half their target latency that then reached no server.
  */
 const ADMISSION_EXPONENT = 2;
 
