--- a/packages/hedging/src/HedgeLoad.ts
+++ b/packages/hedging/src/HedgeLoad.ts
@@ -1,6 +1,4 @@
+import type { LoadReport } from '#balance/LoadReport.js';
+
 /** The part of a load report that tells whether a backend server has a free slot. */
-export interface HedgeLoad {
-  readonly running: number;
-  readonly queued: number;
-  readonly slots: number;
-}
+export type HedgeLoad = Pick<LoadReport, 'running' | 'queued' | 'slots'>;
--- a/packages/mesh/src/BackendRequestOutcomes.ts
+++ b/packages/mesh/src/BackendRequestOutcomes.ts
@@ -5,7 +5,7 @@
 import { findHeader } from '#mesh/FindHeader.js';
 import type { ServiceTimesByKind } from '#mesh/ServiceTimesByKind.js';
 import type { LoadMeter } from '#mesh/LoadMeter.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { LossCode } from '#mesh/LossCode.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import type { BackendRequestTable } from '#mesh/BackendRequestTable.js';
--- a/packages/mesh/src/BackendResult.ts
+++ b/packages/mesh/src/BackendResult.ts
@@ -1,5 +1,5 @@
 import type { BackendResponse } from '#mesh/BackendResponse.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { LossCode } from '#mesh/LossCode.js';
 
--- a/packages/mesh/src/BalanceMessage.ts
+++ b/packages/mesh/src/BalanceMessage.ts
@@ -1,6 +1,6 @@
 import type { OwnerLoadReport } from '#mesh/OwnerLoadReport.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
 /** State changes, load reports and calls of other daemons that `BalanceTask` handles. */
--- a/packages/mesh/src/CreateRefusal.ts
+++ b/packages/mesh/src/CreateRefusal.ts
@@ -1,4 +1,4 @@
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 
--- a/packages/mesh/src/DecodeBackendResult.ts
+++ b/packages/mesh/src/DecodeBackendResult.ts
@@ -7,7 +7,7 @@
 import { decodeTuple } from '#mesh/DecodeTuple.js';
 import type { HeaderPair } from '#mesh/HeaderPair.js';
 import { headerTextCodec } from '#mesh/HeaderTextCodec.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { LossCode } from '#mesh/LossCode.js';
 import { maxHeaders } from '#mesh/MaxHeaders.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
--- a/packages/mesh/src/EncodeBackendResult.ts
+++ b/packages/mesh/src/EncodeBackendResult.ts
@@ -1,5 +1,5 @@
 import { encodeAscii } from '#mesh/EncodeAscii.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { RelayHead } from '#mesh/RelayHead.js';
 
--- a/packages/mesh/src/ListCandidateServers.ts
+++ b/packages/mesh/src/ListCandidateServers.ts
@@ -1,4 +1,5 @@
 import type { Route } from '#routes/Route.js';
+import { mayGetNewRequests } from '#mesh/MayGetNewRequests.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import type { MeshView } from '#mesh/MeshView.js';
 
@@ -12,8 +13,7 @@
   return [...view.servers.values()].filter(
     (server) =>
       server.service === service &&
-      server.state === 'ready' &&
-      !view.evacuated.has(server.failureDomain) &&
+      mayGetNewRequests(view, server) &&
       isInHomeRegion(route, server.region) &&
       isUsable(server),
   );
--- a/packages/mesh/src/LoadMeter.ts
+++ b/packages/mesh/src/LoadMeter.ts
@@ -1,4 +1,4 @@
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { BackendRequestQueue } from '#mesh/BackendRequestQueue.js';
 import type { ReportedLoad } from '#mesh/ReportedLoad.js';
 import { WindowedMinimum } from '#mesh/WindowedMinimum.js';
--- a/packages/mesh/src/ServerAdmission.ts
+++ b/packages/mesh/src/ServerAdmission.ts
@@ -8,7 +8,7 @@
 import { BackendRequestQueue } from '#mesh/BackendRequestQueue.js';
 import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
 import { formatKind } from '#mesh/FormatKind.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 
 /** Maximum length of the queue, as a multiple of the slots. */
--- a/packages/mesh/src/ServerOptions.ts
+++ b/packages/mesh/src/ServerOptions.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '#core/Logger.js';
 import type { ElapsedClock } from '#ranges/ElapsedClock.js';
 import type { HeaderNames } from '#mesh/HeaderNames.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
 
--- a/packages/mesh/src/ServerTask.ts
+++ b/packages/mesh/src/ServerTask.ts
@@ -12,7 +12,7 @@
 import { initialServerState } from '#mesh/InitialServerState.js';
 import { ServiceTimesByKind } from '#mesh/ServiceTimesByKind.js';
 import { LoadMeter } from '#mesh/LoadMeter.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { BackendRequest } from '#mesh/BackendRequest.js';
 import { BackendRequestTable } from '#mesh/BackendRequestTable.js';
 import { BackendRequestOutcomes } from '#mesh/BackendRequestOutcomes.js';
--- a/packages/mesh/test/FleetDaemon.ts
+++ b/packages/mesh/test/FleetDaemon.ts
@@ -1,4 +1,3 @@
-import { Right } from 'purify-ts';
 import type { Clock } from '#core/Clock.js';
 import { Logger } from '#core/Logger.js';
 import { RandomSource } from '#core/RandomSource.js';
@@ -9,31 +8,16 @@
 import { DirectoryTask } from '#mesh/DirectoryTask.js';
 import { FollowTask } from '#mesh/FollowTask.js';
 import type { MeshView } from '#mesh/MeshView.js';
-import { RouteDecoder } from '#mesh/RouteDecoder.js';
 import { StoreLinkTask } from '#mesh/StoreLinkTask.js';
 import type { FleetStore } from './FleetStore.js';
 import { FleetStoreLink } from './FleetStoreLink.js';
 import { RecordingLogger } from './RecordingLogger.js';
 import { StallingClock } from './StallingClock.js';
+import { VersionDecoder } from './VersionDecoder.js';
 
 const STORE_DELAY_MS = 12;
 const PEER_DELAY_MS = 1;
 
-/** Decodes a configuration that is only a version. */
-class VersionDecoder extends RouteDecoder {
-  public override decode(_name: string, value: unknown): ReturnType<RouteDecoder['decode']> {
-    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    return Right({
-      version: value as number,
-      limits,
-      routes: [],
-      services: new Map(),
-      tenants: new Map(),
-      tenantByKey: new Map(),
-    });
-  }
-}
-
 /** The tasks of one simulated daemon that read the store, and its links. */
 export class FleetDaemon {
   public readonly serverId: string;
--- a/packages/mesh/test/LegacyAdmission.ts
+++ b/packages/mesh/test/LegacyAdmission.ts
@@ -1,6 +1,6 @@
 import type { QueuedWork } from '#overload/QueuedWork.js';
 import { fitsBeforeTarget } from '#mesh/FitsBeforeTarget.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 import { ServerAdmission } from '#mesh/ServerAdmission.js';
 
--- a/packages/mesh/test/OverloadServer.ts
+++ b/packages/mesh/test/OverloadServer.ts
@@ -5,7 +5,7 @@
 import { createRefusal } from '#mesh/CreateRefusal.js';
 import { formatKind } from '#mesh/FormatKind.js';
 import { LoadMeter } from '#mesh/LoadMeter.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { RefusalCode } from '#mesh/RefusalCode.js';
 import type { QueuedBackendRequest } from '#mesh/QueuedBackendRequest.js';
 import { RunningBackendRequests } from '#mesh/RunningBackendRequests.js';
--- a/packages/mesh/test/PlacementSimulation.ts
+++ b/packages/mesh/test/PlacementSimulation.ts
@@ -2,7 +2,7 @@
 import { RandomSource } from '#core/RandomSource.js';
 import type { BackendResult } from '#mesh/BackendResult.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { ServerChooser } from '#mesh/ServerChooser.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { createEntry } from './CreateEntry.js';
--- a/packages/mesh/test/ServerScore.ts
+++ b/packages/mesh/test/ServerScore.ts
@@ -1,4 +1,4 @@
-import type { LoadReport } from '#mesh/LoadReport.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 
 /** Statistics of a backend server, from the results of the requests that this daemon sent to it. */
 export interface ServerScore {
--- a/packages/mesh/test/directory.test.ts
+++ b/packages/mesh/test/directory.test.ts
@@ -1,4 +1,3 @@
-import { Right } from 'purify-ts';
 import t from 'tap';
 import { Logger } from '#core/Logger.js';
 import { ManualClock } from '#core/ManualClock.js';
@@ -6,24 +5,9 @@
 import type { ReadReport } from '#mesh/ReadReport.js';
 import { RouteDecoder } from '#mesh/RouteDecoder.js';
 import type { MeshView } from '#mesh/MeshView.js';
-import type { RouteTable } from '#routes/RouteTable.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import { createEntry } from './CreateEntry.js';
-
-class VersionDecoder extends RouteDecoder {
-  public override decode(_name: string, value: unknown): ReturnType<RouteDecoder['decode']> {
-    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const table: RouteTable = {
-      version: value as number,
-      limits,
-      routes: [],
-      services: new Map(),
-      tenants: new Map(),
-      tenantByKey: new Map(),
-    };
-    return Right(table);
-  }
-}
+import { VersionDecoder } from './VersionDecoder.js';
 
 /** Throws on version 13, as a decoder with a fault would. */
 class FaultyDecoder extends VersionDecoder {
--- a/packages/placement/src/PlacementChooser.ts
+++ b/packages/placement/src/PlacementChooser.ts
@@ -1,7 +1,7 @@
 import type { RandomSource } from '#core/RandomSource.js';
 import { estimateQueueMs } from '#placement/EstimateQueueMs.js';
 import type { PlacementCandidate } from '#placement/PlacementCandidate.js';
-import type { PlacementLoad } from '#placement/PlacementLoad.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { PlacementOrigin } from '#placement/PlacementOrigin.js';
 import type { PlacementSpread } from '#placement/PlacementSpread.js';
 import type { ResultKind } from '#placement/ResultKind.js';
@@ -70,12 +70,7 @@
   }
 
   /** Notes the result of a request that was sent to a server. */
-  public noteResult(
-    serverId: string,
-    kind: ResultKind,
-    load: PlacementLoad | undefined,
-    nowMs: number,
-  ): void {
+  public noteResult(serverId: string, kind: ResultKind, load: LoadReport | undefined, nowMs: number): void {
     this.find(serverId).noteResult(kind, load, nowMs);
   }
 
--- a/packages/placement/src/ServerEstimate.ts
+++ b/packages/placement/src/ServerEstimate.ts
@@ -1,4 +1,4 @@
-import type { PlacementLoad } from '#placement/PlacementLoad.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 import type { ResultKind } from '#placement/ResultKind.js';
 
 /** Time constant of the moving averages of the load and of the slowdown, in milliseconds. */
@@ -41,7 +41,7 @@
   /** Service time and wait that are expected now, in milliseconds. */
   public serviceMs = 0;
   public reportedWaitMs = 0;
-  private load: PlacementLoad | undefined;
+  private load: LoadReport | undefined;
   private reportedMs = -Infinity;
   private averageLoad = 0;
   private averageSlowdown = 1;
@@ -80,7 +80,7 @@
   }
 
   /** Notes the result of a request and the load that was reported with it. */
-  public noteResult(kind: ResultKind, load: PlacementLoad | undefined, nowMs: number): void {
+  public noteResult(kind: ResultKind, load: LoadReport | undefined, nowMs: number): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
     // Results without a report must not leave their requests in the count for ever.
     this.sentSinceReport = Math.min(this.sentSinceReport, this.inFlight);
@@ -144,7 +144,7 @@
   }
 
   /** A slowdown is current only in reports with a response; other reports may contain an assumed one. */
-  private noteLoad(load: PlacementLoad, hasSlowdown: boolean, nowMs: number): void {
+  private noteLoad(load: LoadReport, hasSlowdown: boolean, nowMs: number): void {
     const perSlot = (load.running + load.queued) / Math.max(1, load.slots);
     const weight = weightAfter(nowMs - this.reportedMs);
     this.averageLoad += (this.load === undefined ? 1 : weight) * (perSlot - this.averageLoad);
--- a/packages/placement/test/placementChooser.test.ts
+++ b/packages/placement/test/placementChooser.test.ts
@@ -3,17 +3,17 @@
 import { estimateQueueMs } from '#placement/EstimateQueueMs.js';
 import type { PlacementCandidate } from '#placement/PlacementCandidate.js';
 import { PlacementChooser } from '#placement/PlacementChooser.js';
-import type { PlacementLoad } from '#placement/PlacementLoad.js';
+import type { LoadReport } from '#balance/LoadReport.js';
 
 const ORIGIN = { region: 'r', failureDomain: 'd' };
-const IDLE: PlacementLoad = { running: 0, queued: 0, slots: 4, waitMs: 0, serviceMs: 50, slowdown: 1 };
-const QUEUED: PlacementLoad = { ...IDLE, running: 4, queued: 12, waitMs: 200 };
+const IDLE: LoadReport = { running: 0, queued: 0, slots: 4, waitMs: 0, serviceMs: 50, slowdown: 1 };
+const QUEUED: LoadReport = { ...IDLE, running: 4, queued: 12, waitMs: 200 };
 
 function createCandidate(serverId: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate {
   return { serverId, ...ORIGIN, slots: 4, ...change };
 }
 
-function createChooser(loads: Readonly<Record<string, PlacementLoad>>, nowMs = 0): PlacementChooser {
+function createChooser(loads: Readonly<Record<string, LoadReport>>, nowMs = 0): PlacementChooser {
   const chooser = new PlacementChooser(ORIGIN, new RandomSource(1));
   for (const [id, load] of Object.entries(loads)) {
     chooser.noteSent(id);
--- a/packages/tenants/test/quotaFleet.test.ts
+++ b/packages/tenants/test/quotaFleet.test.ts
@@ -1,6 +1,9 @@
 import t from 'tap';
-import type { Tenant } from '#routes/Tenant.js';
 import { chooseQuotaHolder } from '#tenants/ChooseQuotaHolder.js';
+import { computeBound } from './ComputeBound.js';
+import { countArrivals } from './CountArrivals.js';
+import { createTenant } from './CreateTenant.js';
+import { listServers } from './ListServers.js';
 import { SimulatedQuotas } from './SimulatedQuotas.js';
 
 const SEED = Number(process.env.SEED ?? 20261206);
@@ -11,24 +14,6 @@
 /** Time after the start in which a holder is not yet sure to be the only one, and has no tokens. */
 const START_MS = 10_000;
 
-function createTenant(name: string, ratePerSecond: number, burst: number): Tenant {
-  return { name, priority: undefined, ratePerSecond, burst, homeRegions: [] };
-}
-
-function listServers(count: number): readonly string[] {
-  return Array.from({ length: count }, (_, index) => `d${index}`);
-}
-
-function bound({ ratePerSecond, burst }: Tenant): number {
-  return (ratePerSecond * 5 + burst) * 1.1 + 20;
-}
-
-/** Number of requests in one step of 5 ms at a rate. */
-function countArrivals(run: SimulatedQuotas, ratePerSecond: number): number {
-  const exact = ratePerSecond / 200;
-  return Math.floor(exact) + (run.integer(1_000_000) < (exact % 1) * 1_000_000 ? 1 : 0);
-}
-
 const TENANTS = [
   createTenant('small', 5, 5),
   createTenant('medium', 60, 20),
@@ -96,8 +81,8 @@
         await run.run(8_000, flood);
         const peak = run.countPeak(tenant.name, WINDOW_MS);
         t.ok(
-          peak <= bound(tenant),
-          `${peak} of ${bound(tenant)} in 5 s (${silent ? 'silent' : 'failing'} links)`,
+          peak <= computeBound(tenant),
+          `${peak} of ${computeBound(tenant)} in 5 s (${silent ? 'silent' : 'failing'} links)`,
         );
         const atFault = run.countAdmitted(faultMs, faultMs + 8_000);
         t.comment(`admitted in 8 s from the fault: ${atFault}; limit ${tenant.ratePerSecond * 8}`);
@@ -124,7 +109,7 @@
   const changedMs = run.clock.monotonicMs();
   await run.run(11_000, flood);
   const peak = run.countPeak('a', WINDOW_MS, changedMs + WINDOW_MS);
-  t.ok(peak <= bound(lowered), `${peak} of ${bound(lowered)}`);
+  t.ok(peak <= computeBound(lowered), `${peak} of ${computeBound(lowered)}`);
   t.ok(peak >= 45, 'the new limit is used');
   run.stop();
 });
--- a/packages/tenants/test/quotaShare.test.ts
+++ b/packages/tenants/test/quotaShare.test.ts
@@ -1,5 +1,9 @@
 import t from 'tap';
 import type { Tenant } from '#routes/Tenant.js';
+import { computeBound } from './ComputeBound.js';
+import { countArrivals } from './CountArrivals.js';
+import { createTenant } from './CreateTenant.js';
+import { listServers } from './ListServers.js';
 import { SimulatedQuotas } from './SimulatedQuotas.js';
 
 const SEED = Number(process.env.SEED ?? 20261206);
@@ -10,24 +14,6 @@
 /** Time after the start in which a holder is not yet sure to be the only one, and has no tokens. */
 const START_MS = 10_000;
 
-function createTenant(name: string, ratePerSecond: number, burst: number): Tenant {
-  return { name, priority: undefined, ratePerSecond, burst, homeRegions: [] };
-}
-
-function listServers(count: number): readonly string[] {
-  return Array.from({ length: count }, (_, index) => `d${index}`);
-}
-
-function bound({ ratePerSecond, burst }: Tenant): number {
-  return (ratePerSecond * 5 + burst) * 1.1 + 20;
-}
-
-/** Number of requests in one step of 5 ms at a rate. */
-function countArrivals(run: SimulatedQuotas, ratePerSecond: number): number {
-  const exact = ratePerSecond / 200;
-  return Math.floor(exact) + (run.integer(1_000_000) < (exact % 1) * 1_000_000 ? 1 : 0);
-}
-
 /** Requests of a token bucket with the limits of the tenant, which keeps it nearly empty after a burst. */
 class ConformingDemand {
   private tokens: number;
@@ -84,7 +70,7 @@
         `${pattern}: waits p50 ${waited[Math.floor(waited.length / 2)]} p99 ${waited[Math.floor(waited.length * 0.99)]} ms, at most ${calls / 10.5} calls a second by one daemon`,
       );
       t.ok(calls <= 10.5 * 8, 'calls of one daemon');
-      t.ok(run.countPeak(tenant.name, WINDOW_MS) <= bound(tenant));
+      t.ok(run.countPeak(tenant.name, WINDOW_MS) <= computeBound(tenant));
       run.stop();
     }
   });
