review: callers that pipeline and read slowly end processes for their memory

A connection with a request at work is exempt from the limit of unsent answers, and nothing else limits what it holds. The records of cases 7 and 8 name all requests that were sent.

--- a/review/src/cutAnswers.ts
+++ b/review/src/cutAnswers.ts
@@ -64,6 +64,7 @@
 function createGet(answerBytes: number, workMs: number): string {
   const id = nextId();
   const fields = Object.entries(createHeaders(id, answerBytes, workMs));
+  record.add(`sent ${id}: GET /safe/${sent}, answer of ${answerBytes} bytes, work of ${workMs} ms`);
   return `GET /safe/${sent} HTTP/1.1\r\n${fields.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`;
 }
 
@@ -82,6 +83,7 @@
 /** Sends one request on the kept channel of a client; notes whether the channel ends without the whole answer. */
 function call(address: Address, agent: Agent): Promise<void> {
   const id = nextId();
+  record.add(`sent ${id}: POST /unsafe/${sent}, answer of ${ANSWER_BYTES} bytes`);
   return new Promise((resolve) => {
     const headers = { ...createHeaders(id, ANSWER_BYTES, LITTLE_WORK_MS), 'content-length': '2' };
     const end = (result: string): void => {
@@ -142,6 +144,10 @@
   isOver = true;
   await Promise.all(callers);
   const replied = new Set(fleet.events.flatMap((each) => (each.type === 'replied' ? [each.id] : [])));
+  for (const event of fleet.events) {
+    if (event.type === 'arrived' && event.ran) record.add(`run ${event.id} by ${event.run}`);
+    if (event.type === 'replied') record.add(`answered whole by ${event.run}: ${event.id} ${event.status}`);
+  }
   const bytes = fleet.daemons[CALLED]?.usage?.residentBytes ?? 0;
   await fleet.stop();
   const lost = [...cut.keys()].filter((id) => replied.has(id));
