Keep keys with a server that refuses connections until its grants end

Cause: PresenceTask took two refused connections without an announcement between them for a proof that the process had ended, and RangeTask then dropped the grant and freed the keys at once. A cut brings about both under a live server. A run that announced itself later at the same port freed the keys of the former one in the same way.

Ruled out: the planner and the leases (no leaseRevoke, takeover, leaseLapsed or leaseNotRenewed in any daemon's log of the script) and announcements from before the cut (the daemon beside the server logs 'released evidence=grantsEnded' 1.55 s after the cut began, of grants of 7 s).

Change: nothing that a daemon sees of a backend server ends its grants any more. A refused or silent connection, a leave and a replacement still stop its use at once; its keys move when it released them or when every grant has run out. A server that is unreachable gets no further grant, which would only delay the move if it has ended. PresenceTask loses the second probe, RangeTask the flag 'proven'.

The tests of presence and rangeTask that demanded the early end ('refused connection after silence proves the end of a run', 'later run proves the end of the former one', 'keys of a dead server move at once') asserted the fault: they now demand that use ends at once and keys stay until the grant has expired.

--- a/packages/mesh/src/GrantExpiry.ts
+++ b/packages/mesh/src/GrantExpiry.ts
@@ -4,7 +4,10 @@
 /** Longest time for a grant to reach the backend server. */
 const MAX_DELIVERY_MS = 200;
 
-/** Tracks until when grants of keys may be in force. Times are monotonic, in milliseconds. */
+/**
+ * Tracks until when grants of keys may be in force. Nothing that is seen of a backend server ends them earlier: a network
+ * fault can make a live one look as if it had ended. Times are monotonic, in milliseconds.
+ */
 export class GrantExpiry {
   private readonly clock: Clock;
   private readonly timings: LeaseTimings;
@@ -39,12 +42,6 @@
     this.endMs = Math.max(this.endMs, this.endOf(holdMs));
   }
 
-  /** Notes that the current process of the backend server has ended, which ends its grants. */
-  public noteServerEnded(): void {
-    // An outdated announcement may have named the process that ended; a later process may hold inherited keys.
-    this.endMs = Math.max(this.inheritedMs, this.clock.monotonicMs());
-  }
-
   private endOf(holdMs: number): number {
     return this.clock.monotonicMs() + holdMs * (1 + this.timings.clockDrift) + MAX_DELIVERY_MS;
   }
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -221,7 +221,6 @@
       createLogger: (component) => new Logger(component),
       isConfigured: (service) => this.view?.routes?.table.services.has(service) ?? false,
       onPresence: (presence) => this.server.post({ type: 'presence', presence }),
-      onProbeNeeded: () => this.server.post({ type: 'probe' }),
       onGranted: (keys) => this.server.post({ type: 'granted', keys }),
       onFacts: (facts) => this.balance.post({ type: 'facts', facts }),
       call: (address, method, params, reply) =>
--- a/packages/mesh/src/OwnershipOptions.ts
+++ b/packages/mesh/src/OwnershipOptions.ts
@@ -24,7 +24,6 @@
   readonly createLogger: (component: string) => Logger;
   readonly isConfigured: PresenceOptions['isConfigured'];
   readonly onPresence: PresenceOptions['onPresence'];
-  readonly onProbeNeeded: PresenceOptions['onProbeNeeded'];
   readonly onGranted: RangeOptions['onGranted'];
   readonly onFacts: RangeOptions['onFacts'];
   readonly call: PlannerOptions['call'];
--- a/packages/mesh/src/OwnershipTasks.ts
+++ b/packages/mesh/src/OwnershipTasks.ts
@@ -37,7 +37,7 @@
       ...options,
       logger: createLogger('presence'),
       onCheckIn: (checkIn) => this.ranges.post({ type: 'checkIn', checkIn }),
-      onEnded: (incarnation, proven) => this.ranges.post({ type: 'ended', incarnation, proven }),
+      onEnded: (incarnation, reason) => this.ranges.post({ type: 'ended', incarnation, reason }),
     });
   }
 
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -6,7 +6,6 @@
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
-import type { RefusedConnection } from '#mesh/RefusedConnection.js';
 
 /** Messages to `PresenceTask`. */
 export type PresenceMessage =
@@ -24,8 +23,6 @@
       readonly reply: (recorded: boolean) => void;
     }
   | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
-  /** The waiting time after a refused connection has passed without an announcement. */
-  | { readonly type: 'confirm'; readonly refusal: RefusedConnection }
   /** The daemon holds its lease under a new term. */
   | { readonly type: 'term'; readonly term: number }
   /** The result of reading the entry that a former process of this daemon left. */
--- a/packages/mesh/src/PresenceOptions.ts
+++ b/packages/mesh/src/PresenceOptions.ts
@@ -3,6 +3,7 @@
 import type { CollectionStore } from '#store/CollectionStore.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
+import type { EndOfUse } from '#mesh/EndOfUse.js';
 import type { Presence } from '#mesh/Presence.js';
 
 /** Identity, collaborators and callbacks of `PresenceTask`. */
@@ -21,8 +22,6 @@
   readonly isConfigured: (service: string) => boolean;
   /** Requests a grant for a backend server that announced itself. */
   readonly onCheckIn: (checkIn: CheckIn) => void;
-  /** Requests another connection to a backend server that refused one and has been silent since. */
-  readonly onProbeNeeded: () => void;
-  /** Reports that a run of the backend server ended; `proven` if its process is known to have exited. */
-  readonly onEnded: (incarnation: string, proven: boolean) => void;
+  /** Reports that a run of the backend server is not to be used any longer. */
+  readonly onEnded: (incarnation: string, reason: EndOfUse) => void;
 }
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -22,7 +22,6 @@
 import type { PresenceOptions } from '#mesh/PresenceOptions.js';
 import { presenceRecordChart } from '#mesh/PresenceRecordChart.js';
 import type { PresenceRecordEvent } from '#mesh/PresenceRecordEvent.js';
-import type { RefusedConnection } from '#mesh/RefusedConnection.js';
 import { RunConfirmation } from '#mesh/RunConfirmation.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { serverEntryCodec } from '#mesh/ServerEntryCodec.js';
@@ -72,7 +71,6 @@
   /** Whether the entry of a former process may be older than the last one, as the store was restored after it was written. */
   private isEntryDoubtful = false;
   private readonly publisher: EntryPublisher;
-  private refusedConnection: RefusedConnection | undefined;
   private cancelRead: Cancel = () => undefined;
 
   public constructor(options: PresenceOptions) {
@@ -114,9 +112,6 @@
       case 'evidence':
         this.noteEvidence(message.evidence);
         return;
-      case 'confirm':
-        this.confirm(message.refusal);
-        return;
       case 'term':
         this.term = message.term;
         this.publisher.schedule();
@@ -202,7 +197,7 @@
     this.run = isSameRun ? { ...run, leavingMs: -Infinity, leaveSequence: restored.leaveSequence } : restored;
     this.cursor.send({ type: entry.state === 'gone' ? 'withdrawn' : 'draining' });
     this.reportPresence(this.run);
-    if (run !== undefined) this.options.onEnded(run.incarnation, false);
+    if (run !== undefined) this.options.onEnded(run.incarnation, 'left');
   }
 
   private noteAnnouncement(announcement: Announcement, reply: (reply: AnnouncementReply) => void): void {
@@ -223,15 +218,11 @@
       else reply({ accepted: false, grant: undefined });
       return;
     }
-    if (incarnation === this.refusedConnection?.incarnation)
-      this.options.logger.log('refusalRefuted', { incarnation, sequence: announcement.sequence });
-    this.refusedConnection = undefined;
     if (!this.isConfirmed(announcement, incarnation, nowMs)) {
       reply({ accepted: true, grant: undefined });
       return;
     }
-    if (this.run !== undefined && this.run.incarnation !== incarnation)
-      this.noteReplacedRun(this.run, announcement.bornMs >= this.run.announcement.bornMs);
+    if (this.run !== undefined && this.run.incarnation !== incarnation) this.noteReplacedRun(this.run);
     const before = this.run;
     const leaves = announcement.draining || this.cursor.state === 'gone';
     this.run = {
@@ -319,11 +310,11 @@
     return !this.successor.note(incarnation, announcement, nowMs) || nowMs - announcedMs < MAX_SILENCE_MS;
   }
 
-  private noteReplacedRun(run: ServerRun, isProven: boolean): void {
+  private noteReplacedRun(run: ServerRun): void {
     this.options.logger.log('serverReplaced', { incarnation: run.incarnation });
     this.cursor.send({ type: 'replaced' });
     this.run = undefined;
-    this.options.onEnded(run.incarnation, isProven);
+    this.options.onEnded(run.incarnation, 'replaced');
   }
 
   private noteWithdrawal(
@@ -355,47 +346,27 @@
       const leaveSequence = leavingMs === undefined ? run.announcement.sequence : run.leaveSequence;
       this.run = { ...run, leavingMs: leavingMs ?? this.options.clock.monotonicMs(), leaveSequence };
       this.reportPresence(run);
-      this.options.onEnded(run.incarnation, false);
+      this.options.onEnded(run.incarnation, 'left');
     }
     this.acknowledgeLeave(this.run ?? run, reply);
   }
 
+  /**
+   * Stops the use of a run to which connections fail. That is no proof of its end, as a cut has the same effect on a live run:
+   * its keys stay with it until its grants have run out.
+   */
   private noteEvidence({ kind, incarnation }: PresenceEvidence): void {
     const { run } = this;
     if (run?.incarnation !== incarnation) return;
     const silentMs = this.options.clock.monotonicMs() - run.announcedMs;
     const missed = silentMs > MISSED_ANNOUNCEMENTS * this.options.announceEveryMs;
     if (kind === 'silent' && !missed) return;
-    const proven = kind === 'refused' && this.provesEnd(run);
-    this.options.onEnded(incarnation, proven);
+    this.options.onEnded(incarnation, 'unreachable');
     if (!this.cursor.send({ type: 'died' })) return;
     this.options.logger.log('serverDied', { incarnation, evidence: kind, silentMs: Math.round(silentMs) });
     this.reportPresence(run);
   }
 
-  /**
-   * Whether a refused connection proves that a run has ended. The first refusal proves nothing, since a live server can be
-   * without a listener for a moment; a second one does, if the run has not announced itself in between. A leaving server
-   * may close its port while it works on its last requests.
-   */
-  private provesEnd({ incarnation, announcedMs, leavingMs }: ServerRun): boolean {
-    if (leavingMs !== undefined) return false;
-    if (this.refusedConnection !== undefined) return this.refusedConnection.isSilent;
-    const { announceEveryMs, clock } = this.options;
-    const silentMs = clock.monotonicMs() - announcedMs;
-    const waitMs = Math.max(MISSED_ANNOUNCEMENTS * announceEveryMs - silentMs, announceEveryMs);
-    const refusal: RefusedConnection = { incarnation, isSilent: false };
-    this.refusedConnection = refusal;
-    clock.schedule(waitMs, () => this.post({ type: 'confirm', refusal }));
-    return false;
-  }
-
-  private confirm(refusal: RefusedConnection): void {
-    if (refusal !== this.refusedConnection) return;
-    this.refusedConnection = { ...refusal, isSilent: true };
-    this.options.onProbeNeeded();
-  }
-
   private reportPresence(before: ServerRun | undefined): void {
     const presence = this.describe();
     this.options.onPresence(presence);
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -1,6 +1,7 @@
 import type { CollectionItem } from '#store/CollectionItem.js';
 import type { EraChange } from '#store/EraChange.js';
 import type { CheckIn } from '#mesh/CheckIn.js';
+import type { EndOfUse } from '#mesh/EndOfUse.js';
 import type { HeldLease } from '#mesh/HeldLease.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
 import type { MeshView } from '#mesh/MeshView.js';
@@ -9,7 +10,8 @@
 export type RangeMessage =
   | { readonly type: 'view'; readonly view: MeshView }
   | { readonly type: 'checkIn'; readonly checkIn: CheckIn }
-  | { readonly type: 'ended'; readonly incarnation: string; readonly proven: boolean }
+  /** A run of the backend server is not used any longer; its keys are to move. */
+  | { readonly type: 'ended'; readonly incarnation: string; readonly reason: EndOfUse }
   | { readonly type: 'lease'; readonly lease: HeldLease }
   /** A request for a key arrived whose expected service time is `workMs`. */
   | { readonly type: 'demanded'; readonly key: number; readonly workMs: number }
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -24,6 +24,7 @@
 import { chooseHotKeys } from '#mesh/ChooseHotKeys.js';
 import { chooseRelease } from '#mesh/ChooseRelease.js';
 import { describeTransfer } from '#mesh/DescribeTransfer.js';
+import type { EndOfUse } from '#mesh/EndOfUse.js';
 import { emptyMeshView } from '#mesh/EmptyMeshView.js';
 import { formatRows } from '#mesh/FormatRows.js';
 import { InitialAssignmentDelay } from '#mesh/InitialAssignmentDelay.js';
@@ -100,7 +101,6 @@
   private transferring: readonly KeyRange[] = [];
   private incarnation = '';
   private slots = 1;
-  private isAlive = false;
   private leaving = false;
   /** Rows of the last reply to an announcement. */
   private granted: readonly RangeRow[] = [];
@@ -140,7 +140,7 @@
         this.noteCheckIn(message.checkIn);
         break;
       case 'ended':
-        this.noteEnded(message.incarnation, message.proven);
+        this.noteEnded(message.incarnation, message.reason);
         break;
       case 'lease':
         if (!this.stopping) this.noteLease(message.lease);
@@ -299,7 +299,6 @@
       this.granted = [];
       this.evidence = [];
     }
-    this.isAlive = true;
     this.noteEvidence(holds);
     // A server that counted as ended and announces itself again keeps the keys that it was not yet told to release.
     if (this.leaving && !leaving) this.releases.cancelPlanned();
@@ -376,14 +375,12 @@
     });
   }
 
-  private noteEnded(incarnation: string, proven: boolean): void {
+  /** Lets the keys of a run that is not used any longer move, once it released them or its grants have run out. */
+  private noteEnded(incarnation: string, reason: EndOfUse): void {
     if (incarnation !== this.incarnation) return;
     this.leaving = true;
-    if (!proven) return;
-    this.isAlive = false;
-    this.grantedUntilMs = 0;
-    this.granted = [];
-    this.grants.noteServerEnded();
+    // Another grant would only delay the move if the server has ended.
+    if (reason === 'unreachable') this.heldReply.take()?.(undefined);
   }
 
   private tick(): void {
@@ -394,7 +391,7 @@
       incarnation: this.incarnation,
       workMsPerSecond: rows.reduce((sum, row) => sum + this.loads.sum(row, this.now()), 0),
       slots: this.slots,
-      accepts: this.isAlive && !this.mustLeave() && this.lease.untilMs > this.now(),
+      accepts: this.isInUse && !this.mustLeave() && this.lease.untilMs > this.now(),
       mayRelease: rows.length > 0 && this.releases.isEmpty && !this.writing,
     });
     if (this.table === undefined) this.createTable();
@@ -422,6 +419,11 @@
     return !this.restore.hasChanged && !wasRestored;
   }
 
+  /** Whether a run of the backend server is known that neither leaves nor is unreachable. */
+  private get isInUse(): boolean {
+    return this.incarnation !== '' && !this.leaving;
+  }
+
   private mustLeave(): boolean {
     return this.leaving || this.view.evacuated.has(this.options.identity.failureDomain);
   }
@@ -436,7 +438,7 @@
     if (table === undefined || this.writing || this.lease.untilMs <= this.now()) return;
     if (this.mustLeave()) this.releaseAll(table.table);
     if (this.grants.hasEnded) this.releases.noteGrantsEnded();
-    const renewed = this.isAlive && !this.leaving ? this.renewOwner(table.table) : table.table;
+    const renewed = this.isInUse ? this.renewOwner(table.table) : table.table;
     if (renewed !== table.table) {
       this.write(renewed, table.revision, 'ownerRenewed');
       return;
@@ -482,7 +484,7 @@
     const own = this.restore.hasSettled(this.options.clock.monotonicMs())
       ? listRowsOf(table, this.options.identity.serverId).filter((row) => !this.restore.isProven(row))
       : [];
-    const held = this.isAlive && !this.leaving ? this.evidence : [];
+    const held = this.isInUse ? this.evidence : [];
     return this.restore.claim(table, this.owner, [...held, ...subtractRanges(own, held)]);
   }
 
--- a/packages/mesh/test/SimulatedVm.ts
+++ b/packages/mesh/test/SimulatedVm.ts
@@ -7,6 +7,7 @@
 import type { HeldRow } from '#mesh/HeldRow.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
 import { OwnershipTasks } from '#mesh/OwnershipTasks.js';
+import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
 import { rpcMethods } from '#mesh/RpcMethods.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
 import type { MeshView } from '#mesh/MeshView.js';
@@ -20,6 +21,9 @@
 const RESIGNATION_MS = 150;
 const MS_PER_SECOND = 1_000;
 
+/** Interval between connections that requests open to a backend server that is cut off, in milliseconds. */
+const PROBE_INTERVAL_MS = 250;
+
 /** Utilization up to which requests do not wait, and the wait added per unit of utilization above it, in milliseconds. */
 const FREE_UTILIZATION = 0.5;
 const WAIT_PER_UTILIZATION_MS = 400;
@@ -49,6 +53,8 @@
   /** Whether the backend server and the daemon are separated. */
   private isSplit = false;
   private refusesUntilMs = 0;
+  /** Time until which the backend server is cut off and connections to it are refused. */
+  private cutUntilMs = 0;
 
   public constructor(
     id: string,
@@ -131,6 +137,22 @@
     });
   }
 
+  /**
+   * Separates the backend server from the daemon for some time, while requests of the daemon open connections to it, which
+   * fail as `kind` says.
+   */
+  public cutOff(durationMs: number, kind: PresenceEvidence['kind']): void {
+    const untilMs = this.world.clock.monotonicMs() + durationMs;
+    if (kind === 'refused') this.cutUntilMs = untilMs;
+    this.split(durationMs);
+    this.probeUntil(untilMs);
+  }
+
+  /** Runs a further fault of this VM after a delay. */
+  public after(delayMs: number, inject: () => void): void {
+    this.world.clock.schedule(delayMs, inject);
+  }
+
   /** Lets the backend server refuse new connections for some time while it keeps running. */
   public refuseConnections(durationMs: number): void {
     this.refusesUntilMs = this.world.clock.monotonicMs() + durationMs;
@@ -203,13 +225,21 @@
     });
   }
 
+  private probeUntil(untilMs: number): void {
+    if (this.world.clock.monotonicMs() >= untilMs) return;
+    this.probe();
+    this.world.clock.schedule(PROBE_INTERVAL_MS, () => this.probeUntil(untilMs));
+  }
+
   /** Opens a connection to the backend server and reports a failure to the daemon. */
   private probe(): void {
     const { incarnation, isRunning } = this.server;
     const { daemon } = this;
-    const isRefused = !isRunning || this.world.clock.monotonicMs() < this.refusesUntilMs;
+    const nowMs = this.world.clock.monotonicMs();
+    const isCut = nowMs < this.cutUntilMs;
+    const isRefused = !isRunning || nowMs < this.refusesUntilMs;
     if (daemon === undefined || (!isRefused && !this.isSplit)) return;
-    const kind = isRefused && !this.isSplit ? 'refused' : 'silent';
+    const kind = isCut || (isRefused && !this.isSplit) ? 'refused' : 'silent';
     daemon.clock.run(() => daemon.tasks.presence.post({ type: 'evidence', evidence: { kind, incarnation } }));
   }
 
@@ -267,7 +297,6 @@
       createLogger: () => new Logger(this.id),
       isConfigured: (service) => service === 's',
       onPresence: () => undefined,
-      onProbeNeeded: () => this.probe(),
       onGranted: () => undefined,
       onFacts: (facts) => this.reportLoad(balance, facts),
       call,
--- a/packages/mesh/test/ownership.test.ts
+++ b/packages/mesh/test/ownership.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { BasicFaults } from './BasicFaults.js';
 import { BasicRestoreFaults } from './BasicRestoreFaults.js';
+import { CutFaults } from './CutFaults.js';
 import { HarshFaults } from './HarshFaults.js';
 import { LoadFaults } from './LoadFaults.js';
 import { OwnershipRun } from './OwnershipRun.js';
@@ -16,6 +17,8 @@
   { name: 'load', Plan: LoadFaults, seeds: [16, 301], minHeld: 10_000 },
   { name: 'basic', Plan: BasicFaults, seeds: [1, 2, 33, 60, 65, 87], minHeld: 10_000 },
   { name: 'harsh', Plan: HarshFaults, seeds: [301, 302], minHeld: 10_000 },
+  // While two refused connections counted as the end of a server, each seed had two holders within 27 s.
+  { name: 'cut', Plan: CutFaults, seeds: [1, 2, 6], minHeld: 10_000 },
   // Without the token floor or the wait of former owners, seeds 1 and 11 have two holders of a key; seed 33 has two by
   // outdated evidence of what servers hold. Without the rows that holders keep, keys are held for too short a time.
   { name: 'restore', Plan: BasicRestoreFaults, seeds: [1, 11, 33], minHeld: 10_000 },
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -3,6 +3,7 @@
 import { ManualClock } from '#core/ManualClock.js';
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
+import type { EndOfUse } from '#mesh/EndOfUse.js';
 import type { Presence } from '#mesh/Presence.js';
 import { PresenceTask } from '#mesh/PresenceTask.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
@@ -23,10 +24,8 @@
 /** A `PresenceTask` beside a backend server of service `s`; the configuration also contains service `t`. */
 class PresenceRun {
   public readonly clock = new ManualClock();
-  public readonly ended: (readonly [incarnation: string, proven: boolean])[] = [];
+  public readonly ended: (readonly [incarnation: string, reason: EndOfUse])[] = [];
   public readonly store: MemoryCollectionStore;
-  /** Number of connections requested to check whether the backend server refuses them. */
-  public probes = 0;
   public state: Presence['state'] = 'absent';
   public readonly task: PresenceTask;
 
@@ -46,10 +45,7 @@
         this.state = state;
       },
       onCheckIn: ({ reply }) => reply({ rows: [], holdMs: 1_000 }),
-      onEnded: (incarnation, proven) => this.ended.push([incarnation, proven]),
-      onProbeNeeded: () => {
-        this.probes += 1;
-      },
+      onEnded: (incarnation, reason) => this.ended.push([incarnation, reason]),
     });
     this.task.start();
   }
@@ -122,7 +118,7 @@
   await run.withdraw(4_000);
   t.same(run.ended, []);
   await run.withdraw(5_000);
-  t.same(run.ended, [['i/5000', false]]);
+  t.same(run.ended, [['i/5000', 'left']]);
 });
 
 t.test('delayed announcement of a former run is ignored', async (t) => {
@@ -133,14 +129,14 @@
   t.same(run.ended, []);
 });
 
-t.test('later run proves the end of the former one', async (t) => {
+t.test('later run replaces the former one', async (t) => {
   const run = new PresenceRun();
   await run.announce();
   await run.announce({ bornMs: 6_000, sequence: 1 });
-  t.same(run.ended, [['i/5000', true]]);
+  t.same(run.ended, [['i/5000', 'replaced']]);
 });
 
-t.test('silence ends a run without proof', async (t) => {
+t.test('silence ends the use of a run', async (t) => {
   const run = new PresenceRun();
   await run.announce();
   run.task.post({ type: 'evidence', evidence: { kind: 'silent', incarnation: 'i/5000' } });
@@ -149,56 +145,30 @@
   run.clock.advance(2_000);
   run.task.post({ type: 'evidence', evidence: { kind: 'silent', incarnation: 'i/5000' } });
   await run.announce({ sequence: 5 });
-  t.same(run.ended, [['i/5000', false]]);
+  t.same(run.ended, [['i/5000', 'unreachable']]);
 });
 
-t.test('one refused connection does not prove the end of a run', async (t) => {
-  // Guards against moving keys away from a live server that has no listener for a moment and still holds its last grant.
+t.test('run that refuses connections is used again once it announces itself', async (t) => {
+  // A live server can be without a listener, or cut off, for a moment.
   const run = new PresenceRun();
   await run.announce();
   await run.reportRefused();
-  await run.reportRefused();
-  t.same(run.ended.at(-1), ['i/5000', false]);
+  t.equal(run.state, 'absent');
+  t.same(run.ended, [['i/5000', 'unreachable']]);
   await run.advance(1_000);
   await run.announce({ sequence: 4 });
-  await run.advance(1_000);
-  await run.reportRefused();
-  t.same(run.ended.at(-1), ['i/5000', false], 'it announced itself since the first refusal');
+  t.equal(run.state, 'ready');
 });
 
-t.test('refused connection after silence proves the end of a run', async (t) => {
-  const run = new PresenceRun();
-  await run.announce();
-  await run.advance(500);
-  await run.reportRefused();
-  await run.advance(1_200);
-  t.equal(run.probes, 0);
-  await run.advance(200);
-  t.equal(run.probes, 1, 'no announcement for two intervals');
-  await run.reportRefused();
-  t.same(run.ended.at(-1), ['i/5000', true]);
-});
-
-t.test('refused connection after a stall of the daemon proves nothing', async (t) => {
-  // Guards against taking the server for silent while its announcements wait to be read.
-  const run = new PresenceRun();
-  await run.announce();
-  await run.advance(5_000);
-  await run.reportRefused();
-  t.same(run.ended.at(-1), ['i/5000', false]);
-  await run.announce({ sequence: 4 });
-  await run.advance(1_000);
-  t.equal(run.probes, 0);
-});
-
-t.test('connection refused by a leaving run proves nothing', async (t) => {
+t.test('leaving run that refuses connections is not used', async (t) => {
   // A leaving server may close its port while it still works on requests for its keys.
   const run = new PresenceRun();
   await run.drain();
   await run.reportRefused();
   await run.advance(2_000);
   await run.reportRefused();
-  t.same(run.ended.at(-1), ['i/5000', false]);
+  t.equal(run.state, 'absent');
+  t.same(run.ended.at(-1), ['i/5000', 'unreachable']);
 });
 
 t.test('withdrawn run is not used by later processes', async (t) => {
@@ -391,7 +361,7 @@
   }
   await run.advance(1_300);
   t.match(await run.announce({ ...successor, sequence: 13 }), { accepted: true });
-  t.same(run.ended, [['i/5000', false]], 'the end of the silent run is not proven');
+  t.same(run.ended, [['i/5000', 'replaced']]);
 });
 
 t.test('delayed announcements of a former run do not replace a live one', async (t) => {
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -2,6 +2,7 @@
 import { createRangeTable } from '#ranges/CreateRangeTable.js';
 import { listRowsOf } from '#ranges/ListRowsOf.js';
 import { transferRanges } from '#ranges/TransferRanges.js';
+import type { Grant } from '#mesh/Grant.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { createEntry } from './CreateEntry.js';
 import { RangeRun } from './RangeRun.js';
@@ -10,10 +11,10 @@
 const owners = servers.map(({ serverId, term, incarnation }) => ({ serverId, term, incarnation }));
 const table = createRangeTable('s', owners);
 
-/** Time after which all grants of a former run of the daemon have expired, in milliseconds. */
 /** Time for which free keys wait for others that are being released, in milliseconds. */
 const GATHER_MS = 120;
 
+/** Time after which all grants of a former run of the daemon have expired, in milliseconds. */
 const INHERITED_MS = 7_500;
 
 /** Time within which a live backend server has certainly announced itself, in milliseconds. */
@@ -86,24 +87,52 @@
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.checkIn([]);
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: false });
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
   await run.advance(5_000);
   t.equal(run.table().lastEpoch, 1);
   for (let index = 0; index < 24; index += 1) await run.advance(250);
   t.equal(listRowsOf(run.table(), 'a').length, 0);
 });
 
-t.test('keys of a dead server move at once', async (t) => {
+t.test('later run at the address frees no keys before the grant of the former one expired', async (t) => {
+  // Guards against keys that another server gets while a run holds them that was replaced or only seemed to be.
   const run = startRun(t);
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.advance(INHERITED_MS);
   await run.checkIn([]);
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'replaced' });
   await run.settle();
+  t.equal(listRowsOf(run.table(), 'a').length, 1);
+  await run.advance(INHERITED_MS);
   t.equal(listRowsOf(run.table(), 'a').length, 0);
 });
 
+t.test('server that is not used gets no further grant', async (t) => {
+  // Guards against a held reply that prolongs the time until the keys of a server that has ended can move.
+  const run = startRun(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  const replies: (Grant | undefined)[] = [];
+  run.task.post({
+    type: 'checkIn',
+    checkIn: {
+      incarnation: 'a/1',
+      holds: [fullRow],
+      released: [],
+      leaving: false,
+      slots: 4,
+      reply: (grant) => replies.push(grant),
+    },
+  });
+  await run.settle();
+  t.same(replies, [], 'the reply is held back');
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.settle();
+  t.same(replies, [undefined]);
+});
+
 t.test('new run of the server gets a new epoch', async (t) => {
   const run = startRun(t);
   await run.view(servers, table);
@@ -141,7 +170,7 @@
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.checkIn([fullRow]);
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'replaced' });
   await run.settle();
   t.equal(listRowsOf(run.table(), 'a').length, 1);
   await run.advance(INHERITED_MS);
@@ -155,8 +184,8 @@
   await run.advance(INHERITED_MS);
   await run.checkIn([]);
   run.store.faultMode = 'repliesLost';
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
-  await run.settle();
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.advance(INHERITED_MS);
   run.store.faultMode = 'none';
   const { acceptedWrites: writes } = run.store;
   for (let index = 0; index < 4; index += 1) await run.advance(250);
@@ -233,7 +262,7 @@
   await run.view(servers, table);
   await run.lease(1, 60_000);
   await run.checkIn([]);
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: false });
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
   await run.settle();
   t.match(await run.checkIn([fullRow]), { rows: [fullRow] });
   await run.advance(20_000);
@@ -401,8 +430,8 @@
   await run.advance(INHERITED_MS);
   await run.checkIn([]);
   run.store.set('ranges', 's', { odd: true });
-  run.task.post({ type: 'ended', incarnation: 'a/1', proven: true });
-  await run.settle();
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.advance(INHERITED_MS);
   const { putCalls: puts } = run.store;
   for (let index = 0; index < 100; index += 1) await run.settle();
   t.equal(run.store.putCalls, puts, 'no write until some time has passed');
