Tell callers when the keys of an unreachable server are free

Callers saw: a request for a key of a server that had crashed waited for half of its target latency and was refused with a Retry-After of 60 ms, then came back and was refused again, although the daemon beside that server knew when its last grant ends.

Cause: that time never left the daemon.

Change: the entry of an unreachable server names it (keysFreeMs, by the wall clock; it decides nothing but waits). An entry daemon lets a request wait if the next owner can still serve it in time, and refuses it at once otherwise, as 'ownerLost' with that time as Retry-After. A time further away than any grant is ignored, as it comes from a wrong clock. A server that leaves and closes its port is still told to release its keys, and repeated evidence changes nothing.

Tests: entry 'request for a key of a lost owner is refused at once with the time until the next one', '... waits for the next one if there is time', 'impossible time of the next owner is ignored'; presence 'time at which the keys of an unreachable run are free is published until it announces itself'; rangeTask 'leaving server that refuses connections is still told to release its keys', 'repeated evidence does not change the announced time'.

--- a/packages/mesh/src/CreateEntryRefusal.ts
+++ b/packages/mesh/src/CreateEntryRefusal.ts
@@ -17,6 +17,8 @@
 export function createEntryRefusal(exchange: MeshExchange, nowMs: number): CallerReply {
   if (exchange.mayHaveRun) return { type: 'refusal', status: BAD_GATEWAY, code: 'lost', retryAfterMs: 0 };
   const code = exchange.lastRefusal ?? 'noServer';
+  if (code === 'ownerLost')
+    return { type: 'refusal', status: UNAVAILABLE, code, retryAfterMs: exchange.retryAfterMs };
   const longestMs = Math.max(0, (exchange.dueMs - nowMs) * MAX_RETRY_FRACTION);
   const retryAfterMs = CAPACITY_REFUSALS.has(code)
     ? expectedReturnMs(exchange.retryAfterMs, longestMs)
--- a/packages/mesh/src/CreateServerEntry.ts
+++ b/packages/mesh/src/CreateServerEntry.ts
@@ -6,16 +6,22 @@
 
 type Publisher = Pick<PresenceOptions, 'identity' | 'address' | 'processId'>;
 
+/** What the entry says of the daemon's lease and of its server's keys. */
+interface Ownership {
+  readonly term: number;
+  readonly bornEra: number;
+  readonly keysFreeMs: number | undefined;
+}
+
 /**
- * Creates the entry in which a daemon publishes itself, its lease's term, the first era of the store that it knew, and the
- * run of the backend server beside it.
+ * Creates the entry in which a daemon publishes itself, its lease's term, the first era of the store that it knew, the run
+ * of the backend server beside it, and until when that run may hold keys if it is unreachable.
  */
 export function createServerEntry(
   { identity, address, processId }: Publisher,
   presence: Presence,
   run: ServerRun | undefined,
-  term: number,
-  bornEra: number,
+  { term, bornEra, keysFreeMs }: Ownership,
 ): ServerEntry {
   const leave = run === undefined ? undefined : describeLeave(run);
   return {
@@ -31,6 +37,7 @@
     term,
     processId,
     ...(bornEra === 0 ? {} : { bornEra }),
+    ...(keysFreeMs === undefined || presence.state !== 'absent' ? {} : { keysFreeMs }),
     ...(leave === undefined ? {} : { leave }),
   };
 }
--- a/packages/mesh/src/EntryTask.ts
+++ b/packages/mesh/src/EntryTask.ts
@@ -18,6 +18,7 @@
 import type { EntryMessage } from '#mesh/EntryMessage.js';
 import type { EntryOptions } from '#mesh/EntryOptions.js';
 import { findRangeOwner } from '#mesh/FindRangeOwner.js';
+import { findNextOwnerDelay } from '#mesh/FindNextOwnerDelay.js';
 import { findOwnerWait } from '#mesh/FindOwnerWait.js';
 import type { MeshExchange } from '#mesh/MeshExchange.js';
 import type { DispatchAttempt } from '#mesh/DispatchAttempt.js';
@@ -233,7 +234,7 @@
       (server.state === 'ready' || server.state === 'draining' || server.state === 'gone') &&
       (!exchange.tried.has(server.serverId) || revision > exchange.tableRevision);
     if (!maySend || exchange.offers >= MAX_ATTEMPTS) {
-      this.waitForOwner(exchange);
+      this.waitForOwner(exchange, server);
       return;
     }
     const decision = this.decideEntry(exchange, [server]);
@@ -257,12 +258,14 @@
     });
   }
 
-  /** Waits for a limited time until the owner of the key is known and ready. */
-  private waitForOwner(exchange: MeshExchange): void {
+  /** Waits for a limited time until the owner of the key, or its next one, is known and ready. */
+  private waitForOwner(exchange: MeshExchange, owner: ServerEntry | undefined): void {
     const nowMs = this.now();
-    const { sinceMs, untilMs, retryMs } = findOwnerWait(exchange, nowMs);
+    const ownedInMs = findNextOwnerDelay(owner, this.options.clock.wallMs());
+    const { sinceMs, untilMs, retryMs } = findOwnerWait(exchange, nowMs, ownedInMs);
     if (exchange.offers >= MAX_ATTEMPTS || nowMs >= untilMs || exchange.request.key === undefined) {
-      this.refuse(exchange);
+      if (ownedInMs === undefined) this.refuse(exchange);
+      else this.refuse({ ...exchange, lastRefusal: 'ownerLost', retryAfterMs: ownedInMs });
       return;
     }
     exchange.cursor.send({ type: 'waited' });
--- a/packages/mesh/src/FindOwnerWait.ts
+++ b/packages/mesh/src/FindOwnerWait.ts
@@ -18,11 +18,21 @@
 const MOVE_RETRY_DELAY_MS = 300;
 
 /**
- * Determines how long a request may wait for the owner of its key. It waits from now unless it already began
- * to.
+ * Determines how long a request may wait for the owner of its key. It waits from now unless it already began to. If the
+ * key is known to have another owner in `ownedInMs`, it waits for that one if there is time to serve it then, and not at
+ * all otherwise.
  */
-export function findOwnerWait({ waitingMs, lastRefusal, route }: MeshExchange, nowMs: number): OwnerWait {
+export function findOwnerWait(
+  { waitingMs, lastRefusal, route, dueMs }: MeshExchange,
+  nowMs: number,
+  ownedInMs: number | undefined,
+): OwnerWait {
   const sinceMs = waitingMs ?? nowMs;
+  if (ownedInMs !== undefined) {
+    const ownedMs = nowMs + ownedInMs;
+    const isInTime = ownedMs + route.targetLatencyMs <= dueMs;
+    return { sinceMs, untilMs: isInTime ? ownedMs : nowMs, retryMs: MOVE_RETRY_DELAY_MS };
+  }
   const isMoving = lastRefusal === 'moving';
   return {
     sinceMs,
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -339,7 +339,7 @@
     this.callers.post({ type: 'stopping' });
     const endMs = startMs + graceMs - STOP_MARGIN_MS;
     this.entry.post({ type: 'leaving', untilMs: endMs });
-    this.ownership.ranges.post({ type: 'leaving' });
+    this.ownership.ranges.post({ type: 'stopRequested' });
     this.server.post({ type: 'probe' });
     // Callers and other daemons may keep sending requests; if these were accepted, the daemon would never
     // become idle.
--- a/packages/mesh/src/OwnershipTasks.ts
+++ b/packages/mesh/src/OwnershipTasks.ts
@@ -19,6 +19,7 @@
       ...options,
       logger: createLogger('ranges'),
       onKeyed: () => this.lease.post({ type: 'hold' }),
+      onUnreachable: (server) => this.presence.post({ type: 'unreachable', server }),
       onFacts: (facts) => {
         this.lease.post({ type: 'facts', facts });
         onFacts(facts);
--- a/packages/mesh/src/PresenceMessage.ts
+++ b/packages/mesh/src/PresenceMessage.ts
@@ -6,6 +6,7 @@
 import type { Announcement } from '#mesh/Announcement.js';
 import type { AnnouncementReply } from '#mesh/AnnouncementReply.js';
 import type { PresenceEvidence } from '#mesh/PresenceEvidence.js';
+import type { UnreachableServer } from '#mesh/UnreachableServer.js';
 
 /** Messages to `PresenceTask`. */
 export type PresenceMessage =
@@ -25,6 +26,8 @@
   | { readonly type: 'evidence'; readonly evidence: PresenceEvidence }
   /** The daemon holds its lease under a new term. */
   | { readonly type: 'term'; readonly term: number }
+  /** The keys of a run that is unreachable move when its last grant ends. */
+  | { readonly type: 'unreachable'; readonly server: UnreachableServer }
   /** The result of reading the entry that a former process of this daemon left. */
   | { readonly type: 'read'; readonly result: Either<RouterError, CollectionItem | undefined> }
   | { readonly type: 'eraChanged'; readonly change: EraChange }
--- a/packages/mesh/src/PresenceTask.ts
+++ b/packages/mesh/src/PresenceTask.ts
@@ -26,6 +26,7 @@
 import type { ServerEntry } from '#mesh/ServerEntry.js';
 import { serverEntryCodec } from '#mesh/ServerEntryCodec.js';
 import type { ServerRun } from '#mesh/ServerRun.js';
+import type { UnreachableServer } from '#mesh/UnreachableServer.js';
 
 /** Pause between two attempts to read the entry of a former process, in milliseconds. */
 const READ_RETRY_MS = 500;
@@ -66,6 +67,7 @@
   private waitingCalls: readonly ServerCall[] = [];
   private run: ServerRun | undefined;
   private term = 0;
+  private unreachable: UnreachableServer | undefined;
   /** First era of the store that this process knew. */
   private bornEra = 0;
   /** Whether the entry of a former process may be older than the last one, as the store was restored after it was written. */
@@ -80,7 +82,12 @@
     this.successor = new RunConfirmation(options.announceEveryMs);
     this.publisher = new EntryPublisher({
       ...options,
-      createEntry: () => createServerEntry(options, this.describe(), this.run, this.term, this.bornEra),
+      createEntry: () =>
+        createServerEntry(options, this.describe(), this.run, {
+          term: this.term,
+          bornEra: this.bornEra,
+          keysFreeMs: this.findKeysFreeMs(),
+        }),
       onDue: () => this.post({ type: 'publish' }),
       onWritten: (result) => this.post({ type: 'published', result }),
       onStored: (entry) => this.noteStored(entry),
@@ -116,6 +123,10 @@
         this.term = message.term;
         this.publisher.schedule();
         return;
+      case 'unreachable':
+        this.unreachable = message.server;
+        this.publisher.schedule();
+        return;
       case 'eraChanged':
         this.noteEra(message.change);
         return;
@@ -379,6 +390,13 @@
     return describePresence(this.cursor.state as Presence['state'], this.run, this.options.identity.service);
   }
 
+  private findKeysFreeMs(): number | undefined {
+    const { run, unreachable } = this;
+    return run !== undefined && run.incarnation === unreachable?.incarnation
+      ? unreachable.keysFreeMs
+      : undefined;
+  }
+
   private noteStored(entry: ServerEntry): void {
     this.recordCursor.send({ type: 'read' });
     this.acknowledgements.noteStored(entry);
--- a/packages/mesh/src/RangeMessage.ts
+++ b/packages/mesh/src/RangeMessage.ts
@@ -22,7 +22,7 @@
   /** A write of the table has ended; `item` is the stored table, undefined if it could not be read. */
   | { readonly type: 'settled'; readonly item: CollectionItem | undefined }
   /** The daemon was asked to stop; the backend server keeps its keys until the next process of the daemon grants them. */
-  | { readonly type: 'leaving' }
+  | { readonly type: 'stopRequested' }
   /** The daemon stops. The reply tells whether it owns keys that its backend server no longer holds. */
   | { readonly type: 'stopping'; readonly reply: (isFree: boolean) => void }
   | { readonly type: 'tick' }
--- a/packages/mesh/src/RangeOptions.ts
+++ b/packages/mesh/src/RangeOptions.ts
@@ -6,6 +6,7 @@
 import type { GrantedKeys } from '#mesh/GrantedKeys.js';
 import type { LeaseReport } from '#mesh/LeaseReport.js';
 import type { DaemonIdentity } from '#mesh/DaemonIdentity.js';
+import type { UnreachableServer } from '#mesh/UnreachableServer.js';
 
 /** Identity, collaborators and callbacks of `RangeTask`. */
 export interface RangeOptions {
@@ -19,6 +20,8 @@
   readonly logger: Logger;
   /** Receives the keys of the backend server whenever they may have changed. */
   readonly onGranted: (keys: GrantedKeys) => void;
+  /** Reports that keys of an unreachable backend server cannot move before its last grant ends. */
+  readonly onUnreachable: (server: UnreachableServer) => void;
   /** Reports that the service has owned keys, so that a lease is needed. */
   readonly onKeyed: () => void;
   readonly onFacts: (facts: LeaseReport) => void;
--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -155,7 +155,7 @@
         break;
       case 'due':
         break;
-      case 'leaving':
+      case 'stopRequested':
         this.grants.prepareRestart();
         this.sendGrant();
         break;
@@ -350,9 +350,14 @@
   /** Lets the keys of a run that is not used any longer move, once it released them or its grants have run out. */
   private noteEnded(incarnation: string, reason: EndOfUse): void {
     if (incarnation !== this.incarnation) return;
+    const wasLeaving = this.leaving;
     this.leaving = true;
+    // A server that leaves is still told to release its keys. It may close its port before its last requests end.
+    if (reason !== 'unreachable' || wasLeaving || !this.isKeyed()) return;
     // Another grant would only delay the move if the server has ended.
-    if (reason === 'unreachable') this.grants.refuse();
+    this.grants.refuse();
+    const keysFreeMs = Math.ceil(this.options.clock.wallMs() + this.grants.leftMs);
+    this.options.onUnreachable({ incarnation, keysFreeMs });
   }
 
   /** Moves keys that a server does not release as soon as its grants have ended. */
--- a/packages/mesh/src/RefusalCode.ts
+++ b/packages/mesh/src/RefusalCode.ts
@@ -2,6 +2,7 @@
 export type RefusalCode =
   | 'unreachable'
   | 'noServer'
+  | 'ownerLost'
   | 'otherService'
   | 'draining'
   | 'evacuated'
--- a/packages/mesh/src/ServerEntry.ts
+++ b/packages/mesh/src/ServerEntry.ts
@@ -20,6 +20,11 @@
   readonly processId: string;
   /** First era of the store that this run of the daemon knew; absent if 0. */
   readonly bornEra?: number | undefined;
+  /**
+   * Time at which the last grant of an unreachable backend server ends, so that its keys get another owner, in Unix
+   * milliseconds by the clock of its VM. Absent if the server is in use.
+   */
+  readonly keysFreeMs?: number | undefined;
   /** Absent unless the backend server drains or has withdrawn. */
   readonly leave?: LeaveRecord | undefined;
 }
--- a/packages/mesh/src/ServerEntryCodec.ts
+++ b/packages/mesh/src/ServerEntryCodec.ts
@@ -21,5 +21,6 @@
   term: ordinalCodec,
   processId: idCodec,
   bornEra: createOptionalCodec(ordinalCodec),
+  keysFreeMs: createOptionalCodec(ordinalCodec),
   leave: createOptionalCodec(createObjectCodec({ bornMs: ordinalCodec, sequence: ordinalCodec })),
 });
--- a/packages/mesh/test/RangeRun.ts
+++ b/packages/mesh/test/RangeRun.ts
@@ -11,6 +11,7 @@
 import { RangeTask } from '#mesh/RangeTask.js';
 import type { ReleasedRow } from '#mesh/ReleasedRow.js';
 import type { ServerEntry } from '#mesh/ServerEntry.js';
+import type { UnreachableServer } from '#mesh/UnreachableServer.js';
 import { MemoryCollectionStore } from '#standin/MemoryCollectionStore.js';
 import { createView } from './CreateView.js';
 
@@ -24,6 +25,7 @@
   public readonly task: RangeTask;
   public served: readonly KeyRange[] = [];
   public facts: LeaseReport | undefined;
+  public unreachable: UnreachableServer | undefined;
   private readonly elapsed = new ElapsedClock(this.clock);
 
   public constructor() {
@@ -38,6 +40,9 @@
       onGranted: ({ expected }) => {
         this.served = expected;
       },
+      onUnreachable: (server) => {
+        this.unreachable = server;
+      },
       onKeyed: () => undefined,
       onFacts: (facts) => {
         this.facts = facts;
--- a/packages/mesh/test/entry.test.ts
+++ b/packages/mesh/test/entry.test.ts
@@ -170,6 +170,44 @@
   t.match(run.replies, [{ status: 503 }]);
 });
 
+t.test('request for a key of a lost owner is refused at once with the time until the next one', async (t) => {
+  // Guards against requests that wait for keys which nobody can serve, and callers that return too early again and again.
+  const table = createRangeTable('s', [{ serverId: 'a', term: 1, incarnation: 'a/1' }]);
+  const lostOwner = createEntry('a', { state: 'absent', keysFreeMs: 2_000 });
+  const run = new EntryRun(createView([lostOwner, createEntry('b')], {}, table));
+  await run.arrive('1', 5);
+  t.match(run.replies, [{ status: 503, code: 'ownerLost' }]);
+  const [reply] = run.replies;
+  t.ok(reply?.type === 'refusal' && reply.retryAfterMs >= 2_000);
+  t.equal(run.sent.length, 0);
+});
+
+t.test('request for a key of a lost owner waits for the next one if there is time', async (t) => {
+  const table = createRangeTable('s', [{ serverId: 'a', term: 1, incarnation: 'a/1' }]);
+  const servers = [createEntry('a', { state: 'absent', keysFreeMs: 300 }), createEntry('b')];
+  const run = new EntryRun(createView(servers, {}, table));
+  await run.arrive('1', 5);
+  await run.advance(500);
+  t.equal(run.replies.length, 0);
+  const moved = createRangeTable('s', [{ serverId: 'b', term: 1, incarnation: 'b/1' }]);
+  const view = createView(servers, {}, moved);
+  run.task.post({ type: 'view', view: { ...view, tables: new Map([['s', { table: moved, revision: 2 }]]) } });
+  await run.settle();
+  t.equal(run.sent.at(-1)?.server.serverId, 'b');
+});
+
+t.test('impossible time of the next owner is ignored', async (t) => {
+  // Guards against callers that are turned away for long because the clock of one VM is wrong.
+  const table = createRangeTable('s', [{ serverId: 'a', term: 1, incarnation: 'a/1' }]);
+  const run = new EntryRun(
+    createView([createEntry('a', { state: 'absent', keysFreeMs: 60_000 }), createEntry('b')], {}, table),
+  );
+  await run.arrive('1', 5);
+  t.equal(run.replies.length, 0);
+  await run.advance(200);
+  t.match(run.replies, [{ status: 503, code: 'noServer' }]);
+});
+
 t.test('unreachable daemon does not prove that a request has not run', async (t) => {
   // The request may have run when it was first sent; sending it to another server ran it twice.
   const run = new EntryRun(createView(two, { idempotent: false }));
--- a/packages/mesh/test/presence.test.ts
+++ b/packages/mesh/test/presence.test.ts
@@ -171,6 +171,21 @@
   t.same(run.ended.at(-1), ['i/5000', 'unreachable']);
 });
 
+t.test(
+  'time at which the keys of an unreachable run are free is published until it announces itself',
+  async (t) => {
+    const run = new PresenceRun();
+    await run.announce();
+    await run.reportRefused();
+    run.task.post({ type: 'unreachable', server: { incarnation: 'i/5000', keysFreeMs: 9_000 } });
+    await run.settle();
+    t.match(run.store.read('servers', 'a')?.value, { state: 'absent', keysFreeMs: 9_000 });
+    await run.announce({ sequence: 4 });
+    await run.settle();
+    t.match(run.store.read('servers', 'a')?.value, { state: 'ready', keysFreeMs: undefined });
+  },
+);
+
 t.test('withdrawn run is not used by later processes', async (t) => {
   // After a restart of its daemon, an announcement that arrives late made a server that had left available to all daemons.
   const first = new PresenceRun();
--- a/packages/mesh/test/rangeTask.test.ts
+++ b/packages/mesh/test/rangeTask.test.ts
@@ -474,7 +474,7 @@
   await run.lease(1, 60_000);
   await run.checkIn([]);
   const open = run.checkIn([fullRow]);
-  run.task.post({ type: 'leaving' });
+  run.task.post({ type: 'stopRequested' });
   t.match(await open, { rows: [fullRow], holdMs: 7_000 });
   t.match(await run.checkIn([fullRow]), { holdMs: 7_000 });
 });
@@ -487,10 +487,42 @@
   await run.advance(INHERITED_MS);
   await run.checkIn([]);
   run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.settle();
+  t.match(run.unreachable, { incarnation: 'a/1' });
+  const announcedMs = INHERITED_MS;
+  t.ok((run.unreachable?.keysFreeMs ?? 0) >= announcedMs + ROUTINE_GRANT_MS * 1.02);
   await run.advance(ROUTINE_GRANT_MS * 1.02);
   t.equal(listRowsOf(run.table(), 'a').length, 1, 'the clock of the server may run slow');
   await run.advance(100);
   t.equal(listRowsOf(run.table(), 'a').length, 0);
+  t.ok(run.clock.wallMs() >= (run.unreachable?.keysFreeMs ?? 0), 'the announced time is not too early');
+});
+
+t.test('leaving server that refuses connections is still told to release its keys', async (t) => {
+  // Guards against keys that wait for the end of the grant, as a leaving server may close its port early.
+  const run = startRun(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  const open = run.checkIn([fullRow], [], 'a/1', true);
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  t.match(await open, { rows: [] });
+  t.equal(run.unreachable, undefined);
+});
+
+t.test('repeated evidence does not change the announced time', async (t) => {
+  // Guards against a write of the entry for each connection that fails.
+  const run = startRun(t);
+  await run.view(servers, table);
+  await run.lease(1, 60_000);
+  await run.checkIn([]);
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.settle();
+  const first = run.unreachable;
+  await run.advance(50);
+  run.task.post({ type: 'ended', incarnation: 'a/1', reason: 'unreachable' });
+  await run.settle();
+  t.equal(run.unreachable, first);
 });
 
 t.test('renewal after the stop grants no keys', async (t) => {
