RangeTask: the claim after a restore of the store is a class of its own

RangeTask held four fields for the rows that it claims in a restored table. RestoreClaim now owns them and tells when the claim is due.

--- a/packages/mesh/src/RangeTask.ts
+++ b/packages/mesh/src/RangeTask.ts
@@ -36,6 +36,7 @@
 import type { RangeOptions } from '#mesh/RangeOptions.js';
 import { rangeTableCodec } from '#mesh/RangeTableCodec.js';
 import { ReleaseLedger } from '#mesh/ReleaseLedger.js';
+import { RestoreClaim } from '#mesh/RestoreClaim.js';
 import type { RangeReleaseRequest } from '#mesh/RangeReleaseRequest.js';
 import { commitRangeTable } from '#mesh/CommitRangeTable.js';
 import { ServerGrants } from '#mesh/ServerGrants.js';
@@ -77,16 +78,8 @@
   private table: StoredRangeTable | undefined;
   private lease: HeldLease = { term: 0, untilMs: 0, era: 0 };
   private readonly restore = new RangeRestore();
-  /**
-   * Rows that this daemon owned by the last table before a restore of the store, until the restored table contains them. They
-   * are granted only while `lease` lasts, which was renewed before the restore.
-   */
-  private kept: readonly RangeRow[] | undefined;
-  /** The table in which the kept rows have to be claimed, with revision 0 if the store has none. */
-  private restored: StoredRangeTable | undefined;
-  /** The lease that was renewed after the restore. */
-  private nextLease: HeldLease | undefined;
-  private claimMs = 0;
+  /** Claim on the rows of this daemon after a restore of the store. Until it ends, `lease` is the one from before. */
+  private claim: RestoreClaim | undefined;
   /** Keys that the backend server holds although the restored table does not prove it. */
   private evidence: readonly KeyRange[] = [];
   /** Keys in a pending write that gives them away. */
@@ -163,7 +156,7 @@
         message.reply(this.listOwnRows().length > 0 && this.grants.hasEnded);
         this.stopping = true;
         this.lease = { ...this.lease, untilMs: 0 };
-        this.nextLease = undefined;
+        this.claim?.noteLease(undefined);
         break;
     }
     this.changeTable();
@@ -194,7 +187,7 @@
   }
 
   private noteLease(lease: HeldLease): void {
-    if (this.kept !== undefined && lease.era === this.restore.currentEra) this.nextLease = lease;
+    if (this.claim !== undefined && lease.era === this.restore.currentEra) this.claim.noteLease(lease);
     else this.lease = lease;
   }
 
@@ -205,28 +198,26 @@
   private noteEra({ era, isFirst }: EraChange): void {
     const { clock, timings, logger } = this.options;
     const nowMs = clock.monotonicMs();
-    this.kept ??= isFirst ? undefined : this.listKept();
+    this.claim ??= isFirst ? undefined : this.createClaim();
     this.restore.noteEra(era, isFirst, nowMs, computeLongestLeaseMs(timings));
-    this.restored = undefined;
-    this.nextLease = undefined;
     this.evidence = [];
     if (isFirst) return;
     const rank = listReceivers(this.view, this.service).findIndex(
       ({ serverId }) => serverId === this.options.identity.serverId,
     );
-    this.claimMs = nowMs + Math.max(0, rank) * CLAIM_INTERVAL_MS;
-    logger.log('rowsKept', { step: 'move', era, rows: this.kept?.length ?? 0 });
+    this.claim?.restart(nowMs + Math.max(0, rank) * CLAIM_INTERVAL_MS);
+    logger.log('rowsKept', { step: 'move', era, rows: this.claim?.rows.length ?? 0 });
     if (this.isKeyed()) this.readRestored(era);
   }
 
-  private listKept(): readonly RangeRow[] | undefined {
+  private createClaim(): RestoreClaim | undefined {
     const { table, lease } = this;
     if (table === undefined || lease.untilMs <= this.now() || !this.isFenced(table)) return undefined;
     const own = listRowsOf(table.table, this.options.identity.serverId).filter(
       (row) => row.term === lease.term && this.restore.isProven(row),
     );
     const rows = subtractRanges(own, this.transferring);
-    return rows.length === 0 ? undefined : rows;
+    return rows.length === 0 ? undefined : new RestoreClaim(rows);
   }
 
   private readRestored(era: number): void {
@@ -249,42 +240,37 @@
       return;
     }
     this.options.logger.log('tableMissing', { step: 'store', service: this.service });
-    if (this.kept === undefined) {
+    if (this.claim === undefined) {
       if (this.table !== undefined && this.restore.isOutdated(this.table.revision)) this.table = undefined;
       return;
     }
     const receivers = listReceivers(this.view, this.service);
     // The rows of this table are not proven, so that no daemon grants one before it has been claimed.
     const table = createRangeTable(this.service, receivers.length === 0 ? [this.owner] : receivers);
-    this.restored ??= { table, revision: 0 };
+    this.claim.noteMissing(table);
   }
 
-  /** Writes the kept rows into the restored table, or gives them up once the lease under which they are granted has ended. */
-  private claimKept(kept: readonly RangeRow[]): void {
-    const { restored, nextLease } = this;
+  /** Writes the claimed rows into the restored table, or gives them up once the lease under which they are granted has ended. */
+  private writeClaim(claim: RestoreClaim): void {
     if (this.lease.untilMs <= this.now()) {
-      this.options.logger.log('rowsGivenUp', { step: 'move', rows: kept.length });
-      this.endClaim();
+      this.options.logger.log('rowsGivenUp', { step: 'move', rows: claim.rows.length });
+      this.endClaim(claim);
       return;
     }
-    if (this.writing || restored === undefined || nextLease === undefined || nextLease.untilMs <= this.now())
-      return;
-    if (this.options.clock.monotonicMs() < this.claimMs) return;
-    const owner = { ...this.owner, term: nextLease.term };
-    const next = this.restore.claim(restored.table, owner, kept);
-    if (next === restored.table) this.endClaim();
-    else this.write(next, restored.revision, 'keysClaimed');
-  }
-
-  private endClaim(): void {
-    const { restored } = this;
-    this.lease = this.nextLease ?? this.lease;
-    this.kept = undefined;
-    this.nextLease = undefined;
-    this.restored = undefined;
+    const claimable = claim.findClaimable(this.options.clock.monotonicMs(), this.now());
+    if (this.writing || claimable === undefined) return;
+    const { table, revision } = claimable.table;
+    const next = this.restore.claim(table, { ...this.owner, term: claimable.lease.term }, claim.rows);
+    if (next === table) this.endClaim(claim);
+    else this.write(next, revision, 'keysClaimed');
+  }
+
+  private endClaim({ table, lease }: RestoreClaim): void {
+    this.lease = lease ?? this.lease;
+    this.claim = undefined;
     this.evidence = [];
     this.table = undefined;
-    if (restored !== undefined && restored.revision > 0) this.adopt(restored);
+    if (table !== undefined && table.revision > 0) this.adopt(table);
   }
 
   private noteCheckIn({ incarnation, holds, released, leaving, slots, reply }: CheckIn): void {
@@ -415,8 +401,8 @@
 
   /** Starts the next due change of the table. At most one write is in progress. */
   private changeTable(): void {
-    if (this.kept !== undefined) {
-      this.claimKept(this.kept);
+    if (this.claim !== undefined) {
+      this.writeClaim(this.claim);
       return;
     }
     const { table } = this;
@@ -562,8 +548,8 @@
 
   private adopt(table: StoredRangeTable): void {
     if (this.restore.isOutdated(table.revision)) return;
-    if (this.kept !== undefined) {
-      if (this.restored === undefined || this.restored.revision < table.revision) this.restored = table;
+    if (this.claim !== undefined) {
+      this.claim.noteTable(table);
       return;
     }
     if (this.table !== undefined && this.table.revision >= table.revision) return;
@@ -582,7 +568,9 @@
 
   private listOwnRows(): readonly RangeRow[] {
     if (this.table === undefined) return [];
-    return (this.kept ?? this.listProven(this.table.table)).filter((row) => isSameOwner(row, this.owner));
+    return (this.claim?.rows ?? this.listProven(this.table.table)).filter((row) =>
+      isSameOwner(row, this.owner),
+    );
   }
 
   private listGrantable(): readonly RangeRow[] {
