--- a/packages/mesh/test/receiverStop.test.ts
+++ b/packages/mesh/test/receiverStop.test.ts
@@ -15,6 +15,7 @@
 import { RecordingLogger } from './RecordingLogger.js';
 import { SlowLink } from './SlowLink.js';
 import { startNode } from './StartNode.js';
+import { waitFor } from './WaitFor.js';
 
 type Test = Parameters<typeof startNode>[0];
 
@@ -26,6 +27,10 @@
 
 const GRACE_MS = 8_000;
 
+/** Requests that are answered before a daemon under load is asked to stop, and the most that are open at a time. */
+const MIN_ANSWERED = 1_000;
+const MAX_OPEN = 1_600;
+
 /** Latest end of a stop during which nothing waits. */
 const IDLE_STOP_MS = 3_300;
 
@@ -158,7 +163,10 @@
   const senders = Array.from({ length: 16 }, () => startSender(t, address));
   const outcomes = new Map<string, number>();
   let count = 0;
+  const countOpen = (): number => count - [...outcomes.values()].reduce((sum, each) => sum + each, 0);
+  const countAnswered = (): number => outcomes.get('answered 400') ?? 0;
   const sendAll = (): void => {
+    if (countOpen() > MAX_OPEN) return;
     for (const send of senders) {
       count += 1;
       void send(createUnsafeRequest(`c${count}`)).then((result) => {
@@ -168,15 +176,18 @@
     }
   };
   const timer = setInterval(sendAll, 2);
-  await sleep(300);
+  // The daemon is stopped at work, however long the machine takes to get there.
+  await waitFor(() => countAnswered() > MIN_ANSWERED && countOpen() > 0);
+  t.ok(countAnswered() > MIN_ANSWERED);
+  t.ok(countOpen() > 0, 'requests are open when the stop begins');
   await node.stop();
   clearInterval(timer);
-  await sleep(500);
+  await waitFor(() => countOpen() === 0);
   t.same(
     [...outcomes].filter(([outcome]) => outcome.startsWith('lost')),
     [],
   );
-  t.ok((outcomes.get('answered 400') ?? 0) > 1_000);
+  t.equal(countOpen(), 0, 'each request has an outcome');
 });
 
 t.test('stop does not wait for a silent sender without results', { timeout: 30_000 }, async (t) => {
